--- /dev/null
+++ b/callevent.go
@@ -0,0 +1,126 @@
+package waxwingseam
+
+import "time"
+
+// The kinds of the events at a call's sending node.
+const (
+	KindCallArrived    Kind = "call-arrived"
+	KindCallerLeft     Kind = "caller-left"
+	KindReplyStarted   Kind = "reply-started"
+	KindAttemptEnded   Kind = "attempt-ended"
+	KindAttemptSilent  Kind = "attempt-silent"
+	KindFenceAnswered  Kind = "fence-answered"
+	KindTimerFired     Kind = "timer-fired"
+	KindServersLearned Kind = "servers-learned"
+	KindSetAdopted     Kind = "set-adopted"
+)
+
+// CallArrived is a call from a caller, or from the node's own backend server.
+type CallArrived struct {
+	Stamp
+	// ID is the identifier that the runner gave the call.
+	ID CallID
+	// Root is set for a call without a parent.
+	Root RootID
+	// Parent is the run that made the call, from its context header; zero for
+	// a root.
+	Parent CallID
+	// Service, Method and Path say what is called.
+	Service ServiceName
+	Method  string
+	Path    string
+	// Timeout is the caller's own; 0 without one.
+	Timeout time.Duration
+	// Key is the caller's idempotency key; empty without one.
+	Key string
+	// Replayable is set while the whole body can be sent again.
+	Replayable bool
+}
+
+// CallerLeft says that a call's caller is gone and wants no answer.
+type CallerLeft struct {
+	Stamp
+	ID CallID
+}
+
+// ReplyStarted says that an attempt's answer has begun to go to the caller, so
+// that the call can be retried no more.
+type ReplyStarted struct {
+	Stamp
+	ID      CallID
+	Attempt Attempt
+}
+
+// AttemptEnded is the end of one attempt, as its sender sees it.
+type AttemptEnded struct {
+	Stamp
+	ID      CallID
+	Attempt Attempt
+	Result  Result
+}
+
+// AttemptSilent says that an attempt's connection makes no progress.
+type AttemptSilent struct {
+	Stamp
+	ID      CallID
+	Attempt Attempt
+}
+
+// FenceAnswered is a receiving node's answer to a fence.
+type FenceAnswered struct {
+	Stamp
+	ID      CallID
+	Attempt Attempt
+	// Reached is unset when no answer came.
+	Reached bool
+	// Started reports that the call had been handed to the backend server.
+	Started bool
+	// Incarnation is the answering node's life.
+	Incarnation Incarnation
+}
+
+// TimerFired is the end of a timer armed by ArmTimer.
+type TimerFired struct {
+	Stamp
+	Timer TimerID
+}
+
+// ServersLearned tells of backend servers announced, changed or gone.
+type ServersLearned struct {
+	Stamp
+	Servers []Server
+	Gone    []ServerName
+}
+
+// SetAdopted puts a configuration in force.
+type SetAdopted struct {
+	Stamp
+	Set *Set
+}
+
+// Kind implements Event.
+func (CallArrived) Kind() Kind { return KindCallArrived }
+
+// Kind implements Event.
+func (CallerLeft) Kind() Kind { return KindCallerLeft }
+
+// Kind implements Event.
+func (ReplyStarted) Kind() Kind { return KindReplyStarted }
+
+// Kind implements Event.
+func (AttemptEnded) Kind() Kind { return KindAttemptEnded }
+
+// Kind implements Event.
+func (AttemptSilent) Kind() Kind { return KindAttemptSilent }
+
+// Kind implements Event.
+func (FenceAnswered) Kind() Kind { return KindFenceAnswered }
+
+// Kind implements Event.
+func (TimerFired) Kind() Kind { return KindTimerFired }
+
+// Kind implements Event.
+func (ServersLearned) Kind() Kind { return KindServersLearned }
+
+// Kind implements Event.
+func (SetAdopted) Kind() Kind { return KindSetAdopted }
--- /dev/null
+++ b/finding.go
@@ -0,0 +1,51 @@
+package waxwingseam
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Finding is one thing wrong with a file, with its place.
+type Finding struct {
+	File    string `json:"file"`
+	Line    int    `json:"line"`
+	Section string `json:"section,omitempty"`
+	Key     string `json:"key,omitempty"`
+	// Warning is set when the finding can be accepted.
+	Warning bool   `json:"warning,omitempty"`
+	Text    string `json:"text"`
+}
+
+// String returns the finding on one line, its place first.
+func (f Finding) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s:%d: ", f.File, f.Line)
+	if f.Section != "" {
+		fmt.Fprintf(&b, "[%s] ", f.Section)
+	}
+	if f.Key != "" {
+		fmt.Fprintf(&b, "%s: ", f.Key)
+	}
+	b.WriteString(f.Text)
+	return b.String()
+}
+
+// Findings is an error that lists all findings.
+type Findings []Finding
+
+// Error returns the findings, one a line.
+func (f Findings) Error() string {
+	lines := make([]string, len(f))
+	for i, v := range f {
+		lines[i] = v.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// OrNil returns the findings as an error, or nil when there are none.
+func (f Findings) OrNil() error {
+	if len(f) == 0 {
+		return nil
+	}
+	return f
+}
--- /dev/null
+++ b/limit.go
@@ -0,0 +1,28 @@
+package waxwingseam
+
+import "time"
+
+// Sample is one ended run, as the limiter sees it.
+type Sample struct {
+	Now time.Time
+	// Elapsed is the time of the run.
+	Elapsed time.Duration
+	// Waited is the time in the queue before it.
+	Waited time.Duration
+	// InFlight counts the runs at its end, itself included.
+	InFlight int
+	// Failed is set when the backend server failed or refused it.
+	Failed bool
+}
+
+// Limiter adapts the concurrency limit of one backend server.
+type Limiter interface {
+	// Configure sets the declared slots, which the limit never passes.
+	Configure(slots int)
+	// Limit returns the limit in force, at least 1.
+	Limit() int
+	// Observe takes in one ended run.
+	Observe(s Sample)
+	// ServiceTime returns the usual time of a run; 0 while unknown.
+	ServiceTime() time.Duration
+}
--- /dev/null
+++ b/messenger/messenger.go
@@ -0,0 +1,52 @@
+// Package messenger carries typed messages between the system's own processes:
+// drpc calls with CBOR as the encoding.
+package messenger
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
+	"storj.io/drpc"
+)
+
+// Encoding encodes the messages of all services in CBOR.
+var Encoding drpc.Encoding = encoding{}
+
+type encoding struct{}
+
+// Marshal implements drpc.Encoding.
+func (encoding) Marshal(msg drpc.Message) ([]byte, error) {
+	data, err := cbor.Marshal(msg)
+	return data, trace.Wrap(err)
+}
+
+// Unmarshal implements drpc.Encoding.
+func (encoding) Unmarshal(buf []byte, msg drpc.Message) error {
+	return trace.Wrap(cbor.Unmarshal(buf, msg))
+}
+
+// Method describes one remote method for drpc.
+type Method struct {
+	// Name is the path of the method, such as "/waxwingseam.Node/Fence".
+	Name string
+	// Receiver calls the method.
+	Receiver drpc.Receiver
+	// Expression is the method expression of the service's interface.
+	Expression any
+}
+
+// Description lists the methods of one service.
+type Description []Method
+
+// NumMethods implements drpc.Description.
+func (d Description) NumMethods() int {
+	return len(d)
+}
+
+// Method implements drpc.Description.
+func (d Description) Method(n int) (string, drpc.Encoding, drpc.Receiver, any, bool) {
+	if n < 0 || n >= len(d) {
+		return "", nil, nil, nil, false
+	}
+	m := d[n]
+	return m.Name, Encoding, m.Receiver, m.Expression, true
+}
--- /dev/null
+++ b/messenger/server.go
@@ -0,0 +1,81 @@
+package messenger
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/netip"
+
+	"github.com/gravitational/trace"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+)
+
+// Server serves the drpc services of one process on one listener.
+type Server struct {
+	mux      *drpcmux.Mux
+	listener net.Listener
+}
+
+// ServerConfig holds a server's listener.
+type ServerConfig struct {
+	Address netip.AddrPort
+	// TLS is nil for plain text.
+	TLS *tls.Config
+}
+
+// Listen returns a server that listens and does not serve yet.
+func Listen(ctx context.Context, config ServerConfig) (*Server, error) {
+	var lc net.ListenConfig
+	listener, err := lc.Listen(ctx, "tcp", config.Address.String())
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	if config.TLS != nil {
+		listener = tls.NewListener(listener, config.TLS)
+	}
+	return &Server{
+		mux:      drpcmux.New(),
+		listener: listener,
+	}, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() netip.AddrPort {
+	return netip.MustParseAddrPort(s.listener.Addr().String())
+}
+
+// Register adds a service; it must not be called once Serve has been.
+func (s *Server) Register(implementation any, d Description) error {
+	return trace.Wrap(s.mux.Register(implementation, d))
+}
+
+// Serve serves until the context ends.
+func (s *Server) Serve(ctx context.Context) error {
+	return trace.Wrap(drpcserver.New(s.mux).Serve(ctx, s.listener))
+}
+
+// Dialer opens connections to other processes.
+type Dialer struct {
+	// TLS is nil for plain text.
+	TLS *tls.Config
+}
+
+// Dial opens one connection, which carries one call at a time.
+func (d Dialer) Dial(ctx context.Context, address netip.AddrPort) (*drpcconn.Conn, error) {
+	conn, err := d.dial(ctx, address)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	return drpcconn.New(conn), nil
+}
+
+func (d Dialer) dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	if d.TLS == nil {
+		var nd net.Dialer
+		return nd.DialContext(ctx, "tcp", address.String())
+	}
+	td := tls.Dialer{Config: d.TLS}
+	return td.DialContext(ctx, "tcp", address.String())
+}
--- /dev/null
+++ b/outcome.go
@@ -0,0 +1,52 @@
+package waxwingseam
+
+// Outcome is what is known of a call when its answer is given.
+type Outcome uint8
+
+const (
+	// OutcomeCompleted means that the backend server's whole answer is known.
+	OutcomeCompleted Outcome = iota
+	// OutcomeDidNotRun means that no backend server was handed the call, by proof.
+	OutcomeDidNotRun
+	// OutcomeMayHaveRun means that the call may have run, wholly or in part.
+	OutcomeMayHaveRun
+)
+
+// String returns the outcome's name as callers see it.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeCompleted:
+		return "completed"
+	case OutcomeDidNotRun:
+		return "did-not-run"
+	}
+	return "may-have-run"
+}
+
+// Reason says in kebab case why the system answered in place of a backend
+// server.
+type Reason string
+
+// The reasons that callers, metrics and logs see.
+const (
+	ReasonNone             Reason = ""
+	ReasonOverloaded       Reason = "overloaded"
+	ReasonEvicted          Reason = "evicted"
+	ReasonWaitLimit        Reason = "wait-limit"
+	ReasonDeadline         Reason = "deadline"
+	ReasonDraining         Reason = "draining"
+	ReasonNoServer         Reason = "no-server"
+	ReasonUnknownService   Reason = "unknown-service"
+	ReasonUnknownClass     Reason = "unknown-class"
+	ReasonUnknownContext   Reason = "unknown-context"
+	ReasonBadRequest       Reason = "bad-request"
+	ReasonTooLarge         Reason = "too-large"
+	ReasonConnectionFailed Reason = "connection-failed"
+	ReasonConnectionSilent Reason = "connection-silent"
+	ReasonServerFailed     Reason = "server-failed"
+	ReasonFenced           Reason = "fenced"
+	ReasonIncarnation      Reason = "incarnation"
+	ReasonKeyConflict      Reason = "key-conflict"
+	ReasonCancelled        Reason = "cancelled"
+	ReasonDigestMismatch   Reason = "digest-mismatch"
+)
--- /dev/null
+++ b/rank.go
@@ -0,0 +1,24 @@
+package waxwingseam
+
+// Importance orders request classes; a larger one is refused later.
+type Importance uint8
+
+// MaxImportance is the largest importance that a request class may have.
+const MaxImportance Importance = 9
+
+// Rank is a call's place in the order of service, the same at every hop of
+// its root.
+type Rank struct {
+	// Importance is that of the root's request class.
+	Importance Importance `cbor:"1,keyasint"`
+	// Order ranks roots of one importance; a smaller one is served first.
+	Order uint64 `cbor:"2,keyasint"`
+}
+
+// Before reports whether r is served before o.
+func (r Rank) Before(o Rank) bool {
+	if r.Importance != o.Importance {
+		return r.Importance > o.Importance
+	}
+	return r.Order < o.Order
+}
--- /dev/null
+++ b/reducer.go
@@ -0,0 +1,98 @@
+package waxwingseam
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Event is one input of a reducer.
+type Event interface {
+	// Kind names the event's kind.
+	Kind() Kind
+	// Stamped returns the time and the random word that came with the event.
+	Stamped() Stamp
+}
+
+// Effect is one output of a reducer, to be carried out by a runner.
+type Effect interface {
+	// Kind names the effect's kind.
+	Kind() Kind
+}
+
+// Stamp is what a runner adds to each event: a reducer reads no clock and no
+// random source of its own.
+type Stamp struct {
+	Now    time.Time
+	Random uint64
+}
+
+// Stamped returns the stamp itself.
+func (s Stamp) Stamped() Stamp {
+	return s
+}
+
+// Reducer turns events into effects. It does no I/O, keeps no clock, and the
+// same events give the same effects.
+type Reducer interface {
+	Reduce(e Event) []Effect
+}
+
+// Worker reduces the events of some kinds.
+type Worker interface {
+	// Kinds lists the kinds of events that the worker reduces.
+	Kinds() []Kind
+	// Reduce handles one event and emits effects into the context.
+	Reduce(c *Context, e Event)
+}
+
+// Prioritized is a worker with its place in the order of workers; a smaller
+// priority goes first.
+type Prioritized struct {
+	Priority int
+	Worker   Worker
+}
+
+// Context is what the workers of a reducer share while they handle one event.
+type Context struct {
+	// Now is the event's time.
+	Now time.Time
+	// Set is the configuration in force; never nil.
+	Set *Set
+	// Self is the node's own backend server; its name is empty without one.
+	Self Server
+
+	random  *rand.PCG
+	effects []Effect
+}
+
+// NewContext returns a context with an empty configuration in force.
+func NewContext(self Server) *Context {
+	return &Context{
+		Set:    &Set{},
+		Self:   self,
+		random: rand.NewPCG(0, 0),
+	}
+}
+
+// Begin prepares the context for the next event.
+func (c *Context) Begin(s Stamp) {
+	c.Now = s.Now
+	c.random.Seed(s.Random, uint64(s.Now.UnixNano()))
+	c.effects = nil
+}
+
+// Random returns the random source of the event; the stamp decides what it
+// yields.
+func (c *Context) Random() *rand.Rand {
+	return rand.New(c.random)
+}
+
+// Emit adds an effect.
+func (c *Context) Emit(e Effect) {
+	c.effects = append(c.effects, e)
+}
+
+// Effects returns the effects emitted since Begin.
+func (c *Context) Effects() []Effect {
+	return c.effects
+}
--- /dev/null
+++ b/retry.go
@@ -0,0 +1,37 @@
+package waxwingseam
+
+import "time"
+
+// RetryQuestion asks whether an ended attempt may be followed by another.
+type RetryQuestion struct {
+	Call    Call
+	Attempt Attempt
+	Result  Result
+	Limit   RetryLimit
+	// Left is the allowance that the call has in hand.
+	Left Allowance
+	// Replayable is set while the whole body can be sent again and no part of
+	// an answer has gone to the caller.
+	Replayable bool
+	// Overloaded is set when all known servers of the service shed load.
+	Overloaded bool
+}
+
+// RetryAnswer is a retrier's decision.
+type RetryAnswer struct {
+	Retry bool
+	Delay time.Duration
+}
+
+// Retrier decides on retries and keeps the budget of each target service.
+type Retrier interface {
+	// Split returns the part of an allowance that goes along with an attempt;
+	// the rest stays with the sender.
+	Split(in Allowance) Allowance
+	// Decide answers whether to retry, and after which delay.
+	Decide(c *Context, q RetryQuestion) RetryAnswer
+	// Sent counts a first attempt or a retry toward a service.
+	Sent(service ServiceName, retry bool)
+	// Succeeded counts a completed call of a service.
+	Succeeded(service ServiceName)
+}
--- /dev/null
+++ b/runeffect.go
@@ -0,0 +1,76 @@
+package waxwingseam
+
+// The kinds of effects at a call's receiving node.
+const (
+	KindRun           Kind = "run"
+	KindCancelRun     Kind = "cancel-run"
+	KindAnswerAttempt Kind = "answer-attempt"
+	KindJoinRun       Kind = "join-run"
+	KindAnswerFence   Kind = "answer-fence"
+	KindForgetRun     Kind = "forget-run"
+	KindAnnounce      Kind = "announce"
+)
+
+// Run hands a call to the backend server.
+type Run struct {
+	Call    Call
+	Attempt Attempt
+}
+
+// CancelRun cancels a run at the backend server.
+type CancelRun struct {
+	ID CallID
+}
+
+// AnswerAttempt ends an attempt toward its sender. Where Result is completed,
+// it closes the backend server's reply, which has been streamed meanwhile;
+// otherwise it is the whole answer.
+type AnswerAttempt struct {
+	ID      CallID
+	Attempt Attempt
+	Result  Result
+}
+
+// JoinRun gives an attempt the reply of a run that goes on or has ended.
+type JoinRun struct {
+	ID      CallID
+	Attempt Attempt
+}
+
+// AnswerFence answers a fence.
+type AnswerFence struct {
+	ID          CallID
+	Started     bool
+	Incarnation Incarnation
+}
+
+// ForgetRun drops the kept reply of a run.
+type ForgetRun struct {
+	ID CallID
+}
+
+// Announce tells control and the peers that the node's own state changed.
+type Announce struct {
+	Self Server
+}
+
+// Kind implements Effect.
+func (Run) Kind() Kind { return KindRun }
+
+// Kind implements Effect.
+func (CancelRun) Kind() Kind { return KindCancelRun }
+
+// Kind implements Effect.
+func (AnswerAttempt) Kind() Kind { return KindAnswerAttempt }
+
+// Kind implements Effect.
+func (JoinRun) Kind() Kind { return KindJoinRun }
+
+// Kind implements Effect.
+func (AnswerFence) Kind() Kind { return KindAnswerFence }
+
+// Kind implements Effect.
+func (ForgetRun) Kind() Kind { return KindForgetRun }
+
+// Kind implements Effect.
+func (Announce) Kind() Kind { return KindAnnounce }
--- /dev/null
+++ b/runevent.go
@@ -0,0 +1,67 @@
+package waxwingseam
+
+import "time"
+
+// The kinds of the events at a call's receiving node.
+const (
+	KindAttemptArrived   Kind = "attempt-arrived"
+	KindAttemptCancelled Kind = "attempt-cancelled"
+	KindRunEnded         Kind = "run-ended"
+	KindFenceAsked       Kind = "fence-asked"
+	KindDrainAsked       Kind = "drain-asked"
+)
+
+// AttemptArrived is an attempt of a call at the node beside the backend server.
+type AttemptArrived struct {
+	Stamp
+	Call    Call
+	Attempt Attempt
+	// Incarnation is the life of this node that the sender meant; 0 for any.
+	Incarnation Incarnation
+}
+
+// AttemptCancelled says that the sender wants an attempt no more.
+type AttemptCancelled struct {
+	Stamp
+	ID      CallID
+	Attempt Attempt
+}
+
+// RunEnded is the end of a run at the backend server.
+type RunEnded struct {
+	Stamp
+	ID CallID
+	// Result is the run's outcome, with the reply's length and digest.
+	Result Result
+	// Elapsed is the time from the hand-over to the end.
+	Elapsed time.Duration
+}
+
+// FenceAsked asks that a call shall not start any more.
+type FenceAsked struct {
+	Stamp
+	ID CallID
+	// Until is when the fence may be forgotten.
+	Until time.Time
+}
+
+// DrainAsked starts or undoes a drain.
+type DrainAsked struct {
+	Stamp
+	Undo bool
+}
+
+// Kind implements Event.
+func (AttemptArrived) Kind() Kind { return KindAttemptArrived }
+
+// Kind implements Event.
+func (AttemptCancelled) Kind() Kind { return KindAttemptCancelled }
+
+// Kind implements Event.
+func (RunEnded) Kind() Kind { return KindRunEnded }
+
+// Kind implements Event.
+func (FenceAsked) Kind() Kind { return KindFenceAsked }
+
+// Kind implements Event.
+func (DrainAsked) Kind() Kind { return KindDrainAsked }
--- /dev/null
+++ b/runner/runner.go
@@ -0,0 +1,121 @@
+// Package runner feeds events to a reducer and carries out its effects.
+package runner
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// Executor carries out effects of some kinds. Execute must not block: what
+// takes time goes on in a goroutine and comes back as an event.
+type Executor interface {
+	// Kinds lists the kinds of effects that the executor carries out.
+	Kinds() []waxwingseam.Kind
+	// Execute carries out one effect.
+	Execute(e waxwingseam.Effect)
+}
+
+// Observer sees each event with the effects it had, in order.
+type Observer interface {
+	Observe(e waxwingseam.Event, effects []waxwingseam.Effect)
+}
+
+// Clock tells the time and arms timers.
+type Clock interface {
+	Now() time.Time
+	AfterFunc(d time.Duration, f func()) (stop func() bool)
+}
+
+// Config holds the parts of a runner.
+type Config struct {
+	Reducer   waxwingseam.Reducer
+	Observers []Observer
+	// Clock is the system's own when unset.
+	Clock Clock
+	// Seed starts the random words that go with the events.
+	Seed uint64
+}
+
+// Runner runs one reducer. Its Step may be called from any goroutine, also by
+// an executor.
+type Runner struct {
+	reducer   waxwingseam.Reducer
+	observers []Observer
+	clock     Clock
+	timers    timers
+	executors map[waxwingseam.Kind]Executor
+
+	mu       sync.Mutex
+	random   *rand.PCG
+	queue    []func(waxwingseam.Stamp) waxwingseam.Event
+	draining bool
+}
+
+// New returns a runner without executors.
+func New(config Config) *Runner {
+	clock := config.Clock
+	if clock == nil {
+		clock = systemClock{}
+	}
+	r := &Runner{
+		reducer:   config.Reducer,
+		observers: config.Observers,
+		clock:     clock,
+		executors: map[waxwingseam.Kind]Executor{},
+		random:    rand.NewPCG(config.Seed, config.Seed),
+	}
+	r.timers = newTimers(r)
+	r.Attach(&r.timers)
+	return r
+}
+
+// Attach adds an executor; it must not be called once Step has been.
+func (r *Runner) Attach(x Executor) {
+	for _, k := range x.Kinds() {
+		r.executors[k] = x
+	}
+}
+
+// Step queues the event that build makes of its stamp. The event has been
+// reduced and its effects are begun when Step returns, unless another
+// goroutine is at it, which then does so.
+func (r *Runner) Step(build func(waxwingseam.Stamp) waxwingseam.Event) {
+	r.mu.Lock()
+	r.queue = append(r.queue, build)
+	if r.draining {
+		r.mu.Unlock()
+		return
+	}
+	r.draining = true
+	for len(r.queue) > 0 {
+		next := r.queue
+		r.queue = nil
+		r.mu.Unlock()
+		for _, b := range next {
+			r.reduce(b)
+		}
+		r.mu.Lock()
+	}
+	r.draining = false
+	r.mu.Unlock()
+}
+
+// reduce runs in the one goroutine that drains the queue.
+func (r *Runner) reduce(build func(waxwingseam.Stamp) waxwingseam.Event) {
+	event := build(waxwingseam.Stamp{
+		Now:    r.clock.Now(),
+		Random: r.random.Uint64(),
+	})
+	effects := r.reducer.Reduce(event)
+	for _, o := range r.observers {
+		o.Observe(event, effects)
+	}
+	for _, e := range effects {
+		if x, ok := r.executors[e.Kind()]; ok {
+			x.Execute(e)
+		}
+	}
+}
