--- a/call.go
+++ b/call.go
@@ -28,4 +28,6 @@
 	Key string
 	// Revision is the sender's configuration in force.
 	Revision Revision
+	// Trace is the trace that the call belongs to.
+	Trace TraceContext
 }
--- a/callevent.go
+++ b/callevent.go
@@ -35,6 +35,8 @@
 	Key string
 	// Replayable is set while the whole body can be sent again.
 	Replayable bool
+	// Trace is the caller's trace context; zero without one.
+	Trace TraceContext
 }
 
 // CallerLeft says that a call's caller is gone and wants no answer.
--- /dev/null
+++ b/imitator/answer.go
@@ -0,0 +1,35 @@
+package imitator
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// TagHeader carries the caller's mark of a request, which the answer repeats.
+const TagHeader = "Request-Tag"
+
+// Answer is the body of a stand-in's reply.
+type Answer struct {
+	Server waxwingseam.ServerName `json:"server"`
+	Path   string                 `json:"path"`
+	Tag    string                 `json:"tag"`
+	// BodyDigest is the xxhash of the request's body.
+	BodyDigest uint64 `json:"body-digest"`
+}
+
+func (i *Imitator) answer(w http.ResponseWriter, r *http.Request, digest uint64) {
+	data, err := json.Marshal(Answer{
+		Server:     i.config.Name,
+		Path:       r.URL.Path,
+		Tag:        r.Header.Get(TagHeader),
+		BodyDigest: digest,
+	})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(data)
+}
--- /dev/null
+++ b/logger/testhandler_test.go
@@ -0,0 +1,18 @@
+package logger_test
+
+import (
+	"context"
+	"log/slog"
+	"time"
+)
+
+// withoutTime drops the time of each record, so that examples are steady.
+type withoutTime struct {
+	slog.Handler
+}
+
+// Handle implements slog.Handler.
+func (w withoutTime) Handle(ctx context.Context, r slog.Record) error {
+	r.Time = time.Time{}
+	return w.Handler.Handle(ctx, r)
+}
