--- /dev/null
+++ b/scanner/scanner_test.go
@@ -0,0 +1,40 @@
+package scanner_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"waxwingseam.example/waxwingseam/scanner"
+)
+
+const sample = `# limits
+[service fees]
+slots = 15
+
+[service fees]
+slots = 15
+slots = 16 ; twice
+loose words
+`
+
+func TestScanKeepsPlaces(t *testing.T) {
+	document, findings := scanner.Scan("set.ini", []byte(sample))
+	qt.Assert(t, findings.Error(), qt.Equals, "set.ini:8: neither a section, a key nor a comment")
+	qt.Assert(t, document.Sections, qt.DeepEquals, []scanner.Section{
+		{Title: "service fees", Line: 2, Keys: []scanner.Key{{Name: "slots", Value: "15", Line: 3}}},
+		{Title: "service fees", Line: 5, Keys: []scanner.Key{
+			{Name: "slots", Value: "15", Line: 6},
+			{Name: "slots", Value: "16", Line: 7},
+		}},
+	})
+}
+
+func FuzzScan(f *testing.F) {
+	for _, v := range []string{sample, "", "[", "[]\n=", "a=1\n[b]\n`", "[DEFAULT]\nk=v", "\"\"\"\nx"} {
+		f.Add([]byte(v))
+	}
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		scanner.Scan("fuzz.ini", data)
+	})
+}
