loader, meter: checked settings and metrics from events and effects

Cause: a process must refuse bad settings whole, and operators need figures. Change: every settings key in one table with its check, findings with their place; Prometheus metrics counted from the reducer's events and effects, so that no decision code carries counters.

--- a/finding.go
+++ b/finding.go
@@ -1,7 +1,9 @@
 package waxwingseam
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -49,3 +51,10 @@
 	}
 	return f
 }
+
+// Sort orders the findings by file and line.
+func (f Findings) Sort() {
+	slices.SortStableFunc(f, func(a, b Finding) int {
+		return cmp.Or(cmp.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line))
+	})
+}
--- a/identity.go
+++ b/identity.go
@@ -85,3 +85,23 @@
 func (id RootID) IsZero() bool {
 	return id == RootID{}
 }
+
+// maxNameLength bounds names, in bytes.
+const maxNameLength = 63
+
+// ValidName reports whether s can name an object: lower-case letters, digits
+// and hyphens, with a letter or digit at both ends, at most 63 bytes.
+func ValidName(s string) bool {
+	if s == "" || len(s) > maxNameLength {
+		return false
+	}
+	if s[0] == '-' || s[len(s)-1] == '-' {
+		return false
+	}
+	for _, c := range []byte(s) {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/loader/keys.go
@@ -0,0 +1,195 @@
+package loader
+
+import (
+	"net/netip"
+	"net/url"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/logger"
+)
+
+// The titles of the sections.
+const (
+	sectionProcess = "process"
+	sectionNode    = "node"
+	sectionControl = "control"
+	sectionTLS     = "tls"
+)
+
+// maxPercent is the whole, in hundredths.
+const maxPercent = 100
+
+// key describes one key of the settings file.
+type key struct {
+	section  string
+	name     string
+	required bool
+	parse    func(s *Settings, value string) error
+}
+
+// keys lists every key of the settings file.
+var keys = []key{
+	{sectionProcess, "data-centre", true, parseDataCentre},
+	{sectionProcess, "peer-address", true, address(func(s *Settings) *netip.AddrPort { return &s.Process.PeerAddress })},
+	{sectionProcess, "telemetry-address", false, address(func(s *Settings) *netip.AddrPort { return &s.Process.TelemetryAddress })},
+	{sectionProcess, "control-addresses", true, parseControlAddresses},
+	{sectionProcess, "log-level", false, parseLogLevel},
+	{sectionProcess, "log-format", false, parseLogFormat},
+	{sectionProcess, "trace-endpoint", false, parseTraceEndpoint},
+	{sectionProcess, "trace-sample-percent", false, parseTraceSamplePercent},
+	{sectionProcess, "plain-text", false, parsePlainText},
+	{sectionNode, "server-name", true, name(func(s *Settings, v string) { s.Node.ServerName = waxwingseam.ServerName(v) })},
+	{sectionNode, "service", true, name(func(s *Settings, v string) { s.Node.Service = waxwingseam.ServiceName(v) })},
+	{sectionNode, "entry-address", true, address(func(s *Settings) *netip.AddrPort { return &s.Node.EntryAddress })},
+	{sectionNode, "outbound-address", true, parseOutbound},
+	{sectionNode, "backend-address", true, address(func(s *Settings) *netip.AddrPort { return &s.Node.BackendAddress })},
+	{sectionControl, "replica", true, name(func(s *Settings, v string) { s.Control.Replica = waxwingseam.ReplicaID(v) })},
+	{sectionControl, "data-folder", true, parseDataFolder},
+	{sectionControl, "operator-address", true, address(func(s *Settings) *netip.AddrPort { return &s.Control.OperatorAddress })},
+	{sectionControl, "tokens-file", false, file(func(s *Settings) *string { return &s.Control.TokensFile })},
+	{sectionTLS, "certificate-file", true, file(func(s *Settings) *string { return &s.TLS.CertificateFile })},
+	{sectionTLS, "key-file", true, file(func(s *Settings) *string { return &s.TLS.KeyFile })},
+	{sectionTLS, "authority-file", true, file(func(s *Settings) *string { return &s.TLS.AuthorityFile })},
+}
+
+func findKey(section, name string) (key, bool) {
+	n := slices.IndexFunc(keys, func(k key) bool {
+		return k.section == section && k.name == name
+	})
+	if n < 0 {
+		return key{}, false
+	}
+	return keys[n], true
+}
+
+// name parses a kebab-case name.
+func name(set func(s *Settings, v string)) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		if !waxwingseam.ValidName(v) {
+			return trace.BadParameter("%q is no name: want lower-case letters, digits and hyphens", v)
+		}
+		set(s, v)
+		return nil
+	}
+}
+
+func parseDataCentre(s *Settings, v string) error {
+	return name(func(s *Settings, v string) { s.Process.DataCentre = waxwingseam.DataCentre(v) })(s, v)
+}
+
+func address(field func(s *Settings) *netip.AddrPort) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		parsed, err := parseAddress(v)
+		if err != nil {
+			return err
+		}
+		*field(s) = parsed
+		return nil
+	}
+}
+
+func parseAddress(v string) (netip.AddrPort, error) {
+	parsed, err := netip.ParseAddrPort(v)
+	if err != nil {
+		return parsed, trace.BadParameter("%q is no address: want IP:PORT", v)
+	}
+	if parsed.Port() == 0 {
+		return parsed, trace.BadParameter("%q has no port between 1 and 65535", v)
+	}
+	return parsed, nil
+}
+
+func parseOutbound(s *Settings, v string) error {
+	parsed, err := parseAddress(v)
+	if err != nil {
+		return err
+	}
+	if !parsed.Addr().IsLoopback() {
+		return trace.BadParameter("%q is not on loopback", v)
+	}
+	s.Node.OutboundAddress = parsed
+	return nil
+}
+
+func parseControlAddresses(s *Settings, v string) error {
+	for part := range strings.SplitSeq(v, ",") {
+		parsed, err := parseAddress(strings.TrimSpace(part))
+		if err != nil {
+			return err
+		}
+		s.Process.ControlAddresses = append(s.Process.ControlAddresses, parsed)
+	}
+	return nil
+}
+
+func parseLogLevel(s *Settings, v string) error {
+	level, err := logger.ParseLevel(v)
+	s.Process.LogLevel = level
+	return err
+}
+
+func parseLogFormat(s *Settings, v string) error {
+	s.Process.LogFormat = logger.Format(v)
+	if s.Process.LogFormat != logger.FormatText && s.Process.LogFormat != logger.FormatJSON {
+		return trace.BadParameter("format is %q, want text or json", v)
+	}
+	return nil
+}
+
+func parseTraceEndpoint(s *Settings, v string) error {
+	parsed, err := url.Parse(v)
+	if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
+		return trace.BadParameter("%q is no URL: want http://IP:PORT or https://IP:PORT", v)
+	}
+	s.Process.TraceEndpoint = parsed
+	return nil
+}
+
+func parseTraceSamplePercent(s *Settings, v string) error {
+	percent, err := strconv.Atoi(v)
+	if err != nil || percent < 0 || percent > maxPercent {
+		return trace.BadParameter("%q is no whole number from 0 to %d", v, maxPercent)
+	}
+	s.Process.TraceSamplePercent = percent
+	return nil
+}
+
+func parsePlainText(s *Settings, v string) error {
+	switch v {
+	case "loopback":
+		s.Process.PlainText = false
+	case "allowed":
+		s.Process.PlainText = true
+	default:
+		return trace.BadParameter("plain-text is %q, want loopback or allowed", v)
+	}
+	return nil
+}
+
+func parseDataFolder(s *Settings, v string) error {
+	if v == "" {
+		return trace.BadParameter("the folder has no name")
+	}
+	s.Control.DataFolder = v
+	return nil
+}
+
+func file(field func(s *Settings) *string) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		info, err := os.Stat(v)
+		if err != nil {
+			return trace.BadParameter("file %q cannot be read", v)
+		}
+		if info.IsDir() {
+			return trace.BadParameter("%q is a folder", v)
+		}
+		*field(s) = v
+		return nil
+	}
+}
--- /dev/null
+++ b/meter/meter.go
@@ -0,0 +1,126 @@
+// Package meter keeps the metrics of a node: it observes the events and
+// effects of the reducer and counts them for Prometheus.
+package meter
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// The labels of the metrics. Services and classes come from the configuration
+// in force; outcomes and reasons are fixed sets.
+const (
+	labelService = "service"
+	labelClass   = "class"
+	labelOutcome = "outcome"
+	labelReason  = "reason"
+)
+
+// unknownName stands for services and classes that no object names.
+const unknownName = "unknown"
+
+const (
+	// histogramFactor bounds the growth of native histogram buckets.
+	histogramFactor = 1.1
+	// histogramBuckets bounds the number of native histogram buckets.
+	histogramBuckets = 100
+)
+
+// Meter holds the metrics of one process.
+type Meter struct {
+	registry *prometheus.Registry
+	calls    callMetrics
+	runs     runMetrics
+	revision prometheus.Gauge
+	handlers map[waxwingseam.Kind]func(e waxwingseam.Event)
+	effects  map[waxwingseam.Kind]func(now time.Time, e waxwingseam.Effect)
+}
+
+// New returns a meter with a registry of its own.
+func New() *Meter {
+	m := &Meter{
+		registry: prometheus.NewRegistry(),
+		calls:    newCallMetrics(),
+		runs:     newRunMetrics(),
+		revision: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "waxwingseam_configuration_revision",
+			Help: "Revision of the configuration in force.",
+		}),
+	}
+	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.registry.MustRegister(m.revision)
+	m.registry.MustRegister(m.calls.collectors()...)
+	m.registry.MustRegister(m.runs.collectors()...)
+	m.handlers = map[waxwingseam.Kind]func(waxwingseam.Event){
+		waxwingseam.KindCallArrived:    m.calls.arrived,
+		waxwingseam.KindAttemptArrived: m.runs.arrived,
+		waxwingseam.KindRunEnded:       m.runs.ended,
+		waxwingseam.KindSetAdopted:     m.adopted,
+	}
+	m.effects = map[waxwingseam.Kind]func(time.Time, waxwingseam.Effect){
+		waxwingseam.KindDispatch:      m.calls.dispatched,
+		waxwingseam.KindReply:         m.calls.replied,
+		waxwingseam.KindFence:         m.calls.fenced,
+		waxwingseam.KindResume:        m.calls.resumed,
+		waxwingseam.KindRun:           m.runs.started,
+		waxwingseam.KindAnswerAttempt: m.runs.answered,
+		waxwingseam.KindJoinRun:       m.runs.joined,
+	}
+	return m
+}
+
+// Registry returns the registry, so that other parts can add to it.
+func (m *Meter) Registry() *prometheus.Registry {
+	return m.registry
+}
+
+// Handler serves the metrics in the formats of Prometheus.
+func (m *Meter) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{Registry: m.registry})
+}
+
+// Observe implements runner.Observer.
+func (m *Meter) Observe(e waxwingseam.Event, effects []waxwingseam.Effect) {
+	if handle, ok := m.handlers[e.Kind()]; ok {
+		handle(e)
+	}
+	now := e.Stamped().Now
+	for _, v := range effects {
+		if handle, ok := m.effects[v.Kind()]; ok {
+			handle(now, v)
+		}
+	}
+}
+
+func (m *Meter) adopted(e waxwingseam.Event) {
+	v, ok := e.(waxwingseam.SetAdopted)
+	if !ok {
+		return
+	}
+	m.revision.Set(float64(v.Set.Revision))
+	m.calls.adopt(v.Set)
+}
+
+func newHistogram(name, help string, labels ...string) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name:                           name,
+		Help:                           help,
+		Buckets:                        prometheus.ExponentialBuckets(0.0005, 2, 16),
+		NativeHistogramBucketFactor:    histogramFactor,
+		NativeHistogramMaxBucketNumber: histogramBuckets,
+	}, labels)
+}
+
+func newCounter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
+}
+
+func newGauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{Name: name, Help: help})
+}
--- a/scanner/scanner_test.go
+++ b/scanner/scanner_test.go
@@ -34,7 +34,13 @@
 	for _, v := range []string{sample, "", "[", "[]\n=", "a=1\n[b]\n`", "[DEFAULT]\nk=v", "\"\"\"\nx"} {
 		f.Add([]byte(v))
 	}
-	f.Fuzz(func(_ *testing.T, data []byte) {
-		scanner.Scan("fuzz.ini", data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		document, findings := scanner.Scan("fuzz.ini", data)
+		for _, s := range document.Sections {
+			qt.Assert(t, s.Line > 0, qt.IsTrue)
+		}
+		for _, v := range findings {
+			qt.Assert(t, v.Line > 0, qt.IsTrue)
+		}
 	})
 }
