sending: thin dispatcher, balancer, retrier and tracker

The dispatcher answers each call once and treats an outcome as a proof: did-not-run only where every attempt is proven not to have run, a not-repeatable call is sent again only then. A silent or broken attempt is taken up again by id, then fenced.

--- a/balance.go
+++ b/balance.go
@@ -1,11 +1,15 @@
 package waxwingseam
 
+import "time"
+
 // Choice is a balancer's answer: a server, or the reason why there is none.
 type Choice struct {
 	Server Server
 	// Refused is set when no server is to be called.
 	Refused bool
 	Reason  Reason
+	// RetryAfter is when a refused caller may come back.
+	RetryAfter time.Duration
 }
 
 // Query asks a balancer for a server.
@@ -14,12 +18,28 @@
 	Rank    Rank
 	// Tried lists servers that earlier attempts went to.
 	Tried []ServerName
+	// Pinned is the one server that may take the call; empty for any.
+	Pinned ServerName
+}
+
+// Router narrows a query before the balancer answers it.
+type Router interface {
+	Route(c *Context, call Call, q *Query)
+}
+
+// PrioritizedRouter is a router with its place in the order of routers; a
+// smaller priority goes first.
+type PrioritizedRouter struct {
+	Priority int
+	Router   Router
 }
 
 // Feedback is what one attempt showed of a server.
 type Feedback struct {
 	Server ServerName
 	Result Result
+	// Elapsed is the time from the dispatch to the end.
+	Elapsed time.Duration
 }
 
 // Balancer chooses the backend server for each attempt from what the node
@@ -33,6 +53,8 @@
 	Choose(c *Context, q Query) Choice
 	// Observe takes in an ended attempt.
 	Observe(c *Context, f Feedback)
+	// Overloaded reports whether all known servers of a service shed load.
+	Overloaded(service ServiceName) bool
 	// Server returns what is known of a server.
 	Server(name ServerName) (Server, bool)
 }
--- a/calleffect.go
+++ b/calleffect.go
@@ -30,7 +30,8 @@
 }
 
 // Reply answers the caller: with an attempt's reply where Result is
-// completed, with a problem of the system's own otherwise.
+// completed, with a problem of the system's own otherwise. Each call gets one
+// reply, also one whose caller has left.
 type Reply struct {
 	ID      CallID
 	Attempt Attempt
--- /dev/null
+++ b/dispatcher/arrival.go
@@ -0,0 +1,92 @@
+package dispatcher
+
+import (
+	"time"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// arrive places a new call and sends its first attempt.
+func (d *dispatcher) arrive(c *waxwingseam.Context, e waxwingseam.CallArrived) {
+	f, reason := d.place(c, e)
+	if reason != waxwingseam.ReasonNone {
+		c.Emit(waxwingseam.Reply{
+			ID:     e.ID,
+			Result: waxwingseam.Result{Outcome: waxwingseam.OutcomeDidNotRun, Reason: reason},
+		})
+		return
+	}
+	d.flights[e.ID] = f
+	if !c.Now.Before(f.call.Deadline) {
+		d.finish(c, f, waxwingseam.Result{Reason: waxwingseam.ReasonDeadline})
+		return
+	}
+	c.Emit(waxwingseam.ArmTimer{Timer: deadlineTimer(e.ID), At: f.call.Deadline})
+	d.send(c, f)
+}
+
+// place returns the flight of a new call, or the reason to refuse it.
+func (d *dispatcher) place(c *waxwingseam.Context, e waxwingseam.CallArrived) (*flight, waxwingseam.Reason) {
+	if _, ok := c.Set.Service(e.Service); !ok {
+		return nil, waxwingseam.ReasonUnknownService
+	}
+	class, ok := d.Classifier.Classify(waxwingseam.Request{Service: e.Service, Method: e.Method, Path: e.Path})
+	if !ok {
+		return nil, waxwingseam.ReasonUnknownClass
+	}
+	limit, _ := c.Set.RetryLimit(class.RetryLimit)
+	f := &flight{
+		call: waxwingseam.Call{
+			ID:       e.ID,
+			Service:  e.Service,
+			Class:    class.Name,
+			Repeat:   class.Repeat,
+			Key:      e.Key,
+			Revision: c.Set.Revision,
+		},
+		limit:      limit,
+		replayable: e.Replayable,
+	}
+	if e.Parent.IsZero() {
+		d.placeRoot(c, f, e, class)
+		return f, waxwingseam.ReasonNone
+	}
+	return f, d.placeChild(c, f, e)
+}
+
+// placeRoot starts a new root, which is granted the allowance of its chain.
+func (d *dispatcher) placeRoot(c *waxwingseam.Context, f *flight, e waxwingseam.CallArrived, class waxwingseam.RequestClass) {
+	f.call.Root = e.Root
+	f.call.Rank = d.Classifier.Rank(c, class, e.Root)
+	f.call.Deadline = c.Now.Add(class.Deadline)
+	f.shortenDeadline(c, e.Timeout)
+	if !e.Outbound {
+		f.left = f.limit.Allowance
+	}
+}
+
+// placeChild puts a call below the run that made it.
+func (d *dispatcher) placeChild(c *waxwingseam.Context, f *flight, e waxwingseam.CallArrived) waxwingseam.Reason {
+	parent, ok := d.Tracker.Parent(e.Parent)
+	if !ok {
+		return waxwingseam.ReasonUnknownContext
+	}
+	f.call.Root = parent.Root
+	f.call.Parent = parent.ID
+	f.call.Rank = parent.Rank
+	f.call.Depth = parent.Depth + 1
+	f.call.Deadline = parent.Deadline
+	f.shortenDeadline(c, e.Timeout)
+	f.left = d.Tracker.Draw(parent.ID, e.ID)
+	return waxwingseam.ReasonNone
+}
+
+// shortenDeadline applies the caller's own timeout, where it has one.
+func (f *flight) shortenDeadline(c *waxwingseam.Context, timeout time.Duration) {
+	if timeout <= 0 {
+		return
+	}
+	if at := c.Now.Add(timeout); at.Before(f.call.Deadline) {
+		f.call.Deadline = at
+	}
+}
--- /dev/null
+++ b/dispatcher/dispatcher.go
@@ -0,0 +1,129 @@
+// Package dispatcher is the worker for calls at their sending node: it places
+// a call, sends its attempts, and answers it once.
+package dispatcher
+
+import (
+	"cmp"
+	"slices"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// The purposes of the dispatcher's timers.
+const (
+	PurposeDeadline waxwingseam.TimerPurpose = "call-deadline"
+	PurposeRetry    waxwingseam.TimerPurpose = "call-retry"
+)
+
+// Config holds the parts of a dispatcher.
+type Config struct {
+	Classifier waxwingseam.Classifier
+	Balancer   waxwingseam.Balancer
+	Retrier    waxwingseam.Retrier
+	Tracker    waxwingseam.Tracker
+	// Routers narrow the choice of a server.
+	Routers []waxwingseam.PrioritizedRouter
+}
+
+type dispatcher struct {
+	Config
+	flights map[waxwingseam.CallID]*flight
+}
+
+// New returns a dispatcher without calls. In the order of workers it stands
+// after the receiver, whose cancelled runs it follows up.
+func New(config Config) waxwingseam.Worker {
+	config.Routers = slices.Clone(config.Routers)
+	slices.SortStableFunc(config.Routers, func(a, b waxwingseam.PrioritizedRouter) int {
+		return cmp.Compare(a.Priority, b.Priority)
+	})
+	return &dispatcher{
+		Config:  config,
+		flights: map[waxwingseam.CallID]*flight{},
+	}
+}
+
+// Kinds implements waxwingseam.Worker.
+func (d *dispatcher) Kinds() []waxwingseam.Kind {
+	return []waxwingseam.Kind{
+		waxwingseam.KindCallArrived,
+		waxwingseam.KindCallerLeft,
+		waxwingseam.KindReplyStarted,
+		waxwingseam.KindAttemptEnded,
+		waxwingseam.KindAttemptSilent,
+		waxwingseam.KindFenceAnswered,
+		waxwingseam.KindTimerFired,
+		waxwingseam.KindServersLearned,
+		waxwingseam.KindSetAdopted,
+		waxwingseam.KindAttemptCancelled,
+		waxwingseam.KindRunEnded,
+	}
+}
+
+// Reduce implements waxwingseam.Worker.
+func (d *dispatcher) Reduce(c *waxwingseam.Context, e waxwingseam.Event) {
+	switch v := e.(type) {
+	case waxwingseam.CallArrived:
+		d.arrive(c, v)
+	case waxwingseam.CallerLeft:
+		d.leave(c, v)
+	case waxwingseam.ReplyStarted:
+		d.replyStarted(v)
+	case waxwingseam.AttemptEnded:
+		d.attemptEnded(c, v)
+	case waxwingseam.AttemptSilent:
+		d.attemptSilent(c, v)
+	case waxwingseam.FenceAnswered:
+		d.fenceAnswered(c, v)
+	case waxwingseam.TimerFired:
+		d.timerFired(c, v)
+	case waxwingseam.ServersLearned:
+		d.Balancer.Learn(c, v.Servers, v.Gone)
+	case waxwingseam.SetAdopted:
+		d.Classifier.Adopt(c.Set)
+		d.Balancer.Adopt(c.Set)
+	case waxwingseam.RunEnded:
+		d.endRun(c, v.ID)
+	}
+	d.endCancelledRuns(c)
+}
+
+// endCancelledRuns follows up the runs that the receiver cancelled in the
+// same event.
+func (d *dispatcher) endCancelledRuns(c *waxwingseam.Context) {
+	for _, e := range c.Effects() {
+		if v, ok := e.(waxwingseam.CancelRun); ok {
+			d.endRun(c, v.ID)
+		}
+	}
+}
+
+// endRun cancels the child calls that a run leaves open. Calls that it still
+// makes are refused.
+func (d *dispatcher) endRun(c *waxwingseam.Context, id waxwingseam.CallID) {
+	for _, child := range d.Tracker.End(id) {
+		if f, ok := d.flights[child]; ok {
+			d.finish(c, f, waxwingseam.Result{Reason: waxwingseam.ReasonCancelled})
+		}
+	}
+}
+
+func (d *dispatcher) leave(c *waxwingseam.Context, e waxwingseam.CallerLeft) {
+	if f, ok := d.flights[e.ID]; ok {
+		d.finish(c, f, waxwingseam.Result{Reason: waxwingseam.ReasonCancelled})
+	}
+}
+
+func (d *dispatcher) timerFired(c *waxwingseam.Context, e waxwingseam.TimerFired) {
+	f, ok := d.flights[e.Timer.Call]
+	if !ok {
+		return
+	}
+	switch e.Timer.Purpose {
+	case PurposeDeadline:
+		d.finish(c, f, waxwingseam.Result{Reason: waxwingseam.ReasonDeadline})
+	case PurposeRetry:
+		f.backingOff = false
+		d.send(c, f)
+	}
+}
--- /dev/null
+++ b/dispatcher/flight.go
@@ -0,0 +1,78 @@
+package dispatcher
+
+import (
+	"time"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// flight is one call between its arrival and its answer.
+type flight struct {
+	call  waxwingseam.Call
+	limit waxwingseam.RetryLimit
+	// left is the allowance in hand; open attempts hold their shares.
+	left       waxwingseam.Allowance
+	attempts   []attempt
+	tried      []waxwingseam.ServerName
+	replayable bool
+	backingOff bool
+}
+
+// proof is what is known of whether an attempt ran.
+type proof uint8
+
+const (
+	// proofOpen marks an attempt whose end is not known yet.
+	proofOpen proof = iota
+	// proofNotRun marks one that is proven not to have run.
+	proofNotRun
+	// proofNone marks one that may have run.
+	proofNone
+)
+
+// maxResumes bounds how often one attempt is taken up again.
+const maxResumes = 2
+
+// attempt is one attempt of a flight.
+type attempt struct {
+	number waxwingseam.Attempt
+	server waxwingseam.Server
+	// share is the allowance that went along.
+	share   waxwingseam.Allowance
+	sent    time.Time
+	proof   proof
+	resumes int
+	fenced  bool
+}
+
+// open returns the attempt of a number; nil when it is unknown or has ended.
+func (f *flight) open(number waxwingseam.Attempt) *attempt {
+	n := int(number) - 1
+	if n < 0 || n >= len(f.attempts) || f.attempts[n].proof != proofOpen {
+		return nil
+	}
+	return &f.attempts[n]
+}
+
+// outcome returns what the attempts prove together.
+func (f *flight) outcome() waxwingseam.Outcome {
+	for _, a := range f.attempts {
+		if a.proof != proofNotRun {
+			return waxwingseam.OutcomeMayHaveRun
+		}
+	}
+	return waxwingseam.OutcomeDidNotRun
+}
+
+// repeatable reports whether another attempt can do no harm.
+func (f *flight) repeatable() bool {
+	return f.call.Repeat == waxwingseam.RepeatIdempotent || f.outcome() == waxwingseam.OutcomeDidNotRun
+}
+
+func deadlineTimer(id waxwingseam.CallID) waxwingseam.TimerID {
+	return waxwingseam.TimerID{Purpose: PurposeDeadline, Call: id}
+}
+
+func retryTimer(id waxwingseam.CallID) waxwingseam.TimerID {
+	return waxwingseam.TimerID{Purpose: PurposeRetry, Call: id}
+}
--- /dev/null
+++ b/dispatcher/sending.go
@@ -0,0 +1,107 @@
+package dispatcher
+
+import "waxwingseam.example/waxwingseam"
+
+// send sends the next attempt of a flight.
+func (d *dispatcher) send(c *waxwingseam.Context, f *flight) {
+	query := waxwingseam.Query{
+		Service: f.call.Service,
+		Rank:    f.call.Rank,
+		Tried:   f.tried,
+	}
+	for _, p := range d.Routers {
+		p.Router.Route(c, f.call, &query)
+	}
+	choice := d.Balancer.Choose(c, query)
+	if choice.Refused {
+		d.finish(c, f, waxwingseam.Result{Reason: choice.Reason, RetryAfter: choice.RetryAfter})
+		return
+	}
+	share := min(d.Retrier.Split(f.left), f.left)
+	f.left -= share
+	number := waxwingseam.Attempt(len(f.attempts) + 1)
+	d.Retrier.Sent(f.call.Service, number > 1)
+	f.tried = append(f.tried, choice.Server.Name)
+	f.attempts = append(f.attempts, attempt{
+		number: number,
+		server: choice.Server,
+		share:  share,
+		sent:   c.Now,
+	})
+	call := f.call
+	call.Allowance = share
+	c.Emit(waxwingseam.Dispatch{Call: call, Attempt: number, Server: choice.Server})
+}
+
+// settle ends an attempt and tells the balancer.
+func (d *dispatcher) settle(c *waxwingseam.Context, f *flight, a *attempt, p proof, result waxwingseam.Result) {
+	a.proof = p
+	if p == proofNotRun {
+		f.left += a.share
+	}
+	d.Balancer.Observe(c, waxwingseam.Feedback{
+		Server:  a.server.Name,
+		Result:  result,
+		Elapsed: c.Now.Sub(a.sent),
+	})
+}
+
+// proceed follows a settled attempt with another one or with the answer.
+func (d *dispatcher) proceed(c *waxwingseam.Context, f *flight, a *attempt, result waxwingseam.Result) {
+	answer := waxwingseam.RetryAnswer{}
+	if f.repeatable() && f.left > 0 {
+		answer = d.Retrier.Decide(c, waxwingseam.RetryQuestion{
+			Call:       f.call,
+			Attempt:    a.number,
+			Result:     result,
+			Limit:      f.limit,
+			Left:       f.left,
+			Replayable: f.replayable,
+			Overloaded: d.Balancer.Overloaded(f.call.Service),
+		})
+	}
+	if !answer.Retry {
+		d.finish(c, f, result)
+		return
+	}
+	f.left--
+	if answer.Delay <= 0 {
+		d.send(c, f)
+		return
+	}
+	f.backingOff = true
+	c.Emit(waxwingseam.ArmTimer{Timer: retryTimer(f.call.ID), At: c.Now.Add(answer.Delay)})
+}
+
+// finish answers a call. Open attempts are cancelled; their shares of the
+// allowance count as spent.
+func (d *dispatcher) finish(c *waxwingseam.Context, f *flight, result waxwingseam.Result) {
+	for n := range f.attempts {
+		a := &f.attempts[n]
+		if a.proof != proofOpen {
+			continue
+		}
+		c.Emit(waxwingseam.CancelAttempt{ID: f.call.ID, Attempt: a.number})
+		d.settle(c, f, a, proofNone, waxwingseam.Result{Outcome: waxwingseam.OutcomeMayHaveRun, Reason: result.Reason})
+	}
+	result.Outcome = f.outcome()
+	d.reply(c, f, result)
+}
+
+// reply answers a call and forgets it.
+func (d *dispatcher) reply(c *waxwingseam.Context, f *flight, result waxwingseam.Result) {
+	id := f.call.ID
+	c.Emit(waxwingseam.StopTimer{Timer: deadlineTimer(id)})
+	if f.backingOff {
+		c.Emit(waxwingseam.StopTimer{Timer: retryTimer(id)})
+	}
+	c.Emit(waxwingseam.Reply{
+		ID:      id,
+		Attempt: waxwingseam.Attempt(len(f.attempts)),
+		Result:  result,
+	})
+	if !f.call.Parent.IsZero() {
+		d.Tracker.Return(f.call.Parent, id, f.left)
+	}
+	delete(d.flights, id)
+}
--- /dev/null
+++ b/retrier/budget.go
@@ -0,0 +1,42 @@
+package retrier
+
+import "waxwingseam.example/waxwingseam"
+
+// A budget holds hundredths of a retry. It starts with minRetries and never
+// holds more than maxRetries, so that a long calm saves up no storm.
+const (
+	retryCost  = 100
+	minRetries = 10
+	maxRetries = 100
+)
+
+// budget is the retries that one target service's successes have earned.
+type budget struct {
+	// percent is the share of retries in the calls that succeed.
+	percent int
+	held    int
+}
+
+func newBudget() *budget {
+	return &budget{held: minRetries * retryCost}
+}
+
+func (b *budget) earn() {
+	b.held = min(b.held+b.percent, maxRetries*retryCost)
+}
+
+func (b *budget) spend() {
+	b.held = max(b.held-retryCost, 0)
+}
+
+// budgetRule forbids a retry that the target's budget does not cover.
+type budgetRule struct {
+	retrier *retrier
+}
+
+// Forbids implements Rule.
+func (r budgetRule) Forbids(_ *waxwingseam.Context, q waxwingseam.RetryQuestion) bool {
+	b := r.retrier.budget(q.Call.Service)
+	b.percent = q.Limit.BudgetPercent
+	return b.held < retryCost
+}
