--- a/admission.go
+++ b/admission.go
@@ -4,8 +4,10 @@
 
 // Ticket is a call in front of a backend server, as the admitter sees it.
 type Ticket struct {
-	ID       CallID
-	Rank     Rank
+	ID   CallID
+	Rank Rank
+	// Depth counts the hops above the call; 0 for a root.
+	Depth    uint8
 	Deadline time.Time
 	// Arrived is when the ticket was offered.
 	Arrived time.Time
--- /dev/null
+++ b/admitter/admitter.go
@@ -0,0 +1,252 @@
+// Package admitter decides which calls run at one backend server, in which
+// order, and which are refused.
+package admitter
+
+import (
+	"math"
+	"time"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+const (
+	// sheddingHold is how long a refusal for overload shows in the load.
+	sheddingHold = 100 * time.Millisecond
+	// deepQueueFactor times the slots is the most deeper calls that wait.
+	deepQueueFactor = 16
+)
+
+// Config holds the parts of an admitter.
+type Config struct {
+	// Limiter sets how many calls run at once.
+	Limiter waxwingseam.Limiter
+}
+
+type admitter struct {
+	limiter waxwingseam.Limiter
+	slots   int
+	queue   queue
+	runs    runs
+	reserve reserve
+	signs   signs
+	now     time.Time
+}
+
+// New returns an admitter without slots; Configure sets them.
+func New(config Config) waxwingseam.Admitter {
+	return &admitter{
+		limiter: config.Limiter,
+		slots:   1,
+		queue:   newQueue(),
+		runs:    newRuns(),
+		reserve: newReserve(),
+	}
+}
+
+// Configure implements waxwingseam.Admitter.
+func (a *admitter) Configure(slots int) {
+	a.slots = max(slots, 1)
+	a.limiter.Configure(a.slots)
+}
+
+// Offer implements waxwingseam.Admitter.
+func (a *admitter) Offer(c *waxwingseam.Context, t waxwingseam.Ticket) []waxwingseam.Admission {
+	a.now = c.Now
+	a.reserve.see(c.Now, t.Depth)
+	if c.Now.Add(a.limiter.ServiceTime()).After(t.Deadline) {
+		return []waxwingseam.Admission{a.refuse(t, waxwingseam.ReasonDeadline)}
+	}
+	if a.queue.len() == 0 && a.fits(&t) {
+		return []waxwingseam.Admission{a.start(t)}
+	}
+	out := a.enqueue(t)
+	return a.startWaiting(out)
+}
+
+// enqueue lets a ticket wait, if need be in place of a less important one.
+func (a *admitter) enqueue(t waxwingseam.Ticket) []waxwingseam.Admission {
+	var out []waxwingseam.Admission
+	if a.full(&t) {
+		worst := a.queue.worst()
+		if worst == nil || !yields(&worst.ticket, &t) {
+			return append(out, a.refuse(t, waxwingseam.ReasonOverloaded))
+		}
+		out = append(out, a.refuse(a.queue.remove(worst).ticket, waxwingseam.ReasonEvicted))
+	}
+	a.queue.add(waiting{ticket: t, until: a.until(&t)})
+	return append(out, waxwingseam.Admission{ID: t.ID, Verdict: waxwingseam.VerdictWait})
+}
+
+// yields reports whether a waiting ticket makes room for a new one.
+func yields(waits, t *waxwingseam.Ticket) bool {
+	if waits.Rank.Importance != t.Rank.Importance {
+		return waits.Rank.Importance < t.Rank.Importance
+	}
+	if (waits.Depth == 0) != (t.Depth == 0) {
+		return waits.Depth == 0
+	}
+	return t.Rank.Before(waits.Rank)
+}
+
+// full reports whether the queue has no place for one more of the kind. A
+// deeper call has its root's work behind it, so its class's bound on the queue
+// is not for it.
+func (a *admitter) full(t *waxwingseam.Ticket) bool {
+	if t.Depth == 0 {
+		return a.queue.roots >= t.Waiting
+	}
+	return a.queue.len()-a.queue.roots >= deepQueueFactor*a.slots
+}
+
+// until returns when a waiting ticket is refused: a root after its class's
+// wait, every call once it could not finish by its deadline.
+func (a *admitter) until(t *waxwingseam.Ticket) time.Time {
+	latest := t.Deadline.Add(-a.limiter.ServiceTime())
+	if t.Depth > 0 {
+		return latest
+	}
+	if wait := t.Arrived.Add(t.Wait); wait.Before(latest) {
+		return wait
+	}
+	return latest
+}
+
+// fits reports whether a ticket may start now, as far as limits go.
+func (a *admitter) fits(t *waxwingseam.Ticket) bool {
+	limit := a.limiter.Limit()
+	if a.runs.len() >= limit {
+		return false
+	}
+	importance, depth := level(t)
+	return a.runs.upTo(importance, depth) < a.reserve.bound(a.now, limit, depth)
+}
+
+// startWaiting starts waiting tickets while they fit. No ticket starts while a
+// more important one waits.
+func (a *admitter) startWaiting(out []waxwingseam.Admission) []waxwingseam.Admission {
+	for {
+		w := a.next()
+		if w == nil {
+			return out
+		}
+		out = append(out, a.start(a.queue.remove(w).ticket))
+	}
+}
+
+// next returns the first waiting ticket of the highest waiting importance
+// that fits; nil without one.
+func (a *admitter) next() *waiting {
+	for i := importances - 1; i >= 0; i-- {
+		if a.queue.counts[i] == 0 {
+			continue
+		}
+		var best *waiting
+		for d := range depths {
+			l := &a.queue.lanes[i][d]
+			if l.empty() || !a.fits(&l.first().ticket) {
+				continue
+			}
+			if w := l.first(); best == nil || w.ticket.Rank.Before(best.ticket.Rank) {
+				best = w
+			}
+		}
+		return best
+	}
+	return nil
+}
+
+func (a *admitter) start(t waxwingseam.Ticket) waxwingseam.Admission {
+	waited := a.now.Sub(t.Arrived)
+	a.runs.add(&t, waited)
+	a.signs.started(a.now, t.Rank)
+	a.reserve.waited(a.now, a.limiter.Limit(), t.Depth, waited)
+	return waxwingseam.Admission{
+		ID:      t.ID,
+		Verdict: waxwingseam.VerdictRun,
+		Waited:  waited,
+	}
+}
+
+func (a *admitter) refuse(t waxwingseam.Ticket, reason waxwingseam.Reason) waxwingseam.Admission {
+	a.signs.refused(a.now, t.Rank)
+	a.reserve.waited(a.now, a.limiter.Limit(), t.Depth, a.now.Sub(t.Arrived))
+	return waxwingseam.Admission{
+		ID:      t.ID,
+		Verdict: waxwingseam.VerdictRefuse,
+		Reason:  reason,
+		Waited:  a.now.Sub(t.Arrived),
+	}
+}
+
+// Withdraw implements waxwingseam.Admitter.
+func (a *admitter) Withdraw(id waxwingseam.CallID) bool {
+	w, ok := a.queue.byID[id]
+	if ok {
+		a.queue.remove(w)
+	}
+	return ok
+}
+
+// Finish implements waxwingseam.Admitter.
+func (a *admitter) Finish(c *waxwingseam.Context, id waxwingseam.CallID, failed bool, elapsed time.Duration) []waxwingseam.Admission {
+	a.now = c.Now
+	inFlight := a.runs.len()
+	run, ok := a.runs.remove(id)
+	if !ok {
+		return nil
+	}
+	a.limiter.Observe(waxwingseam.Sample{
+		Now:      c.Now,
+		Elapsed:  elapsed,
+		Waited:   run.waited,
+		InFlight: inFlight,
+		Failed:   failed,
+	})
+	return a.startWaiting(a.expired(nil))
+}
+
+// Expire implements waxwingseam.Admitter.
+func (a *admitter) Expire(c *waxwingseam.Context) []waxwingseam.Admission {
+	a.now = c.Now
+	return a.startWaiting(a.expired(nil))
+}
+
+// expired refuses the tickets whose wait has ended.
+func (a *admitter) expired(out []waxwingseam.Admission) []waxwingseam.Admission {
+	for a.queue.len() > 0 && !a.queue.expiry[0].until.After(a.now) {
+		t := a.queue.remove(a.queue.expiry[0]).ticket
+		out = append(out, a.refuse(t, a.expiredReason(&t)))
+	}
+	return out
+}
+
+func (a *admitter) expiredReason(t *waxwingseam.Ticket) waxwingseam.Reason {
+	if a.now.Add(a.limiter.ServiceTime()).Before(t.Deadline) {
+		return waxwingseam.ReasonWaitLimit
+	}
+	return waxwingseam.ReasonDeadline
+}
+
+// NextExpiry implements waxwingseam.Admitter.
+func (a *admitter) NextExpiry() (time.Time, bool) {
+	if a.queue.len() == 0 {
+		return time.Time{}, false
+	}
+	return a.queue.expiry[0].until, true
+}
+
+// Load implements waxwingseam.Admitter.
+func (a *admitter) Load() waxwingseam.Load {
+	load := waxwingseam.Load{
+		InFlight:    count(a.runs.len()),
+		Waiting:     count(a.queue.len()),
+		Limit:       count(a.limiter.Limit()),
+		ServiceTime: a.limiter.ServiceTime(),
+	}
+	load.Threshold, load.Shedding = a.signs.threshold(a.now)
+	return load
+}
+
+func count(n int) uint32 {
+	return uint32(min(max(n, 0), math.MaxInt32))
+}
--- /dev/null
+++ b/admitter/admitter_test.go
@@ -0,0 +1,96 @@
+package admitter
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/limiter"
+)
+
+// step is one input of an admitter and what it answers.
+type step struct {
+	// do is "offer", "finish" or "expire".
+	do         string
+	id         uint64
+	importance waxwingseam.Importance
+	depth      uint8
+	// at is in milliseconds.
+	at   int
+	want string
+}
+
+func TestOrder(t *testing.T) {
+	for _, v := range []struct {
+		name    string
+		slots   int
+		waiting int
+		steps   []step
+	}{
+		{"the more important evicts the least important", 1, 1, []step{
+			{"offer", 1, 1, 0, 0, "1 run"},
+			{"offer", 2, 1, 0, 1, "2 wait"},
+			{"offer", 3, 2, 0, 2, "2 refuse evicted, 3 wait"},
+			{"offer", 4, 1, 0, 3, "4 refuse overloaded"},
+			{"finish", 1, 0, 0, 4, "3 run"},
+		}},
+		{"a deeper call goes before a new root and displaces it", 1, 1, []step{
+			{"offer", 1, 1, 0, 0, "1 run"},
+			{"offer", 3, 1, 0, 1, "3 wait"},
+			{"offer", 2, 1, 2, 2, "2 wait"},
+			{"finish", 1, 0, 0, 3, "2 run"},
+			{"finish", 2, 0, 0, 4, "3 run"},
+		}},
+		{"roots leave slots for deeper calls", 2, 9, []step{
+			{"offer", 1, 1, 3, 0, "1 run"},
+			{"offer", 2, 1, 0, 0, "2 run"},
+			{"offer", 3, 1, 0, 1, "3 wait"},
+			{"finish", 1, 0, 0, 2, ""},
+			{"offer", 4, 1, 3, 3, "4 wait, 4 run"},
+		}},
+		{"the wait ends", 1, 9, []step{
+			{"offer", 1, 1, 0, 0, "1 run"},
+			{"offer", 2, 1, 0, 10, "2 wait"},
+			{"offer", 3, 1, 1, 20, "3 wait"},
+			{"expire", 0, 0, 0, 110, "2 refuse wait-limit"},
+			{"expire", 0, 0, 0, 1000, "3 refuse deadline"},
+		}},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			a := New(Config{Limiter: limiter.NewFixed()})
+			a.Configure(v.slots)
+			for _, s := range v.steps {
+				qt.Assert(t, s.apply(a, v.waiting), qt.Equals, s.want, qt.Commentf("%+v", s))
+			}
+		})
+	}
+}
+
+func (s step) apply(a waxwingseam.Admitter, places int) string {
+	c := waxwingseam.NewContext(waxwingseam.Server{})
+	zero := time.Unix(1000, 0)
+	c.Begin(waxwingseam.Stamp{Now: zero.Add(time.Duration(s.at) * time.Millisecond)})
+	id := waxwingseam.NewCallID(0, s.id)
+	var out []waxwingseam.Admission
+	switch s.do {
+	case "offer":
+		out = a.Offer(c, waxwingseam.Ticket{
+			ID: id, Rank: waxwingseam.Rank{Importance: s.importance, Order: s.id}, Depth: s.depth,
+			Arrived: c.Now, Deadline: zero.Add(time.Second), Wait: 100 * time.Millisecond, Waiting: places,
+		})
+	case "finish":
+		out = a.Finish(c, id, false, 0)
+	case "expire":
+		out = a.Expire(c)
+	}
+	verdicts := []string{"run", "wait", "refuse"}
+	texts := make([]string, 0, len(out))
+	for _, v := range out {
+		texts = append(texts, strings.TrimSpace(fmt.Sprintf("%d %s %s", v.ID[15], verdicts[v.Verdict], v.Reason)))
+	}
+	return strings.Join(texts, ", ")
+}
--- /dev/null
+++ b/admitter/lane.go
@@ -0,0 +1,68 @@
+package admitter
+
+import (
+	"slices"
+	"time"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// waiting is a ticket in the queue.
+type waiting struct {
+	ticket waxwingseam.Ticket
+	// until is when the ticket is refused if it has not started.
+	until time.Time
+	// place is its index in the order of expiry.
+	place int
+}
+
+// lane holds the waiting tickets of one importance and one depth, in order.
+type lane struct {
+	tickets []*waiting
+}
+
+func compareOrder(w *waiting, t waxwingseam.Rank) int {
+	switch {
+	case w.ticket.Rank.Order < t.Order:
+		return -1
+	case w.ticket.Rank.Order > t.Order:
+		return 1
+	}
+	return 0
+}
+
+func (l *lane) empty() bool {
+	return len(l.tickets) == 0
+}
+
+// add puts a ticket in its place, behind those of the same order.
+func (l *lane) add(w *waiting) {
+	at := len(l.tickets)
+	for at > 0 && w.ticket.Rank.Order < l.tickets[at-1].ticket.Rank.Order {
+		if at > 16 {
+			at, _ = slices.BinarySearchFunc(l.tickets, w.ticket.Rank, compareOrder)
+			break
+		}
+		at--
+	}
+	l.tickets = slices.Insert(l.tickets, at, w)
+}
+
+// remove takes a ticket out.
+func (l *lane) remove(w *waiting) {
+	at, _ := slices.BinarySearchFunc(l.tickets, w.ticket.Rank, compareOrder)
+	for at < len(l.tickets) && l.tickets[at] != w {
+		at++
+	}
+	if at < len(l.tickets) {
+		l.tickets = slices.Delete(l.tickets, at, at+1)
+	}
+}
+
+func (l *lane) first() *waiting {
+	return l.tickets[0]
+}
+
+func (l *lane) last() *waiting {
+	return l.tickets[len(l.tickets)-1]
+}
--- /dev/null
+++ b/classifier/classifier.go
@@ -0,0 +1,85 @@
+// Package classifier finds the request class of a call and places roots in the
+// order of service.
+package classifier
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// orderGrain is the low part of an order that the root's identifier fills, so
+// that roots of one moment are told apart, the same way at every hop.
+const orderGrain = 1 << 16
+
+type classifier struct {
+	rules map[waxwingseam.ServiceName][]rule
+}
+
+// rule is a request class with its compiled pattern.
+type rule struct {
+	class   waxwingseam.RequestClass
+	pattern pattern
+}
+
+// New returns a classifier that knows no class.
+func New() waxwingseam.Classifier {
+	return &classifier{}
+}
+
+// Adopt implements waxwingseam.Classifier.
+func (f *classifier) Adopt(s *waxwingseam.Set) {
+	f.rules = make(map[waxwingseam.ServiceName][]rule, len(s.Services))
+	for _, v := range s.RequestClasses {
+		f.rules[v.Service] = append(f.rules[v.Service], rule{
+			class:   v,
+			pattern: compile(v.Path),
+		})
+	}
+	for _, rules := range f.rules {
+		slices.SortStableFunc(rules, compareRules)
+	}
+}
+
+// compareRules puts the more specific rule first: by path, then by method.
+func compareRules(a, b rule) int {
+	if order := a.pattern.compare(b.pattern); order != 0 {
+		return order
+	}
+	switch {
+	case a.class.Method != "" && b.class.Method == "":
+		return -1
+	case a.class.Method == "" && b.class.Method != "":
+		return 1
+	}
+	return 0
+}
+
+// Classify implements waxwingseam.Classifier. The most specific class wins: a
+// literal segment before {name}, {name} before {name...}, a named method
+// before any method.
+func (f *classifier) Classify(r waxwingseam.Request) (waxwingseam.RequestClass, bool) {
+	for i := range f.rules[r.Service] {
+		v := &f.rules[r.Service][i]
+		if v.class.Method != "" && v.class.Method != r.Method {
+			continue
+		}
+		if v.pattern.matches(r.Path) {
+			return v.class, true
+		}
+	}
+	return waxwingseam.RequestClass{}, false
+}
+
+// Rank implements waxwingseam.Classifier. Among roots of one importance the
+// older one goes first, so that the further work of an admitted root goes
+// before a new root at every hop.
+func (f *classifier) Rank(c *waxwingseam.Context, class waxwingseam.RequestClass, root waxwingseam.RootID) waxwingseam.Rank {
+	started := uint64(c.Now.UnixNano())
+	tie := binary.BigEndian.Uint64(root[8:]) % orderGrain
+	return waxwingseam.Rank{
+		Importance: class.Importance,
+		Order:      started - started%orderGrain + tie,
+	}
+}
--- /dev/null
+++ b/receiver/receiver.go
@@ -0,0 +1,333 @@
+// Package receiver reduces the events of the calls that come to a node's own
+// backend server: it takes in attempts, orders and runs them, and answers.
+package receiver
+
+import (
+	"time"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// Priority is the receiver's place among the workers: before those that take
+// the children of an ended run away.
+const Priority = 100
+
+const (
+	// TimerAdmission is due when a waiting ticket's wait ends.
+	TimerAdmission waxwingseam.TimerPurpose = "receiver-admission"
+	// TimerRecords is due when old records are to be looked through.
+	TimerRecords waxwingseam.TimerPurpose = "receiver-records"
+)
+
+const (
+	// recordsPeriod is the time between two looks through the records.
+	recordsPeriod = time.Second
+	// failureStatus is the least HTTP status that counts as a failed run.
+	failureStatus = 500
+	// minRetryAfter is the least time that a refused caller stays away.
+	minRetryAfter = time.Second
+)
+
+// Config holds the parts of a receiver.
+type Config struct {
+	Admitter     waxwingseam.Admitter
+	Deduplicator waxwingseam.Deduplicator
+	Drainer      waxwingseam.Drainer
+	Tracker      waxwingseam.Tracker
+}
+
+type receiver struct {
+	admitter     waxwingseam.Admitter
+	deduplicator waxwingseam.Deduplicator
+	drainer      waxwingseam.Drainer
+	tracker      waxwingseam.Tracker
+
+	settings settings
+	calls    map[waxwingseam.CallID]*call
+	// owners leads from a call that joined another to that one.
+	owners map[waxwingseam.CallID]waxwingseam.CallID
+	// armed is when the admission timer is due; zero while it is not armed.
+	armed time.Time
+	// watching is set once the timer of the records is armed.
+	watching bool
+}
+
+// call is one that waits or runs, with the attempts that want its answer.
+type call struct {
+	header   waxwingseam.Call
+	attempts []waiter
+	running  bool
+}
+
+// waiter is an attempt that gets a run's answer.
+type waiter struct {
+	id      waxwingseam.CallID
+	attempt waxwingseam.Attempt
+}
+
+// New returns the worker of a receiving node.
+func New(config Config) waxwingseam.Worker {
+	return &receiver{
+		admitter:     config.Admitter,
+		deduplicator: config.Deduplicator,
+		drainer:      config.Drainer,
+		tracker:      config.Tracker,
+		calls:        map[waxwingseam.CallID]*call{},
+		owners:       map[waxwingseam.CallID]waxwingseam.CallID{},
+	}
+}
+
+// Kinds implements waxwingseam.Worker.
+func (r *receiver) Kinds() []waxwingseam.Kind {
+	return []waxwingseam.Kind{
+		waxwingseam.KindAttemptArrived,
+		waxwingseam.KindAttemptCancelled,
+		waxwingseam.KindRunEnded,
+		waxwingseam.KindFenceAsked,
+		waxwingseam.KindDrainAsked,
+		waxwingseam.KindTimerFired,
+		waxwingseam.KindSetAdopted,
+	}
+}
+
+// Reduce implements waxwingseam.Worker.
+func (r *receiver) Reduce(c *waxwingseam.Context, e waxwingseam.Event) {
+	switch v := e.(type) {
+	case waxwingseam.AttemptArrived:
+		r.arrive(c, v)
+	case waxwingseam.AttemptCancelled:
+		r.cancel(c, waiter{v.ID, v.Attempt})
+	case waxwingseam.RunEnded:
+		r.finish(c, v)
+	case waxwingseam.FenceAsked:
+		r.fence(c, v)
+	case waxwingseam.DrainAsked:
+		r.drainer.Drain(c, v.Undo)
+	case waxwingseam.TimerFired:
+		r.fire(c, v.Timer)
+	case waxwingseam.SetAdopted:
+		r.adopt(c)
+	}
+	r.arm(c)
+}
+
+// arrive answers an attempt of a known call from the records, and offers a new
+// one to the admitter.
+func (r *receiver) arrive(c *waxwingseam.Context, e waxwingseam.AttemptArrived) {
+	w := waiter{e.Call.ID, e.Attempt}
+	if e.Incarnation != 0 && e.Incarnation != c.Self.Incarnation {
+		r.answer(c, w, unknown(waxwingseam.ReasonIncarnation))
+		return
+	}
+	record := r.deduplicator.Arrive(c, e.Call)
+	switch record.Standing {
+	case waxwingseam.StandingNew:
+		r.offer(c, e)
+	case waxwingseam.StandingWaiting, waxwingseam.StandingRunning:
+		r.join(c, record.Owner, w)
+	case waxwingseam.StandingFinished:
+		c.Emit(waxwingseam.JoinRun{ID: w.id, Attempt: w.attempt, Owner: record.Owner})
+		r.answer(c, w, record.Result)
+	case waxwingseam.StandingUnkept:
+		r.answer(c, w, unknown(waxwingseam.ReasonNone))
+	case waxwingseam.StandingFenced:
+		r.answer(c, w, refused(waxwingseam.ReasonFenced))
+	}
+}
+
+// offer refuses what cannot run here and lets the admitter decide on the rest.
+func (r *receiver) offer(c *waxwingseam.Context, e waxwingseam.AttemptArrived) {
+	w := waiter{e.Call.ID, e.Attempt}
+	if reason := r.barred(c, &e.Call); reason != waxwingseam.ReasonNone {
+		r.deduplicator.Refuse(c, e.Call.ID)
+		r.answer(c, w, refused(reason))
+		return
+	}
+	r.calls[e.Call.ID] = &call{
+		header:   e.Call,
+		attempts: []waiter{w},
+	}
+	limit := r.settings.waits[e.Call.Class]
+	r.apply(c, r.admitter.Offer(c, waxwingseam.Ticket{
+		ID:       e.Call.ID,
+		Rank:     e.Call.Rank,
+		Depth:    e.Call.Depth,
+		Deadline: e.Call.Deadline,
+		Arrived:  c.Now,
+		Wait:     limit.Wait,
+		Waiting:  limit.Waiting,
+	}))
+}
+
+// barred returns why a new call cannot run here whatever the load.
+func (r *receiver) barred(c *waxwingseam.Context, header *waxwingseam.Call) waxwingseam.Reason {
+	switch {
+	case r.drainer.Leaving() || r.settings.drained:
+		return waxwingseam.ReasonDraining
+	case r.settings.slots == 0 || header.Service != c.Self.Service:
+		return waxwingseam.ReasonUnknownService
+	case !c.Now.Before(header.Deadline):
+		return waxwingseam.ReasonDeadline
+	}
+	return waxwingseam.ReasonNone
+}
+
+// join lets an attempt share the answer of a call that waits or runs.
+func (r *receiver) join(c *waxwingseam.Context, owner waxwingseam.CallID, w waiter) {
+	live, ok := r.calls[owner]
+	if !ok {
+		r.answer(c, w, unknown(waxwingseam.ReasonNone))
+		return
+	}
+	if !live.has(w) {
+		live.attempts = append(live.attempts, w)
+	}
+	if owner != w.id {
+		r.owners[w.id] = owner
+	}
+	if live.running {
+		c.Emit(waxwingseam.JoinRun{ID: w.id, Attempt: w.attempt, Owner: owner})
+	}
+}
+
+// apply carries out the admitter's decisions.
+func (r *receiver) apply(c *waxwingseam.Context, admissions []waxwingseam.Admission) {
+	for _, v := range admissions {
+		live, ok := r.calls[v.ID]
+		if !ok {
+			continue
+		}
+		switch v.Verdict {
+		case waxwingseam.VerdictRun:
+			r.start(c, live)
+		case waxwingseam.VerdictRefuse:
+			r.refuse(c, live, v.Reason)
+		case waxwingseam.VerdictWait:
+		}
+	}
+}
+
+func (r *receiver) start(c *waxwingseam.Context, live *call) {
+	live.running = true
+	r.deduplicator.Start(c, live.header.ID)
+	r.tracker.Begin(live.header)
+	first := live.attempts[0]
+	c.Emit(waxwingseam.Run{Call: live.header, Attempt: first.attempt})
+	for _, w := range live.attempts[1:] {
+		c.Emit(waxwingseam.JoinRun{ID: w.id, Attempt: w.attempt, Owner: live.header.ID})
+	}
+}
+
+// refuse ends a call that has not started.
+func (r *receiver) refuse(c *waxwingseam.Context, live *call, reason waxwingseam.Reason) {
+	delete(r.calls, live.header.ID)
+	r.deduplicator.Refuse(c, live.header.ID)
+	result := refused(reason)
+	result.RetryAfter = r.retryAfter()
+	result.Unspent = live.header.Allowance
+	r.answerAll(c, live, result)
+}
+
+// cancel drops an attempt; with the last one the call itself goes.
+func (r *receiver) cancel(c *waxwingseam.Context, w waiter) {
+	id := w.id
+	if owner, ok := r.owners[id]; ok {
+		id = owner
+	}
+	live, ok := r.calls[id]
+	if !ok || !live.drop(w) || len(live.attempts) > 0 {
+		return
+	}
+	if live.running {
+		c.Emit(waxwingseam.CancelRun{ID: id})
+		return
+	}
+	r.admitter.Withdraw(id)
+	r.deduplicator.Refuse(c, id)
+	delete(r.calls, id)
+}
+
+// finish answers all attempts of an ended run and starts what waited for it.
+func (r *receiver) finish(c *waxwingseam.Context, e waxwingseam.RunEnded) {
+	live, ok := r.calls[e.ID]
+	if !ok {
+		return
+	}
+	delete(r.calls, e.ID)
+	result := e.Result
+	result.Unspent = r.tracker.Unspent(e.ID)
+	result.Reached = true
+	if !r.deduplicator.Finish(c, e.ID, result) {
+		c.Emit(waxwingseam.ForgetRun{ID: e.ID})
+	}
+	failed := !result.Completed() || result.Status >= failureStatus
+	admissions := r.admitter.Finish(c, e.ID, failed, e.Elapsed)
+	r.answerAll(c, live, result)
+	r.apply(c, admissions)
+}
+
+// fence records that a call never starts, and takes it out of the queue.
+func (r *receiver) fence(c *waxwingseam.Context, e waxwingseam.FenceAsked) {
+	started := r.deduplicator.Fence(c, e.ID, e.Until)
+	live, ok := r.calls[e.ID]
+	if ok && !live.running {
+		r.admitter.Withdraw(e.ID)
+		delete(r.calls, e.ID)
+		r.answerAll(c, live, refused(waxwingseam.ReasonFenced))
+	}
+	c.Emit(waxwingseam.AnswerFence{
+		ID:          e.ID,
+		Started:     started,
+		Incarnation: c.Self.Incarnation,
+	})
+}
+
+// answer ends one attempt, with the load as it is now.
+func (r *receiver) answer(c *waxwingseam.Context, w waiter, result waxwingseam.Result) {
+	result.Reached = true
+	result.Load = r.admitter.Load()
+	result.Load.Leaving = r.drainer.Leaving() || r.settings.drained
+	c.Emit(waxwingseam.AnswerAttempt{ID: w.id, Attempt: w.attempt, Result: result})
+}
+
+// answerAll ends all attempts of a call that is over.
+func (r *receiver) answerAll(c *waxwingseam.Context, live *call, result waxwingseam.Result) {
+	for _, w := range live.attempts {
+		delete(r.owners, w.id)
+		r.answer(c, w, result)
+	}
+}
+
+// retryAfter is the time in which what waits now will have run.
+func (r *receiver) retryAfter() time.Duration {
+	load := r.admitter.Load()
+	turns := time.Duration(1 + load.Waiting/max(load.Limit, 1))
+	return max(turns*load.ServiceTime, minRetryAfter)
+}
+
+func (v *call) has(w waiter) bool {
+	for _, other := range v.attempts {
+		if other == w {
+			return true
+		}
+	}
+	return false
+}
+
+func (v *call) drop(w waiter) bool {
+	for i, other := range v.attempts {
+		if other == w {
+			v.attempts = append(v.attempts[:i], v.attempts[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+func refused(reason waxwingseam.Reason) waxwingseam.Result {
+	return waxwingseam.Result{Outcome: waxwingseam.OutcomeDidNotRun, Reason: reason}
+}
+
+func unknown(reason waxwingseam.Reason) waxwingseam.Result {
+	return waxwingseam.Result{Outcome: waxwingseam.OutcomeMayHaveRun, Reason: reason}
+}
--- /dev/null
+++ b/receiver/receiver_test.go
@@ -0,0 +1,214 @@
+package receiver
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/admitter"
+	"waxwingseam.example/waxwingseam/limiter"
+	"waxwingseam.example/waxwingseam/reducer"
+)
+
+// records is a deduplicator that answers what a test sets.
+type records struct {
+	byID    map[waxwingseam.CallID]waxwingseam.Record
+	refused int
+}
+
+func (r *records) Arrive(_ *waxwingseam.Context, call waxwingseam.Call) waxwingseam.Record {
+	v, ok := r.byID[call.ID]
+	if !ok {
+		r.set(call.ID, waxwingseam.StandingWaiting)
+		return waxwingseam.Record{Owner: call.ID}
+	}
+	return v
+}
+
+func (r *records) set(id waxwingseam.CallID, s waxwingseam.Standing) {
+	r.byID[id] = waxwingseam.Record{Standing: s, Owner: id}
+}
+
+func (r *records) Refuse(_ *waxwingseam.Context, id waxwingseam.CallID) {
+	r.refused++
+	delete(r.byID, id)
+}
+
+func (r *records) Start(_ *waxwingseam.Context, id waxwingseam.CallID) {
+	r.set(id, waxwingseam.StandingRunning)
+}
+
+func (r *records) Finish(_ *waxwingseam.Context, id waxwingseam.CallID, v waxwingseam.Result) bool {
+	r.byID[id] = waxwingseam.Record{Standing: waxwingseam.StandingFinished, Owner: id, Result: v}
+	return true
+}
+
+func (r *records) Fence(_ *waxwingseam.Context, id waxwingseam.CallID, _ time.Time) bool {
+	standing := r.byID[id].Standing
+	if standing == waxwingseam.StandingRunning || standing == waxwingseam.StandingFinished {
+		return true
+	}
+	r.set(id, waxwingseam.StandingFenced)
+	return false
+}
+
+func (r *records) Expire(*waxwingseam.Context) []waxwingseam.CallID { return nil }
+
+// door is a drainer.
+type door struct{ leaving bool }
+
+func (d *door) Drain(_ *waxwingseam.Context, undo bool) { d.leaving = !undo }
+func (d *door) Leaving() bool                           { return d.leaving }
+
+// purse is a tracker in which each run has kept its whole allowance.
+type purse struct {
+	waxwingseam.Tracker
+	calls map[waxwingseam.CallID]waxwingseam.Call
+}
+
+func (p *purse) Begin(call waxwingseam.Call) { p.calls[call.ID] = call }
+func (p *purse) Unspent(id waxwingseam.CallID) waxwingseam.Allowance {
+	return p.calls[id].Allowance
+}
+
+type bench struct {
+	reducer waxwingseam.Reducer
+	records *records
+	now     time.Time
+}
+
+func newBench() *bench {
+	b := &bench{
+		records: &records{byID: map[waxwingseam.CallID]waxwingseam.Record{}},
+		now:     time.Unix(1000, 0),
+	}
+	b.reducer = reducer.New(reducer.Config{
+		Self: waxwingseam.Server{Name: "fees-1", Service: "fees", Incarnation: 7},
+		Workers: []waxwingseam.Prioritized{{Priority: Priority, Worker: New(Config{
+			Admitter:     admitter.New(admitter.Config{Limiter: limiter.NewFixed()}),
+			Deduplicator: b.records,
+			Drainer:      &door{},
+			Tracker:      &purse{calls: map[waxwingseam.CallID]waxwingseam.Call{}},
+		})}},
+	})
+	b.reducer.Reduce(waxwingseam.SetAdopted{Stamp: b.stamp(), Set: &waxwingseam.Set{
+		Revision:       1,
+		Services:       []waxwingseam.Service{{Name: "fees", Slots: 1}},
+		RequestClasses: []waxwingseam.RequestClass{{Name: "fee", Service: "fees", WaitLimit: "short"}},
+		WaitLimits:     []waxwingseam.WaitLimit{{Name: "short", Wait: 100 * time.Millisecond, Waiting: 1}},
+	}})
+	return b
+}
+
+func (b *bench) stamp() waxwingseam.Stamp {
+	return waxwingseam.Stamp{Now: b.now}
+}
+
+func (b *bench) call(id uint64) waxwingseam.Call {
+	return waxwingseam.Call{
+		ID: waxwingseam.NewCallID(0, id), Service: "fees", Class: "fee", Allowance: 2,
+		Rank: waxwingseam.Rank{Importance: 3, Order: id}, Deadline: b.now.Add(time.Second),
+	}
+}
+
+// reduce returns the effects of an event in short, timers left out.
+func (b *bench) reduce(e waxwingseam.Event) string {
+	var out []string
+	for _, v := range b.reducer.Reduce(e) {
+		switch x := v.(type) {
+		case waxwingseam.Run:
+			out = append(out, fmt.Sprintf("run %d.%d", x.Call.ID[15], x.Attempt))
+		case waxwingseam.AnswerAttempt:
+			out = append(out, fmt.Sprintf("answer %d.%d %v %s unspent %d",
+				x.ID[15], x.Attempt, x.Result.Outcome, x.Result.Reason, x.Result.Unspent))
+		case waxwingseam.JoinRun:
+			out = append(out, fmt.Sprintf("join %d.%d to %d", x.ID[15], x.Attempt, x.Owner[15]))
+		case waxwingseam.CancelRun:
+			out = append(out, fmt.Sprintf("cancel %d", x.ID[15]))
+		case waxwingseam.AnswerFence:
+			out = append(out, fmt.Sprintf("fence %d started %v", x.ID[15], x.Started))
+		}
+	}
+	return strings.Join(out, "; ")
+}
+
+func (b *bench) arrive(id uint64, attempt waxwingseam.Attempt) string {
+	return b.reduce(waxwingseam.AttemptArrived{Stamp: b.stamp(), Call: b.call(id), Attempt: attempt})
+}
+
+func (b *bench) end(id uint64) string {
+	return b.reduce(waxwingseam.RunEnded{
+		Stamp: b.stamp(), ID: waxwingseam.NewCallID(0, id), Elapsed: 10 * time.Millisecond,
+		Result: waxwingseam.Result{Status: 200},
+	})
+}
+
+func (b *bench) expire(after time.Duration) string {
+	b.now = b.now.Add(after)
+	return b.reduce(waxwingseam.TimerFired{Stamp: b.stamp(), Timer: waxwingseam.TimerID{Purpose: TimerAdmission}})
+}
+
+func TestRunQueueAndRefuse(t *testing.T) {
+	b := newBench()
+	qt.Assert(t, b.arrive(1, 1), qt.Equals, "run 1.1")
+	qt.Assert(t, b.arrive(2, 1), qt.Equals, "")
+	qt.Assert(t, b.arrive(3, 1), qt.Equals, "answer 3.1 did-not-run overloaded unspent 2")
+	qt.Assert(t, b.end(1), qt.Equals, "answer 1.1 completed  unspent 2; run 2.1")
+	qt.Assert(t, b.arrive(4, 1), qt.Equals, "")
+	qt.Assert(t, b.expire(100*time.Millisecond), qt.Equals, "answer 4.1 did-not-run wait-limit unspent 2")
+	qt.Assert(t, b.records.refused, qt.Equals, 2)
+}
+
+func TestResentAttempts(t *testing.T) {
+	b := newBench()
+	qt.Assert(t, b.arrive(1, 1), qt.Equals, "run 1.1")
+	qt.Assert(t, b.arrive(1, 2), qt.Equals, "join 1.2 to 1")
+	qt.Assert(t, b.end(1), qt.Equals, "answer 1.1 completed  unspent 2; answer 1.2 completed  unspent 2")
+	qt.Assert(t, b.arrive(1, 3), qt.Equals, "join 1.3 to 1; answer 1.3 completed  unspent 2")
+	b.records.set(waxwingseam.NewCallID(0, 1), waxwingseam.StandingUnkept)
+	qt.Assert(t, b.arrive(1, 4), qt.Equals, "answer 1.4 may-have-run  unspent 0")
+}
+
+func TestJoinByKeyOutlivesTheFirst(t *testing.T) {
+	b := newBench()
+	b.arrive(1, 1)
+	b.records.byID[waxwingseam.NewCallID(0, 2)] = waxwingseam.Record{
+		Standing: waxwingseam.StandingRunning, Owner: waxwingseam.NewCallID(0, 1),
+	}
+	qt.Assert(t, b.arrive(2, 1), qt.Equals, "join 2.1 to 1")
+	cancel := func(id uint64) string {
+		return b.reduce(waxwingseam.AttemptCancelled{Stamp: b.stamp(), ID: waxwingseam.NewCallID(0, id), Attempt: 1})
+	}
+	qt.Assert(t, cancel(1), qt.Equals, "")
+	qt.Assert(t, cancel(2), qt.Equals, "cancel 1")
+}
+
+func TestFenceStopsWaitingCall(t *testing.T) {
+	b := newBench()
+	b.arrive(1, 1)
+	b.arrive(2, 1)
+	fence := func(id uint64) string {
+		return b.reduce(waxwingseam.FenceAsked{Stamp: b.stamp(), ID: waxwingseam.NewCallID(0, id)})
+	}
+	qt.Assert(t, fence(1), qt.Equals, "fence 1 started true")
+	qt.Assert(t, fence(2), qt.Equals, "answer 2.1 did-not-run fenced unspent 0; fence 2 started false")
+	qt.Assert(t, b.end(1), qt.Equals, "answer 1.1 completed  unspent 2")
+	qt.Assert(t, b.arrive(2, 2), qt.Equals, "answer 2.2 did-not-run fenced unspent 0")
+}
+
+func TestBarred(t *testing.T) {
+	b := newBench()
+	stale := waxwingseam.AttemptArrived{Stamp: b.stamp(), Call: b.call(1), Attempt: 1, Incarnation: 6}
+	qt.Assert(t, b.reduce(stale), qt.Equals, "answer 1.1 may-have-run incarnation unspent 0")
+	late := waxwingseam.AttemptArrived{Stamp: b.stamp(), Call: b.call(2), Attempt: 1}
+	late.Call.Deadline = b.now
+	qt.Assert(t, b.reduce(late), qt.Equals, "answer 2.1 did-not-run deadline unspent 0")
+	b.reduce(waxwingseam.DrainAsked{Stamp: b.stamp()})
+	qt.Assert(t, b.arrive(3, 1), qt.Equals, "answer 3.1 did-not-run draining unspent 0")
+	b.reduce(waxwingseam.DrainAsked{Stamp: b.stamp(), Undo: true})
+	qt.Assert(t, b.arrive(4, 1), qt.Equals, "run 4.1")
+}
