--- /dev/null
+++ b/checker/backendserver.go
@@ -0,0 +1,25 @@
+package checker
+
+import "waxwingseam.example/waxwingseam"
+
+const (
+	// UsualWeight is the weight of a backend server that sets none.
+	UsualWeight = 100
+	maxWeight   = 1000
+)
+
+var backendServer = &kindOf[waxwingseam.BackendServer]{
+	name: waxwingseam.KindBackendServer,
+	fields: []field[waxwingseam.BackendServer]{
+		required(text("service", nil, func(b *waxwingseam.BackendServer) *waxwingseam.ServiceName { return &b.Service })),
+		number("slots", 1, maxSlots, 0, func(b *waxwingseam.BackendServer) *int { return &b.Slots }),
+		number("connections", 1, maxConnections, 0, func(b *waxwingseam.BackendServer) *int { return &b.Connections }),
+		number("weight", 1, maxWeight, UsualWeight, func(b *waxwingseam.BackendServer) *int { return &b.Weight }),
+		boolean("drained", func(b *waxwingseam.BackendServer) *bool { return &b.Drained }),
+	},
+	fresh: func(name string) waxwingseam.BackendServer {
+		return waxwingseam.BackendServer{Name: waxwingseam.ServerName(name), Weight: UsualWeight}
+	},
+	nameOf: func(b waxwingseam.BackendServer) string { return string(b.Name) },
+	list:   func(set *waxwingseam.Set) *[]waxwingseam.BackendServer { return &set.BackendServers },
+}
--- /dev/null
+++ b/checker/object.go
@@ -0,0 +1,50 @@
+package checker
+
+import (
+	"slices"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// ID names an object.
+type ID struct {
+	Kind waxwingseam.Kind `json:"kind" cbor:"1,keyasint"`
+	Name string           `json:"name" cbor:"2,keyasint"`
+}
+
+// String returns the ID as it stands in a section title.
+func (id ID) String() string {
+	return string(id.Kind) + " " + id.Name
+}
+
+// Value is one key of an object that is not at its default.
+type Value struct {
+	Key  string `json:"key"`
+	Text string `json:"text"`
+}
+
+// Object is an object in text form.
+type Object struct {
+	Kind   waxwingseam.Kind `json:"kind"`
+	Name   string           `json:"name"`
+	Values []Value          `json:"values"`
+}
+
+// ID returns the object's ID.
+func (o Object) ID() ID {
+	return ID{Kind: o.Kind, Name: o.Name}
+}
+
+// equal reports whether two objects have the same values.
+func (o Object) equal(other Object) bool {
+	return slices.Equal(o.Values, other.Values)
+}
+
+// Objects returns the objects of a set in order of kind and name.
+func Objects(set *waxwingseam.Set) []Object {
+	objects := make([]Object, 0, len(set.BackendServers)+len(set.RequestClasses))
+	for _, e := range elements() {
+		objects = append(objects, e.objects(set)...)
+	}
+	return objects
+}
--- /dev/null
+++ b/checker/service.go
@@ -0,0 +1,23 @@
+package checker
+
+import "waxwingseam.example/waxwingseam"
+
+const (
+	maxSlots       = 100_000
+	maxConnections = 1_000_000
+	maxSubsetSize  = 10_000
+)
+
+var service = &kindOf[waxwingseam.Service]{
+	name: waxwingseam.KindService,
+	fields: []field[waxwingseam.Service]{
+		required(number("slots", 1, maxSlots, 0, func(s *waxwingseam.Service) *int { return &s.Slots })),
+		required(number("connections", 1, maxConnections, 0, func(s *waxwingseam.Service) *int { return &s.Connections })),
+		number("subset-size", 0, maxSubsetSize, 0, func(s *waxwingseam.Service) *int { return &s.SubsetSize }),
+	},
+	fresh: func(name string) waxwingseam.Service {
+		return waxwingseam.Service{Name: waxwingseam.ServiceName(name)}
+	},
+	nameOf: func(s waxwingseam.Service) string { return string(s.Name) },
+	list:   func(set *waxwingseam.Set) *[]waxwingseam.Service { return &set.Services },
+}
--- a/object.go
+++ b/object.go
@@ -27,8 +27,9 @@
 
 // BackendServer is an object that bounds one announced backend server.
 type BackendServer struct {
-	Name        ServerName
-	Service     ServiceName
+	Name    ServerName
+	Service ServiceName
+	// Slots and Connections are the service's where they are 0.
 	Slots       int
 	Connections int
 	// Weight scales the share of new calls, in hundredths; 100 is usual.
@@ -37,6 +38,19 @@
 	Drained bool
 }
 
+// Sizes returns the slots and connections in force; those that the object
+// does not set are its service's.
+func (b BackendServer) Sizes(s Service) (slots, connections int) {
+	slots, connections = b.Slots, b.Connections
+	if slots == 0 {
+		slots = s.Slots
+	}
+	if connections == 0 {
+		connections = s.Connections
+	}
+	return slots, connections
+}
+
 // RequestClass says how the calls that match it are treated.
 type RequestClass struct {
 	Name    ClassName
@@ -63,6 +77,8 @@
 	BudgetPercent int
 	// Backoff is the mean delay before the first retry, doubled for each later one.
 	Backoff time.Duration
+	// DidNotRunOnly keeps retries to attempts that did not run, by proof.
+	DidNotRunOnly bool
 }
 
 // WaitLimit bounds the queue in front of a backend server.
