dispatcher: carry the trace context from root to child calls

Cause: child calls had no trace, so a chain's spans did not join. Change: a root takes the caller's trace, a child its parent run's. Conclusion: one trace for each root.

--- a/dispatcher/arrival.go
+++ b/dispatcher/arrival.go
@@ -57,6 +57,7 @@
 // placeRoot starts a new root, which is granted the allowance of its chain.
 func (d *dispatcher) placeRoot(c *waxwingseam.Context, f *flight, e waxwingseam.CallArrived, class waxwingseam.RequestClass) {
 	f.call.Root = e.Root
+	f.call.Trace = e.Trace
 	f.call.Rank = d.Classifier.Rank(c, class, e.Root)
 	f.call.Deadline = c.Now.Add(class.Deadline)
 	f.shortenDeadline(c, e.Timeout)
@@ -72,6 +73,7 @@
 		return waxwingseam.ReasonUnknownContext
 	}
 	f.call.Root = parent.Root
+	f.call.Trace = parent.Trace
 	f.call.Parent = parent.ID
 	f.call.Rank = parent.Rank
 	f.call.Depth = parent.Depth + 1
