--- /dev/null
+++ b/cmd/imitator/main.go
@@ -0,0 +1,82 @@
+// Command imitator runs one stand-in backend server, for trying waxwingseam
+// out without services of one's own.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/imitator"
+)
+
+type command struct {
+	Name        string        `required:"" help:"Name of the backend server."`
+	Service     string        `required:"" help:"Service that it serves."`
+	Address     string        `required:"" help:"Address to listen on, IP:PORT."`
+	Outbound    string        `help:"Outbound address of the node beside it, for child calls."`
+	Slots       int           `default:"15" help:"Requests worked on at once."`
+	ServiceTime time.Duration `default:"20ms" help:"Mean work of one request."`
+	ColdTime    time.Duration `help:"Time after the start at a fifth of the speed."`
+	Child       []string      `help:"Child call made for each request, SERVICE/PATH."`
+	Seed        uint64        `default:"1" help:"Seed of the spread of the work."`
+}
+
+// Run serves until a signal comes.
+func (c *command) Run() error {
+	config, err := c.config()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	server, err := imitator.Listen(ctx, config)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	fmt.Printf("imitator: %s serves %s on %s\n", c.Name, c.Service, server.Address())
+	return trace.Wrap(server.Serve(ctx))
+}
+
+func (c *command) config() (imitator.Config, error) {
+	config := imitator.Config{
+		Name:        waxwingseam.ServerName(c.Name),
+		Service:     waxwingseam.ServiceName(c.Service),
+		Slots:       c.Slots,
+		ServiceTime: c.ServiceTime,
+		ColdTime:    c.ColdTime,
+		Seed:        c.Seed,
+	}
+	var err error
+	if config.Address, err = netip.ParseAddrPort(c.Address); err != nil {
+		return config, trace.BadParameter("address: %v", err)
+	}
+	if c.Outbound != "" {
+		if config.Outbound, err = netip.ParseAddrPort(c.Outbound); err != nil {
+			return config, trace.BadParameter("outbound: %v", err)
+		}
+	}
+	for _, v := range c.Child {
+		service, path, _ := strings.Cut(v, "/")
+		config.Children = append(config.Children, imitator.Child{
+			Service: waxwingseam.ServiceName(service),
+			Path:    "/" + path,
+		})
+	}
+	return config, nil
+}
+
+func main() {
+	var c command
+	k := kong.Parse(&c, kong.Description("A stand-in backend server with slots, service time and child calls."))
+	k.FatalIfErrorf(k.Run())
+}
--- /dev/null
+++ b/cmd/waxwingseam/main.go
@@ -0,0 +1,75 @@
+// Command waxwingseam runs one process of the overload control layer, and the
+// operators' commands.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// The exit codes of the commands.
+const (
+	exitDone        = 0
+	exitRefused     = 1
+	exitUsage       = 2
+	exitUnreachable = 3
+)
+
+type commands struct {
+	Serve   serveCommand   `cmd:"" help:"Run one process: a node, a control replica, or both."`
+	Check   checkCommand   `cmd:"" help:"Check a set of objects offline and list all findings."`
+	Version versionCommand `cmd:"" help:"Print the version."`
+}
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+// run parses and runs one command and returns its exit code.
+func run(arguments []string) int {
+	var c commands
+	exit := exitDone
+	exited := false
+	parser, err := kong.New(&c,
+		kong.Name("waxwingseam"),
+		kong.Description("Overload control for service call graphs. Exit codes: 0 done, 1 findings or refused, 2 usage, 3 unreachable or outcome unknown."),
+		kong.UsageOnError(),
+		kong.Exit(func(code int) { exit, exited = code, true }),
+	)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	parsed, err := parser.Parse(arguments)
+	if exited {
+		return exit
+	}
+	if err != nil {
+		parser.Errorf("%s", err)
+		return exitUsage
+	}
+	return exitCode(parsed.Run())
+}
+
+// exitCode prints an error and returns the code that goes with it.
+func exitCode(err error) int {
+	if err == nil {
+		return exitDone
+	}
+	var findings waxwingseam.Findings
+	if errors.As(err, &findings) {
+		fmt.Fprintln(os.Stderr, findings.Error())
+		return exitRefused
+	}
+	fmt.Fprintln(os.Stderr, "waxwingseam:", trace.UserMessage(err))
+	if trace.IsConnectionProblem(err) {
+		return exitUnreachable
+	}
+	return exitRefused
+}
--- /dev/null
+++ b/cmd/waxwingseam/version.go
@@ -0,0 +1,18 @@
+package main
+
+import (
+	"fmt"
+	"runtime/debug"
+)
+
+type versionCommand struct{}
+
+// Run prints the version that the build recorded.
+func (versionCommand) Run() error {
+	version := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version = info.Main.Version + " " + info.GoVersion
+	}
+	fmt.Println("waxwingseam", version)
+	return nil
+}
