--- a/callevent.go
+++ b/callevent.go
@@ -25,6 +25,9 @@
 	// Parent is the run that made the call, from its context header; zero for
 	// a root.
 	Parent CallID
+	// Outbound is set for a call from the node's own backend server; one
+	// without a parent is a root that gets no retries.
+	Outbound bool
 	// Service, Method and Path say what is called.
 	Service ServiceName
 	Method  string
--- /dev/null
+++ b/forwarder/attempt.go
@@ -0,0 +1,355 @@
+package forwarder
+
+import (
+	"context"
+	"hash"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+	"storj.io/drpc/drpcconn"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/messenger"
+)
+
+const (
+	// holdLimit is how long a reply is held back until its end is known.
+	holdLimit = 64 << 10
+	// cancelPatience is how long a cancelled attempt's end is waited for.
+	cancelPatience = time.Second
+)
+
+// attempt is one attempt of a call at its sending node, over one connection
+// after another where it is resumed.
+type attempt struct {
+	exchange *exchange
+	call     waxwingseam.Call
+	number   waxwingseam.Attempt
+	server   waxwingseam.Server
+	// reply holds the part of the reply that the caller has not got yet.
+	reply *buffer
+	// given is how much of the reply went to the caller.
+	given atomic.Int64
+
+	// turn admits one connection after another.
+	turn sync.Mutex
+	// digest is that of the reply so far; its user holds turn.
+	digest hash.Hash64
+
+	mu        sync.Mutex
+	head      *heading
+	life      waxwingseam.Incarnation
+	channel   *channel
+	cancelled bool
+	began     bool
+	ended     bool
+}
+
+func newAttempt(x *exchange, e waxwingseam.Dispatch) *attempt {
+	reply := newBuffer(&x.forwarder.gauge)
+	reply.withheld = 1
+	return &attempt{
+		exchange: x,
+		call:     e.Call,
+		number:   e.Attempt,
+		server:   e.Server,
+		reply:    reply,
+		digest:   xxhash.New(),
+		life:     e.Server.Incarnation,
+	}
+}
+
+// run carries the attempt over one connection, and reports its end.
+func (a *attempt) run(resumed bool) {
+	a.leaveConnection()
+	a.turn.Lock()
+	defer a.turn.Unlock()
+	result, err := a.talk(resumed)
+	if err != nil {
+		a.lost()
+		return
+	}
+	a.end(result)
+}
+
+// leaveConnection closes the connection in use, if there is one.
+func (a *attempt) leaveConnection() {
+	a.mu.Lock()
+	c := a.channel
+	a.mu.Unlock()
+	if c != nil {
+		c.leave()
+	}
+}
+
+// talk carries the attempt over one connection until its result. It returns
+// an error where the connection ends without one.
+func (a *attempt) talk(resumed bool) (waxwingseam.Result, error) {
+	f := a.exchange.forwarder
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	conn, err := a.connect(ctx, resumed)
+	if err != nil {
+		return a.unreached(resumed), nil
+	}
+	result, err := a.converse(ctx, conn, resumed)
+	if err != nil {
+		a.suspect()
+		go func() { _ = conn.Close() }()
+		return waxwingseam.Result{}, err
+	}
+	f.peers.put(a.server.Node, conn, time.Now())
+	return result, nil
+}
+
+// suspect closes the idle connections to a node with which one went silent:
+// what lost track of one may have lost track of all.
+func (a *attempt) suspect() {
+	a.mu.Lock()
+	c := a.channel
+	a.mu.Unlock()
+	if c != nil && c.silent.Load() {
+		a.exchange.forwarder.peers.clear(a.server.Node)
+	}
+}
+
+// connect takes a connection; a resumed attempt gets a fresh one.
+func (a *attempt) connect(ctx context.Context, resumed bool) (*drpcconn.Conn, error) {
+	f := a.exchange.forwarder
+	if resumed {
+		return f.connectAnew(ctx, a.server.Node)
+	}
+	return f.connect(ctx, a.server.Node)
+}
+
+// unreached is the result where no connection was had. Nothing was written
+// then, but by earlier connections of a resumed attempt.
+func (a *attempt) unreached(resumed bool) waxwingseam.Result {
+	result := unreached(waxwingseam.ReasonConnectionFailed)
+	if resumed {
+		result.Outcome = waxwingseam.OutcomeMayHaveRun
+	}
+	return result
+}
+
+// converse exchanges frames until the result.
+func (a *attempt) converse(ctx context.Context, conn *drpcconn.Conn, resumed bool) (waxwingseam.Result, error) {
+	stream, err := conn.NewStream(ctx, methodCall, messenger.Encoding)
+	if err != nil {
+		return waxwingseam.Result{}, trace.Wrap(err)
+	}
+	c := newChannel(stream, a.given.Load, func() { _ = conn.Transport().Close() })
+	defer c.stop()
+	a.use(c)
+	if err := c.send(frame{Kind: frameOpen, Open: a.opening(resumed)}); err != nil {
+		return waxwingseam.Result{}, err
+	}
+	stopBody := a.sendBody(c)
+	result, err := a.listen(c)
+	stopBody()
+	if err != nil {
+		return waxwingseam.Result{}, err
+	}
+	return result, trace.Wrap(stream.Close())
+}
+
+// sendBody sends the request body meanwhile, until the returned function is
+// called.
+func (a *attempt) sendBody(c *channel) (stop func()) {
+	var halted atomic.Bool
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		newPump(c, a.exchange.body, halted.Load).sendBody(a.exchange)
+	}()
+	return func() {
+		halted.Store(true)
+		a.exchange.body.wake()
+		<-done
+	}
+}
+
+// use makes a channel the attempt's own, and passes on a cancellation that
+// came before it.
+func (a *attempt) use(c *channel) {
+	a.mu.Lock()
+	a.channel = c
+	cancelled := a.cancelled
+	a.mu.Unlock()
+	if cancelled {
+		c.leave()
+	}
+}
+
+func (a *attempt) opening(resumed bool) *opening {
+	x := a.exchange
+	o := newOpening(a.call, a.number, time.Now())
+	o.Method = x.method
+	o.Target = x.target
+	o.Header = x.header
+	o.Length = x.length
+	if resumed {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		o.Resumed = true
+		o.Incarnation = a.life
+		o.Offset = a.reply.length()
+	}
+	return o
+}
+
+// listen takes frames in until the result.
+func (a *attempt) listen(c *channel) (waxwingseam.Result, error) {
+	for {
+		f, err := c.receive()
+		if err != nil {
+			return waxwingseam.Result{}, err
+		}
+		a.exchange.body.release(f.Taken)
+		if f.Kind == frameResult && f.Result != nil {
+			return a.verify(*f.Result), nil
+		}
+		if err := a.take(f); err != nil {
+			return waxwingseam.Result{}, err
+		}
+	}
+}
+
+// take takes in one frame of the reply.
+func (a *attempt) take(f frame) error {
+	a.mu.Lock()
+	if f.Incarnation != 0 {
+		a.life = f.Incarnation
+	}
+	if f.Head != nil && a.head == nil {
+		a.head = f.Head
+	}
+	cancelled := a.cancelled
+	a.mu.Unlock()
+	if f.Kind != frameData || cancelled {
+		return nil
+	}
+	data, err := unseen(f, a.reply.length())
+	if err != nil {
+		return err
+	}
+	_, _ = a.digest.Write(data)
+	if err := a.reply.add(data); err != nil {
+		return err
+	}
+	if a.reply.length() > holdLimit {
+		a.begin()
+	}
+	return nil
+}
+
+// unseen returns the part of a frame's data from an offset on.
+func unseen(f frame, offset int64) ([]byte, error) {
+	skip := offset - f.Offset
+	if skip < 0 {
+		return nil, trace.BadParameter("a part of the body is missing before offset %d", f.Offset)
+	}
+	return f.Data[min(skip, int64(len(f.Data))):], nil
+}
+
+// verify checks a whole reply against its length and digest.
+func (a *attempt) verify(result waxwingseam.Result) waxwingseam.Result {
+	if !result.Completed() {
+		return result
+	}
+	a.mu.Lock()
+	whole := a.head != nil
+	a.mu.Unlock()
+	if whole && result.Length == a.reply.length() && result.Digest == a.digest.Sum64() {
+		return result
+	}
+	result.Outcome = waxwingseam.OutcomeMayHaveRun
+	result.Reason = waxwingseam.ReasonDigestMismatch
+	return result
+}
+
+// begin lets the reply go to the caller before its end is known.
+func (a *attempt) begin() {
+	a.mu.Lock()
+	first := !a.began
+	a.began = true
+	a.mu.Unlock()
+	if !first {
+		return
+	}
+	f := a.exchange.forwarder
+	f.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
+		return waxwingseam.ReplyStarted{
+			Stamp:   s,
+			ID:      a.call.ID,
+			Attempt: a.number,
+		}
+	})
+	select {
+	case a.exchange.started <- a:
+	default:
+	}
+}
+
+// end reports the attempt's end.
+func (a *attempt) end(result waxwingseam.Result) {
+	if result.Completed() {
+		a.reply.end()
+	}
+	a.mu.Lock()
+	a.ended = true
+	a.mu.Unlock()
+	a.exchange.forwarder.endAttempt(a.call.ID, a.number, result)
+}
+
+// lost reports that the attempt's connection is silent or broken.
+func (a *attempt) lost() {
+	a.mu.Lock()
+	cancelled := a.cancelled
+	a.mu.Unlock()
+	if cancelled {
+		return
+	}
+	a.exchange.forwarder.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
+		return waxwingseam.AttemptSilent{
+			Stamp:   s,
+			ID:      a.call.ID,
+			Attempt: a.number,
+		}
+	})
+}
+
+// cancel tells the receiving node that the attempt is wanted no more, and
+// leaves the connection where its end does not come.
+func (a *attempt) cancel() {
+	a.mu.Lock()
+	a.cancelled = true
+	c := a.channel
+	ended := a.ended
+	a.mu.Unlock()
+	if c == nil || ended {
+		return
+	}
+	time.AfterFunc(cancelPatience, c.leaveOpen)
+	_ = c.send(frame{Kind: frameCancel})
+}
+
+// heading returns the beginning of the reply; nil before it is known.
+func (a *attempt) heading() *heading {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.head
+}
+
+// acknowledge tells the receiving node how much of the reply was given.
+func (a *attempt) acknowledge() {
+	a.mu.Lock()
+	c := a.channel
+	a.mu.Unlock()
+	if c != nil {
+		_ = c.send(frame{Kind: frameAlive})
+	}
+}
--- /dev/null
+++ b/forwarder/backend.go
@@ -0,0 +1,192 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+const (
+	// backendIdle is how long a connection to the backend server may lie idle.
+	backendIdle = time.Second
+	// maxHeaderBytes bounds the headers of a request or a reply.
+	maxHeaderBytes = 64 << 10
+)
+
+// newBackendTransport returns the connections to the backend server.
+func newBackendTransport(connections int) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConn{Conn: conn}, nil
+		},
+		MaxConnsPerHost:        connections,
+		MaxIdleConnsPerHost:    connections,
+		IdleConnTimeout:        backendIdle,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:     true,
+	}
+}
+
+// countedConn counts the writes that were tried.
+type countedConn struct {
+	net.Conn
+	writes atomic.Int64
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	c.writes.Add(1)
+	return c.Conn.Write(p)
+}
+
+// witness remembers the connection of one request, to tell whether anything
+// was written of it.
+type witness struct {
+	conn   *countedConn
+	writes int64
+}
+
+// watch returns a context in which the request's connection is remembered.
+func (w *witness) watch(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if conn, ok := info.Conn.(*countedConn); ok {
+				w.conn = conn
+				w.writes = conn.writes.Load()
+			}
+		},
+	})
+}
+
+// written reports whether a part of the request may have been written.
+func (w *witness) written() bool {
+	return w.conn != nil && w.conn.writes.Load() != w.writes
+}
+
+// execute runs the call at the backend server.
+func (h *hosted) execute(call waxwingseam.Call) {
+	began := time.Now()
+	ctx, cancel := context.WithDeadline(context.Background(), call.Deadline)
+	defer cancel()
+	h.mu.Lock()
+	h.cancel = cancel
+	h.mu.Unlock()
+	result := h.exchange(ctx, call)
+	if result.Completed() {
+		h.reply.end()
+	} else {
+		h.reply.fail(errLeft)
+	}
+	h.settle()
+	h.forwarder.endRun(h.opening.ID, result, time.Since(began))
+}
+
+// settle ends the run's own part.
+func (h *hosted) settle() {
+	h.mu.Lock()
+	h.done = true
+	h.mu.Unlock()
+	if h.head == nil {
+		close(h.headed)
+	}
+	h.body.drop(errLeft)
+}
+
+// exchange sends the request and takes the whole reply in.
+func (h *hosted) exchange(ctx context.Context, call waxwingseam.Call) waxwingseam.Result {
+	w := &witness{}
+	request := h.request(w.watch(ctx), call)
+	response, err := h.forwarder.backend.RoundTrip(request)
+	if err != nil {
+		return h.failed(ctx, w)
+	}
+	defer func() { _ = response.Body.Close() }()
+	h.begin(response)
+	digest := xxhash.New()
+	length, err := io.Copy(io.MultiWriter(h.reply, digest), response.Body)
+	if err != nil {
+		return h.failed(ctx, w)
+	}
+	return waxwingseam.Result{
+		Outcome: waxwingseam.OutcomeCompleted,
+		Status:  response.StatusCode,
+		Length:  length,
+		Digest:  digest.Sum64(),
+		Reached: true,
+	}
+}
+
+// begin lets the reply's beginning go to the senders.
+func (h *hosted) begin(response *http.Response) {
+	h.head = &heading{
+		Status: response.StatusCode,
+		Header: forwardable(response.Header),
+		Length: response.ContentLength,
+	}
+	close(h.headed)
+}
+
+// failed is the result of a run without a whole reply.
+func (h *hosted) failed(ctx context.Context, w *witness) waxwingseam.Result {
+	result := waxwingseam.Result{
+		Outcome: waxwingseam.OutcomeMayHaveRun,
+		Reason:  waxwingseam.ReasonServerFailed,
+		Reached: true,
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		result.Reason = waxwingseam.ReasonDeadline
+	case ctx.Err() != nil:
+		result.Reason = waxwingseam.ReasonCancelled
+	}
+	if !w.written() {
+		result.Outcome = waxwingseam.OutcomeDidNotRun
+		result.Reason = waxwingseam.ReasonConnectionFailed
+	}
+	return result
+}
+
+// request returns the request for the backend server. Its body can't be
+// rewound, so that the HTTP client sends nothing twice on its own.
+func (h *hosted) request(ctx context.Context, call waxwingseam.Call) *http.Request {
+	o := h.opening
+	request, err := http.NewRequestWithContext(ctx, o.Method, "http://"+h.forwarder.config.Backend.String()+o.Target, h)
+	if err != nil {
+		request = &http.Request{}
+	}
+	request.ContentLength = max(o.Length, 0)
+	if o.Length < 0 {
+		request.ContentLength = -1
+	}
+	request.Header = o.Header.Clone()
+	if request.Header == nil {
+		request.Header = http.Header{}
+	}
+	if host := request.Header.Get("Host"); host != "" {
+		request.Host = host
+		request.Header.Del("Host")
+	}
+	request.Header.Set(HeaderContext, call.ID.String())
+	if parent := formatTraceParent(call.Trace); parent != "" {
+		request.Header.Set(headerTraceParent, parent)
+	}
+	if strings.TrimSpace(request.Header.Get("User-Agent")) == "" {
+		request.Header["User-Agent"] = nil
+	}
+	return request
+}
--- /dev/null
+++ b/forwarder/buffer.go
@@ -0,0 +1,235 @@
+package forwarder
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+
+	"github.com/gravitational/trace"
+)
+
+// gauge counts the body bytes that a forwarder holds.
+type gauge struct {
+	held atomic.Int64
+	peak atomic.Int64
+}
+
+func (g *gauge) add(n int) {
+	held := g.held.Add(int64(n))
+	for {
+		peak := g.peak.Load()
+		if held <= peak || g.peak.CompareAndSwap(peak, held) {
+			return
+		}
+	}
+}
+
+// buffer holds a part of one body between its writer and its readers. Bytes
+// that were released are dropped only when their room is needed, so that a
+// body no longer than the limit stays whole.
+type buffer struct {
+	gauge *gauge
+	limit int
+
+	mu      sync.Mutex
+	changed sync.Cond
+	// base is the offset in the body of the first byte held.
+	base     int64
+	released int64
+	data     []byte
+	// withheld is how many last bytes stay unread until the body is whole.
+	withheld int
+	// ended is set once the body is whole.
+	ended bool
+	err   error
+}
+
+func newBuffer(g *gauge) *buffer {
+	b := &buffer{
+		gauge: g,
+		limit: window,
+	}
+	b.changed.L = &b.mu
+	return b
+}
+
+// errTrimmed says that a part of a body is held no more.
+var errTrimmed = trace.LimitExceeded("the body's beginning is held no more")
+
+// Write adds to the body and blocks while the buffer is full.
+func (b *buffer) Write(p []byte) (int, error) {
+	written := 0
+	for written < len(p) {
+		n, err := b.writeSome(p[written:])
+		if err != nil {
+			return written, err
+		}
+		written += n
+	}
+	return written, nil
+}
+
+// errOverrun says that the other end sent more than it was allowed to.
+var errOverrun = trace.LimitExceeded("more of the body than there is room for")
+
+// add adds to the body without blocking. A body that has failed takes nothing
+// more.
+func (b *buffer) add(p []byte) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.err != nil {
+		return nil
+	}
+	if b.room(len(p)) < len(p) {
+		return errOverrun
+	}
+	b.put(p)
+	return nil
+}
+
+func (b *buffer) put(p []byte) {
+	b.data = append(b.data, p...)
+	b.gauge.add(len(p))
+	b.changed.Broadcast()
+}
+
+func (b *buffer) writeSome(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for b.room(len(p)) == 0 && b.err == nil {
+		b.changed.Wait()
+	}
+	if b.err != nil {
+		return 0, b.err
+	}
+	n := b.room(len(p))
+	b.put(p[:n])
+	return n, nil
+}
+
+// room drops released bytes when it must, and returns how many of n bytes fit.
+func (b *buffer) room(n int) int {
+	if free := b.limit - len(b.data); free < n {
+		b.trim()
+	}
+	return min(n, b.limit-len(b.data))
+}
+
+func (b *buffer) trim() {
+	n := int(b.released - b.base)
+	if n <= 0 {
+		return
+	}
+	b.data = append(b.data[:0], b.data[n:]...)
+	b.base += int64(n)
+	b.gauge.add(-n)
+}
+
+// end marks the body as whole.
+func (b *buffer) end() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ended = true
+	b.changed.Broadcast()
+}
+
+// fail ends writing and reading with an error; the first one stays.
+func (b *buffer) fail(err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.err == nil {
+		b.err = err
+	}
+	b.changed.Broadcast()
+}
+
+// drop fails the buffer and gives its bytes back.
+func (b *buffer) drop(err error) {
+	b.fail(err)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.gauge.add(-len(b.data))
+	b.base += int64(len(b.data))
+	b.data = nil
+}
+
+// release allows the bytes before an offset to be dropped.
+func (b *buffer) release(offset int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	offset = min(offset, b.base+int64(len(b.data)))
+	if offset > b.released {
+		b.released = offset
+		b.changed.Broadcast()
+	}
+}
+
+// wake makes readers look at their stop condition again.
+func (b *buffer) wake() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.changed.Broadcast()
+}
+
+// length returns how many bytes the body has so far.
+func (b *buffer) length() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.base + int64(len(b.data))
+}
+
+// readAt copies bytes from an offset and blocks until there are some. It
+// returns io.EOF at the end of a whole body, and nothing once stop is true.
+func (b *buffer) readAt(p []byte, offset int64, stop func() bool) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for {
+		if offset < b.base {
+			return 0, errTrimmed
+		}
+		if n := copy(p, b.readable(offset)); n > 0 {
+			return n, nil
+		}
+		if b.ended {
+			return 0, io.EOF
+		}
+		if b.err != nil {
+			return 0, b.err
+		}
+		if stop() {
+			return 0, nil
+		}
+		b.changed.Wait()
+	}
+}
+
+// readable returns what may be read from an offset on.
+func (b *buffer) readable(offset int64) []byte {
+	end := len(b.data)
+	if !b.ended {
+		end -= b.withheld
+	}
+	start := int(offset - b.base)
+	if start >= end {
+		return nil
+	}
+	return b.data[start:end]
+}
+
+// failure returns the error that ended the body; nil without one.
+func (b *buffer) failure() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.err
+}
+
+// start returns the offset of the first byte held.
+func (b *buffer) start() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.base
+}
+
+func never() bool {
+	return false
+}
--- /dev/null
+++ b/forwarder/channel.go
@@ -0,0 +1,130 @@
+package forwarder
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"storj.io/drpc"
+
+	"waxwingseam.example/waxwingseam/messenger"
+)
+
+const (
+	// heartbeatInterval is the longest time between two frames of one end.
+	heartbeatInterval = 200 * time.Millisecond
+	// silenceLimit is how long an end may be silent until it is left.
+	silenceLimit = 700 * time.Millisecond
+)
+
+// channel carries frames over one drpc stream, shows the other end that this
+// one lives, and watches that the other does.
+type channel struct {
+	stream drpc.Stream
+	// taken returns how much of the other end's body was used up.
+	taken func() int64
+	// leave closes the transport under the stream.
+	leave func()
+
+	sending sync.Mutex
+	heard   atomic.Int64
+	spoke   atomic.Int64
+	silent  atomic.Bool
+	closed  atomic.Bool
+
+	mu     sync.Mutex
+	beat   *time.Timer
+	watch  *time.Timer
+	origin time.Time
+}
+
+func newChannel(stream drpc.Stream, taken func() int64, leave func()) *channel {
+	c := &channel{
+		stream: stream,
+		taken:  taken,
+		leave:  leave,
+		origin: time.Now(),
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.beat = time.AfterFunc(heartbeatInterval, c.keepAlive)
+	c.watch = time.AfterFunc(silenceLimit, c.listen)
+	return c
+}
+
+// elapsed is the time since the channel began.
+func (c *channel) elapsed() time.Duration {
+	return time.Since(c.origin)
+}
+
+// keepAlive sends a sign of life when no other frame went out.
+func (c *channel) keepAlive() {
+	if c.closed.Load() {
+		return
+	}
+	wait := time.Duration(c.spoke.Load()) + heartbeatInterval - c.elapsed()
+	if wait <= 0 {
+		_ = c.send(frame{Kind: frameAlive})
+		wait = heartbeatInterval
+	}
+	c.again(c.beat, wait)
+}
+
+// listen leaves the connection when the other end was silent for too long.
+func (c *channel) listen() {
+	if c.closed.Load() {
+		return
+	}
+	wait := time.Duration(c.heard.Load()) + silenceLimit - c.elapsed()
+	if wait <= 0 {
+		c.silent.Store(true)
+		c.leave()
+		return
+	}
+	c.again(c.watch, wait)
+}
+
+func (c *channel) again(t *time.Timer, wait time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed.Load() {
+		t.Reset(wait)
+	}
+}
+
+// send sends one frame, with what was used up of the other end's body.
+func (c *channel) send(f frame) error {
+	c.sending.Lock()
+	defer c.sending.Unlock()
+	f.Taken = c.taken()
+	c.spoke.Store(int64(c.elapsed()))
+	return trace.Wrap(c.stream.MsgSend(&f, messenger.Encoding))
+}
+
+// receive waits for the next frame.
+func (c *channel) receive() (frame, error) {
+	var f frame
+	err := c.stream.MsgRecv(&f, messenger.Encoding)
+	if err != nil {
+		return frame{}, trace.Wrap(err)
+	}
+	c.heard.Store(int64(c.elapsed()))
+	return f, nil
+}
+
+// leaveOpen leaves the connection unless the channel was stopped before.
+func (c *channel) leaveOpen() {
+	if !c.closed.Load() {
+		c.leave()
+	}
+}
+
+// stop ends the timers.
+func (c *channel) stop() {
+	c.closed.Store(true)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.beat.Stop()
+	c.watch.Stop()
+}
--- /dev/null
+++ b/forwarder/exchange.go
@@ -0,0 +1,181 @@
+package forwarder
+
+import (
+	"io"
+	"net/http"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// errLeft ends the bodies of a call that nobody waits for.
+var errLeft = trace.ConnectionProblem(nil, "the call is over")
+
+// exchange is one call at its sending node, from the caller's request to the
+// answer.
+type exchange struct {
+	forwarder *Forwarder
+	id        waxwingseam.CallID
+	method    string
+	target    string
+	header    http.Header
+	// length is the request body's as declared; -1 while unknown.
+	length int64
+	body   *buffer
+	// replied gets the one answer.
+	replied chan waxwingseam.Reply
+	// started gets the attempt whose reply begins before its end is known.
+	started chan *attempt
+
+	mu       sync.Mutex
+	attempts map[waxwingseam.Attempt]*attempt
+	taken    int64
+	digest   uint64
+}
+
+// newExchange enters a call.
+func (f *Forwarder) newExchange(id waxwingseam.CallID, r *http.Request, target string) *exchange {
+	x := &exchange{
+		forwarder: f,
+		id:        id,
+		method:    r.Method,
+		target:    target,
+		header:    forwardable(r.Header),
+		length:    r.ContentLength,
+		body:      newBuffer(&f.gauge),
+		replied:   make(chan waxwingseam.Reply, 1),
+		started:   make(chan *attempt, 1),
+		attempts:  map[waxwingseam.Attempt]*attempt{},
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.exchanges[id] = x
+	return x
+}
+
+// close forgets a call; its attempts end on their own.
+func (x *exchange) close() {
+	f := x.forwarder
+	f.mu.Lock()
+	delete(f.exchanges, x.id)
+	f.mu.Unlock()
+	x.body.drop(errLeft)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, a := range x.attempts {
+		a.reply.drop(errLeft)
+	}
+}
+
+// takeBody reads the caller's request body into the buffer.
+func (x *exchange) takeBody(body io.Reader) error {
+	digest := xxhash.New()
+	n, err := io.Copy(io.MultiWriter(x.body, digest), body)
+	if err != nil {
+		x.body.fail(trace.Wrap(err))
+		return trace.Wrap(err)
+	}
+	x.mu.Lock()
+	x.taken, x.digest = n, digest.Sum64()
+	x.mu.Unlock()
+	x.body.end()
+	return nil
+}
+
+// whole returns the length and digest of the whole request body.
+func (x *exchange) whole() (int64, uint64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.taken, x.digest
+}
+
+// attempt returns the attempt of a number; nil when it is unknown.
+func (x *exchange) attempt(number waxwingseam.Attempt) *attempt {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.attempts[number]
+}
+
+// dispatch carries out a Dispatch.
+func (f *Forwarder) dispatch(e waxwingseam.Dispatch) {
+	x := f.exchange(e.Call.ID)
+	if x == nil {
+		f.endAttempt(e.Call.ID, e.Attempt, unreached(waxwingseam.ReasonCancelled))
+		return
+	}
+	a := newAttempt(x, e)
+	x.mu.Lock()
+	x.attempts[e.Attempt] = a
+	x.mu.Unlock()
+	go a.run(false)
+}
+
+// resume carries out a Resume.
+func (f *Forwarder) resume(e waxwingseam.Resume) {
+	x := f.exchange(e.ID)
+	if x == nil {
+		return
+	}
+	if a := x.attempt(e.Attempt); a != nil {
+		go a.run(true)
+	}
+}
+
+// reply carries out a Reply.
+func (f *Forwarder) reply(e waxwingseam.Reply) {
+	x := f.exchange(e.ID)
+	if x == nil {
+		return
+	}
+	select {
+	case x.replied <- e:
+	default:
+	}
+	if a := x.attempt(e.Attempt); a != nil && e.Result.Completed() {
+		return
+	}
+	x.abandonReplies()
+}
+
+// abandonReplies ends what streams to the caller without its end.
+func (x *exchange) abandonReplies() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, a := range x.attempts {
+		a.reply.fail(errLeft)
+	}
+}
+
+// cancelAttempt carries out a CancelAttempt.
+func (f *Forwarder) cancelAttempt(e waxwingseam.CancelAttempt) {
+	x := f.exchange(e.ID)
+	if x == nil {
+		return
+	}
+	if a := x.attempt(e.Attempt); a != nil {
+		go a.cancel()
+	}
+}
+
+// endAttempt reports the end of an attempt.
+func (f *Forwarder) endAttempt(id waxwingseam.CallID, number waxwingseam.Attempt, result waxwingseam.Result) {
+	f.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
+		return waxwingseam.AttemptEnded{
+			Stamp:   s,
+			ID:      id,
+			Attempt: number,
+			Result:  result,
+		}
+	})
+}
+
+// unreached is the result of an attempt of which nothing was written.
+func unreached(reason waxwingseam.Reason) waxwingseam.Result {
+	return waxwingseam.Result{
+		Outcome: waxwingseam.OutcomeDidNotRun,
+		Reason:  reason,
+	}
+}
--- /dev/null
+++ b/forwarder/forwarder.go
@@ -0,0 +1,194 @@
+// Package forwarder carries calls: it takes them from callers over HTTP, sends
+// them from node to node, hands them to the node's own backend server, and
+// brings the whole answers back. It decides nothing; it turns what happens on
+// connections into events and carries out effects.
+package forwarder
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"storj.io/drpc/drpcconn"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/messenger"
+)
+
+const (
+	// window is how much of one body is held in one direction; a body that
+	// is no longer can be sent again.
+	window = 256 << 10
+	// pooledLife is how long a connection to another node may lie idle.
+	pooledLife = 2 * time.Second
+	// pooledLimit bounds the idle connections to one other node.
+	pooledLimit = 64
+	// dialTimeout bounds the opening of a connection.
+	dialTimeout = 500 * time.Millisecond
+	// defaultMaxBody is the longest request body.
+	defaultMaxBody = 1 << 30
+	// defaultConnections bounds the connections to the backend server.
+	defaultConnections = 400
+)
+
+// Config holds the parts of a forwarder.
+type Config struct {
+	// Step feeds an event to the node's reducer.
+	Step   func(build func(waxwingseam.Stamp) waxwingseam.Event)
+	Dialer messenger.Dialer
+	// Backend is the node's own backend server; invalid without one.
+	Backend netip.AddrPort
+	// Connections bounds the connections to the backend server.
+	Connections int
+	Self        waxwingseam.Server
+	Logger      *slog.Logger
+	// MaxBody is the longest request body in bytes.
+	MaxBody int64
+}
+
+// Forwarder carries the calls of one node.
+type Forwarder struct {
+	config  Config
+	gauge   gauge
+	peers   *pool[netip.AddrPort, *drpcconn.Conn]
+	backend *http.Transport
+
+	mu        sync.Mutex
+	exchanges map[waxwingseam.CallID]*exchange
+	hosted    map[waxwingseam.CallID]*hosted
+	inbounds  map[attemptKey]*inbound
+	fences    map[waxwingseam.CallID][]chan waxwingseam.AnswerFence
+}
+
+// New returns a forwarder without calls.
+func New(config Config) *Forwarder {
+	if config.MaxBody == 0 {
+		config.MaxBody = defaultMaxBody
+	}
+	if config.Connections == 0 {
+		config.Connections = defaultConnections
+	}
+	if config.Logger == nil {
+		config.Logger = slog.New(slog.DiscardHandler)
+	}
+	return &Forwarder{
+		config: config,
+		peers: newPool[netip.AddrPort](pooledLife, pooledLimit, func(c *drpcconn.Conn) {
+			go func() { _ = c.Close() }()
+		}),
+		backend:   newBackendTransport(config.Connections),
+		exchanges: map[waxwingseam.CallID]*exchange{},
+		hosted:    map[waxwingseam.CallID]*hosted{},
+		inbounds:  map[attemptKey]*inbound{},
+		fences:    map[waxwingseam.CallID][]chan waxwingseam.AnswerFence{},
+	}
+}
+
+// Close closes the idle connections; it does not end calls.
+func (f *Forwarder) Close() {
+	f.peers.shut()
+	f.backend.CloseIdleConnections()
+}
+
+// Held returns how many body bytes the forwarder holds now, and the most it
+// has held.
+func (f *Forwarder) Held() (now, peak int64) {
+	return f.gauge.held.Load(), f.gauge.peak.Load()
+}
+
+// Busy returns how many calls the forwarder carries, as their sender and for
+// its own backend server.
+func (f *Forwarder) Busy() (sending, running int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, h := range f.hosted {
+		if h.busy() {
+			running++
+		}
+	}
+	return len(f.exchanges), running
+}
+
+// Kinds lists the kinds of effects that the forwarder carries out.
+func (f *Forwarder) Kinds() []waxwingseam.Kind {
+	return []waxwingseam.Kind{
+		waxwingseam.KindDispatch,
+		waxwingseam.KindReply,
+		waxwingseam.KindCancelAttempt,
+		waxwingseam.KindFence,
+		waxwingseam.KindResume,
+		waxwingseam.KindRun,
+		waxwingseam.KindCancelRun,
+		waxwingseam.KindAnswerAttempt,
+		waxwingseam.KindJoinRun,
+		waxwingseam.KindAnswerFence,
+		waxwingseam.KindForgetRun,
+	}
+}
+
+// Execute carries out one effect; what takes time goes on in a goroutine.
+func (f *Forwarder) Execute(e waxwingseam.Effect) {
+	switch v := e.(type) {
+	case waxwingseam.Dispatch:
+		f.dispatch(v)
+	case waxwingseam.Reply:
+		f.reply(v)
+	case waxwingseam.CancelAttempt:
+		f.cancelAttempt(v)
+	case waxwingseam.Fence:
+		go f.fence(v)
+	case waxwingseam.Resume:
+		f.resume(v)
+	case waxwingseam.Run:
+		f.run(v)
+	case waxwingseam.CancelRun:
+		f.cancelRun(v)
+	case waxwingseam.AnswerAttempt:
+		f.answerAttempt(v)
+	case waxwingseam.JoinRun:
+		f.joinRun(v)
+	case waxwingseam.AnswerFence:
+		f.answerFence(v)
+	case waxwingseam.ForgetRun:
+		f.forgetRun(v)
+	}
+}
+
+func (f *Forwarder) exchange(id waxwingseam.CallID) *exchange {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.exchanges[id]
+}
+
+func (f *Forwarder) host(id waxwingseam.CallID) *hosted {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hosted[id]
+}
+
+// connect takes an idle connection to another node, or opens one.
+func (f *Forwarder) connect(ctx context.Context, address netip.AddrPort) (*drpcconn.Conn, error) {
+	for {
+		conn, ok := f.peers.take(address, time.Now())
+		if !ok {
+			return f.connectAnew(ctx, address)
+		}
+		select {
+		case <-conn.Closed():
+		default:
+			return conn, nil
+		}
+	}
+}
+
+// connectAnew opens a connection to another node.
+func (f *Forwarder) connectAnew(ctx context.Context, address netip.AddrPort) (*drpcconn.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := f.config.Dialer.Dial(ctx, address)
+	return conn, trace.Wrap(err)
+}
--- /dev/null
+++ b/forwarder/frame.go
@@ -0,0 +1,138 @@
+package forwarder
+
+import (
+	"net/http"
+	"time"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// frameKind says what a frame carries.
+type frameKind uint8
+
+const (
+	// frameOpen begins an attempt, or resumes one over a fresh connection.
+	frameOpen frameKind = iota + 1
+	// frameHead is the beginning of the reply.
+	frameHead
+	// frameData is a part of a body.
+	frameData
+	// frameEnd says that the request body is whole.
+	frameEnd
+	// frameResult ends an attempt.
+	frameResult
+	// frameAlive shows that the sending end lives.
+	frameAlive
+	// frameCancel says that the sender wants the attempt no more.
+	frameCancel
+)
+
+// frame is one message of an attempt between two nodes.
+type frame struct {
+	Kind frameKind `cbor:"1,keyasint"`
+	Open *opening  `cbor:"2,keyasint,omitempty"`
+	Head *heading  `cbor:"3,keyasint,omitempty"`
+	// Offset is the place in the body of Data's first byte.
+	Offset int64  `cbor:"4,keyasint,omitempty"`
+	Data   []byte `cbor:"5,keyasint,omitempty"`
+	// Taken is how many bytes of the other direction's body were used up.
+	Taken int64 `cbor:"6,keyasint,omitempty"`
+	// Length and Digest are those of the whole request body, in frameEnd.
+	Length int64  `cbor:"7,keyasint,omitempty"`
+	Digest uint64 `cbor:"8,keyasint,omitempty"`
+	// Result is set in frameResult.
+	Result *waxwingseam.Result `cbor:"9,keyasint,omitempty"`
+	// Incarnation is the receiving node's life, in its first frame.
+	Incarnation waxwingseam.Incarnation `cbor:"10,keyasint,omitempty"`
+}
+
+// opening is the header of an attempt.
+type opening struct {
+	Root     waxwingseam.RootID      `cbor:"1,keyasint"`
+	ID       waxwingseam.CallID      `cbor:"2,keyasint"`
+	Parent   waxwingseam.CallID      `cbor:"3,keyasint"`
+	Service  waxwingseam.ServiceName `cbor:"4,keyasint"`
+	Class    waxwingseam.ClassName   `cbor:"5,keyasint"`
+	Rank     waxwingseam.Rank        `cbor:"6,keyasint"`
+	Depth    uint8                   `cbor:"7,keyasint"`
+	Repeat   waxwingseam.Repeat      `cbor:"8,keyasint"`
+	Left     time.Duration           `cbor:"9,keyasint"`
+	Retries  waxwingseam.Allowance   `cbor:"10,keyasint"`
+	Key      string                  `cbor:"11,keyasint,omitempty"`
+	Revision waxwingseam.Revision    `cbor:"12,keyasint"`
+	Attempt  waxwingseam.Attempt     `cbor:"13,keyasint"`
+	// Incarnation is the life that the attempt began with; 0 for a new one.
+	Incarnation waxwingseam.Incarnation `cbor:"14,keyasint,omitempty"`
+	Method      string                  `cbor:"15,keyasint"`
+	Target      string                  `cbor:"16,keyasint"`
+	Header      http.Header             `cbor:"17,keyasint"`
+	// Length is the request body's as declared; -1 while unknown.
+	Length int64 `cbor:"18,keyasint"`
+	// Offset is how much of the reply the sender has.
+	Offset int64 `cbor:"19,keyasint,omitempty"`
+	// Resumed is set when the attempt goes on over a fresh connection.
+	Resumed bool `cbor:"20,keyasint,omitempty"`
+	// Trace is the trace that the call belongs to.
+	Trace waxwingseam.TraceContext `cbor:"21,keyasint"`
+}
+
+// heading is the beginning of a reply.
+type heading struct {
+	Status int         `cbor:"1,keyasint"`
+	Header http.Header `cbor:"2,keyasint"`
+	// Length is the reply body's as declared; -1 while unknown.
+	Length int64 `cbor:"3,keyasint"`
+}
+
+// newOpening returns the header of an attempt. The deadline travels as the
+// time that is left, so that the hosts' clocks need not agree.
+func newOpening(call waxwingseam.Call, attempt waxwingseam.Attempt, now time.Time) *opening {
+	return &opening{
+		Root:     call.Root,
+		ID:       call.ID,
+		Parent:   call.Parent,
+		Service:  call.Service,
+		Class:    call.Class,
+		Rank:     call.Rank,
+		Depth:    call.Depth,
+		Repeat:   call.Repeat,
+		Left:     call.Deadline.Sub(now),
+		Retries:  call.Allowance,
+		Key:      call.Key,
+		Revision: call.Revision,
+		Attempt:  attempt,
+		Trace:    call.Trace,
+	}
+}
+
+// call returns the call as the receiving node sees it.
+func (o *opening) call(now time.Time) waxwingseam.Call {
+	return waxwingseam.Call{
+		Root:      o.Root,
+		ID:        o.ID,
+		Parent:    o.Parent,
+		Service:   o.Service,
+		Class:     o.Class,
+		Rank:      o.Rank,
+		Depth:     o.Depth,
+		Repeat:    o.Repeat,
+		Deadline:  now.Add(o.Left),
+		Allowance: o.Retries,
+		Key:       o.Key,
+		Revision:  o.Revision,
+		Trace:     o.Trace,
+	}
+}
+
+// fenceQuestion asks that a call shall not start any more.
+type fenceQuestion struct {
+	ID waxwingseam.CallID `cbor:"1,keyasint"`
+	// Left is how long the fence must stand.
+	Left time.Duration `cbor:"2,keyasint"`
+}
+
+// fenceReply is the answer to a fenceQuestion.
+type fenceReply struct {
+	Started     bool                    `cbor:"1,keyasint"`
+	Incarnation waxwingseam.Incarnation `cbor:"2,keyasint"`
+}
--- /dev/null
+++ b/forwarder/headers.go
@@ -0,0 +1,150 @@
+package forwarder
+
+import (
+	"encoding/hex"
+	"math"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// The headers of the callers' interface.
+const (
+	// HeaderContext carries the call id to the backend server, which echoes it
+	// on the calls it makes meanwhile.
+	HeaderContext = "Waxwingseam-Context"
+	// HeaderOutcome says what is known of a call.
+	HeaderOutcome = "Waxwingseam-Outcome"
+	// HeaderTimeout is the caller's timeout in seconds.
+	HeaderTimeout = "Request-Timeout"
+	// HeaderKey is the caller's idempotency key.
+	HeaderKey = "Idempotency-Key"
+
+	headerTraceParent = "Traceparent"
+)
+
+const (
+	maxTimeout   = 24 * time.Hour
+	maxKeyLength = 255
+)
+
+// hopHeaders are meant for one connection only.
+var hopHeaders = []string{
+	"Connection",
+	"Keep-Alive",
+	"Proxy-Authenticate",
+	"Proxy-Authorization",
+	"Proxy-Connection",
+	"Te",
+	"Trailer",
+	"Transfer-Encoding",
+	"Upgrade",
+	"Expect",
+	"Content-Length",
+	HeaderContext,
+	HeaderOutcome,
+}
+
+// forwardable returns the headers that go on to the other side.
+func forwardable(header http.Header) http.Header {
+	out := header.Clone()
+	for _, v := range header.Values("Connection") {
+		for name := range strings.SplitSeq(v, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
+
+// parseTimeout reads a timeout in decimal seconds; 0 without one.
+func parseTimeout(header http.Header) (time.Duration, error) {
+	text, err := single(header, HeaderTimeout)
+	if text == "" || err != nil {
+		return 0, err
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(seconds) || seconds <= 0 || seconds > maxTimeout.Seconds() {
+		return 0, trace.BadParameter("%s is not a number of seconds above 0 and up to %d", HeaderTimeout, int(maxTimeout.Seconds()))
+	}
+	return time.Duration(seconds * float64(time.Second)), nil
+}
+
+// parseKey reads an idempotency key, with or without quotes; empty without one.
+func parseKey(header http.Header) (string, error) {
+	text, err := single(header, HeaderKey)
+	if err != nil {
+		return "", err
+	}
+	key := strings.TrimSuffix(strings.TrimPrefix(text, `"`), `"`)
+	unfit := func(r rune) bool { return r < ' ' || r > '~' }
+	if len(header.Values(HeaderKey)) > 0 && key == "" || len(key) > maxKeyLength || strings.ContainsFunc(key, unfit) {
+		return "", trace.BadParameter("%s is not 1 to %d printable ASCII characters", HeaderKey, maxKeyLength)
+	}
+	return key, nil
+}
+
+// parseContext reads the call id that a backend server echoes; zero without
+// one.
+func parseContext(header http.Header) (waxwingseam.CallID, error) {
+	text, err := single(header, HeaderContext)
+	if text == "" || err != nil {
+		return waxwingseam.CallID{}, err
+	}
+	return waxwingseam.ParseCallID(text)
+}
+
+// single returns the one value of a header; empty without one.
+func single(header http.Header, name string) (string, error) {
+	values := header.Values(name)
+	if len(values) > 1 {
+		return "", trace.BadParameter("%s is given %d times", name, len(values))
+	}
+	return header.Get(name), nil
+}
+
+const (
+	traceParentParts = 4
+	traceIDLength    = 32
+	spanIDLength     = 16
+	sampledFlag      = 1
+)
+
+// parseTraceParent reads a W3C trace context; zero where it is none.
+func parseTraceParent(header http.Header) waxwingseam.TraceContext {
+	var out waxwingseam.TraceContext
+	parts := strings.Split(header.Get(headerTraceParent), "-")
+	if len(parts) < traceParentParts || len(parts[1]) != traceIDLength || len(parts[2]) != spanIDLength {
+		return out
+	}
+	id, err1 := hex.DecodeString(parts[1])
+	span, err2 := hex.DecodeString(parts[2])
+	flags, err3 := strconv.ParseUint(parts[3], 16, 8)
+	if slices.ContainsFunc([]error{err1, err2, err3}, func(err error) bool { return err != nil }) {
+		return out
+	}
+	copy(out.TraceID[:], id)
+	copy(out.SpanID[:], span)
+	out.Sampled = flags&sampledFlag != 0
+	return out
+}
+
+// formatTraceParent writes a W3C trace context; empty for a zero one.
+func formatTraceParent(c waxwingseam.TraceContext) string {
+	if c.TraceID == [16]byte{} {
+		return ""
+	}
+	flags := "00"
+	if c.Sampled {
+		flags = "01"
+	}
+	return "00-" + hex.EncodeToString(c.TraceID[:]) + "-" + hex.EncodeToString(c.SpanID[:]) + "-" + flags
+}
--- /dev/null
+++ b/forwarder/node.go
@@ -0,0 +1,154 @@
+package forwarder
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+	"storj.io/drpc"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/messenger"
+)
+
+const (
+	methodCall  = "/waxwingseam.Node/Call"
+	methodFence = "/waxwingseam.Node/Fence"
+)
+
+// fencePatience is how long the answer to a fence is waited for.
+const fencePatience = 500 * time.Millisecond
+
+// node is the drpc service that other nodes call.
+type node interface {
+	Call(stream drpc.Stream) error
+	Fence(ctx context.Context, q *fenceQuestion) (*fenceReply, error)
+}
+
+type nodeService struct {
+	forwarder *Forwarder
+}
+
+// Register adds the service that other nodes call.
+func (f *Forwarder) Register(s *messenger.Server) error {
+	return trace.Wrap(s.Register(&nodeService{f}, messenger.Description{
+		{
+			Name: methodCall,
+			Receiver: func(service any, _ context.Context, in1, _ any) (drpc.Message, error) {
+				return nil, service.(node).Call(in1.(drpc.Stream))
+			},
+			Expression: node.Call,
+		},
+		{
+			Name: methodFence,
+			Receiver: func(service any, ctx context.Context, in1, _ any) (drpc.Message, error) {
+				return service.(node).Fence(ctx, in1.(*fenceQuestion))
+			},
+			Expression: node.Fence,
+		},
+	}))
+}
+
+// Call takes in one attempt over one connection.
+func (n *nodeService) Call(stream drpc.Stream) error {
+	var first frame
+	if err := stream.MsgRecv(&first, messenger.Encoding); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := first.checkOpen(); err != nil {
+		return err
+	}
+	in := n.forwarder.admit(stream, first.Open)
+	defer in.close()
+	return in.serve()
+}
+
+// checkOpen checks the first frame of an attempt.
+func (f *frame) checkOpen() error {
+	o := f.Open
+	switch {
+	case f.Kind != frameOpen || o == nil:
+		return trace.BadParameter("first frame: kind %d, want an opening", f.Kind)
+	case o.ID.IsZero() || o.Attempt == 0:
+		return trace.BadParameter("opening: no call id or attempt")
+	case o.Method == "" || len(o.Target) == 0 || o.Target[0] != '/':
+		return trace.BadParameter("opening: no method or path")
+	case o.Offset < 0 || o.Length < -1:
+		return trace.BadParameter("opening: negative offset or length")
+	}
+	return nil
+}
+
+// Fence steps a fence and waits for the answer.
+func (n *nodeService) Fence(ctx context.Context, q *fenceQuestion) (*fenceReply, error) {
+	f := n.forwarder
+	answer := make(chan waxwingseam.AnswerFence, 1)
+	f.mu.Lock()
+	f.fences[q.ID] = append(f.fences[q.ID], answer)
+	f.mu.Unlock()
+	f.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
+		return waxwingseam.FenceAsked{
+			Stamp: s,
+			ID:    q.ID,
+			Until: s.Now.Add(q.Left),
+		}
+	})
+	select {
+	case a := <-answer:
+		return &fenceReply{
+			Started:     a.Started,
+			Incarnation: a.Incarnation,
+		}, nil
+	case <-ctx.Done():
+		return nil, trace.Wrap(ctx.Err())
+	}
+}
+
+// answerFence carries out an AnswerFence.
+func (f *Forwarder) answerFence(e waxwingseam.AnswerFence) {
+	f.mu.Lock()
+	waiting := f.fences[e.ID]
+	delete(f.fences, e.ID)
+	f.mu.Unlock()
+	for _, answer := range waiting {
+		answer <- e
+	}
+}
+
+// fence carries out a Fence.
+func (f *Forwarder) fence(e waxwingseam.Fence) {
+	answer, err := f.askFence(e)
+	f.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
+		event := waxwingseam.FenceAnswered{
+			Stamp:   s,
+			ID:      e.ID,
+			Attempt: e.Attempt,
+			Reached: err == nil,
+		}
+		if err == nil {
+			event.Started = answer.Started
+			event.Incarnation = answer.Incarnation
+		}
+		return event
+	})
+}
+
+func (f *Forwarder) askFence(e waxwingseam.Fence) (*fenceReply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), fencePatience)
+	defer cancel()
+	conn, err := f.connectAnew(ctx, e.Server.Node)
+	if err != nil {
+		return nil, err
+	}
+	question := &fenceQuestion{
+		ID:   e.ID,
+		Left: time.Until(e.Until),
+	}
+	reply := &fenceReply{}
+	if err := conn.Invoke(ctx, methodFence, messenger.Encoding, question, reply); err != nil {
+		go func() { _ = conn.Close() }()
+		return nil, trace.Wrap(err)
+	}
+	f.peers.put(e.Server.Node, conn, time.Now())
+	return reply, nil
+}
--- /dev/null
+++ b/forwarder/pool.go
@@ -0,0 +1,85 @@
+package forwarder
+
+import (
+	"sync"
+	"time"
+)
+
+// pool keeps idle items by key, the last one used first.
+type pool[K comparable, V any] struct {
+	// life is how long an item may lie idle.
+	life  time.Duration
+	limit int
+	close func(V)
+
+	mu     sync.Mutex
+	idle   map[K][]pooled[V]
+	closed bool
+}
+
+type pooled[V any] struct {
+	item  V
+	since time.Time
+}
+
+func newPool[K comparable, V any](life time.Duration, limit int, closer func(V)) *pool[K, V] {
+	return &pool[K, V]{
+		life:  life,
+		limit: limit,
+		close: closer,
+		idle:  map[K][]pooled[V]{},
+	}
+}
+
+// take returns the item used last; false when none is fresh enough.
+func (p *pool[K, V]) take(key K, now time.Time) (V, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	items := p.idle[key]
+	if len(items) == 0 || now.Sub(items[len(items)-1].since) > p.life {
+		p.empty(key)
+		var none V
+		return none, false
+	}
+	last := items[len(items)-1]
+	p.idle[key] = items[:len(items)-1]
+	return last.item, true
+}
+
+// put gives an item back, or closes it when there are enough.
+func (p *pool[K, V]) put(key K, item V, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || len(p.idle[key]) >= p.limit {
+		p.close(item)
+		return
+	}
+	p.idle[key] = append(p.idle[key], pooled[V]{
+		item:  item,
+		since: now,
+	})
+}
+
+// clear closes all idle items of a key.
+func (p *pool[K, V]) clear(key K) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.empty(key)
+}
+
+func (p *pool[K, V]) empty(key K) {
+	for _, v := range p.idle[key] {
+		p.close(v.item)
+	}
+	delete(p.idle, key)
+}
+
+// shut closes all idle items, and those given back later.
+func (p *pool[K, V]) shut() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for key := range p.idle {
+		p.empty(key)
+	}
+}
--- /dev/null
+++ b/forwarder/problem.go
@@ -0,0 +1,100 @@
+package forwarder
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// Problem is a reply of the system's own, in the form of RFC 9457.
+type Problem struct {
+	Type    string `json:"type"`
+	Title   string `json:"title"`
+	Status  int    `json:"status"`
+	Detail  string `json:"detail,omitempty"`
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason"`
+}
+
+// problemTypePrefix begins the type of each problem; the reason follows.
+const problemTypePrefix = "urn:waxwingseam:problem:"
+
+// minRetryAfter is the least time after which a refused caller may come back.
+const minRetryAfter = time.Second
+
+// statuses are the HTTP statuses of the reasons that have their own.
+var statuses = map[waxwingseam.Reason]int{
+	waxwingseam.ReasonUnknownService: http.StatusNotFound,
+	waxwingseam.ReasonUnknownClass:   http.StatusNotFound,
+	waxwingseam.ReasonUnknownContext: http.StatusBadRequest,
+	waxwingseam.ReasonBadRequest:     http.StatusBadRequest,
+	waxwingseam.ReasonTooLarge:       http.StatusRequestEntityTooLarge,
+	waxwingseam.ReasonDeadline:       http.StatusGatewayTimeout,
+	waxwingseam.ReasonKeyConflict:    http.StatusConflict,
+	waxwingseam.ReasonEvicted:        http.StatusTooManyRequests,
+}
+
+// titles say in short words what a reason means.
+var titles = map[waxwingseam.Reason]string{
+	waxwingseam.ReasonOverloaded:       "The service is overloaded",
+	waxwingseam.ReasonEvicted:          "A more important request took the place",
+	waxwingseam.ReasonWaitLimit:        "The request waited too long",
+	waxwingseam.ReasonDeadline:         "The deadline has passed",
+	waxwingseam.ReasonDraining:         "The backend server is leaving",
+	waxwingseam.ReasonNoServer:         "No backend server takes requests",
+	waxwingseam.ReasonUnknownService:   "The service is unknown",
+	waxwingseam.ReasonUnknownClass:     "No request class matches",
+	waxwingseam.ReasonUnknownContext:   "The request's context is unknown or has ended",
+	waxwingseam.ReasonBadRequest:       "The request is malformed",
+	waxwingseam.ReasonTooLarge:         "The request is too large",
+	waxwingseam.ReasonConnectionFailed: "The backend server could not be reached",
+	waxwingseam.ReasonConnectionSilent: "The connection to the backend server went silent",
+	waxwingseam.ReasonServerFailed:     "The backend server failed",
+	waxwingseam.ReasonFenced:           "The request was kept from starting",
+	waxwingseam.ReasonIncarnation:      "The node has been restarted",
+	waxwingseam.ReasonKeyConflict:      "The idempotency key is in use",
+	waxwingseam.ReasonCancelled:        "The request was cancelled",
+	waxwingseam.ReasonDigestMismatch:   "The reply was not whole",
+	waxwingseam.ReasonReplyNotKept:     "The request has run and its reply is kept no more",
+}
+
+// statusOf returns the HTTP status of a result without a whole reply.
+func statusOf(result waxwingseam.Result) int {
+	if status, ok := statuses[result.Reason]; ok {
+		return status
+	}
+	if result.Outcome == waxwingseam.OutcomeMayHaveRun {
+		return http.StatusBadGateway
+	}
+	return http.StatusServiceUnavailable
+}
+
+// writeProblem answers a caller in place of a backend server.
+func writeProblem(w http.ResponseWriter, result waxwingseam.Result, detail string) {
+	status := statusOf(result)
+	header := w.Header()
+	header.Set("Content-Type", "application/problem+json")
+	header.Set("Cache-Control", "no-store")
+	header.Set(HeaderOutcome, result.Outcome.String())
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		header.Set("Retry-After", retryAfter(result.RetryAfter))
+	}
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(Problem{
+		Type:    problemTypePrefix + string(result.Reason),
+		Title:   titles[result.Reason],
+		Status:  status,
+		Detail:  detail,
+		Outcome: result.Outcome.String(),
+		Reason:  string(result.Reason),
+	})
+}
+
+// retryAfter writes a time in whole seconds, rounded up.
+func retryAfter(d time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(max(d, minRetryAfter).Seconds())))
+}
--- /dev/null
+++ b/forwarder/pump.go
@@ -0,0 +1,74 @@
+package forwarder
+
+import (
+	"errors"
+	"io"
+	"sync"
+)
+
+// chunkSize is the most of a body that one frame carries.
+const chunkSize = 32 << 10
+
+// chunks are reused between the pumps.
+var chunks = sync.Pool{
+	New: func() any {
+		chunk := make([]byte, chunkSize)
+		return &chunk
+	},
+}
+
+// pump sends a body over one channel until it is stopped.
+type pump struct {
+	channel *channel
+	body    *buffer
+	// halted stops the pump once it is true.
+	halted func() bool
+}
+
+func newPump(c *channel, body *buffer, halted func() bool) *pump {
+	return &pump{
+		channel: c,
+		body:    body,
+		halted:  halted,
+	}
+}
+
+// send sends the body from an offset on, and returns nil once it was sent
+// whole or the pump was stopped.
+func (p *pump) send(offset int64) error {
+	chunk := chunks.Get().(*[]byte)
+	defer chunks.Put(chunk)
+	for {
+		n, err := p.body.readAt(*chunk, offset, p.halted)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil || n == 0 {
+			return err
+		}
+		f := frame{
+			Kind:   frameData,
+			Offset: offset,
+			Data:   (*chunk)[:n],
+		}
+		if err := p.channel.send(f); err != nil {
+			return err
+		}
+		offset += int64(n)
+	}
+}
+
+// sendBody sends a request body, then its length and digest. Where the caller
+// ended it early, nothing is sent in place of the rest.
+func (p *pump) sendBody(x *exchange) {
+	err := p.send(x.body.start())
+	if err != nil || p.halted() {
+		return
+	}
+	length, digest := x.whole()
+	_ = p.channel.send(frame{
+		Kind:   frameEnd,
+		Length: length,
+		Digest: digest,
+	})
+}
--- a/outcome.go
+++ b/outcome.go
@@ -49,4 +49,5 @@
 	ReasonKeyConflict      Reason = "key-conflict"
 	ReasonCancelled        Reason = "cancelled"
 	ReasonDigestMismatch   Reason = "digest-mismatch"
+	ReasonReplyNotKept     Reason = "reply-not-kept"
 )
--- a/runeffect.go
+++ b/runeffect.go
@@ -35,6 +35,9 @@
 type JoinRun struct {
 	ID      CallID
 	Attempt Attempt
+	// Owner is the call whose run gives the reply; it differs from ID where a
+	// caller's key joins two calls.
+	Owner CallID
 }
 
 // AnswerFence answers a fence.
