--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -112,7 +112,7 @@
 	refused   = waxwingseam.Result{Outcome: waxwingseam.OutcomeDidNotRun, Reason: waxwingseam.ReasonDraining, Reached: true}
 	unwritten = waxwingseam.Result{Outcome: waxwingseam.OutcomeDidNotRun, Reason: waxwingseam.ReasonConnectionFailed}
 	broken    = waxwingseam.Result{Outcome: waxwingseam.OutcomeMayHaveRun, Reason: waxwingseam.ReasonConnectionFailed}
-	unknown   = waxwingseam.Result{Outcome: waxwingseam.OutcomeMayHaveRun, Reason: waxwingseam.ReasonServerFailed, Reached: true, Unspent: 1}
+	unknown   = waxwingseam.Result{Outcome: waxwingseam.OutcomeMayHaveRun, Reason: waxwingseam.ReasonServerFailed, Reached: true, Unspent: 2}
 )
 
 // TestOutcomes plays the ends that an attempt may come to.
@@ -153,7 +153,7 @@
 	} {
 		t.Run(v.name, func(t *testing.T) {
 			n := newNode(2, "ledger-1", "ledger-2", "ledger-3", "fees-1", "fees-2", "fees-3")
-			qt.Assert(t, n.call(v.service), qt.Equals, "dispatch#1+1")
+			qt.Assert(t, n.call(v.service), qt.Equals, "dispatch#1+2")
 			got := make([]string, len(v.steps))
 			for i, s := range v.steps {
 				got[i] = s(n)
@@ -177,8 +177,8 @@
 	parent := waxwingseam.Call{ID: waxwingseam.NewCallID(9, 9), Allowance: 2, Deadline: start.Add(time.Second)}
 	n.tracker.Begin(parent)
 	child := waxwingseam.CallArrived{Stamp: n.stamp(), ID: id, Parent: parent.ID, Service: "ledger"}
-	qt.Assert(t, n.step(child), qt.Equals, "dispatch#1+1")
-	qt.Assert(t, n.tracker.Unspent(parent.ID), qt.Equals, waxwingseam.Allowance(1))
+	qt.Assert(t, n.step(child), qt.Equals, "dispatch#1+2")
+	qt.Assert(t, n.tracker.Unspent(parent.ID), qt.Equals, waxwingseam.Allowance(0))
 	ended := waxwingseam.RunEnded{Stamp: n.stamp(), ID: parent.ID}
 	qt.Assert(t, n.step(ended), qt.Equals, "cancel-attempt reply:may-have-run:cancelled")
 	qt.Assert(t, n.step(child), qt.Equals, "reply:did-not-run:unknown-context")
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -26,18 +26,26 @@
 type Config struct {
 	// Rules are the grounds against a retry; DefaultRules when unset.
 	Rules []PrioritizedRule
+	// Splitter splits an allowance between an attempt and its sender; Along
+	// when unset.
+	Splitter Splitter
 }
 
 type retrier struct {
-	rules   []PrioritizedRule
-	budgets map[waxwingseam.ServiceName]*budget
+	splitter Splitter
+	rules    []PrioritizedRule
+	budgets  map[waxwingseam.ServiceName]*budget
 }
 
 // New returns a retrier with full budgets.
 func New(config Config) waxwingseam.Retrier {
 	r := &retrier{
-		rules:   config.Rules,
-		budgets: map[waxwingseam.ServiceName]*budget{},
+		splitter: config.Splitter,
+		rules:    config.Rules,
+		budgets:  map[waxwingseam.ServiceName]*budget{},
+	}
+	if r.splitter == nil {
+		r.splitter = Along{}
 	}
 	if r.rules == nil {
 		r.rules = DefaultRules()
@@ -51,7 +59,7 @@
 
 // Split implements waxwingseam.Retrier.
 func (r *retrier) Split(in waxwingseam.Allowance) waxwingseam.Allowance {
-	return in - in/2
+	return min(r.splitter.Split(in), in)
 }
 
 // Decide implements waxwingseam.Retrier.
