tracker: the child calls of a run share one pot

Cause: a child that reserves its share at arrival holds it while it needs no retry, and its siblings go without. Change: Tracker.Open returns the run's pot, which child calls draw from when they send or retry (root change: run.go Pot, Open and Close for Draw and Return). Bound unchanged: TestChainBounds green.

--- a/dispatcher/arrival.go
+++ b/dispatcher/arrival.go
@@ -61,8 +61,9 @@
 	f.call.Rank = d.Classifier.Rank(c, class, e.Root)
 	f.call.Deadline = c.Now.Add(class.Deadline)
 	f.shortenDeadline(c, e.Timeout)
+	f.pot = &waxwingseam.Pot{}
 	if !e.Outbound {
-		f.left = f.limit.Allowance
+		f.pot.Left = f.limit.Allowance
 	}
 }
 
@@ -79,7 +80,7 @@
 	f.call.Depth = parent.Depth + 1
 	f.call.Deadline = parent.Deadline
 	f.shortenDeadline(c, e.Timeout)
-	f.left = d.Tracker.Draw(parent.ID, e.ID)
+	f.pot = d.Tracker.Open(parent.ID, e.ID)
 	return waxwingseam.ReasonNone
 }
 
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -42,7 +42,7 @@
 
 func newNode(allowance waxwingseam.Allowance, servers ...waxwingseam.ServerName) *node {
 	r := retrier.New(retrier.Config{})
-	n := &node{tracker: tracker.New(tracker.Config{Splitter: r}), now: start}
+	n := &node{tracker: tracker.New(tracker.Config{}), now: start}
 	n.reducer = reducer.New(reducer.Config{Workers: []waxwingseam.Prioritized{{Worker: dispatcher.New(dispatcher.Config{
 		Classifier: &byService{},
 		Balancer:   balancer.New(balancer.Config{}),
--- a/dispatcher/flight.go
+++ b/dispatcher/flight.go
@@ -10,8 +10,9 @@
 type flight struct {
 	call  waxwingseam.Call
 	limit waxwingseam.RetryLimit
-	// left is the allowance in hand; open attempts hold their shares.
-	left       waxwingseam.Allowance
+	// pot is the allowance in hand, shared with the other children of the run
+	// that made the call; open attempts hold their shares.
+	pot        *waxwingseam.Pot
 	attempts   []attempt
 	tried      []waxwingseam.ServerName
 	replayable bool
--- a/dispatcher/outcome.go
+++ b/dispatcher/outcome.go
@@ -49,7 +49,7 @@
 }
 
 func (d *dispatcher) complete(c *waxwingseam.Context, f *flight, a *attempt, result waxwingseam.Result) {
-	f.left += min(result.Unspent, a.share)
+	f.pot.Left += min(result.Unspent, a.share)
 	d.Retrier.Succeeded(f.call.Service)
 	d.settle(c, f, a, proofNone, result)
 	d.reply(c, f, result)
@@ -70,7 +70,7 @@
 
 // giveUp settles an attempt that may have run.
 func (d *dispatcher) giveUp(c *waxwingseam.Context, f *flight, a *attempt, result waxwingseam.Result) {
-	f.left += min(result.Unspent, a.share)
+	f.pot.Left += min(result.Unspent, a.share)
 	result.Outcome = waxwingseam.OutcomeMayHaveRun
 	d.settle(c, f, a, proofNone, result)
 	d.proceed(c, f, a, result)
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -17,8 +17,8 @@
 		d.finish(c, f, waxwingseam.Result{Reason: choice.Reason, RetryAfter: choice.RetryAfter})
 		return
 	}
-	share := min(d.Retrier.Split(f.left), f.left)
-	f.left -= share
+	share := min(d.Retrier.Split(f.pot.Left), f.pot.Left)
+	f.pot.Left -= share
 	number := waxwingseam.Attempt(len(f.attempts) + 1)
 	d.Retrier.Sent(f.call.Service, number > 1)
 	f.tried = append(f.tried, choice.Server.Name)
@@ -37,7 +37,7 @@
 func (d *dispatcher) settle(c *waxwingseam.Context, f *flight, a *attempt, p proof, result waxwingseam.Result) {
 	a.proof = p
 	if p == proofNotRun {
-		f.left += a.share
+		f.pot.Left += a.share
 	}
 	d.Balancer.Observe(c, waxwingseam.Feedback{
 		Server:  a.server.Name,
@@ -49,13 +49,13 @@
 // proceed follows a settled attempt with another one or with the answer.
 func (d *dispatcher) proceed(c *waxwingseam.Context, f *flight, a *attempt, result waxwingseam.Result) {
 	answer := waxwingseam.RetryAnswer{}
-	if f.repeatable() && f.left > 0 {
+	if f.repeatable() && f.pot.Left > 0 {
 		answer = d.Retrier.Decide(c, waxwingseam.RetryQuestion{
 			Call:       f.call,
 			Attempt:    a.number,
 			Result:     result,
 			Limit:      f.limit,
-			Left:       f.left,
+			Left:       f.pot.Left,
 			Replayable: f.replayable,
 			Overloaded: d.Balancer.Overloaded(f.call.Service),
 		})
@@ -64,7 +64,7 @@
 		d.finish(c, f, result)
 		return
 	}
-	f.left--
+	f.pot.Spend()
 	if answer.Delay <= 0 {
 		d.send(c, f)
 		return
@@ -101,7 +101,7 @@
 		Result:  result,
 	})
 	if !f.call.Parent.IsZero() {
-		d.Tracker.Return(f.call.Parent, id, f.left)
+		d.Tracker.Close(f.call.Parent, id)
 	}
 	delete(d.flights, id)
 }
--- a/dispatcher/world_test.go
+++ b/dispatcher/world_test.go
@@ -133,7 +133,7 @@
 func (h *host) start() {
 	w := h.world
 	r := retrier.New(w.config)
-	h.tracker = tracker.New(tracker.Config{Splitter: r})
+	h.tracker = tracker.New(tracker.Config{})
 	h.timers = map[waxwingseam.TimerID]int{}
 	h.records = map[waxwingseam.CallID]*record{}
 	h.waits = map[waxwingseam.CallID]func(waxwingseam.Result){}
--- a/run.go
+++ b/run.go
@@ -1,5 +1,20 @@
 package waxwingseam
 
+// Pot is an allowance that several calls may draw from.
+type Pot struct {
+	// Left is what is neither spent nor gone along with an open attempt.
+	Left Allowance
+}
+
+// Spend takes one retry out of the pot; false when it is empty.
+func (p *Pot) Spend() bool {
+	if p.Left == 0 {
+		return false
+	}
+	p.Left--
+	return true
+}
+
 // Tracker keeps the live runs of a node's own backend server, and the
 // allowance that each run's child calls may still draw.
 type Tracker interface {
@@ -7,10 +22,11 @@
 	Begin(call Call)
 	// Parent returns the call of a live run.
 	Parent(id CallID) (Call, bool)
-	// Draw takes a child call's allowance out of its parent's.
-	Draw(parent, child CallID) Allowance
-	// Return gives the unspent part of a child's allowance back.
-	Return(parent, child CallID, unspent Allowance)
+	// Open records a child call of a live run and returns the run's pot, which
+	// all its child calls draw from.
+	Open(parent, child CallID) *Pot
+	// Close forgets a child call that has its answer.
+	Close(parent, child CallID)
 	// Unspent returns what is left of a run's allowance now.
 	Unspent(id CallID) Allowance
 	// End forgets a run and returns its child calls still open.
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -8,46 +8,28 @@
 	"waxwingseam.example/waxwingseam"
 )
 
-// Splitter decides how much of a run's allowance one child call draws.
-type Splitter interface {
-	Split(in waxwingseam.Allowance) waxwingseam.Allowance
-}
-
-// Config holds the parts of a tracker.
-type Config struct {
-	Splitter Splitter
-}
+// Config holds the settings of a tracker; it has none today.
+type Config struct{}
 
 // run is one live run.
 type run struct {
-	call waxwingseam.Call
-	// left is what no open child has drawn.
-	left     waxwingseam.Allowance
-	children []child
-}
-
-// child is an open child call with what it drew.
-type child struct {
-	id    waxwingseam.CallID
-	drawn waxwingseam.Allowance
+	call     waxwingseam.Call
+	pot      waxwingseam.Pot
+	children []waxwingseam.CallID
 }
 
 type tracker struct {
-	splitter Splitter
-	runs     map[waxwingseam.CallID]*run
+	runs map[waxwingseam.CallID]*run
 }
 
 // New returns a tracker without runs.
-func New(config Config) waxwingseam.Tracker {
-	return &tracker{
-		splitter: config.Splitter,
-		runs:     map[waxwingseam.CallID]*run{},
-	}
+func New(Config) waxwingseam.Tracker {
+	return &tracker{runs: map[waxwingseam.CallID]*run{}}
 }
 
 // Begin implements waxwingseam.Tracker.
 func (t *tracker) Begin(call waxwingseam.Call) {
-	t.runs[call.ID] = &run{call: call, left: call.Allowance}
+	t.runs[call.ID] = &run{call: call, pot: waxwingseam.Pot{Left: call.Allowance}}
 }
 
 // Parent implements waxwingseam.Tracker.
@@ -59,30 +41,25 @@
 	return r.call, true
 }
 
-// Draw implements waxwingseam.Tracker.
-func (t *tracker) Draw(parent, id waxwingseam.CallID) waxwingseam.Allowance {
+// Open implements waxwingseam.Tracker.
+func (t *tracker) Open(parent, child waxwingseam.CallID) *waxwingseam.Pot {
 	r, ok := t.runs[parent]
 	if !ok {
-		return 0
+		return &waxwingseam.Pot{}
 	}
-	drawn := min(t.splitter.Split(r.left), r.left)
-	r.left -= drawn
-	r.children = append(r.children, child{id: id, drawn: drawn})
-	return drawn
+	r.children = append(r.children, child)
+	return &r.pot
 }
 
-// Return implements waxwingseam.Tracker.
-func (t *tracker) Return(parent, id waxwingseam.CallID, unspent waxwingseam.Allowance) {
+// Close implements waxwingseam.Tracker.
+func (t *tracker) Close(parent, child waxwingseam.CallID) {
 	r, ok := t.runs[parent]
 	if !ok {
 		return
 	}
-	n := slices.IndexFunc(r.children, func(c child) bool { return c.id == id })
-	if n < 0 {
-		return
+	if n := slices.Index(r.children, child); n >= 0 {
+		r.children = slices.Delete(r.children, n, n+1)
 	}
-	r.left += min(unspent, r.children[n].drawn)
-	r.children = slices.Delete(r.children, n, n+1)
 }
 
 // Unspent implements waxwingseam.Tracker.
@@ -91,7 +68,7 @@
 	if !ok {
 		return 0
 	}
-	return r.left
+	return r.pot.Left
 }
 
 // End implements waxwingseam.Tracker.
@@ -101,9 +78,5 @@
 		return nil
 	}
 	delete(t.runs, id)
-	open := make([]waxwingseam.CallID, 0, len(r.children))
-	for _, c := range r.children {
-		open = append(open, c.id)
-	}
-	return open
+	return r.children
 }
