dispatcher: fence repeatable calls too; resends with one key share an allowance

Cause: a repeatable call whose attempt was lost gave up the share that had gone along, all of it, so nothing was left to retry with; and each resend by a caller was granted a new allowance. Change: an attempt that a resume does not find is fenced whatever its repeat rule: where it is proven not to have run, its share comes back. Roots of one class and key share one pot at a node; a key that has spent nothing costs no memory, others are forgotten 10 minutes after their last use.

--- a/dispatcher/arrival.go
+++ b/dispatcher/arrival.go
@@ -61,9 +61,14 @@
 	f.call.Rank = d.Classifier.Rank(c, class, e.Root)
 	f.call.Deadline = c.Now.Add(class.Deadline)
 	f.shortenDeadline(c, e.Timeout)
-	f.pot = &waxwingseam.Pot{}
-	if !e.Outbound {
-		f.pot.Left = f.limit.Allowance
+	granted := f.limit.Allowance
+	if e.Outbound {
+		granted = 0
+	}
+	f.pot = &waxwingseam.Pot{Left: granted}
+	if key, ok := f.rootKey(); ok {
+		d.keys.expire(c.Now)
+		f.pot = d.keys.open(key, granted)
 	}
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -28,6 +28,7 @@
 type dispatcher struct {
 	Config
 	flights map[waxwingseam.CallID]*flight
+	keys    keys
 }
 
 // New returns a dispatcher without calls. In the order of workers it stands
@@ -40,6 +41,7 @@
 	return &dispatcher{
 		Config:  config,
 		flights: map[waxwingseam.CallID]*flight{},
+		keys:    keys{pots: map[rootKey]*keyedPot{}},
 	}
 }
 
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -183,3 +183,27 @@
 	qt.Assert(t, n.step(ended), qt.Equals, "cancel-attempt reply:may-have-run:cancelled")
 	qt.Assert(t, n.step(child), qt.Equals, "reply:did-not-run:unknown-context")
 }
+
+// TestResendsShareAllowance checks that resends with one key, one after the
+// other and at once, spend one allowance until it is forgotten.
+func TestResendsShareAllowance(t *testing.T) {
+	n := newNode(2, "ledger-1", "ledger-2")
+	arrive := func(number uint64) string {
+		id := waxwingseam.NewCallID(number, number)
+		return n.step(waxwingseam.CallArrived{Stamp: n.stamp(), ID: id, Root: waxwingseam.RootID(id), Service: "ledger", Key: "lot-5", Replayable: true})
+	}
+	end := func(number uint64, attempt waxwingseam.Attempt, r waxwingseam.Result) string {
+		return n.step(waxwingseam.AttemptEnded{Stamp: n.stamp(), ID: waxwingseam.NewCallID(number, number), Attempt: attempt, Result: r})
+	}
+	spent := completed
+	spent.Unspent = 1
+	qt.Assert(t, arrive(1), qt.Equals, "dispatch#1+2")
+	qt.Assert(t, arrive(2), qt.Equals, "dispatch#1+0")
+	qt.Assert(t, end(2, 1, refused), qt.Equals, "reply:did-not-run:draining")
+	qt.Assert(t, end(1, 1, spent), qt.Equals, "reply:completed")
+	qt.Assert(t, arrive(3), qt.Equals, "dispatch#1+1")
+	qt.Assert(t, end(3, 1, refused), qt.Equals, "dispatch#2+0")
+	qt.Assert(t, end(3, 2, refused), qt.Equals, "reply:did-not-run:draining")
+	n.now = n.now.Add(11 * time.Minute)
+	qt.Assert(t, arrive(4), qt.Equals, "dispatch#1+2")
+}
--- a/dispatcher/outcome.go
+++ b/dispatcher/outcome.go
@@ -61,7 +61,7 @@
 	switch {
 	case !result.Reached && a.resumes == 0:
 		d.resume(c, f, a)
-	case a.resumes > 0 && !a.fenced && f.call.Repeat == waxwingseam.RepeatNever:
+	case a.resumes > 0 && !a.fenced:
 		d.fence(c, f, a)
 	default:
 		d.giveUp(c, f, a, result)
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -100,8 +100,9 @@
 		Attempt: waxwingseam.Attempt(len(f.attempts)),
 		Result:  result,
 	})
-	if !f.call.Parent.IsZero() {
-		d.Tracker.Close(f.call.Parent, id)
+	d.Tracker.Close(f.call.Parent, id)
+	if key, ok := f.rootKey(); ok {
+		d.keys.close(key, c.Now)
 	}
 	delete(d.flights, id)
 }
