retrier: a retry is taken out of the target's budget when it is allowed

Cause: the budget was read at the decision and paid at the sending, after the back-off, so a burst of failures could overdraw it; and a share was only known after the first retry. A node restarted under its address refused calls meant for its earlier life, which ended not-repeatable calls as may-have-run. Change: Decide spends, Succeeded brings the limit along (root change: retry.go, Sent dropped); 5xx answers earn nothing; an attempt refused by another life over its first connection is proven not to have run.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -9,6 +9,10 @@
 	"waxwingseam.example/waxwingseam"
 )
 
+// Priority is the dispatcher's place among the workers: after the receiver,
+// whose cancelled runs it follows up.
+const Priority = 200
+
 // The purposes of the dispatcher's timers.
 const (
 	PurposeDeadline waxwingseam.TimerPurpose = "call-deadline"
@@ -31,8 +35,7 @@
 	keys    keys
 }
 
-// New returns a dispatcher without calls. In the order of workers it stands
-// after the receiver, whose cancelled runs it follows up.
+// New returns a dispatcher without calls.
 func New(config Config) waxwingseam.Worker {
 	config.Routers = slices.Clone(config.Routers)
 	slices.SortStableFunc(config.Routers, func(a, b waxwingseam.PrioritizedRouter) int {
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -40,7 +40,7 @@
 	now     time.Time
 }
 
-func newNode(allowance waxwingseam.Allowance, servers ...waxwingseam.ServerName) *node {
+func newNode(servers ...waxwingseam.ServerName) *node {
 	r := retrier.New(retrier.Config{})
 	n := &node{tracker: tracker.New(tracker.Config{}), now: start}
 	n.reducer = reducer.New(reducer.Config{Workers: []waxwingseam.Prioritized{{Worker: dispatcher.New(dispatcher.Config{
@@ -49,7 +49,7 @@
 		Retrier:    r,
 		Tracker:    n.tracker,
 	})}}})
-	set := &waxwingseam.Set{Revision: 1, RetryLimits: []waxwingseam.RetryLimit{{Name: "limit", Allowance: allowance, BudgetPercent: 10}}}
+	set := &waxwingseam.Set{Revision: 1, RetryLimits: []waxwingseam.RetryLimit{{Name: "limit", Allowance: 2, BudgetPercent: 10}}}
 	for name, repeat := range map[waxwingseam.ServiceName]waxwingseam.Repeat{"ledger": waxwingseam.RepeatNever, "fees": waxwingseam.RepeatIdempotent} {
 		set.Services = append(set.Services, waxwingseam.Service{Name: name})
 		set.RequestClasses = append(set.RequestClasses, waxwingseam.RequestClass{
@@ -112,6 +112,7 @@
 	refused   = waxwingseam.Result{Outcome: waxwingseam.OutcomeDidNotRun, Reason: waxwingseam.ReasonDraining, Reached: true}
 	unwritten = waxwingseam.Result{Outcome: waxwingseam.OutcomeDidNotRun, Reason: waxwingseam.ReasonConnectionFailed}
 	broken    = waxwingseam.Result{Outcome: waxwingseam.OutcomeMayHaveRun, Reason: waxwingseam.ReasonConnectionFailed}
+	restarted = waxwingseam.Result{Outcome: waxwingseam.OutcomeMayHaveRun, Reason: waxwingseam.ReasonIncarnation, Reached: true}
 	unknown   = waxwingseam.Result{Outcome: waxwingseam.OutcomeMayHaveRun, Reason: waxwingseam.ReasonServerFailed, Reached: true, Unspent: 2}
 )
 
@@ -143,6 +144,8 @@
 		{"broken, taken up again", "ledger", []func(*node) string{end(1, broken), end(1, completed)}, "resume | reply:completed"},
 		{"silent, proven by a fence", "ledger", []func(*node) string{silent, silent, fenced(false, 7), end(2, completed)}, "resume | fence | dispatch#2+1 | reply:completed"},
 		{"a failed resume proves nothing", "ledger", []func(*node) string{silent, end(1, unwritten), fenced(false, 8)}, "resume | fence | reply:may-have-run:connection-failed"},
+		{"another life refuses it", "ledger", []func(*node) string{end(1, restarted), end(2, completed)}, "dispatch#2+1 | reply:completed"},
+		{"another life is asked later", "ledger", []func(*node) string{silent, end(1, restarted), fenced(false, 8)}, "resume | fence | reply:may-have-run:connection-failed"},
 		{"fence finds it started", "ledger", []func(*node) string{silent, end(1, unknown), fenced(true, 7), end(1, completed)}, "resume | fence | resume | reply:completed"},
 		{"started, then lost for good", "ledger", []func(*node) string{silent, silent, fenced(true, 7), silent}, "resume | fence | resume | reply:may-have-run:connection-silent"},
 		{"a failed run is not repeated", "ledger", []func(*node) string{end(1, unknown)}, "reply:may-have-run:server-failed"},
@@ -152,7 +155,7 @@
 		{"deadline passes", "ledger", []func(*node) string{late}, "cancel-attempt reply:may-have-run:deadline"},
 	} {
 		t.Run(v.name, func(t *testing.T) {
-			n := newNode(2, "ledger-1", "ledger-2", "ledger-3", "fees-1", "fees-2", "fees-3")
+			n := newNode("ledger-1", "ledger-2", "ledger-3", "fees-1", "fees-2", "fees-3")
 			qt.Assert(t, n.call(v.service), qt.Equals, "dispatch#1+2")
 			got := make([]string, len(v.steps))
 			for i, s := range v.steps {
@@ -164,7 +167,7 @@
 }
 
 func TestRefusedAtOnce(t *testing.T) {
-	n := newNode(2, "ledger-1")
+	n := newNode("ledger-1")
 	qt.Assert(t, n.call("bench"), qt.Equals, "reply:did-not-run:unknown-service")
 	qt.Assert(t, n.call("fees"), qt.Equals, "reply:did-not-run:no-server")
 	child := waxwingseam.CallArrived{Stamp: n.stamp(), ID: id, Parent: waxwingseam.NewCallID(9, 9), Service: "ledger"}
@@ -173,7 +176,7 @@
 
 // TestRunEnds checks that the children of an ended run are cancelled.
 func TestRunEnds(t *testing.T) {
-	n := newNode(2, "ledger-1")
+	n := newNode("ledger-1")
 	parent := waxwingseam.Call{ID: waxwingseam.NewCallID(9, 9), Allowance: 2, Deadline: start.Add(time.Second)}
 	n.tracker.Begin(parent)
 	child := waxwingseam.CallArrived{Stamp: n.stamp(), ID: id, Parent: parent.ID, Service: "ledger"}
@@ -187,7 +190,7 @@
 // TestResendsShareAllowance checks that resends with one key, one after the
 // other and at once, spend one allowance until it is forgotten.
 func TestResendsShareAllowance(t *testing.T) {
-	n := newNode(2, "ledger-1", "ledger-2")
+	n := newNode("ledger-1", "ledger-2")
 	arrive := func(number uint64) string {
 		id := waxwingseam.NewCallID(number, number)
 		return n.step(waxwingseam.CallArrived{Stamp: n.stamp(), ID: id, Root: waxwingseam.RootID(id), Service: "ledger", Key: "lot-5", Replayable: true})
--- a/dispatcher/outcome.go
+++ b/dispatcher/outcome.go
@@ -6,8 +6,12 @@
 	"waxwingseam.example/waxwingseam"
 )
 
-// clockSkew bounds how far the clocks of two hosts differ.
-const clockSkew = 2 * time.Second
+const (
+	// clockSkew bounds how far the clocks of two hosts differ.
+	clockSkew = 2 * time.Second
+	// failureStatus is the least HTTP status that counts as a failure.
+	failureStatus = 500
+)
 
 func (d *dispatcher) replyStarted(e waxwingseam.ReplyStarted) {
 	if f, ok := d.flights[e.ID]; ok {
@@ -34,7 +38,8 @@
 	switch {
 	case result.Completed():
 		d.complete(c, f, a, result)
-	case result.Outcome == waxwingseam.OutcomeDidNotRun && a.proves(result):
+	case a.provesNotRun(result):
+		result.Outcome = waxwingseam.OutcomeDidNotRun
 		d.settle(c, f, a, proofNotRun, result)
 		d.proceed(c, f, a, result)
 	default:
@@ -42,15 +47,23 @@
 	}
 }
 
-// proves reports whether a did-not-run speaks for the whole attempt: once it
-// has been taken up again, a connection that failed says nothing of the first.
-func (a *attempt) proves(result waxwingseam.Result) bool {
-	return result.Reached || a.resumes == 0
+// provesNotRun reports whether a result proves that the attempt did not run.
+// Once it has been taken up again, a connection that failed says nothing of the
+// first one. A node that is in another life than the one meant has refused the
+// attempt, and that of the first connection reached no other.
+func (a *attempt) provesNotRun(result waxwingseam.Result) bool {
+	first := a.resumes == 0
+	if result.Reached && result.Reason == waxwingseam.ReasonIncarnation {
+		return first
+	}
+	return result.Outcome == waxwingseam.OutcomeDidNotRun && (result.Reached || first)
 }
 
 func (d *dispatcher) complete(c *waxwingseam.Context, f *flight, a *attempt, result waxwingseam.Result) {
 	f.pot.Left += min(result.Unspent, a.share)
-	d.Retrier.Succeeded(f.call.Service)
+	if result.Status < failureStatus {
+		d.Retrier.Succeeded(f.call.Service, f.limit)
+	}
 	d.settle(c, f, a, proofNone, result)
 	d.reply(c, f, result)
 }
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -20,7 +20,6 @@
 	share := min(d.Retrier.Split(f.pot.Left), f.pot.Left)
 	f.pot.Left -= share
 	number := waxwingseam.Attempt(len(f.attempts) + 1)
-	d.Retrier.Sent(f.call.Service, number > 1)
 	f.tried = append(f.tried, choice.Server.Name)
 	f.attempts = append(f.attempts, attempt{
 		number: number,
--- a/dispatcher/split_benchmark_test.go
+++ b/dispatcher/split_benchmark_test.go
@@ -1,6 +1,7 @@
 package dispatcher_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -81,3 +82,24 @@
 	b.ReportMetric(float64(attempts)/float64(calls), "attempts/call")
 	b.ReportMetric(0, "ns/op")
 }
+
+// BenchmarkBudget reports the attempts a call while all servers refuse or a
+// part of the calls fails, for shares of retries in the successes.
+func BenchmarkBudget(b *testing.B) {
+	for _, f := range []faults{{refuse: 100}, {refuse: 50}, {refuse: 10}} {
+		for _, percent := range []int{0, 10, 20, 100_000} {
+			b.Run(fmt.Sprintf("refuse-%d/budget-%d", f.refuse, percent), func(b *testing.B) {
+				for b.Loop() {
+					const roots = 6000
+					w := newWorld(1, 3, f, retrier.Config{})
+					w.set.RetryLimits[0].BudgetPercent = percent
+					for i := range roots {
+						w.after(time.Duration(i)*time.Millisecond, func() { w.call(w.hosts[i%len(w.hosts)], chain(4), nil) })
+					}
+					w.run()
+					w.report(b, roots)
+				}
+			})
+		}
+	}
+}
--- a/retrier/budget.go
+++ b/retrier/budget.go
@@ -12,17 +12,16 @@
 
 // budget is the retries that one target service's successes have earned.
 type budget struct {
-	// percent is the share of retries in the calls that succeed.
-	percent int
-	held    int
+	held int
 }
 
 func newBudget() *budget {
 	return &budget{held: minRetries * retryCost}
 }
 
-func (b *budget) earn() {
-	b.held = min(b.held+b.percent, maxRetries*retryCost)
+// earn adds the share of a retry that one success is worth.
+func (b *budget) earn(percent int) {
+	b.held = min(b.held+percent, maxRetries*retryCost)
 }
 
 func (b *budget) spend() {
@@ -36,7 +35,5 @@
 
 // Forbids implements Rule.
 func (r budgetRule) Forbids(_ *waxwingseam.Context, q waxwingseam.RetryQuestion) bool {
-	b := r.retrier.budget(q.Call.Service)
-	b.percent = q.Limit.BudgetPercent
-	return b.held < retryCost
+	return r.retrier.budget(q.Call.Service).held < retryCost
 }
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -73,19 +73,13 @@
 	if !c.Now.Add(delay).Before(q.Call.Deadline) {
 		return waxwingseam.RetryAnswer{}
 	}
+	r.budget(q.Call.Service).spend()
 	return waxwingseam.RetryAnswer{Retry: true, Delay: delay}
 }
 
-// Sent implements waxwingseam.Retrier.
-func (r *retrier) Sent(service waxwingseam.ServiceName, retry bool) {
-	if retry {
-		r.budget(service).spend()
-	}
-}
-
 // Succeeded implements waxwingseam.Retrier.
-func (r *retrier) Succeeded(service waxwingseam.ServiceName) {
-	r.budget(service).earn()
+func (r *retrier) Succeeded(service waxwingseam.ServiceName, limit waxwingseam.RetryLimit) {
+	r.budget(service).earn(limit.BudgetPercent)
 }
 
 func (r *retrier) budget(service waxwingseam.ServiceName) *budget {
--- /dev/null
+++ b/retrier/retrier_test.go
@@ -0,0 +1,99 @@
+package retrier_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/retrier"
+)
+
+var start = time.Date(2026, 1, 1, 6, 0, 0, 0, time.UTC)
+
+// question is one whose answer is a retry at once.
+func question() waxwingseam.RetryQuestion {
+	return waxwingseam.RetryQuestion{
+		Call:       waxwingseam.Call{Service: "fees", Repeat: waxwingseam.RepeatIdempotent, Deadline: start.Add(time.Second)},
+		Attempt:    1,
+		Result:     waxwingseam.Result{Outcome: waxwingseam.OutcomeMayHaveRun, Reason: waxwingseam.ReasonServerFailed},
+		Limit:      waxwingseam.RetryLimit{BudgetPercent: 20},
+		Left:       1,
+		Replayable: true,
+	}
+}
+
+func context(random uint64) *waxwingseam.Context {
+	c := waxwingseam.NewContext(waxwingseam.Server{})
+	c.Begin(waxwingseam.Stamp{Now: start, Random: random})
+	return c
+}
+
+func TestDecide(t *testing.T) {
+	for _, v := range []struct {
+		name   string
+		change func(q *waxwingseam.RetryQuestion)
+		want   bool
+	}{
+		{"may run again", func(*waxwingseam.RetryQuestion) {}, true},
+		{"no allowance", func(q *waxwingseam.RetryQuestion) { q.Left = 0 }, false},
+		{"body is gone", func(q *waxwingseam.RetryQuestion) { q.Replayable = false }, false},
+		{"all shed load", func(q *waxwingseam.RetryQuestion) { q.Overloaded = true }, false},
+		{"not repeatable, may have run", func(q *waxwingseam.RetryQuestion) { q.Call.Repeat = waxwingseam.RepeatNever }, false},
+		{"not repeatable, did not run", func(q *waxwingseam.RetryQuestion) {
+			q.Call.Repeat = waxwingseam.RepeatNever
+			q.Result.Outcome = waxwingseam.OutcomeDidNotRun
+		}, true},
+		{"cancelled", func(q *waxwingseam.RetryQuestion) { q.Result.Reason = waxwingseam.ReasonCancelled }, false},
+		{"deadline has passed", func(q *waxwingseam.RetryQuestion) { q.Call.Deadline = start }, false},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			q := question()
+			v.change(&q)
+			got := retrier.New(retrier.Config{}).Decide(context(1), q)
+			qt.Assert(t, got, qt.Equals, waxwingseam.RetryAnswer{Retry: v.want})
+		})
+	}
+}
+
+// TestBudget checks that the retries to a target that fails for good stay
+// within its first ones and its share of the successes before.
+func TestBudget(t *testing.T) {
+	for _, v := range []struct{ successes, want int }{{0, 10}, {100, 30}, {100_000, 100}} {
+		r := retrier.New(retrier.Config{})
+		q := question()
+		for range v.successes {
+			r.Succeeded("fees", q.Limit)
+		}
+		retries := 0
+		for r.Decide(context(1), q).Retry {
+			retries++
+		}
+		qt.Check(t, retries, qt.Equals, v.want)
+		q.Call.Service = "ledger"
+		qt.Check(t, r.Decide(context(1), q).Retry, qt.IsTrue, qt.Commentf("another target"))
+	}
+}
+
+// TestBackoff checks that calls that fail together come back spread out, and
+// later after each attempt.
+func TestBackoff(t *testing.T) {
+	const calls = 1000
+	r := retrier.New(retrier.Config{})
+	q := question()
+	q.Limit.BudgetPercent = 100
+	q.Limit.Backoff = 10 * time.Millisecond
+	for attempt, mean := range map[waxwingseam.Attempt]time.Duration{1: 10 * time.Millisecond, 3: 40 * time.Millisecond} {
+		q.Attempt = attempt
+		var slots [10]int
+		for i := range uint64(calls) {
+			got := r.Decide(context(i), q)
+			r.Succeeded("fees", q.Limit)
+			slots[min(int(got.Delay*10/(2*mean)), 9)]++
+		}
+		for _, n := range slots {
+			qt.Check(t, n > calls/20 && n < calls/5, qt.IsTrue, qt.Commentf("attempt %d: %v", attempt, slots))
+		}
+	}
+}
--- a/retry.go
+++ b/retry.go
@@ -28,10 +28,9 @@
 	// Split returns the part of an allowance that goes along with an attempt;
 	// the rest stays with the sender.
 	Split(in Allowance) Allowance
-	// Decide answers whether to retry, and after which delay.
+	// Decide answers whether to retry, and after which delay; a retry it allows
+	// is taken out of the target's budget.
 	Decide(c *Context, q RetryQuestion) RetryAnswer
-	// Sent counts a first attempt or a retry toward a service.
-	Sent(service ServiceName, retry bool)
-	// Succeeded counts a completed call of a service.
-	Succeeded(service ServiceName)
+	// Succeeded counts a completed call of a service toward its budget.
+	Succeeded(service ServiceName, limit RetryLimit)
 }
