balancer: subsets, filters, ejection, slow start, throttle; cost from reports

Cause: the thin balancer scanned all servers for each choice and knew neither failures nor cold servers. Change: a pool a service with a subset by rendezvous, two random choices in it, ordered filters, ejection from own ends with a cap, slow start by life, spill out of the data centre by reported utilisation, and a throttle that lets out a little more than is accepted, the most important first. Root changes: balance.go Query.Class, Feedback.Class and Rank, Overloaded takes the context.

--- a/balance.go
+++ b/balance.go
@@ -15,6 +15,7 @@
 // Query asks a balancer for a server.
 type Query struct {
 	Service ServiceName
+	Class   ClassName
 	Rank    Rank
 	// Tried lists servers that earlier attempts went to.
 	Tried []ServerName
@@ -37,6 +38,8 @@
 // Feedback is what one attempt showed of a server.
 type Feedback struct {
 	Server ServerName
+	Class  ClassName
+	Rank   Rank
 	Result Result
 	// Elapsed is the time from the dispatch to the end.
 	Elapsed time.Duration
@@ -54,7 +57,7 @@
 	// Observe takes in an ended attempt.
 	Observe(c *Context, f Feedback)
 	// Overloaded reports whether all known servers of a service shed load.
-	Overloaded(service ServiceName) bool
+	Overloaded(c *Context, service ServiceName) bool
 	// Server returns what is known of a server.
 	Server(name ServerName) (Server, bool)
 }
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -1,11 +1,9 @@
 // Package balancer chooses the backend server of each attempt from what the
-// node itself has seen of the servers.
+// node itself has seen of the servers: its own calls and the load that came
+// with their answers, never a server's health or load endpoint.
 package balancer
 
 import (
-	"cmp"
-	"slices"
-
 	"waxwingseam.example/waxwingseam"
 )
 
@@ -19,33 +17,36 @@
 
 type balancer struct {
 	config  Config
-	servers map[waxwingseam.ServerName]*target
-	// services lists the servers of each service in the order of their names.
-	services map[waxwingseam.ServiceName][]*target
-}
-
-// target is a server with what the node has seen of it.
-type target struct {
-	server   waxwingseam.Server
-	load     waxwingseam.Load
-	inFlight int
-	drained  bool
+	targets map[waxwingseam.ServerName]*target
+	pools   map[waxwingseam.ServiceName]*pool
+	filters []filter
+	// objects and sizes are those of the configuration in force.
+	objects map[waxwingseam.ServerName]waxwingseam.BackendServer
+	sizes   map[waxwingseam.ServiceName]int
 }
 
 // New returns a balancer that knows no servers.
 func New(config Config) waxwingseam.Balancer {
 	return &balancer{
-		config:   config,
-		servers:  map[waxwingseam.ServerName]*target{},
-		services: map[waxwingseam.ServiceName][]*target{},
+		config:  config,
+		targets: map[waxwingseam.ServerName]*target{},
+		pools:   map[waxwingseam.ServiceName]*pool{},
+		filters: defaultFilters(),
 	}
 }
 
 // Adopt implements waxwingseam.Balancer.
 func (b *balancer) Adopt(s *waxwingseam.Set) {
-	for name, t := range b.servers {
-		object, ok := s.BackendServer(name)
-		t.drained = ok && object.Drained
+	b.objects = make(map[waxwingseam.ServerName]waxwingseam.BackendServer, len(s.BackendServers))
+	for _, v := range s.BackendServers {
+		b.objects[v.Name] = v
+	}
+	b.sizes = make(map[waxwingseam.ServiceName]int, len(s.Services))
+	for _, v := range s.Services {
+		b.sizes[v.Name] = v.SubsetSize
+	}
+	for _, p := range b.pools {
+		p.stale = true
 	}
 }
 
@@ -60,108 +61,107 @@
 }
 
 func (b *balancer) learn(c *waxwingseam.Context, s waxwingseam.Server) {
-	t, ok := b.servers[s.Name]
+	t, ok := b.targets[s.Name]
 	if ok && s.Incarnation < t.server.Incarnation {
 		return
 	}
-	if ok && s.Service == t.server.Service {
+	if ok && s.Incarnation == t.server.Incarnation && s.Service == t.server.Service {
 		t.server = s
+		t.pool.stale = true
 		return
 	}
 	b.forget(s.Name)
-	object, _ := c.Set.BackendServer(s.Name)
-	t = &target{server: s, drained: object.Drained}
-	b.servers[s.Name] = t
-	b.services[s.Service] = append(b.services[s.Service], t)
-	slices.SortFunc(b.services[s.Service], func(a, o *target) int {
-		return cmp.Compare(a.server.Name, o.server.Name)
-	})
+	p := b.pool(s.Service)
+	t = newTarget(c, p, s)
+	b.targets[s.Name] = t
+	p.add(t)
 }
 
 func (b *balancer) forget(name waxwingseam.ServerName) {
-	t, ok := b.servers[name]
+	t, ok := b.targets[name]
 	if !ok {
 		return
 	}
-	delete(b.servers, name)
-	service := t.server.Service
-	b.services[service] = slices.DeleteFunc(b.services[service], func(o *target) bool { return o == t })
+	delete(b.targets, name)
+	t.pool.remove(t)
+}
+
+func (b *balancer) pool(service waxwingseam.ServiceName) *pool {
+	p, ok := b.pools[service]
+	if !ok {
+		p = newPool()
+		b.pools[service] = p
+	}
+	return p
 }
 
 // Choose implements waxwingseam.Balancer.
 func (b *balancer) Choose(c *waxwingseam.Context, q waxwingseam.Query) waxwingseam.Choice {
-	t := b.pick(c, q)
+	p := b.fresh(q.Service)
+	if q.Pinned != "" {
+		return b.choosePinned(p, q)
+	}
+	if len(p.near)+len(p.far) == 0 {
+		return waxwingseam.Choice{Refused: true, Reason: waxwingseam.ReasonNoServer}
+	}
+	if !p.admits(c, q) {
+		return p.refusal(c)
+	}
+	t := b.pick(c, p, q)
 	if t == nil {
+		return p.refusal(c)
+	}
+	return t.chosen(c)
+}
+
+// choosePinned answers a query that only one server may take. Whether it is
+// overloaded is left to that server.
+func (b *balancer) choosePinned(p *pool, q waxwingseam.Query) waxwingseam.Choice {
+	t, ok := b.targets[q.Pinned]
+	if !ok || t.pool != p || t.leaving() {
 		return waxwingseam.Choice{Refused: true, Reason: waxwingseam.ReasonNoServer}
 	}
 	t.inFlight++
 	return waxwingseam.Choice{Server: t.server}
 }
 
-func (b *balancer) pick(c *waxwingseam.Context, q waxwingseam.Query) *target {
-	var open, fresh []*target
-	for _, t := range b.services[q.Service] {
-		if !t.takesWork() || q.Pinned != "" && q.Pinned != t.server.Name {
-			continue
-		}
-		open = append(open, t)
-		if !slices.Contains(q.Tried, t.server.Name) {
-			fresh = append(fresh, t)
-		}
-	}
-	if len(fresh) == 0 {
-		fresh = open
-	}
-	if len(fresh) == 0 {
-		return nil
+// fresh returns a service's pool with its subset up to date.
+func (b *balancer) fresh(service waxwingseam.ServiceName) *pool {
+	p := b.pool(service)
+	if p.stale {
+		p.rebuild(b.config, b.sizes[service], b.objects)
 	}
-	random := c.Random()
-	first, second := fresh[random.IntN(len(fresh))], fresh[random.IntN(len(fresh))]
-	if second.cost() < first.cost() {
-		return second
-	}
-	return first
+	return p
 }
 
 // Observe implements waxwingseam.Balancer.
-func (b *balancer) Observe(_ *waxwingseam.Context, f waxwingseam.Feedback) {
-	t, ok := b.servers[f.Server]
+func (b *balancer) Observe(c *waxwingseam.Context, f waxwingseam.Feedback) {
+	t, ok := b.targets[f.Server]
 	if !ok {
 		return
 	}
-	t.inFlight = max(t.inFlight-1, 0)
-	if f.Result.Reached {
-		t.load = f.Result.Load
-	}
+	t.observe(c, f)
+	t.pool.observe(c, t, f)
 }
 
 // Overloaded implements waxwingseam.Balancer.
-func (b *balancer) Overloaded(service waxwingseam.ServiceName) bool {
-	targets := b.services[service]
-	for _, t := range targets {
-		if t.takesWork() && !t.load.Shedding {
-			return false
+func (b *balancer) Overloaded(c *waxwingseam.Context, service waxwingseam.ServiceName) bool {
+	p := b.fresh(service)
+	for _, list := range [][]*target{p.near, p.far} {
+		for _, t := range list {
+			if !t.shedding(c) {
+				return false
+			}
 		}
 	}
-	return len(targets) > 0
+	return len(p.near)+len(p.far) > 0
 }
 
 // Server implements waxwingseam.Balancer.
 func (b *balancer) Server(name waxwingseam.ServerName) (waxwingseam.Server, bool) {
-	t, ok := b.servers[name]
+	t, ok := b.targets[name]
 	if !ok {
 		return waxwingseam.Server{}, false
 	}
 	return t.server, true
 }
-
-// takesWork reports whether new work may go to the server.
-func (t *target) takesWork() bool {
-	return !t.drained && !t.server.Leaving && !t.load.Leaving
-}
-
-// cost ranks servers; the lower one is preferred.
-func (t *target) cost() float64 {
-	running := float64(t.load.InFlight+t.load.Waiting) + float64(t.inFlight) + 1
-	return running / float64(max(t.load.Limit, 1))
-}
--- /dev/null
+++ b/balancer/pool.go
@@ -0,0 +1,134 @@
+package balancer
+
+import (
+	"slices"
+	"time"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// pool is the servers of one service.
+type pool struct {
+	all []*target
+	// near and far are the subset that the node calls: servers in its own data
+	// centre and others. Both are made anew when stale.
+	near, far []*target
+	stale     bool
+	// failing is the sum of the servers' failure shares, ejected the count of
+	// those that are ejected, limits the sum of the reported limits.
+	failing float64
+	ejected int
+	limits  float64
+
+	throttle throttle
+	classes  map[waxwingseam.ClassName]*throttle
+}
+
+func newPool() *pool {
+	return &pool{classes: map[waxwingseam.ClassName]*throttle{}}
+}
+
+func (p *pool) add(t *target) {
+	p.all = append(p.all, t)
+	p.stale = true
+}
+
+func (p *pool) remove(t *target) {
+	p.all = slices.DeleteFunc(p.all, func(o *target) bool { return o == t })
+	p.failing -= t.health.failures
+	if t.health.out {
+		p.ejected--
+	}
+	p.stale = true
+}
+
+// rebuild chooses the subset anew.
+func (p *pool) rebuild(config Config, size int, objects map[waxwingseam.ServerName]waxwingseam.BackendServer) {
+	p.stale = false
+	var near, far []*target
+	for _, t := range p.all {
+		t.weight, t.drained = 1, false
+		if v, ok := objects[t.server.Name]; ok {
+			t.drained = v.Drained
+			t.weight = weightOf(v)
+		}
+		switch {
+		case t.leaving():
+		case t.server.DataCentre == config.DataCentre:
+			near = append(near, t)
+		default:
+			far = append(far, t)
+		}
+	}
+	p.near = subset(config.Self, near, size)
+	p.far = subset(config.Self, far, size)
+	p.limits = 0
+	for _, t := range p.near {
+		p.limits += float64(t.load.Limit)
+	}
+	for _, t := range p.far {
+		p.limits += float64(t.load.Limit)
+	}
+}
+
+func weightOf(v waxwingseam.BackendServer) float64 {
+	if v.Weight <= 0 {
+		return 1
+	}
+	return float64(v.Weight) / fullWeight
+}
+
+// usualLimit stands in for the limit of a server that has not reported one.
+func (p *pool) usualLimit() float64 {
+	return max(p.limits/float64(max(len(p.near)+len(p.far), 1)), 1)
+}
+
+// admits reports whether a call may be sent at all, by what the service and
+// the calls of its class came to.
+func (p *pool) admits(c *waxwingseam.Context, q waxwingseam.Query) bool {
+	if !p.class(q.Class).offer(c.Now, q.Rank) {
+		return false
+	}
+	return p.throttle.offer(c.Now, q.Rank)
+}
+
+func (p *pool) class(name waxwingseam.ClassName) *throttle {
+	v, ok := p.classes[name]
+	if !ok {
+		v = &throttle{}
+		p.classes[name] = v
+	}
+	return v
+}
+
+// observe takes in an ended attempt at one of the servers.
+func (p *pool) observe(c *waxwingseam.Context, t *target, f waxwingseam.Feedback) {
+	switch {
+	case refusedForLoad(f.Result):
+		p.throttle.rejected(c.Now)
+	case f.Result.Completed() && refusedBelow(f.Result.Status):
+		p.throttle.accepted(c.Now)
+		p.class(f.Class).rejected(c.Now)
+	case f.Result.Completed():
+		p.throttle.accepted(c.Now)
+		p.class(f.Class).accepted(c.Now)
+	}
+	p.judge(c, t, f)
+}
+
+const (
+	// minRetryAfter and maxRetryAfter bound when a refused caller may come back.
+	minRetryAfter = time.Second
+	maxRetryAfter = 10 * time.Second
+)
+
+// refusal refuses a call before it is sent, and spreads the return of callers.
+func (p *pool) refusal(c *waxwingseam.Context) waxwingseam.Choice {
+	mean := time.Duration(p.throttle.excess() * float64(minRetryAfter))
+	mean = min(max(mean, minRetryAfter), maxRetryAfter)
+	return waxwingseam.Choice{
+		Refused:    true,
+		Reason:     waxwingseam.ReasonOverloaded,
+		RetryAfter: mean + time.Duration(c.Random().Int64N(int64(mean))),
+	}
+}
--- /dev/null
+++ b/balancer/target.go
@@ -0,0 +1,154 @@
+package balancer
+
+import (
+	"math"
+	"time"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+const (
+	// warmUp is the time in which a new life of a server gets up to its share.
+	warmUp = 10 * time.Second
+	// coldWeight is the share that it starts with.
+	coldWeight = 0.2
+	// loadLifetime is how long a reported threshold is believed.
+	loadLifetime = 300 * time.Millisecond
+	// latencyMemory is the time in which an old latency fades.
+	latencyMemory = time.Second
+	// failureStatus is the least HTTP status that counts as a failure.
+	failureStatus = 500
+	// fullWeight is the usual weight of a server's object, in hundredths.
+	fullWeight = 100
+)
+
+// target is a server with what the node has seen of it.
+type target struct {
+	server waxwingseam.Server
+	pool   *pool
+	// born is when this life of the server began, as far as is known.
+	born time.Time
+	// weight is that of the server's object; drained keeps new work away.
+	weight  float64
+	drained bool
+
+	load     waxwingseam.Load
+	loadAt   time.Time
+	inFlight int
+	// latency is the usual time of a completed call, in seconds.
+	latency   float64
+	latencyAt time.Time
+	health    health
+}
+
+func newTarget(c *waxwingseam.Context, p *pool, s waxwingseam.Server) *target {
+	born := c.Now
+	if !s.Since.IsZero() && s.Since.Before(born) {
+		born = s.Since
+	}
+	return &target{server: s, pool: p, born: born, weight: 1}
+}
+
+// chosen counts an attempt toward the server.
+func (t *target) chosen(c *waxwingseam.Context) waxwingseam.Choice {
+	t.inFlight++
+	t.health.probe(c.Now)
+	return waxwingseam.Choice{Server: t.server}
+}
+
+// observe takes in an ended attempt.
+func (t *target) observe(c *waxwingseam.Context, f waxwingseam.Feedback) {
+	t.inFlight = max(t.inFlight-1, 0)
+	if f.Result.Reached {
+		t.report(c, f.Result.Load)
+	}
+	if succeeded(f.Result) {
+		t.observeLatency(c, f.Elapsed)
+	}
+}
+
+func (t *target) report(c *waxwingseam.Context, load waxwingseam.Load) {
+	if load.Leaving != t.load.Leaving {
+		t.pool.stale = true
+	}
+	t.load = load
+	t.loadAt = c.Now
+}
+
+func (t *target) observeLatency(c *waxwingseam.Context, elapsed time.Duration) {
+	keep := math.Exp(-c.Now.Sub(t.latencyAt).Seconds() / latencyMemory.Seconds())
+	// A burst of answers at one moment still moves the mean.
+	keep = min(keep, latencyKeep)
+	if t.latencyAt.IsZero() {
+		keep = 0
+	}
+	t.latency = keep*t.latency + (1-keep)*elapsed.Seconds()
+	t.latencyAt = c.Now
+}
+
+// latencyKeep is the most that one answer leaves of the mean before it.
+const latencyKeep = 0.95
+
+// leaving reports whether no new work may go to the server.
+func (t *target) leaving() bool {
+	return t.drained || t.server.Leaving || t.load.Leaving
+}
+
+// shedding reports whether the server was seen to refuse calls just now.
+func (t *target) shedding(c *waxwingseam.Context) bool {
+	return t.load.Shedding && c.Now.Sub(t.loadAt) < loadLifetime
+}
+
+// refuses reports whether the server would refuse a call of a rank. Ranks of
+// the threshold's own importance are left to the server.
+func (t *target) refuses(c *waxwingseam.Context, r waxwingseam.Rank) bool {
+	return t.shedding(c) && r.Importance < t.load.Threshold.Importance
+}
+
+// warmth is the share of usual work that the server's age allows, up to 1.
+func (t *target) warmth(now time.Time) float64 {
+	age := now.Sub(t.born)
+	if age >= warmUp {
+		return 1
+	}
+	return coldWeight + (1-coldWeight)*max(age.Seconds(), 0)/warmUp.Seconds()
+}
+
+// limit is the calls that the server runs at once, scaled by its weight.
+func (t *target) limit(now time.Time) float64 {
+	limit := float64(t.load.Limit)
+	if limit == 0 {
+		limit = t.pool.usualLimit()
+	}
+	return max(limit*t.weight*t.warmth(now), 1)
+}
+
+// cost ranks servers, the lower one preferred: the time that the calls ahead of
+// a new one take.
+func (t *target) cost(c *waxwingseam.Context) float64 {
+	own := float64(t.inFlight + 1)
+	others := float64(t.load.InFlight+t.load.Waiting) * t.trust(c)
+	return (own + others) / t.limit(c.Now) * (t.latency + minLatency)
+}
+
+// minLatency stands in for the latency of a server that has not answered yet,
+// in seconds.
+const minLatency = 0.001
+
+// trust fades a report with its age.
+func (t *target) trust(c *waxwingseam.Context) float64 {
+	return math.Exp(-c.Now.Sub(t.loadAt).Seconds() / loadLifetime.Seconds())
+}
+
+// utilisation is the share of the limit that was in use, as reported.
+func (t *target) utilisation() float64 {
+	if t.load.Limit == 0 {
+		return 0
+	}
+	return float64(t.load.InFlight+t.load.Waiting) / float64(t.load.Limit)
+}
+
+// succeeded reports whether the backend server did what was asked.
+func succeeded(r waxwingseam.Result) bool {
+	return r.Completed() && r.Status < failureStatus
+}
--- /dev/null
+++ b/balancer/throttle.go
@@ -0,0 +1,123 @@
+package balancer
+
+import (
+	"math"
+	"net/http"
+	"time"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+const (
+	// throttleMemory is the time in which a throttle's counts fade.
+	throttleMemory = 250 * time.Millisecond
+	// sendRatio is how many calls go out for each that is accepted.
+	sendRatio = 1.1
+	// calmShare is the share of rejections up to which nothing is refused.
+	calmShare = 0.02
+	// minRejections is the count of rejections below which nothing is refused.
+	minRejections = 2
+	// probesPerSecond go out however many are rejected.
+	probesPerSecond = 10
+
+	importances = int(waxwingseam.MaxImportance) + 1
+)
+
+// throttle refuses calls in place of a service that would refuse them: it lets
+// out a little more than are accepted, the most important first (adaptive
+// throttling after Beyer et al., Site Reliability Engineering, 2016, ch. 21,
+// with ranks in place of chance).
+type throttle struct {
+	at       time.Time
+	offers   [importances]float64
+	accepts  float64
+	rejects  float64
+	offering float64
+}
+
+func (t *throttle) fade(now time.Time) {
+	elapsed := now.Sub(t.at)
+	if elapsed <= 0 {
+		return
+	}
+	t.at = now
+	keep := math.Exp(-elapsed.Seconds() / throttleMemory.Seconds())
+	t.accepts *= keep
+	t.rejects *= keep
+	t.offering = 0
+	for i := range t.offers {
+		t.offers[i] *= keep
+		t.offering += t.offers[i]
+	}
+}
+
+func (t *throttle) accepted(now time.Time) {
+	t.fade(now)
+	t.accepts++
+}
+
+func (t *throttle) rejected(now time.Time) {
+	t.fade(now)
+	t.rejects++
+}
+
+// offer counts a call and reports whether it may be sent.
+func (t *throttle) offer(now time.Time, r waxwingseam.Rank) bool {
+	t.fade(now)
+	level := min(int(r.Importance), importances-1)
+	t.offers[level]++
+	t.offering++
+	if t.calm() {
+		return true
+	}
+	room := t.capacity()
+	for i := importances - 1; i > level; i-- {
+		room -= t.offers[i]
+	}
+	return fraction(r)*t.offers[level] < room
+}
+
+// calm reports whether too few calls are rejected to refuse any.
+func (t *throttle) calm() bool {
+	return t.rejects < minRejections || t.rejects < calmShare*(t.accepts+t.rejects)
+}
+
+// capacity is the calls that may be sent within the memory.
+func (t *throttle) capacity() float64 {
+	return sendRatio*t.accepts + probesPerSecond*throttleMemory.Seconds()
+}
+
+// excess is how many times more calls are offered than may be sent.
+func (t *throttle) excess() float64 {
+	return t.offering / t.capacity()
+}
+
+// fraction places a root evenly between 0 and 1, the same at every hop.
+func fraction(r waxwingseam.Rank) float64 {
+	const (
+		golden = 0x9e3779b97f4a7c15
+		bits   = 53
+	)
+	mixed := r.Order * golden
+	mixed = (mixed ^ mixed>>29) * golden
+	return float64(mixed>>(64-bits)) / (1 << bits)
+}
+
+// refusedForLoad reports whether the receiving node refused a call because of
+// its load.
+func refusedForLoad(r waxwingseam.Result) bool {
+	switch r.Reason {
+	case waxwingseam.ReasonOverloaded, waxwingseam.ReasonEvicted, waxwingseam.ReasonWaitLimit:
+		return true
+	}
+	return false
+}
+
+// refusedBelow reports whether a status tells of a refusal further down.
+func refusedBelow(status int) bool {
+	switch status {
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	}
+	return false
+}
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -6,6 +6,7 @@
 func (d *dispatcher) send(c *waxwingseam.Context, f *flight) {
 	query := waxwingseam.Query{
 		Service: f.call.Service,
+		Class:   f.call.Class,
 		Rank:    f.call.Rank,
 		Tried:   f.tried,
 	}
@@ -40,6 +41,8 @@
 	}
 	d.Balancer.Observe(c, waxwingseam.Feedback{
 		Server:  a.server.Name,
+		Class:   f.call.Class,
+		Rank:    f.call.Rank,
 		Result:  result,
 		Elapsed: c.Now.Sub(a.sent),
 	})
@@ -56,7 +59,7 @@
 			Limit:      f.limit,
 			Left:       f.pot.Left,
 			Replayable: f.replayable,
-			Overloaded: d.Balancer.Overloaded(f.call.Service),
+			Overloaded: d.Balancer.Overloaded(c, f.call.Service),
 		})
 	}
 	if !answer.Retry {
