--- a/dispatcher/arrival.go
+++ b/dispatcher/arrival.go
@@ -61,8 +61,14 @@
 	f.call.Rank = d.Classifier.Rank(c, class, e.Root)
 	f.call.Deadline = c.Now.Add(class.Deadline)
 	f.shortenDeadline(c, e.Timeout)
-	if !e.Outbound {
-		f.left = f.limit.Allowance
+	granted := f.limit.Allowance
+	if e.Outbound {
+		granted = 0
+	}
+	f.pot = &waxwingseam.Pot{Left: granted}
+	if key, ok := f.rootKey(); ok {
+		d.keys.expire(c.Now)
+		f.pot = d.keys.open(key, granted)
 	}
 }
 
@@ -79,7 +85,7 @@
 	f.call.Depth = parent.Depth + 1
 	f.call.Deadline = parent.Deadline
 	f.shortenDeadline(c, e.Timeout)
-	f.left = d.Tracker.Draw(parent.ID, e.ID)
+	f.pot = d.Tracker.Open(parent.ID, e.ID)
 	return waxwingseam.ReasonNone
 }
 
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -6,6 +6,7 @@
 func (d *dispatcher) send(c *waxwingseam.Context, f *flight) {
 	query := waxwingseam.Query{
 		Service: f.call.Service,
+		Class:   f.call.Class,
 		Rank:    f.call.Rank,
 		Tried:   f.tried,
 	}
@@ -17,10 +18,9 @@
 		d.finish(c, f, waxwingseam.Result{Reason: choice.Reason, RetryAfter: choice.RetryAfter})
 		return
 	}
-	share := min(d.Retrier.Split(f.left), f.left)
-	f.left -= share
+	share := min(d.Retrier.Split(f.pot.Left), f.pot.Left)
+	f.pot.Left -= share
 	number := waxwingseam.Attempt(len(f.attempts) + 1)
-	d.Retrier.Sent(f.call.Service, number > 1)
 	f.tried = append(f.tried, choice.Server.Name)
 	f.attempts = append(f.attempts, attempt{
 		number: number,
@@ -37,10 +37,12 @@
 func (d *dispatcher) settle(c *waxwingseam.Context, f *flight, a *attempt, p proof, result waxwingseam.Result) {
 	a.proof = p
 	if p == proofNotRun {
-		f.left += a.share
+		f.pot.Left += a.share
 	}
 	d.Balancer.Observe(c, waxwingseam.Feedback{
 		Server:  a.server.Name,
+		Class:   f.call.Class,
+		Rank:    f.call.Rank,
 		Result:  result,
 		Elapsed: c.Now.Sub(a.sent),
 	})
@@ -49,22 +51,22 @@
 // proceed follows a settled attempt with another one or with the answer.
 func (d *dispatcher) proceed(c *waxwingseam.Context, f *flight, a *attempt, result waxwingseam.Result) {
 	answer := waxwingseam.RetryAnswer{}
-	if f.repeatable() && f.left > 0 {
+	if f.repeatable() && f.pot.Left > 0 {
 		answer = d.Retrier.Decide(c, waxwingseam.RetryQuestion{
 			Call:       f.call,
 			Attempt:    a.number,
 			Result:     result,
 			Limit:      f.limit,
-			Left:       f.left,
+			Left:       f.pot.Left,
 			Replayable: f.replayable,
-			Overloaded: d.Balancer.Overloaded(f.call.Service),
+			Overloaded: d.Balancer.Overloaded(c, f.call.Service),
 		})
 	}
 	if !answer.Retry {
 		d.finish(c, f, result)
 		return
 	}
-	f.left--
+	f.pot.Spend()
 	if answer.Delay <= 0 {
 		d.send(c, f)
 		return
@@ -100,8 +102,9 @@
 		Attempt: waxwingseam.Attempt(len(f.attempts)),
 		Result:  result,
 	})
-	if !f.call.Parent.IsZero() {
-		d.Tracker.Return(f.call.Parent, id, f.left)
+	d.Tracker.Close(f.call.Parent, id)
+	if key, ok := f.rootKey(); ok {
+		d.keys.close(key, c.Now)
 	}
 	delete(d.flights, id)
 }
