--- /dev/null
+++ b/experimenter/deployment.go
@@ -0,0 +1,195 @@
+package experimenter
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// Tier is one service with its backend servers.
+type Tier struct {
+	Service     waxwingseam.ServiceName
+	Servers     int
+	Slots       int
+	Connections int
+	// Work is the mean time that one visit keeps the service itself busy.
+	Work time.Duration
+}
+
+// Mix is one kind of request in the demand.
+type Mix struct {
+	Class      waxwingseam.ClassName
+	Importance waxwingseam.Importance
+	Repeat     waxwingseam.Repeat
+	// Share is its part of the demand, in percent.
+	Share int
+	Wait  time.Duration
+}
+
+// Deployment is a set of services with the demand that they serve.
+type Deployment struct {
+	Name  string
+	Tiers []Tier
+	Mixes []Mix
+	// Delay is the one-way time between two hosts, ClientDelay that between a
+	// caller and a host.
+	Delay       time.Duration
+	ClientDelay time.Duration
+	// Deadline is the time a root has.
+	Deadline time.Duration
+	// Waiting is the most roots in the queue of one backend server.
+	Waiting int
+}
+
+// VanDalen returns the hallmarking office's deployment.
+func VanDalen() Deployment {
+	return Deployment{
+		Name: "van-dalen",
+		Tiers: []Tier{
+			{"lot-desk", 3, 60, 500, 20 * time.Millisecond},
+			{"mark-ledger", 3, 60, 500, 30 * time.Millisecond},
+			{"assay-images", 4, 50, 400, 40 * time.Millisecond},
+			{"fees", 3, 15, 200, 40 * time.Millisecond},
+		},
+		Mixes: []Mix{
+			{"register-mark", 8, waxwingseam.RepeatNever, 20, 500 * time.Millisecond},
+			{"upload-photo", 7, waxwingseam.RepeatNever, 20, 500 * time.Millisecond},
+			{"look-up-lot", 5, waxwingseam.RepeatIdempotent, 30, 250 * time.Millisecond},
+			{"staff-check", 2, waxwingseam.RepeatIdempotent, 30, 100 * time.Millisecond},
+		},
+		Delay:       500 * time.Microsecond,
+		ClientDelay: 8 * time.Millisecond,
+		Deadline:    3 * time.Second,
+		Waiting:     60,
+	}
+}
+
+// Jnina returns the seasonal work association's deployment.
+func Jnina() Deployment {
+	return Deployment{
+		Name: "jnina",
+		Tiers: []Tier{
+			{"job-board", 4, 130, 850, 60 * time.Millisecond},
+			{"placements", 3, 170, 1100, 90 * time.Millisecond},
+			{"paperwork", 3, 170, 1100, 120 * time.Millisecond},
+			{"rosters", 3, 30, 270, 100 * time.Millisecond},
+		},
+		Mixes: []Mix{
+			{"place-picker", 8, waxwingseam.RepeatNever, 20, 500 * time.Millisecond},
+			{"upload-contract", 7, waxwingseam.RepeatNever, 20, 500 * time.Millisecond},
+			{"check-roster", 5, waxwingseam.RepeatIdempotent, 30, 250 * time.Millisecond},
+			{"browse-jobs", 2, waxwingseam.RepeatIdempotent, 30, 100 * time.Millisecond},
+		},
+		Delay:       1500 * time.Microsecond,
+		ClientDelay: 8 * time.Millisecond,
+		Deadline:    5 * time.Second,
+		Waiting:     60,
+	}
+}
+
+// Deployments returns both deployments.
+func Deployments() []Deployment {
+	return []Deployment{VanDalen(), Jnina()}
+}
+
+// Visit is one call of a plan: work at a service, then stages of further calls.
+type Visit struct {
+	Service waxwingseam.ServiceName
+	// Work is the mean time of its own work.
+	Work time.Duration
+	// Stages follow one another; the calls of one stage go out together.
+	Stages [][]*Visit
+}
+
+// Chain returns the plan of a request that goes through the services in turn,
+// each call made from the one before.
+func (d Deployment) Chain(depth int) *Visit {
+	var below *Visit
+	for i := depth - 1; i >= 0; i-- {
+		tier := d.Tiers[i%len(d.Tiers)]
+		v := &Visit{Service: tier.Service, Work: tier.Work}
+		if below != nil {
+			v.Stages = [][]*Visit{{below}}
+		}
+		below = v
+	}
+	return below
+}
+
+// Capacity returns the roots of a plan per second at which the first service
+// has all its slots held all the time.
+func (d Deployment) Capacity(plan *Visit) float64 {
+	held := map[waxwingseam.ServiceName]time.Duration{}
+	d.hold(plan, held)
+	least := math.Inf(1)
+	for _, t := range d.Tiers {
+		if held[t.Service] > 0 {
+			least = min(least, float64(t.Servers*t.Slots)/held[t.Service].Seconds())
+		}
+	}
+	return least
+}
+
+// hold adds the times in which a plan holds slots, and returns its own.
+func (d Deployment) hold(v *Visit, held map[waxwingseam.ServiceName]time.Duration) time.Duration {
+	total := v.Work
+	for _, stage := range v.Stages {
+		var longest time.Duration
+		for _, child := range stage {
+			longest = max(longest, d.hold(child, held)+2*d.Delay)
+		}
+		total += longest
+	}
+	held[v.Service] += total
+	return total
+}
+
+// path is the path under which a class of calls reaches a service.
+func path(class waxwingseam.ClassName) string {
+	return "/" + string(class)
+}
+
+// set returns the configuration of the deployment: each class of the demand
+// at each service.
+func (d Deployment) set() *waxwingseam.Set {
+	s := &waxwingseam.Set{Revision: 1}
+	for _, t := range d.Tiers {
+		s.Services = append(s.Services, waxwingseam.Service{
+			Name:        t.Service,
+			Slots:       t.Slots,
+			Connections: t.Connections,
+		})
+		for _, m := range d.Mixes {
+			s.RequestClasses = append(s.RequestClasses, d.class(t.Service, m))
+		}
+	}
+	for _, m := range d.Mixes {
+		s.WaitLimits = append(s.WaitLimits, waxwingseam.WaitLimit{
+			Name:    string(m.Class),
+			Wait:    m.Wait,
+			Waiting: d.Waiting,
+		})
+	}
+	s.RetryLimits = []waxwingseam.RetryLimit{{
+		Name:          "usual",
+		Allowance:     2,
+		BudgetPercent: 10,
+		Backoff:       20 * time.Millisecond,
+	}}
+	return s
+}
+
+func (d Deployment) class(service waxwingseam.ServiceName, m Mix) waxwingseam.RequestClass {
+	return waxwingseam.RequestClass{
+		Name:       waxwingseam.ClassName(fmt.Sprintf("%s-%s", service, m.Class)),
+		Service:    service,
+		Path:       path(m.Class),
+		Importance: m.Importance,
+		Repeat:     m.Repeat,
+		Deadline:   d.Deadline,
+		RetryLimit: "usual",
+		WaitLimit:  string(m.Class),
+	}
+}
--- /dev/null
+++ b/experimenter/experimenter_test.go
@@ -0,0 +1,32 @@
+package experimenter
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// steady is a quiet run of the project's layer below capacity.
+func steady(d Deployment, depth int) Config {
+	config := newConfig(d, depth, time.Second)
+	config.Layer = Waxwingseam()
+	config.Demand.Base = 0.3
+	config.Length = 2 * time.Second
+	config.Before, config.Until = 500*time.Millisecond, 1500*time.Millisecond
+	return config
+}
+
+func TestQuietRunServesAll(t *testing.T) {
+	for _, d := range Deployments() {
+		r := Run(steady(d, 4))
+		qt.Assert(t, r.Before, qt.Equals, 1.0)
+		qt.Assert(t, r.Recovered, qt.IsTrue)
+		qt.Assert(t, r.Open, qt.Equals, 0)
+		qt.Assert(t, r.MaxAttempts, qt.Equals, 4)
+	}
+}
+
+func TestSameSeedGivesSameReport(t *testing.T) {
+	qt.Assert(t, Run(steady(VanDalen(), 4)), qt.DeepEquals, Run(steady(VanDalen(), 4)))
+}
--- /dev/null
+++ b/experimenter/records.go
@@ -0,0 +1,95 @@
+package experimenter
+
+import (
+	"time"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// records tells apart the live calls of a node and forgets ended ones.
+type records struct {
+	live   map[waxwingseam.CallID]waxwingseam.Standing
+	fenced map[waxwingseam.CallID]struct{}
+}
+
+func newRecords() waxwingseam.Deduplicator {
+	return &records{
+		live:   map[waxwingseam.CallID]waxwingseam.Standing{},
+		fenced: map[waxwingseam.CallID]struct{}{},
+	}
+}
+
+func (r *records) Arrive(_ *waxwingseam.Context, call waxwingseam.Call) waxwingseam.Record {
+	if _, ok := r.fenced[call.ID]; ok {
+		return waxwingseam.Record{Standing: waxwingseam.StandingFenced}
+	}
+	standing, ok := r.live[call.ID]
+	if !ok {
+		r.live[call.ID] = waxwingseam.StandingWaiting
+	}
+	return waxwingseam.Record{Standing: standing, Owner: call.ID}
+}
+
+func (r *records) Refuse(_ *waxwingseam.Context, id waxwingseam.CallID) { delete(r.live, id) }
+
+func (r *records) Start(_ *waxwingseam.Context, id waxwingseam.CallID) {
+	r.live[id] = waxwingseam.StandingRunning
+}
+
+func (r *records) Finish(_ *waxwingseam.Context, id waxwingseam.CallID, _ waxwingseam.Result) bool {
+	delete(r.live, id)
+	return false
+}
+
+func (r *records) Fence(_ *waxwingseam.Context, id waxwingseam.CallID, _ time.Time) bool {
+	if r.live[id] == waxwingseam.StandingRunning {
+		return true
+	}
+	r.fenced[id] = struct{}{}
+	return false
+}
+
+func (r *records) Expire(*waxwingseam.Context) []waxwingseam.CallID { return nil }
+
+// openDoor is a drainer of a server that stays.
+type openDoor struct{}
+
+func (openDoor) Drain(*waxwingseam.Context, bool) {}
+func (openDoor) Leaving() bool                    { return false }
+
+// families keeps the live runs and their open child calls; it grants no
+// allowance.
+type families struct {
+	runs     map[waxwingseam.CallID]waxwingseam.Call
+	children map[waxwingseam.CallID][]waxwingseam.CallID
+}
+
+func newFamilies() *families {
+	return &families{
+		runs:     map[waxwingseam.CallID]waxwingseam.Call{},
+		children: map[waxwingseam.CallID][]waxwingseam.CallID{},
+	}
+}
+
+func (f *families) Begin(call waxwingseam.Call) { f.runs[call.ID] = call }
+
+func (f *families) Parent(id waxwingseam.CallID) (waxwingseam.Call, bool) {
+	call, ok := f.runs[id]
+	return call, ok
+}
+
+func (f *families) Draw(parent, child waxwingseam.CallID) waxwingseam.Allowance {
+	f.children[parent] = append(f.children[parent], child)
+	return 0
+}
+
+func (f *families) Return(waxwingseam.CallID, waxwingseam.CallID, waxwingseam.Allowance) {}
+
+func (f *families) Unspent(waxwingseam.CallID) waxwingseam.Allowance { return 0 }
+
+func (f *families) End(id waxwingseam.CallID) []waxwingseam.CallID {
+	children := f.children[id]
+	delete(f.children, id)
+	delete(f.runs, id)
+	return children
+}
--- /dev/null
+++ b/experimenter/scenario.go
@@ -0,0 +1,202 @@
+package experimenter
+
+import (
+	"fmt"
+	"time"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+const (
+	usualDemand = 0.7
+	hardResends = 5
+	quietTime   = 3 * time.Second
+	afterTime   = 6 * time.Second
+	slowdown    = 0.1
+	coldSpeed   = 0.2
+	coldTime    = 5 * time.Second
+)
+
+// Case is one experiment of a scenario. Its configuration lacks the layer.
+type Case struct {
+	Name   string
+	Config Config
+	// Reduced is the deployment as it is while the trigger is on; its
+	// saturation is what goodput is compared to.
+	Reduced Deployment
+}
+
+// Scenario is a named list of cases for a deployment; on is how long the
+// trigger lasts.
+type Scenario struct {
+	Name  string
+	Cases func(d Deployment, on time.Duration) []Case
+}
+
+// Scenarios returns all scenarios in order.
+func Scenarios() []Scenario {
+	return []Scenario{
+		{Name: "surge", Cases: surgeCases},
+		{Name: "slow-service", Cases: slowCases},
+		{Name: "cold-start", Cases: coldCases},
+		{Name: "mixed-classes", Cases: mixedCases},
+	}
+}
+
+// newConfig returns a quiet time, a trigger and a time after it.
+func newConfig(d Deployment, depth int, on time.Duration) Config {
+	plan := d.Chain(depth)
+	return Config{
+		Deployment: d,
+		Plan:       plan,
+		Capacity:   d.Capacity(plan),
+		Demand:     Demand{Base: usualDemand, Resends: hardResends},
+		Before:     quietTime,
+		Until:      quietTime + on,
+		Length:     quietTime + on + afterTime,
+		Seed:       1,
+	}
+}
+
+// surgeCases are surges with callers that send again hard.
+func surgeCases(d Deployment, on time.Duration) []Case {
+	depths, surges := []int{4, 13}, []float64{3, 10}
+	out := make([]Case, 0, len(depths)*len(surges))
+	for _, depth := range depths {
+		for _, surge := range surges {
+			config := newConfig(d, depth, on)
+			config.Demand.Surge = surge
+			out = append(out, Case{
+				Name:    fmt.Sprintf("surge %gx, chain %d", surge, depth),
+				Config:  config,
+				Reduced: d,
+			})
+		}
+	}
+	return out
+}
+
+// slowCases slow the deepest service: alone, with a surge, and twice.
+func slowCases(d Deployment, on time.Duration) []Case {
+	deep := len(d.Tiers) - 1
+	reduced := d
+	reduced.Tiers = append([]Tier(nil), d.Tiers...)
+	reduced.Tiers[deep].Work = time.Duration(float64(d.Tiers[deep].Work) / slowdown)
+	variants := []struct {
+		name  string
+		surge float64
+		times int
+	}{
+		{"deep service 10x slower", 0, 1},
+		{"deep service 10x slower with surge 3x", 3, 1},
+		{"deep service 10x slower, twice", 0, 2},
+	}
+	out := make([]Case, 0, len(variants))
+	for _, v := range variants {
+		config := newConfig(d, len(d.Tiers), on)
+		config.Demand.Surge = v.surge
+		for i := range v.times {
+			from := config.Before + time.Duration(i)*(on+afterTime)
+			config.Faults = append(config.Faults,
+				speedFault(d.Tiers[deep].Service, from, slowdown),
+				speedFault(d.Tiers[deep].Service, from+on, 1))
+			config.Until = from + on
+			config.Length = config.Until + afterTime
+		}
+		config.Before = config.Until - on
+		out = append(out, Case{Name: v.name, Config: config, Reduced: reduced})
+	}
+	return out
+}
+
+func speedFault(service waxwingseam.ServiceName, at time.Duration, speed float64) Fault {
+	return Fault{At: at, Do: func(w *World) {
+		for _, n := range w.Service(service) {
+			n.SetSpeed(speed)
+		}
+	}}
+}
+
+// coldCases start servers cold: one, and half of a service together.
+func coldCases(d Deployment, on time.Duration) []Case {
+	out := make([]Case, 0, 2)
+	for _, v := range []struct {
+		name string
+		tier int
+		half bool
+	}{
+		{"one deep server restarts cold", len(d.Tiers) - 1, false},
+		{"half of the entry service restarts cold", 0, true},
+	} {
+		config := newConfig(d, len(d.Tiers), on)
+		t := d.Tiers[v.tier]
+		n := 1
+		if v.half {
+			n = (t.Servers + 1) / 2
+		}
+		config.Faults = []Fault{{At: config.Before, Do: func(w *World) {
+			for _, node := range w.Service(t.Service)[:n] {
+				w.restartCold(node)
+			}
+		}}}
+		out = append(out, Case{Name: v.name, Config: config, Reduced: d})
+	}
+	return out
+}
+
+// restartCold begins a new life of a node whose backend server is slow at first.
+func (w *World) restartCold(n *Node) {
+	n.Restart()
+	n.SetSpeed(coldSpeed)
+	life := n.Server.Incarnation
+	w.After(coldTime, func() {
+		if n.Server.Incarnation == life {
+			n.SetSpeed(1)
+		}
+	})
+}
+
+// mixedCases raise the demand of all classes step by step.
+func mixedCases(d Deployment, on time.Duration) []Case {
+	demands := []float64{1, 1.5, 2, 3, 5, 10}
+	out := make([]Case, 0, len(demands))
+	for _, demand := range demands {
+		config := newConfig(d, len(d.Tiers), on)
+		config.Demand.Surge = demand
+		out = append(out, Case{
+			Name:    fmt.Sprintf("mixed classes at %gx", demand),
+			Config:  config,
+			Reduced: d,
+		})
+	}
+	return out
+}
+
+// Saturation returns the goodput at saturation of the case while its trigger
+// is on.
+func (c Case) Saturation(layers []Layer) float64 {
+	config := c.Config
+	config.Deployment = c.Reduced
+	config.Capacity = c.Reduced.Capacity(c.reducedPlan(config.Plan))
+	config.Plan = c.reducedPlan(config.Plan)
+	config.Faults = nil
+	return Saturation(config, layers)
+}
+
+// reducedPlan is the plan with the reduced deployment's work.
+func (c Case) reducedPlan(v *Visit) *Visit {
+	out := &Visit{Service: v.Service, Work: v.Work}
+	for _, t := range c.Reduced.Tiers {
+		if t.Service == v.Service {
+			out.Work = t.Work
+		}
+	}
+	for _, stage := range v.Stages {
+		below := make([]*Visit, 0, len(stage))
+		for _, child := range stage {
+			below = append(below, c.reducedPlan(child))
+		}
+		out.Stages = append(out.Stages, below)
+	}
+	return out
+}
--- /dev/null
+++ b/experimenter/table.go
@@ -0,0 +1,59 @@
+package experimenter
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// WriteTable writes the reports of one case side by side.
+func WriteTable(out io.Writer, c Case, saturation float64, reports []Report) error {
+	lines := append(make([]string, 0, 1+len(reports)), header)
+	for _, r := range reports {
+		lines = append(lines, row(r, saturation))
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, err := fmt.Fprintf(w, "%s, %s: saturation %.0f roots/s\n%s\n\n",
+		c.Config.Deployment.Name, c.Name, saturation, strings.Join(lines, "\n"))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(w.Flush())
+}
+
+// header names the columns.
+const header = "layer\tgoodput\tby class\trecovery\twasted\tattempts/root\trefused by class\tfailed\tinversions\tp99"
+
+func row(r Report, saturation float64) string {
+	return fmt.Sprintf("%s\t%.0f%%\t%s\t%s\t%.1f%%\t%.2f\t%s\t%d\t%d\t%v",
+		r.Layer, 100*r.Goodput/saturation, shares(r.ByMix, saturation), recovery(r),
+		100*r.Wasted, r.AttemptsPerRoot, counts(r.Refusals), r.Failures, r.Inversions,
+		r.P99.Round(time.Millisecond))
+}
+
+func shares(rates []float64, of float64) string {
+	texts := make([]string, 0, len(rates))
+	for _, v := range rates {
+		texts = append(texts, fmt.Sprintf("%.0f", 100*v/of))
+	}
+	return strings.Join(texts, "/")
+}
+
+func counts(numbers []int) string {
+	texts := make([]string, 0, len(numbers))
+	for _, n := range numbers {
+		texts = append(texts, fmt.Sprint(n))
+	}
+	return strings.Join(texts, "/")
+}
+
+func recovery(r Report) string {
+	if !r.Recovered {
+		return "none"
+	}
+	return fmt.Sprintf("%.1fs", r.Recovery.Seconds())
+}
