admitter: let deeper work pass roots that wait, bound depths and roots

Cause: at chain 13 the queue's order held back deeper calls of less important roots while a more important root waited, so that admitted roots held slots for good; AIMD on a latency that holds the calls below cut the limits. Change: a waiting ticket holds back less important ones only at its own depth and above; slots are bounded by depth, by the time that runs hold them without queues; roots are bounded by the queue time of the calls below, which answers carry back (Result.Waited). Root changes: Result.Waited, RunEnd and Admitter.Finish, Sample's times.

--- a/admission.go
+++ b/admission.go
@@ -39,6 +39,19 @@
 	Waited time.Duration
 }
 
+// RunEnd is the end of one run, as the admitter sees it.
+type RunEnd struct {
+	ID CallID
+	// Failed is set when the backend server failed or refused it.
+	Failed bool
+	// Elapsed is the time of the run, Own that part of it in which none of its
+	// further calls was open.
+	Elapsed time.Duration
+	Own     time.Duration
+	// Below is the time that its further calls spent in queues.
+	Below time.Duration
+}
+
 // Admitter decides which calls run at one backend server, and in which order.
 type Admitter interface {
 	// Configure sets the declared slots.
@@ -48,7 +61,7 @@
 	// Withdraw removes a waiting ticket; false when it does not wait.
 	Withdraw(id CallID) bool
 	// Finish takes in an ended run.
-	Finish(c *Context, id CallID, failed bool, elapsed time.Duration) []Admission
+	Finish(c *Context, e RunEnd) []Admission
 	// Expire refuses the tickets whose wait has ended and admits those that fit.
 	Expire(c *Context) []Admission
 	// NextExpiry returns when Expire is due; false while nothing waits.
--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -20,10 +20,13 @@
 type Config struct {
 	// Limiter sets how many calls run at once.
 	Limiter waxwingseam.Limiter
+	// Roots sets how many of them are roots.
+	Roots waxwingseam.Limiter
 }
 
 type admitter struct {
 	limiter waxwingseam.Limiter
+	roots   waxwingseam.Limiter
 	slots   int
 	queue   queue
 	runs    runs
@@ -36,10 +39,10 @@
 func New(config Config) waxwingseam.Admitter {
 	return &admitter{
 		limiter: config.Limiter,
+		roots:   config.Roots,
 		slots:   1,
 		queue:   newQueue(),
 		runs:    newRuns(),
-		reserve: newReserve(),
 	}
 }
 
@@ -47,12 +50,12 @@
 func (a *admitter) Configure(slots int) {
 	a.slots = max(slots, 1)
 	a.limiter.Configure(a.slots)
+	a.roots.Configure(a.slots)
 }
 
 // Offer implements waxwingseam.Admitter.
 func (a *admitter) Offer(c *waxwingseam.Context, t waxwingseam.Ticket) []waxwingseam.Admission {
 	a.now = c.Now
-	a.reserve.see(c.Now, t.Depth)
 	if c.Now.Add(a.limiter.ServiceTime()).After(t.Deadline) {
 		return []waxwingseam.Admission{a.refuse(t, waxwingseam.ReasonDeadline)}
 	}
@@ -67,7 +70,7 @@
 func (a *admitter) enqueue(t waxwingseam.Ticket) []waxwingseam.Admission {
 	var out []waxwingseam.Admission
 	if a.full(&t) {
-		worst := a.queue.worst()
+		worst := a.queue.worst(t.Depth == 0)
 		if worst == nil || !yields(&worst.ticket, &t) {
 			return append(out, a.refuse(t, waxwingseam.ReasonOverloaded))
 		}
@@ -111,18 +114,28 @@
 	return latest
 }
 
-// fits reports whether a ticket may start now, as far as limits go.
+// fits reports whether a ticket may start now, as far as limits go. A run
+// counts for its own depth and for all deeper ones.
 func (a *admitter) fits(t *waxwingseam.Ticket) bool {
 	limit := a.limiter.Limit()
 	if a.runs.len() >= limit {
 		return false
 	}
-	importance, depth := level(t)
-	return a.runs.upTo(importance, depth) < a.reserve.bound(a.now, limit, depth)
+	_, depth := level(t)
+	if depth == 0 && a.runs.byDepth[0] >= a.roots.Limit() {
+		return false
+	}
+	runs := 0
+	for d := 0; d <= a.reserve.deepest; d++ {
+		runs += a.runs.byDepth[d]
+		if d >= depth && runs >= a.reserve.bound(limit, d) {
+			return false
+		}
+	}
+	return true
 }
 
-// startWaiting starts waiting tickets while they fit. No ticket starts while a
-// more important one waits.
+// startWaiting starts waiting tickets while they fit.
 func (a *admitter) startWaiting(out []waxwingseam.Admission) []waxwingseam.Admission {
 	for {
 		w := a.next()
@@ -133,24 +146,33 @@
 	}
 }
 
-// next returns the first waiting ticket of the highest waiting importance
-// that fits; nil without one.
+// next returns the first waiting ticket that fits, the most important first;
+// nil without one. A ticket that does not fit holds back less important ones
+// of its own depth and above. Deeper ones go on: their roots are admitted, and
+// hold what it waits for.
 func (a *admitter) next() *waiting {
-	for i := importances - 1; i >= 0; i-- {
+	above := 0
+	for i := importances - 1; i >= 0 && above < depths; i-- {
 		if a.queue.counts[i] == 0 {
 			continue
 		}
 		var best *waiting
-		for d := range depths {
+		next := above
+		for d := above; d < depths; d++ {
 			l := &a.queue.lanes[i][d]
-			if l.empty() || !a.fits(&l.first().ticket) {
+			if l.empty() {
 				continue
 			}
-			if w := l.first(); best == nil || w.ticket.Rank.Before(best.ticket.Rank) {
+			next = d + 1
+			w := l.first()
+			if a.fits(&w.ticket) && (best == nil || w.ticket.Rank.Before(best.ticket.Rank)) {
 				best = w
 			}
 		}
-		return best
+		if best != nil {
+			return best
+		}
+		above = next
 	}
 	return nil
 }
@@ -159,7 +181,6 @@
 	waited := a.now.Sub(t.Arrived)
 	a.runs.add(&t, waited)
 	a.signs.started(a.now, t.Rank)
-	a.reserve.waited(a.now, a.limiter.Limit(), t.Depth, waited)
 	return waxwingseam.Admission{
 		ID:      t.ID,
 		Verdict: waxwingseam.VerdictRun,
@@ -169,7 +190,6 @@
 
 func (a *admitter) refuse(t waxwingseam.Ticket, reason waxwingseam.Reason) waxwingseam.Admission {
 	a.signs.refused(a.now, t.Rank)
-	a.reserve.waited(a.now, a.limiter.Limit(), t.Depth, a.now.Sub(t.Arrived))
 	return waxwingseam.Admission{
 		ID:      t.ID,
 		Verdict: waxwingseam.VerdictRefuse,
@@ -188,20 +208,32 @@
 }
 
 // Finish implements waxwingseam.Admitter.
-func (a *admitter) Finish(c *waxwingseam.Context, id waxwingseam.CallID, failed bool, elapsed time.Duration) []waxwingseam.Admission {
+func (a *admitter) Finish(c *waxwingseam.Context, e waxwingseam.RunEnd) []waxwingseam.Admission {
 	a.now = c.Now
 	inFlight := a.runs.len()
-	run, ok := a.runs.remove(id)
+	run, ok := a.runs.remove(e.ID)
 	if !ok {
 		return nil
 	}
+	if !e.Failed {
+		a.reserve.finished(c.Now, run.depth, e.Elapsed-e.Below)
+	}
 	a.limiter.Observe(waxwingseam.Sample{
 		Now:      c.Now,
-		Elapsed:  elapsed,
+		Elapsed:  e.Own,
 		Waited:   run.waited,
 		InFlight: inFlight,
-		Failed:   failed,
+		Failed:   e.Failed,
 	})
+	if run.depth == 0 {
+		a.roots.Observe(waxwingseam.Sample{
+			Now:      c.Now,
+			Elapsed:  e.Elapsed,
+			Waited:   e.Below,
+			InFlight: a.runs.byDepth[0] + 1,
+			Failed:   e.Failed,
+		})
+	}
 	return a.startWaiting(a.expired(nil))
 }
 
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -74,13 +74,18 @@
 }
 
 // worst returns the ticket to give up first: of the least importance, roots
-// before deeper calls, and the last in order; nil when nothing waits.
-func (q *queue) worst() *waiting {
+// before deeper calls, and the last in order; nil when nothing waits. Where
+// only roots come into question, deeper calls are passed over.
+func (q *queue) worst(onlyRoots bool) *waiting {
+	end := depths
+	if onlyRoots {
+		end = 1
+	}
 	for i := range importances {
 		if q.counts[i] == 0 {
 			continue
 		}
-		for d := range depths {
+		for d := range end {
 			if l := &q.lanes[i][d]; !l.empty() {
 				return l.last()
 			}
--- a/admitter/reserve.go
+++ b/admitter/reserve.go
@@ -3,70 +3,55 @@
 import "time"
 
 const (
-	// depthMemory is how long a depth counts as in use.
-	depthMemory = 10 * time.Second
-	// reserveParts is the part of the limit kept free for each deeper depth.
-	reserveParts = 16
-	// shareWindow is the time between two changes of the roots' share.
-	shareWindow = 50 * time.Millisecond
-	// deepWaitTarget is the mean wait of deeper calls that is left alone.
-	deepWaitTarget = 10 * time.Millisecond
-	// shareDecrease is what a decrease leaves of the roots' share.
-	shareDecrease = 0.9
-	// shareIncrease is the part of the limit that an increase adds.
-	shareIncrease = 0.05
+	// reservePeriod is the time between two changes of the bounds.
+	reservePeriod = 100 * time.Millisecond
+	// reserveKeep is what one change keeps of what was seen before it.
+	reserveKeep = 0.99
 )
 
 // reserve keeps slots free for calls that come deeper in the chain, so that
-// calls of admitted roots never wait on new roots for good. Slots are bounded
-// by depth as buffers are by hops in structured buffer pools (Raubold and
-// Haenle, 1976); the share of roots follows the wait of deeper calls.
+// calls of admitted roots never wait on others of theirs for good. Slots are
+// bounded by depth as buffers are by hops in structured buffer pools (Raubold
+// and Haenle, 1976), each depth by its part of the time in which runs hold
+// slots while nothing waits.
 type reserve struct {
-	seen    [depths]time.Time
-	share   float64
-	started time.Time
-	sum     time.Duration
-	count   int
+	// held sums that time by depth, older runs weighing less.
+	held    [depths]time.Duration
+	bounds  [depths]float64
+	deepest int
+	updated time.Time
 }
 
-func newReserve() reserve {
-	return reserve{share: 1}
-}
-
-func (r *reserve) see(now time.Time, depth uint8) {
-	r.seen[min(int(depth), depths-1)] = now
+// finished takes in the end of a run that was served.
+func (r *reserve) finished(now time.Time, depth int, held time.Duration) {
+	r.held[depth] += held
+	if now.Sub(r.updated) < reservePeriod {
+		return
+	}
+	r.updated = now
+	r.update()
 }
 
-// bound returns how many runs of a depth and above it may use of a limit.
-func (r *reserve) bound(now time.Time, limit, depth int) int {
-	deeper := 0
-	for d := depth + 1; d < depths; d++ {
-		if !r.seen[d].IsZero() && now.Sub(r.seen[d]) < depthMemory {
-			deeper++
+func (r *reserve) update() {
+	var total, above time.Duration
+	for d, held := range r.held {
+		total += held
+		if held > 0 {
+			r.deepest = d
 		}
 	}
-	bound := limit - deeper*max(limit/reserveParts, 1)
-	if depth == 0 && deeper > 0 {
-		bound = min(bound, int(r.share*float64(limit)))
+	for d, held := range r.held {
+		above += held
+		r.bounds[d] = float64(above) / float64(max(total, 1))
+		r.held[d] = time.Duration(float64(held) * reserveKeep)
 	}
-	return max(bound, 1)
 }
 
-// waited takes in the wait of a call that starts or is refused.
-func (r *reserve) waited(now time.Time, limit int, depth uint8, d time.Duration) {
-	if depth > 0 {
-		r.sum += d
-		r.count++
-	}
-	if now.Sub(r.started) < shareWindow {
-		return
-	}
-	r.started = now
-	least := 1 / float64(max(limit, 1))
-	if r.count > 0 && r.sum/time.Duration(r.count) > deepWaitTarget {
-		r.share = max(r.share*shareDecrease, least)
-	} else {
-		r.share = min(r.share+shareIncrease, 1)
+// bound returns how many runs of a depth and above it may use of a limit: their
+// part, yet one slot less than the next deeper depth.
+func (r *reserve) bound(limit, depth int) int {
+	if depth >= r.deepest {
+		return limit
 	}
-	r.sum, r.count = 0, 0
+	return max(min(int(r.bounds[depth]*float64(limit)+0.5), limit-1), 1)
 }
--- a/experimenter/fifo.go
+++ b/experimenter/fifo.go
@@ -57,8 +57,8 @@
 }
 
 // Finish implements waxwingseam.Admitter.
-func (a *fifoAdmitter) Finish(c *waxwingseam.Context, id waxwingseam.CallID, _ bool, _ time.Duration) []waxwingseam.Admission {
-	delete(a.runs, id)
+func (a *fifoAdmitter) Finish(c *waxwingseam.Context, e waxwingseam.RunEnd) []waxwingseam.Admission {
+	delete(a.runs, e.ID)
 	out := a.Expire(c)
 	for len(a.queue) > 0 && len(a.runs) < a.slots {
 		out = append(out, a.start(a.queue[0].ID))
--- a/experimenter/report.go
+++ b/experimenter/report.go
@@ -33,8 +33,12 @@
 	// Refusals counts refused roots for each kind of request.
 	Refusals []int
 	// Failures counts roots that ended otherwise.
-	Failures   int
+	Failures int
+	// Inversions counts calls refused for overload at a server that meanwhile
+	// started a less important call of no greater depth; Overtaken counts those
+	// where it was deeper, the work of a root admitted before.
 	Inversions int
+	Overtaken  int
 	// P99 is the latency of served roots.
 	P99 time.Duration
 	// Before is the share of requests served before the trigger.
@@ -49,6 +53,7 @@
 		Refusals:   t.refusals,
 		Failures:   t.failures,
 		Inversions: t.inversions,
+		Overtaken:  t.overtaken,
 		Open:       len(w.calls),
 	}
 	on := (w.config.Until - w.config.Before).Seconds()
--- a/limit.go
+++ b/limit.go
@@ -5,9 +5,11 @@
 // Sample is one ended run, as the limiter sees it.
 type Sample struct {
 	Now time.Time
-	// Elapsed is the time of the run.
+	// Elapsed is the time of the run, without the calls that it made where the
+	// limit is one for all runs, with them where it is one for roots.
 	Elapsed time.Duration
-	// Waited is the time in the queue before it.
+	// Waited is the time in queues: before the run where the limit is one for
+	// all runs, of the calls that it made where it is one for roots.
 	Waited time.Duration
 	// InFlight counts the runs at its end, itself included.
 	InFlight int
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -46,6 +46,8 @@
 	calls    map[waxwingseam.CallID]*call
 	// owners leads from a call that joined another to that one.
 	owners map[waxwingseam.CallID]waxwingseam.CallID
+	// parents leads from a call that a run made to that run.
+	parents map[waxwingseam.CallID]*call
 	// armed is when the admission timer is due; zero while it is not armed.
 	armed time.Time
 	// watching is set once the timer of the records is armed.
@@ -57,6 +59,9 @@
 	header   waxwingseam.Call
 	attempts []waiter
 	running  bool
+	// waited is the time in the queue.
+	waited  time.Duration
+	account account
 }
 
 // waiter is an attempt that gets a run's answer.
@@ -74,6 +79,7 @@
 		tracker:      config.Tracker,
 		calls:        map[waxwingseam.CallID]*call{},
 		owners:       map[waxwingseam.CallID]waxwingseam.CallID{},
+		parents:      map[waxwingseam.CallID]*call{},
 	}
 }
 
@@ -83,6 +89,8 @@
 		waxwingseam.KindAttemptArrived,
 		waxwingseam.KindAttemptCancelled,
 		waxwingseam.KindRunEnded,
+		waxwingseam.KindCallArrived,
+		waxwingseam.KindAttemptEnded,
 		waxwingseam.KindFenceAsked,
 		waxwingseam.KindDrainAsked,
 		waxwingseam.KindTimerFired,
@@ -99,6 +107,12 @@
 		r.cancel(c, waiter{v.ID, v.Attempt})
 	case waxwingseam.RunEnded:
 		r.finish(c, v)
+	case waxwingseam.CallArrived:
+		r.childArrived(c, v)
+		return
+	case waxwingseam.AttemptEnded:
+		r.childEnded(c, v)
+		return
 	case waxwingseam.FenceAsked:
 		r.fence(c, v)
 	case waxwingseam.DrainAsked:
@@ -199,8 +213,10 @@
 		}
 		switch v.Verdict {
 		case waxwingseam.VerdictRun:
+			live.waited = v.Waited
 			r.start(c, live)
 		case waxwingseam.VerdictRefuse:
+			live.waited = v.Waited
 			r.refuse(c, live, v.Reason)
 		case waxwingseam.VerdictWait:
 		}
@@ -224,6 +240,7 @@
 	r.deduplicator.Refuse(c, live.header.ID)
 	result := refused(reason)
 	result.RetryAfter = r.retryAfter()
+	result.Waited = live.waited
 	result.Unspent = live.header.Allowance
 	r.answerAll(c, live, result)
 }
@@ -260,8 +277,9 @@
 	if !r.deduplicator.Finish(c, e.ID, result) {
 		c.Emit(waxwingseam.ForgetRun{ID: e.ID})
 	}
-	failed := !result.Completed() || result.Status >= failureStatus
-	admissions := r.admitter.Finish(c, e.ID, failed, e.Elapsed)
+	end := r.close(c, live, e)
+	result.Waited = live.waited + end.Below
+	admissions := r.admitter.Finish(c, end)
 	r.answerAll(c, live, result)
 	r.apply(c, admissions)
 }
--- a/result.go
+++ b/result.go
@@ -17,6 +17,8 @@
 	Load Load `cbor:"6,keyasint"`
 	// Reached is set when the receiving node answered.
 	Reached bool `cbor:"7,keyasint,omitempty"`
+	// Waited is the time that the call and all below it spent in queues.
+	Waited time.Duration `cbor:"10,keyasint,omitempty"`
 	// Length and Digest are those of the whole reply body.
 	Length int64  `cbor:"8,keyasint,omitempty"`
 	Digest uint64 `cbor:"9,keyasint,omitempty"`
