experimenter: the first version as a variant, demand in units of saturation

Cause: demand in units of the nominal capacity stood too near the saturation of nested chains; baselines lacked the project's first version. Change: a line admitter serves as FIFO baseline and as first version; callers' deadlines go by class; cases take the measured saturation as unit; recovery is judged over windows of 100 requests.

--- a/cmd/experiment/main.go
+++ b/cmd/experiment/main.go
@@ -30,6 +30,7 @@
 
 func (o options) run() error {
 	ran := false
+	var saturations experimenter.Saturations
 	for _, d := range experimenter.Deployments() {
 		if o.Deployment != "" && o.Deployment != d.Name {
 			continue
@@ -39,7 +40,7 @@
 				continue
 			}
 			ran = true
-			if err := o.runCases(s.Cases(d, o.On)); err != nil {
+			if err := o.runCases(s.Cases(d, o.On), &saturations); err != nil {
 				return trace.Wrap(err)
 			}
 		}
@@ -50,13 +51,13 @@
 	return nil
 }
 
-func (o options) runCases(cases []experimenter.Case) error {
+func (o options) runCases(cases []experimenter.Case, saturations *experimenter.Saturations) error {
 	for _, c := range cases {
 		if !strings.Contains(c.Name, o.Case) {
 			continue
 		}
 		c.Config.Seed = o.Seed
-		saturation := c.Saturation(experimenter.SaturationLayers())
+		saturation := saturations.Prepare(&c)
 		var reports []experimenter.Report
 		for _, layer := range experimenter.Layers() {
 			if strings.Contains(layer.Name, o.Layer) {
--- a/experimenter/deployment.go
+++ b/experimenter/deployment.go
@@ -25,7 +25,9 @@
 	Repeat     waxwingseam.Repeat
 	// Share is its part of the demand, in percent.
 	Share int
-	Wait  time.Duration
+	// Deadline is the time a root has, Wait the longest in a queue.
+	Deadline time.Duration
+	Wait     time.Duration
 }
 
 // Deployment is a set of services with the demand that they serve.
@@ -37,8 +39,6 @@
 	// caller and a host.
 	Delay       time.Duration
 	ClientDelay time.Duration
-	// Deadline is the time a root has.
-	Deadline time.Duration
 	// Waiting is the most roots in the queue of one backend server.
 	Waiting int
 }
@@ -54,14 +54,13 @@
 			{"fees", 3, 15, 200, 40 * time.Millisecond},
 		},
 		Mixes: []Mix{
-			{"register-mark", 8, waxwingseam.RepeatNever, 20, 500 * time.Millisecond},
-			{"upload-photo", 7, waxwingseam.RepeatNever, 20, 500 * time.Millisecond},
-			{"look-up-lot", 5, waxwingseam.RepeatIdempotent, 30, 250 * time.Millisecond},
-			{"staff-check", 2, waxwingseam.RepeatIdempotent, 30, 100 * time.Millisecond},
+			{"register-mark", 8, waxwingseam.RepeatNever, 20, 3 * time.Second, 500 * time.Millisecond},
+			{"upload-photo", 7, waxwingseam.RepeatNever, 20, 3 * time.Second, 500 * time.Millisecond},
+			{"look-up-lot", 5, waxwingseam.RepeatIdempotent, 30, time.Second, 250 * time.Millisecond},
+			{"staff-check", 2, waxwingseam.RepeatIdempotent, 30, time.Second, 100 * time.Millisecond},
 		},
 		Delay:       500 * time.Microsecond,
 		ClientDelay: 8 * time.Millisecond,
-		Deadline:    3 * time.Second,
 		Waiting:     60,
 	}
 }
@@ -77,14 +76,13 @@
 			{"rosters", 3, 30, 270, 100 * time.Millisecond},
 		},
 		Mixes: []Mix{
-			{"place-picker", 8, waxwingseam.RepeatNever, 20, 500 * time.Millisecond},
-			{"upload-contract", 7, waxwingseam.RepeatNever, 20, 500 * time.Millisecond},
-			{"check-roster", 5, waxwingseam.RepeatIdempotent, 30, 250 * time.Millisecond},
-			{"browse-jobs", 2, waxwingseam.RepeatIdempotent, 30, 100 * time.Millisecond},
+			{"place-picker", 8, waxwingseam.RepeatNever, 20, 5 * time.Second, 500 * time.Millisecond},
+			{"upload-contract", 7, waxwingseam.RepeatNever, 20, 5 * time.Second, 500 * time.Millisecond},
+			{"check-roster", 5, waxwingseam.RepeatIdempotent, 30, 3 * time.Second, 250 * time.Millisecond},
+			{"browse-jobs", 2, waxwingseam.RepeatIdempotent, 30, 3 * time.Second, 100 * time.Millisecond},
 		},
 		Delay:       1500 * time.Microsecond,
 		ClientDelay: 8 * time.Millisecond,
-		Deadline:    5 * time.Second,
 		Waiting:     60,
 	}
 }
@@ -146,6 +144,24 @@
 	return total
 }
 
+// rework returns a plan with the deployment's own work at each service.
+func (d Deployment) rework(v *Visit) *Visit {
+	out := &Visit{Service: v.Service, Work: v.Work}
+	for _, t := range d.Tiers {
+		if t.Service == v.Service {
+			out.Work = t.Work
+		}
+	}
+	for _, stage := range v.Stages {
+		below := make([]*Visit, 0, len(stage))
+		for _, child := range stage {
+			below = append(below, d.rework(child))
+		}
+		out.Stages = append(out.Stages, below)
+	}
+	return out
+}
+
 // path is the path under which a class of calls reaches a service.
 func path(class waxwingseam.ClassName) string {
 	return "/" + string(class)
@@ -188,7 +204,7 @@
 		Path:       path(m.Class),
 		Importance: m.Importance,
 		Repeat:     m.Repeat,
-		Deadline:   d.Deadline,
+		Deadline:   m.Deadline,
 		RetryLimit: "usual",
 		WaitLimit:  string(m.Class),
 	}
--- a/experimenter/layer.go
+++ b/experimenter/layer.go
@@ -73,10 +73,16 @@
 	}}
 }
 
+// FirstVersion is the policy that the project started from.
+func FirstVersion() Layer {
+	return Variant("waxwingseam, first version", newFirstAdmitter)
+}
+
 // Layers returns the project's layer and those it is measured against.
 func Layers() []Layer {
 	return []Layer{
 		Waxwingseam(),
+		FirstVersion(),
 		NoLayer(),
 		FixedLimit(),
 	}
--- a/experimenter/report.go
+++ b/experimenter/report.go
@@ -5,8 +5,10 @@
 )
 
 const (
-	// recoveryWindow is the time over which recovery is judged.
-	recoveryWindow = 500 * time.Millisecond
+	// recoveryWindow is the least time over which recovery is judged,
+	// recoveryRequests how many requests it takes.
+	recoveryWindow   = 500 * time.Millisecond
+	recoveryRequests = 100
 	// recoveryStep is the time between two windows.
 	recoveryStep = 100 * time.Millisecond
 	// recoveredShare is the share of the earlier success that counts as recovered.
@@ -108,14 +110,22 @@
 	return float64(served) / float64(issued)
 }
 
-// recovery returns the time from the trigger's end to the end of the last
-// window in which requests did worse than before.
+// recovery returns the time from the trigger's end from which on requests do
+// as well as before, judged over windows of enough requests.
 func (t *tally) recovery(w *World, before float64) (time.Duration, bool) {
-	end := w.config.Length - recoveryWindow
+	window := w.config.window()
+	end := w.config.Length - window
 	for at := end; at >= w.config.Until; at -= recoveryStep {
-		if t.success(w, at, at+recoveryWindow) < recoveredShare*before {
-			return at + recoveryWindow - w.config.Until, at < end
+		if t.success(w, at, at+window) < recoveredShare*before {
+			return at + recoveryStep - w.config.Until, at < end
 		}
 	}
 	return 0, true
 }
+
+// window is the time in which the usual demand issues enough requests to tell
+// recovery from chance.
+func (c Config) window() time.Duration {
+	rate := max(c.Demand.Base*c.Capacity, 1)
+	return max(recoveryWindow, time.Duration(recoveryRequests/rate*float64(time.Second)))
+}
--- a/experimenter/scenario.go
+++ b/experimenter/scenario.go
@@ -171,32 +171,3 @@
 	}
 	return out
 }
-
-// Saturation returns the goodput at saturation of the case while its trigger
-// is on.
-func (c Case) Saturation(layers []Layer) float64 {
-	config := c.Config
-	config.Deployment = c.Reduced
-	config.Capacity = c.Reduced.Capacity(c.reducedPlan(config.Plan))
-	config.Plan = c.reducedPlan(config.Plan)
-	config.Faults = nil
-	return Saturation(config, layers)
-}
-
-// reducedPlan is the plan with the reduced deployment's work.
-func (c Case) reducedPlan(v *Visit) *Visit {
-	out := &Visit{Service: v.Service, Work: v.Work}
-	for _, t := range c.Reduced.Tiers {
-		if t.Service == v.Service {
-			out.Work = t.Work
-		}
-	}
-	for _, stage := range v.Stages {
-		below := make([]*Visit, 0, len(stage))
-		for _, child := range stage {
-			below = append(below, c.reducedPlan(child))
-		}
-		out.Stages = append(out.Stages, below)
-	}
-	return out
-}
--- a/experimenter/table.go
+++ b/experimenter/table.go
@@ -26,12 +26,12 @@
 }
 
 // header names the columns.
-const header = "layer\tgoodput\tby class\trecovery\twasted\tattempts/root\trefused by class\tfailed\tinversions\tp99"
+const header = "layer\tgoodput\tby class\trecovery\twasted\tattempts/root\trefused by class\tfailed\tinversions\tovertaken\tp99"
 
 func row(r Report, saturation float64) string {
-	return fmt.Sprintf("%s\t%.0f%%\t%s\t%s\t%.1f%%\t%.2f\t%s\t%d\t%d\t%v",
+	return fmt.Sprintf("%s\t%.0f%%\t%s\t%s\t%.1f%%\t%.2f\t%s\t%d\t%d\t%d\t%v",
 		r.Layer, 100*r.Goodput/saturation, shares(r.ByMix, saturation), recovery(r),
-		100*r.Wasted, r.AttemptsPerRoot, counts(r.Refusals), r.Failures, r.Inversions,
+		100*r.Wasted, r.AttemptsPerRoot, counts(r.Refusals), r.Failures, r.Inversions, r.Overtaken,
 		r.P99.Round(time.Millisecond))
 }
 
--- a/experimenter/world.go
+++ b/experimenter/world.go
@@ -26,6 +26,9 @@
 	statusCancelled = 499
 )
 
+// settleTime is how long a run goes on after the demand.
+const settleTime = 10 * time.Second
+
 // nodePort is the port in the addresses of all nodes.
 const nodePort = 7000
 
@@ -90,7 +93,7 @@
 		w.agenda.after(f.At, func() { f.Do(w) })
 	}
 	newCallers(w).start()
-	w.agenda.runUntil(w.zero.Add(config.Length + 2*config.Deployment.Deadline))
+	w.agenda.runUntil(w.zero.Add(config.Length + settleTime))
 	return w.tally.report(w)
 }
 
