--- /dev/null
+++ b/proposer/arrival.go
@@ -0,0 +1,87 @@
+package proposer
+
+import (
+	"context"
+
+	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// maxSnapshotBytes bounds a snapshot that is taken from a leader.
+const maxSnapshotBytes = 128 << 20
+
+// arrivingSnapshot is a snapshot of which parts have arrived.
+type arrivingSnapshot struct {
+	from     waxwingseam.StorageID
+	snapshot waxwingseam.ReplicaSnapshot
+}
+
+// Deliver takes in messages of another replica.
+func (p *proposer) Deliver(ctx context.Context, d *Delivery) (*Receipt, error) {
+	if reason := p.mismatch(d.Cluster, d.To); reason != "" {
+		return &Receipt{Reason: reason}, nil
+	}
+	p.links.learn(d.From)
+	for _, m := range d.Messages {
+		if m.From != d.From.Storage {
+			return nil, trace.BadParameter("a message of %s came from %s", m.From, d.From.Storage)
+		}
+		arrived := p.step(ctx, func(s waxwingseam.Stamp) waxwingseam.Event {
+			return waxwingseam.ReplicaMessageArrived{Stamp: s, Message: m}
+		})
+		if !arrived {
+			return &Receipt{Reason: waxwingseam.ReasonStopped}, nil
+		}
+	}
+	return &Receipt{}, nil
+}
+
+// TakePart takes in a part of a leader's snapshot.
+func (p *proposer) TakePart(ctx context.Context, part *SnapshotPart) (*Receipt, error) {
+	if reason := p.mismatch(part.Cluster, part.To); reason != "" {
+		return &Receipt{Reason: reason}, nil
+	}
+	if part.Size > maxSnapshotBytes {
+		return nil, trace.LimitExceeded("a snapshot of %d bytes exceeds %d", part.Size, maxSnapshotBytes)
+	}
+	snapshot, whole, err := p.assemble(part)
+	if err != nil || !whole {
+		return &Receipt{}, err
+	}
+	p.links.learn(part.From)
+	p.step(ctx, func(s waxwingseam.Stamp) waxwingseam.Event {
+		return waxwingseam.SnapshotArrived{
+			Stamp:    s,
+			From:     part.From.Storage,
+			Term:     part.Term,
+			Snapshot: snapshot,
+		}
+	})
+	return &Receipt{}, nil
+}
+
+// assemble adds a part; the parts of another snapshot start anew.
+func (p *proposer) assemble(part *SnapshotPart) (waxwingseam.ReplicaSnapshot, bool, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a := &p.arriving
+	if part.Offset == 0 {
+		*a = arrivingSnapshot{from: part.From.Storage, snapshot: part.Snapshot}
+		a.snapshot.Data = nil
+	}
+	fits := a.from == part.From.Storage &&
+		a.snapshot.LogPosition == part.Snapshot.LogPosition &&
+		len(a.snapshot.Data) == part.Offset &&
+		part.Offset+len(part.Snapshot.Data) <= part.Size
+	if !fits {
+		return waxwingseam.ReplicaSnapshot{}, false, trace.CompareFailed("snapshot part at %d does not follow", part.Offset)
+	}
+	a.snapshot.Data = append(a.snapshot.Data, part.Snapshot.Data...)
+	if len(a.snapshot.Data) < part.Size {
+		return waxwingseam.ReplicaSnapshot{}, false, nil
+	}
+	snapshot := a.snapshot
+	*a = arrivingSnapshot{}
+	return snapshot, true, nil
+}
--- /dev/null
+++ b/proposer/join.go
@@ -0,0 +1,174 @@
+package proposer
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/journaler"
+)
+
+// joinDelay is the time between two rounds of asking to join.
+const joinDelay = 500 * time.Millisecond
+
+// join asks the known replicas to take this one in as a learner with a new
+// storage, and formats the data folder once they have.
+func (p *proposer) join(ctx context.Context) error {
+	if len(p.config.Join) == 0 {
+		return trace.NotFound("the data folder is empty: initialize it, or set replicas to join")
+	}
+	member := waxwingseam.Member{
+		Replica:   p.config.Self,
+		Storage:   newStorageID(),
+		Address:   p.config.Address,
+		Candidate: p.config.Voter,
+	}
+	cluster, err := p.askUntilJoined(ctx, member)
+	if err != nil {
+		return err
+	}
+	identity := waxwingseam.ReplicaIdentity{
+		Cluster: cluster,
+		Replica: member.Replica,
+		Storage: member.Storage,
+	}
+	if err := journaler.Format(p.disk, identity, waxwingseam.PersistReplica{}); err != nil {
+		return err
+	}
+	return p.recover()
+}
+
+func (p *proposer) askUntilJoined(ctx context.Context, member waxwingseam.Member) (waxwingseam.ClusterID, error) {
+	ticker := time.NewTicker(joinDelay)
+	defer ticker.Stop()
+	var last waxwingseam.ReplicaReason
+	for {
+		for _, address := range p.config.Join {
+			a := p.askJoin(ctx, address, &JoinRequest{Member: member})
+			if a.Reason == "" {
+				return a.Cluster, nil
+			}
+			if a.Reason != last {
+				last = a.Reason
+				p.config.Logger.Warn("control: not joined yet", "address", address, "reason", a.Reason)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return "", trace.Wrap(ctx.Err())
+		case <-ticker.C:
+		}
+	}
+}
+
+func (p *proposer) askJoin(ctx context.Context, address netip.AddrPort, q *JoinRequest) *JoinAnswer {
+	ctx, cancel := context.WithTimeout(ctx, p.config.RequestTimeout)
+	defer cancel()
+	conn, err := p.config.Dialer.Dial(ctx, address)
+	if err != nil {
+		return &JoinAnswer{Reason: waxwingseam.ReasonNoQuorum}
+	}
+	defer func() { _ = conn.Close() }()
+	a := &JoinAnswer{}
+	if err := join.invoke(ctx, conn, q, a); err != nil {
+		return &JoinAnswer{Reason: waxwingseam.ReasonOutcomeUnknown}
+	}
+	return a
+}
+
+// announce tells the cluster the present address of a formatted replica. It
+// returns an error when the cluster says that the replica is not one of its
+// own.
+func (p *proposer) announce(ctx context.Context) error {
+	ticker := time.NewTicker(joinDelay)
+	defer ticker.Stop()
+	for {
+		reason, done := p.announceOnce(ctx)
+		switch {
+		case reason == waxwingseam.ReasonClusterMismatch:
+			return trace.AccessDenied("the data folder belongs to cluster %s, the replicas to another", p.Status().Cluster)
+		case reason == waxwingseam.ReasonRemoved:
+			return trace.AccessDenied("storage %s is no member any more: empty the data folder to join anew", p.Status().Self.Storage)
+		case done:
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// announceOnce asks the replicas in turn until one has an answer.
+func (p *proposer) announceOnce(ctx context.Context) (waxwingseam.ReplicaReason, bool) {
+	status := p.Status()
+	q := &JoinRequest{Cluster: status.Cluster, Member: p.links.self()}
+	asked := false
+	for _, address := range p.contacts(status) {
+		asked = true
+		a := p.askJoin(ctx, address, q)
+		switch a.Reason {
+		case "", waxwingseam.ReasonClusterMismatch, waxwingseam.ReasonRemoved:
+			return a.Reason, true
+		}
+	}
+	return "", !asked
+}
+
+// contacts returns the addresses of the other replicas.
+func (p *proposer) contacts(status waxwingseam.ReplicaStatus) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, m := range status.Members {
+		if m.Storage != status.Self.Storage {
+			out = append(out, m.Address)
+		}
+	}
+	for _, address := range p.config.Join {
+		if address != p.config.Address {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
+// Join serves another replica's wish to be a member.
+func (p *proposer) Join(ctx context.Context, q *JoinRequest) (*JoinAnswer, error) {
+	status := p.Status()
+	switch {
+	case status.Cluster == "":
+		return &JoinAnswer{Reason: waxwingseam.ReasonNoQuorum}, nil
+	case q.Cluster != "" && q.Cluster != status.Cluster:
+		return &JoinAnswer{Reason: waxwingseam.ReasonClusterMismatch}, nil
+	}
+	if q.Cluster != "" {
+		if reason := p.unknown(ctx, q.Member.Storage); reason != "" {
+			return &JoinAnswer{Reason: reason}, nil
+		}
+	}
+	err := p.ChangeMembership(ctx, waxwingseam.MembershipChange{
+		Kind:   waxwingseam.ChangeAddLearner,
+		Member: q.Member,
+	})
+	if err != nil {
+		return &JoinAnswer{Reason: waxwingseam.ReplicaReasonOf(err)}, nil
+	}
+	return &JoinAnswer{Cluster: status.Cluster}, nil
+}
+
+// unknown says why a storage that claims to be a member is not known as one,
+// after a confirmed read; empty when it is.
+func (p *proposer) unknown(ctx context.Context, id waxwingseam.StorageID) waxwingseam.ReplicaReason {
+	if err := p.ReadIndex(ctx); err != nil {
+		return waxwingseam.ReplicaReasonOf(err)
+	}
+	for _, m := range p.Status().Members {
+		if m.Storage == id {
+			return ""
+		}
+	}
+	return waxwingseam.ReasonRemoved
+}
--- /dev/null
+++ b/proposer/link.go
@@ -0,0 +1,298 @@
+package proposer
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+const (
+	// linkSize bounds the messages that wait for one peer; the protocol makes
+	// up for those that are dropped.
+	linkSize = 256
+	// deliveryBytes bounds the commands in one delivery.
+	deliveryBytes = 2 << 20
+	// partBytes is the size of a snapshot's parts.
+	partBytes = 1 << 20
+	// redialDelay is the time between two attempts to reach a peer.
+	redialDelay = 100 * time.Millisecond
+)
+
+// links carry messages to the other replicas.
+type links struct {
+	config   Config
+	identity waxwingseam.ReplicaIdentity
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wait     sync.WaitGroup
+
+	mu    sync.Mutex
+	peers map[waxwingseam.StorageID]*link
+}
+
+// link carries messages to one replica, one delivery at a time.
+type link struct {
+	links    *links
+	storage  waxwingseam.StorageID
+	messages chan waxwingseam.ReplicaMessage
+
+	mu      sync.Mutex
+	address netip.AddrPort
+	refused waxwingseam.ReplicaReason
+}
+
+func newLinks(config Config, identity waxwingseam.ReplicaIdentity) *links {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &links{
+		config:   config,
+		identity: identity,
+		ctx:      ctx,
+		cancel:   cancel,
+		peers:    map[waxwingseam.StorageID]*link{},
+	}
+}
+
+// self is how this replica names itself to others.
+func (l *links) self() waxwingseam.Member {
+	return waxwingseam.Member{
+		Replica: l.identity.Replica,
+		Storage: l.identity.Storage,
+		Address: l.config.Address,
+	}
+}
+
+// learn takes in where a replica is.
+func (l *links) learn(m waxwingseam.Member) {
+	if m.Storage == l.identity.Storage {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ctx.Err() != nil {
+		return
+	}
+	peer, ok := l.peers[m.Storage]
+	if !ok {
+		peer = &link{
+			links:    l,
+			storage:  m.Storage,
+			messages: make(chan waxwingseam.ReplicaMessage, linkSize),
+		}
+		l.peers[m.Storage] = peer
+		l.wait.Go(peer.run)
+	}
+	peer.move(m.Address)
+}
+
+func (l *links) peer(id waxwingseam.StorageID) *link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.peers[id]
+}
+
+// send queues a message, or drops it where too many wait.
+func (l *links) send(m waxwingseam.ReplicaMessage) {
+	peer := l.peer(m.To)
+	if peer == nil {
+		return
+	}
+	select {
+	case peer.messages <- m:
+	default:
+	}
+}
+
+func (l *links) sendSnapshot(e waxwingseam.SendSnapshot, s waxwingseam.ReplicaSnapshot) {
+	peer := l.peer(e.To)
+	if peer == nil {
+		return
+	}
+	l.wait.Go(func() { peer.sendSnapshot(e.Term, s) })
+}
+
+// close ends all links and waits for them.
+func (l *links) close() {
+	l.mu.Lock()
+	l.cancel()
+	l.mu.Unlock()
+	l.wait.Wait()
+}
+
+func (k *link) move(address netip.AddrPort) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.address = address
+}
+
+func (k *link) where() netip.AddrPort {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.address
+}
+
+// run delivers messages until the links are closed. A connection on which a
+// delivery fails or stays unanswered is closed and replaced.
+func (k *link) run() {
+	var conn *drpcconn.Conn
+	defer func() { closeConn(conn) }()
+	for {
+		messages := k.next()
+		if messages == nil {
+			return
+		}
+		var err error
+		if conn == nil {
+			conn, err = k.dial()
+		}
+		if err == nil {
+			err = k.deliver(conn, messages)
+		}
+		if err != nil {
+			closeConn(conn)
+			conn = nil
+			k.pause()
+		}
+	}
+}
+
+func closeConn(conn *drpcconn.Conn) {
+	if conn != nil {
+		_ = conn.Close()
+	}
+}
+
+// next waits for messages; nil once the links are closed.
+func (k *link) next() []waxwingseam.ReplicaMessage {
+	var messages []waxwingseam.ReplicaMessage
+	select {
+	case <-k.links.ctx.Done():
+		return nil
+	case m := <-k.messages:
+		messages = append(messages, m)
+	}
+	size := messageBytes(messages[0])
+	for size < deliveryBytes/2 {
+		select {
+		case m := <-k.messages:
+			messages = append(messages, m)
+			size += messageBytes(m)
+		default:
+			return messages
+		}
+	}
+	return messages
+}
+
+func messageBytes(m waxwingseam.ReplicaMessage) int {
+	if m.AppendRequest == nil {
+		return 0
+	}
+	size := 0
+	for _, e := range m.AppendRequest.Entries {
+		size += len(e.Command)
+	}
+	return size
+}
+
+func (k *link) dial() (*drpcconn.Conn, error) {
+	ctx, cancel := context.WithTimeout(k.links.ctx, k.links.config.MessageTimeout)
+	defer cancel()
+	return k.links.config.Dialer.Dial(ctx, k.where())
+}
+
+func (k *link) deliver(conn *drpcconn.Conn, messages []waxwingseam.ReplicaMessage) error {
+	ctx, cancel := context.WithTimeout(k.links.ctx, k.links.config.MessageTimeout)
+	defer cancel()
+	d := &Delivery{
+		Cluster:  k.links.identity.Cluster,
+		From:     k.links.self(),
+		To:       k.storage,
+		Messages: messages,
+	}
+	receipt := &Receipt{}
+	if err := deliver.invoke(ctx, conn, d, receipt); err != nil {
+		return err
+	}
+	k.note(receipt.Reason)
+	return nil
+}
+
+// note logs a refusal once.
+func (k *link) note(reason waxwingseam.ReplicaReason) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if reason != k.refused && reason != "" {
+		k.links.config.Logger.Warn("control: replica refuses messages",
+			"storage", k.storage, "address", k.address, "reason", reason)
+	}
+	k.refused = reason
+}
+
+// pause drops what waits, which is stale by the time the peer is back, and
+// waits before the next attempt.
+func (k *link) pause() {
+	timer := time.NewTimer(redialDelay)
+	defer timer.Stop()
+	select {
+	case <-k.links.ctx.Done():
+	case <-timer.C:
+	}
+	for {
+		select {
+		case <-k.messages:
+		default:
+			return
+		}
+	}
+}
+
+// sendSnapshot sends a snapshot in parts over a connection of its own.
+func (k *link) sendSnapshot(term waxwingseam.Term, s waxwingseam.ReplicaSnapshot) {
+	conn, err := k.dial()
+	if err != nil {
+		return
+	}
+	defer closeConn(conn)
+	for offset := 0; ; offset += partBytes {
+		part := k.part(term, s, offset)
+		if err := k.sendPart(conn, part); err != nil {
+			k.links.config.Logger.Warn("control: snapshot not sent", "storage", k.storage, "error", err)
+			return
+		}
+		if offset+partBytes >= len(s.Data) {
+			return
+		}
+	}
+}
+
+func (k *link) part(term waxwingseam.Term, s waxwingseam.ReplicaSnapshot, offset int) *SnapshotPart {
+	part := &SnapshotPart{
+		Cluster:  k.links.identity.Cluster,
+		From:     k.links.self(),
+		To:       k.storage,
+		Term:     term,
+		Snapshot: s,
+		Offset:   offset,
+		Size:     len(s.Data),
+	}
+	part.Snapshot.Data = s.Data[offset:min(offset+partBytes, len(s.Data))]
+	return part
+}
+
+func (k *link) sendPart(conn *drpcconn.Conn, part *SnapshotPart) error {
+	ctx, cancel := context.WithTimeout(k.links.ctx, k.links.config.RequestTimeout)
+	defer cancel()
+	receipt := &Receipt{}
+	if err := takePart.invoke(ctx, conn, part, receipt); err != nil {
+		return err
+	}
+	if receipt.Reason != "" {
+		return refusal(receipt.Reason)
+	}
+	return nil
+}
--- /dev/null
+++ b/proposer/loop.go
@@ -0,0 +1,263 @@
+package proposer
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// batchSize is how many events are reduced before their effects are carried
+// out, with one sync for all.
+const batchSize = 256
+
+// build makes an event of its stamp.
+type build func(waxwingseam.Stamp) waxwingseam.Event
+
+// stamper makes the stamps of events.
+type stamper struct {
+	random *rand.PCG
+}
+
+func newStamper() stamper {
+	return stamper{random: rand.NewPCG(rand.Uint64(), rand.Uint64())}
+}
+
+func (s stamper) stamp() waxwingseam.Stamp {
+	return waxwingseam.Stamp{Now: time.Now(), Random: s.random.Uint64()}
+}
+
+// run reduces events until the context ends, the disk fails, or the cluster
+// refuses the replica.
+func (p *proposer) run(ctx context.Context, refused <-chan error) error {
+	ticker := time.NewTicker(p.config.Tick)
+	defer ticker.Stop()
+	for {
+		var batch []build
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-refused:
+			if err != nil {
+				return err
+			}
+			refused = nil
+			continue
+		case <-ticker.C:
+			batch = append(batch, tick)
+		case b := <-p.inbox:
+			batch = append(batch, b)
+		}
+		if err := p.process(p.drain(batch)); err != nil {
+			p.config.Logger.Error("control: replica stopped", "error", err)
+			return err
+		}
+		p.publish()
+	}
+}
+
+func tick(s waxwingseam.Stamp) waxwingseam.Event {
+	return waxwingseam.ReplicaTicked{Stamp: s}
+}
+
+// drain adds the events that wait.
+func (p *proposer) drain(batch []build) []build {
+	for len(batch) < batchSize {
+		select {
+		case b := <-p.inbox:
+			batch = append(batch, b)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// step queues an event; false once the replica has stopped.
+func (p *proposer) step(ctx context.Context, b build) bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+	}
+	select {
+	case p.inbox <- b:
+		return true
+	case <-ctx.Done():
+	case <-p.done:
+	}
+	return false
+}
+
+// process reduces a batch and carries out its effects: early messages first,
+// then what must be durable, then all the rest. Events that follow from these
+// are processed in turn.
+func (p *proposer) process(batch []build) error {
+	for len(batch) > 0 {
+		effects := make([]waxwingseam.Effect, 0, len(batch))
+		for _, b := range batch {
+			effects = append(effects, p.reducer.Reduce(b(p.stamper.stamp()))...)
+		}
+		p.sendEarly(effects)
+		persisted, err := p.persist(effects)
+		if err != nil {
+			return err
+		}
+		batch, err = p.carryOut(effects)
+		if err != nil {
+			return err
+		}
+		if persisted != nil {
+			batch = append(batch, persisted)
+		}
+	}
+	return nil
+}
+
+func (p *proposer) sendEarly(effects []waxwingseam.Effect) {
+	for _, e := range effects {
+		if v, ok := e.(waxwingseam.SendReplicaMessage); ok && v.Early {
+			p.links.send(v.Message)
+		}
+	}
+}
+
+// persist makes states, entries and snapshots durable and returns the event
+// that says so.
+func (p *proposer) persist(effects []waxwingseam.Effect) (build, error) {
+	var pending *waxwingseam.PersistReplica
+	var done build
+	for _, e := range effects {
+		switch v := e.(type) {
+		case waxwingseam.PersistReplica:
+			pending = merge(pending, v)
+		case waxwingseam.PersistSnapshot:
+			if err := p.flush(pending); err != nil {
+				return nil, err
+			}
+			pending = nil
+			if err := p.journal.Compact(v); err != nil {
+				return nil, err
+			}
+			done = persistedEvent(v.State, p.reducer.Status().Last)
+		}
+	}
+	if pending != nil {
+		done = persistedEvent(pending.State, p.reducer.Status().Last)
+	}
+	return done, p.flush(pending)
+}
+
+// persistedEvent says that all up to the last entry is durable. No event is
+// reduced between the batch and this one.
+func persistedEvent(state waxwingseam.ReplicaState, last waxwingseam.LogIndex) build {
+	return func(s waxwingseam.Stamp) waxwingseam.Event {
+		return waxwingseam.ReplicaPersisted{Stamp: s, State: state, Last: last}
+	}
+}
+
+func (p *proposer) flush(pending *waxwingseam.PersistReplica) error {
+	if pending == nil {
+		return nil
+	}
+	return trace.Wrap(p.journal.Persist(*pending))
+}
+
+// merge joins two writes; later entries replace those from their first on.
+func merge(pending *waxwingseam.PersistReplica, v waxwingseam.PersistReplica) *waxwingseam.PersistReplica {
+	if pending == nil {
+		return &v
+	}
+	out := waxwingseam.PersistReplica{State: v.State}
+	out.Entries = append(out.Entries, pending.Entries...)
+	if len(v.Entries) > 0 {
+		out.Entries = before(out.Entries, v.Entries[0].Index)
+		out.Entries = append(out.Entries, v.Entries...)
+	}
+	return &out
+}
+
+// before returns the entries in front of an index.
+func before(entries []waxwingseam.LogEntry, index waxwingseam.LogIndex) []waxwingseam.LogEntry {
+	for i, e := range entries {
+		if e.Index >= index {
+			return entries[:i]
+		}
+	}
+	return entries
+}
+
+// carryOut executes the effects that wait for durability, and returns the
+// events that follow from them.
+func (p *proposer) carryOut(effects []waxwingseam.Effect) ([]build, error) {
+	var next []build
+	for _, e := range effects {
+		switch v := e.(type) {
+		case waxwingseam.SendReplicaMessage:
+			if !v.Early {
+				p.links.send(v.Message)
+			}
+		case waxwingseam.SendSnapshot:
+			p.links.sendSnapshot(v, p.journal.Snapshot())
+		case waxwingseam.ApplyEntry:
+			p.apply(v)
+		case waxwingseam.PersistSnapshot:
+			if err := p.restore(v); err != nil {
+				return nil, err
+			}
+		case waxwingseam.TakeSnapshot:
+			b, err := p.takeSnapshot(v.Index)
+			if err != nil {
+				return nil, err
+			}
+			next = append(next, b)
+		case waxwingseam.AnswerRequest:
+			p.answer(v.ID, answer{index: v.Index})
+		case waxwingseam.RefuseRequest:
+			p.answer(v.ID, answer{reason: v.Reason})
+		case waxwingseam.AdoptMembership:
+			p.adopt(v.Membership)
+		case waxwingseam.StopReplica:
+			return nil, trace.BadParameter("entry %d: %s", v.Index, v.Text)
+		}
+	}
+	return next, nil
+}
+
+func (p *proposer) apply(v waxwingseam.ApplyEntry) {
+	a := answer{index: v.Entry.Index}
+	if v.Entry.Kind == waxwingseam.EntryCommand {
+		a.data = p.config.Applier.Apply(v.Entry.Index, v.Entry.Command)
+	}
+	if v.Request != 0 {
+		p.answer(v.Request, a)
+	}
+}
+
+func (p *proposer) restore(v waxwingseam.PersistSnapshot) error {
+	if !v.Restore {
+		return nil
+	}
+	p.config.Logger.Info("control: snapshot installed", "index", v.Snapshot.Index)
+	return trace.Wrap(p.config.Applier.Restore(v.Snapshot.Data), "restoring a leader's snapshot")
+}
+
+func (p *proposer) takeSnapshot(index waxwingseam.LogIndex) (build, error) {
+	data, err := p.config.Applier.Snapshot()
+	if err != nil {
+		return nil, trace.Wrap(err, "taking a snapshot")
+	}
+	return func(s waxwingseam.Stamp) waxwingseam.Event {
+		return waxwingseam.SnapshotTaken{Stamp: s, Index: index, Data: data}
+	}, nil
+}
+
+func (p *proposer) adopt(m waxwingseam.Membership) {
+	p.config.Logger.Info("control: members changed", "members", len(m.Members), "voters", m.Voters())
+	for _, v := range m.Members {
+		p.links.learn(v)
+	}
+}
--- /dev/null
+++ b/proposer/method.go
@@ -0,0 +1,139 @@
+package proposer
+
+import (
+	"context"
+
+	"github.com/gravitational/trace"
+	"storj.io/drpc"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/messenger"
+)
+
+// LeaderRequest asks a leader for one thing: to apply a command, to change the
+// membership, or to confirm a read.
+type LeaderRequest struct {
+	Cluster waxwingseam.ClusterID         `cbor:"1,keyasint"`
+	To      waxwingseam.StorageID         `cbor:"2,keyasint"`
+	Command []byte                        `cbor:"3,keyasint,omitempty"`
+	Change  *waxwingseam.MembershipChange `cbor:"4,keyasint,omitempty"`
+	Read    bool                          `cbor:"5,keyasint,omitempty"`
+}
+
+// event returns the reducer's event for the request.
+func (q *LeaderRequest) event(s waxwingseam.Stamp, id waxwingseam.RequestID) waxwingseam.Event {
+	switch {
+	case q.Read:
+		return waxwingseam.ReadAsked{Stamp: s, ID: id}
+	case q.Change != nil:
+		return waxwingseam.MembershipProposed{Stamp: s, ID: id, Change: *q.Change}
+	}
+	return waxwingseam.CommandProposed{Stamp: s, ID: id, Command: q.Command}
+}
+
+// unanswered returns what is known of a request whose answer is lost: a read
+// changes nothing.
+func (q *LeaderRequest) unanswered() waxwingseam.ReplicaReason {
+	if q.Read {
+		return waxwingseam.ReasonNoQuorum
+	}
+	return waxwingseam.ReasonOutcomeUnknown
+}
+
+// LeaderAnswer answers a LeaderRequest.
+type LeaderAnswer struct {
+	Answer []byte                    `cbor:"1,keyasint,omitempty"`
+	Index  waxwingseam.LogIndex      `cbor:"2,keyasint,omitempty"`
+	Reason waxwingseam.ReplicaReason `cbor:"3,keyasint,omitempty"`
+}
+
+// Delivery carries messages from one replica to another.
+type Delivery struct {
+	Cluster  waxwingseam.ClusterID        `cbor:"1,keyasint"`
+	From     waxwingseam.Member           `cbor:"2,keyasint"`
+	To       waxwingseam.StorageID        `cbor:"3,keyasint"`
+	Messages []waxwingseam.ReplicaMessage `cbor:"4,keyasint"`
+}
+
+// SnapshotPart carries a part of a snapshot; the parts go in order.
+type SnapshotPart struct {
+	Cluster waxwingseam.ClusterID `cbor:"1,keyasint"`
+	From    waxwingseam.Member    `cbor:"2,keyasint"`
+	To      waxwingseam.StorageID `cbor:"3,keyasint"`
+	Term    waxwingseam.Term      `cbor:"4,keyasint"`
+	// Snapshot is the snapshot with this part's bytes as its data.
+	Snapshot waxwingseam.ReplicaSnapshot `cbor:"5,keyasint"`
+	// Offset is where the part begins, and Size the length of the whole.
+	Offset int `cbor:"6,keyasint"`
+	Size   int `cbor:"7,keyasint"`
+}
+
+// Receipt answers a Delivery or a SnapshotPart.
+type Receipt struct {
+	Reason waxwingseam.ReplicaReason `cbor:"1,keyasint,omitempty"`
+}
+
+// JoinRequest asks to become a member, or to be known under a new address.
+type JoinRequest struct {
+	// Cluster is empty for a replica whose data folder is empty.
+	Cluster waxwingseam.ClusterID `cbor:"1,keyasint,omitempty"`
+	Member  waxwingseam.Member    `cbor:"2,keyasint"`
+}
+
+// JoinAnswer answers a JoinRequest.
+type JoinAnswer struct {
+	Cluster waxwingseam.ClusterID     `cbor:"1,keyasint,omitempty"`
+	Reason  waxwingseam.ReplicaReason `cbor:"2,keyasint,omitempty"`
+}
+
+// service is what replicas ask of one another.
+type service interface {
+	Deliver(ctx context.Context, d *Delivery) (*Receipt, error)
+	TakePart(ctx context.Context, s *SnapshotPart) (*Receipt, error)
+	Lead(ctx context.Context, q *LeaderRequest) (*LeaderAnswer, error)
+	Join(ctx context.Context, q *JoinRequest) (*JoinAnswer, error)
+}
+
+// method is a remote method with its message types.
+type method[In, Out any] struct {
+	name string
+	call func(service, context.Context, *In) (*Out, error)
+}
+
+var (
+	deliver  = method[Delivery, Receipt]{"/waxwingseam.Replica/Deliver", service.Deliver}
+	takePart = method[SnapshotPart, Receipt]{"/waxwingseam.Replica/TakePart", service.TakePart}
+	lead     = method[LeaderRequest, LeaderAnswer]{"/waxwingseam.Replica/Lead", service.Lead}
+	join     = method[JoinRequest, JoinAnswer]{"/waxwingseam.Replica/Join", service.Join}
+)
+
+var methods = messenger.Description{
+	deliver.describe(),
+	takePart.describe(),
+	lead.describe(),
+	join.describe(),
+}
+
+// describe returns the method as drpc serves it.
+func (m method[In, Out]) describe() messenger.Method {
+	return messenger.Method{
+		Name:       m.name,
+		Expression: m.call,
+		Receiver: func(implementation any, ctx context.Context, in, _ any) (drpc.Message, error) {
+			s, ok := implementation.(service)
+			if !ok {
+				return nil, trace.BadParameter("%T serves no replica", implementation)
+			}
+			q, ok := in.(*In)
+			if !ok {
+				return nil, trace.BadParameter("%T is no request of %s", in, m.name)
+			}
+			return m.call(s, ctx, q)
+		},
+	}
+}
+
+// invoke calls the method at another replica.
+func (m method[In, Out]) invoke(ctx context.Context, conn drpc.Conn, in *In, out *Out) error {
+	return trace.Wrap(conn.Invoke(ctx, m.name, messenger.Encoding, in, out))
+}
--- /dev/null
+++ b/proposer/proposer.go
@@ -0,0 +1,262 @@
+// Package proposer runs one replica of the replicated log: it feeds the
+// reducer, makes durable what must be, carries messages to the other replicas
+// and hands committed commands to the state machine.
+package proposer
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/journaler"
+	"waxwingseam.example/waxwingseam/messenger"
+	"waxwingseam.example/waxwingseam/replicator"
+)
+
+// The defaults of a Config.
+const (
+	DefaultTick           = 50 * time.Millisecond
+	DefaultLeaderTimeout  = 3 * time.Second
+	DefaultRequestTimeout = 5 * time.Second
+	DefaultMessageTimeout = 500 * time.Millisecond
+)
+
+// MaxCommandBytes is the longest command that a replica takes.
+const MaxCommandBytes = 2 << 20
+
+// Config holds the parts of a replica.
+type Config struct {
+	// DataFolder is where the replica's files live.
+	DataFolder string
+	// Disk takes the place of the data folder where it is set.
+	Disk waxwingseam.Disk
+	// Self is the replica's name, unique in the cluster.
+	Self waxwingseam.ReplicaID
+	// Address is where the other replicas reach the messenger.
+	Address netip.AddrPort
+	// Join lists addresses of replicas that a new replica asks to let it join.
+	Join []netip.AddrPort
+	// Voter is set for a replica that votes once it holds all that is committed.
+	Voter bool
+	// Messenger serves the replica's methods.
+	Messenger *messenger.Server
+	Dialer    messenger.Dialer
+	Logger    *slog.Logger
+	Applier   waxwingseam.Applier
+	// Tick is the length of a tick.
+	Tick time.Duration
+	// LeaderTimeout is how long a request waits for a leader to be known.
+	LeaderTimeout time.Duration
+	// RequestTimeout bounds a request to the leader.
+	RequestTimeout time.Duration
+	// MessageTimeout bounds one exchange with another replica; a connection
+	// that exceeds it is left for a new one.
+	MessageTimeout time.Duration
+	// Replicator holds the limits of the reducer; its identity and recovery
+	// come from the data folder.
+	Replicator replicator.Config
+}
+
+func (c Config) withDefaults() Config {
+	if c.Tick == 0 {
+		c.Tick = DefaultTick
+	}
+	if c.RequestTimeout == 0 {
+		c.RequestTimeout = DefaultRequestTimeout
+	}
+	if c.MessageTimeout == 0 {
+		c.MessageTimeout = DefaultMessageTimeout
+	}
+	if c.Logger == nil {
+		c.Logger = slog.New(slog.DiscardHandler)
+	}
+	if c.LeaderTimeout == 0 {
+		c.LeaderTimeout = DefaultLeaderTimeout
+	}
+	return c
+}
+
+type proposer struct {
+	config  Config
+	disk    waxwingseam.Disk
+	journal waxwingseam.Journal
+	reducer waxwingseam.Replicator
+	inbox   chan build
+	links   *links
+	stamper stamper
+	done    chan struct{}
+
+	mu       sync.Mutex
+	status   waxwingseam.ReplicaStatus
+	changed  chan struct{}
+	requests map[waxwingseam.RequestID]chan<- answer
+	lastID   waxwingseam.RequestID
+	arriving arrivingSnapshot
+}
+
+// inboxSize bounds the events that wait; those who bring more are held up.
+const inboxSize = 1024
+
+// Initialize creates a cluster's identity, once, in an empty data folder; the
+// replica is its first voter.
+func Initialize(config Config) (waxwingseam.ClusterID, error) {
+	disk, err := config.openDisk()
+	if err != nil {
+		return "", err
+	}
+	identity := waxwingseam.ReplicaIdentity{
+		Cluster: waxwingseam.ClusterID(uuid.NewString()),
+		Replica: config.Self,
+		Storage: newStorageID(),
+	}
+	err = journaler.Format(disk, identity, bootstrap(config, identity))
+	return identity.Cluster, trace.NewAggregate(err, disk.Close())
+}
+
+// bootstrap is the first entry of a cluster's log: its only member.
+func bootstrap(config Config, identity waxwingseam.ReplicaIdentity) waxwingseam.PersistReplica {
+	membership := waxwingseam.Membership{}.With(waxwingseam.Member{
+		Replica: config.Self,
+		Storage: identity.Storage,
+		Address: config.Address,
+		Voter:   true,
+	})
+	return waxwingseam.PersistReplica{
+		State: waxwingseam.ReplicaState{Term: 1},
+		Entries: []waxwingseam.LogEntry{{
+			Index:      1,
+			Term:       1,
+			Kind:       waxwingseam.EntryMembership,
+			Membership: &membership,
+		}},
+	}
+}
+
+func newStorageID() waxwingseam.StorageID {
+	return waxwingseam.StorageID(uuid.NewString())
+}
+
+func (c Config) openDisk() (waxwingseam.Disk, error) {
+	if c.Disk != nil {
+		return c.Disk, nil
+	}
+	return journaler.OpenFolder(c.DataFolder)
+}
+
+// New returns a replica on its data folder. It registers its methods with the
+// messenger; it does nothing before Serve.
+func New(config Config) (waxwingseam.Proposer, error) {
+	config = config.withDefaults()
+	p := &proposer{
+		config:   config,
+		inbox:    make(chan build, inboxSize),
+		stamper:  newStamper(),
+		done:     make(chan struct{}),
+		changed:  make(chan struct{}),
+		requests: map[waxwingseam.RequestID]chan<- answer{},
+	}
+	p.status.Self.Replica = config.Self
+	if err := p.open(); err != nil {
+		return nil, err
+	}
+	if err := config.Messenger.Register(p, methods); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return p, nil
+}
+
+// open reads the data folder; one that is not formatted waits for Serve.
+func (p *proposer) open() error {
+	disk, err := p.config.openDisk()
+	if err != nil {
+		return err
+	}
+	p.disk = disk
+	formatted, err := journaler.Formatted(disk)
+	if err == nil && formatted {
+		err = p.recover()
+	}
+	if err != nil {
+		return trace.NewAggregate(err, disk.Close())
+	}
+	return nil
+}
+
+// recover opens the journal and restores the state machine's snapshot.
+func (p *proposer) recover() error {
+	journal, recovery, err := journaler.Open(p.disk)
+	if err != nil {
+		return err
+	}
+	identity := journal.Identity()
+	if identity.Replica != p.config.Self {
+		return trace.BadParameter("the data folder is that of replica %q, not of %q", identity.Replica, p.config.Self)
+	}
+	if recovery.Snapshot.Index > 0 {
+		if err := p.config.Applier.Restore(recovery.Snapshot.Data); err != nil {
+			return trace.Wrap(err, "restoring the snapshot")
+		}
+	}
+	config := p.config.Replicator
+	config.Identity = identity
+	config.Recovery = recovery
+	p.journal = journal
+	p.reducer = replicator.New(config)
+	p.links = newLinks(p.config, identity)
+	p.publish()
+	for _, m := range p.status.Members {
+		p.links.learn(m.Member)
+	}
+	p.config.Logger.Info("control: replica opened",
+		"cluster", identity.Cluster, "storage", identity.Storage,
+		"snapshot", recovery.Snapshot.Index, "entries", len(recovery.Entries))
+	return nil
+}
+
+// Serve implements waxwingseam.Proposer.
+func (p *proposer) Serve(ctx context.Context) error {
+	defer close(p.done)
+	defer p.abandon()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if p.reducer == nil {
+		if err := p.join(ctx); err != nil {
+			return trace.NewAggregate(err, p.disk.Close())
+		}
+	}
+	refused := make(chan error, 1)
+	go func() { refused <- p.announce(ctx) }()
+	err := p.run(ctx, refused)
+	p.links.close()
+	return trace.NewAggregate(err, p.journal.Close())
+}
+
+// Status implements waxwingseam.Proposer.
+func (p *proposer) Status() waxwingseam.ReplicaStatus {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.status
+}
+
+// publish makes the reducer's status visible and wakes those who wait for it.
+func (p *proposer) publish() {
+	status := p.reducer.Status()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.status = status
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// watch returns the status and a channel that is closed when it changes.
+func (p *proposer) watch() (waxwingseam.ReplicaStatus, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.status, p.changed
+}
--- /dev/null
+++ b/proposer/request.go
@@ -0,0 +1,209 @@
+package proposer
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// answer is what a request to the local reducer came to.
+type answer struct {
+	data   []byte
+	index  waxwingseam.LogIndex
+	reason waxwingseam.ReplicaReason
+}
+
+func refusal(reason waxwingseam.ReplicaReason) error {
+	return &waxwingseam.ReplicaError{Reason: reason}
+}
+
+// answer ends a request, unless it was given up.
+func (p *proposer) answer(id waxwingseam.RequestID, a answer) {
+	p.mu.Lock()
+	waiting, ok := p.requests[id]
+	delete(p.requests, id)
+	p.mu.Unlock()
+	if ok {
+		waiting <- a
+	}
+}
+
+// abandon ends all requests of a replica that has stopped.
+func (p *proposer) abandon() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, waiting := range p.requests {
+		waiting <- answer{reason: waxwingseam.ReasonOutcomeUnknown}
+		delete(p.requests, id)
+	}
+}
+
+// request hands an event to the local reducer and waits for its answer.
+func (p *proposer) request(ctx context.Context, event func(waxwingseam.Stamp, waxwingseam.RequestID) waxwingseam.Event) answer {
+	waiting := make(chan answer, 1)
+	p.mu.Lock()
+	p.lastID++
+	id := p.lastID
+	p.requests[id] = waiting
+	p.mu.Unlock()
+	queued := p.step(ctx, func(s waxwingseam.Stamp) waxwingseam.Event { return event(s, id) })
+	if !queued {
+		p.forget(id)
+		return answer{reason: waxwingseam.ReasonNoQuorum}
+	}
+	select {
+	case a := <-waiting:
+		return a
+	case <-p.done:
+	case <-ctx.Done():
+	}
+	p.forget(id)
+	return answer{reason: waxwingseam.ReasonOutcomeUnknown}
+}
+
+func (p *proposer) forget(id waxwingseam.RequestID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.requests, id)
+}
+
+// Propose implements waxwingseam.Proposer.
+func (p *proposer) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	if len(command) > MaxCommandBytes {
+		return nil, refusal(waxwingseam.ReasonCommandTooLarge)
+	}
+	a, err := p.atLeader(ctx, &LeaderRequest{Command: command})
+	return a.Answer, err
+}
+
+// ChangeMembership implements waxwingseam.Proposer.
+func (p *proposer) ChangeMembership(ctx context.Context, change waxwingseam.MembershipChange) error {
+	_, err := p.atLeader(ctx, &LeaderRequest{Change: &change})
+	return err
+}
+
+// ReadIndex implements waxwingseam.Proposer.
+func (p *proposer) ReadIndex(ctx context.Context) error {
+	a, err := p.atLeader(ctx, &LeaderRequest{Read: true})
+	if err != nil {
+		return err
+	}
+	for {
+		status, changed := p.watch()
+		if status.Applied >= a.Index {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-p.done:
+			return refusal(waxwingseam.ReasonStopped)
+		}
+	}
+}
+
+// HandOver implements waxwingseam.Proposer.
+func (p *proposer) HandOver() {
+	p.step(context.Background(), func(s waxwingseam.Stamp) waxwingseam.Event {
+		return waxwingseam.HandoverAsked{Stamp: s}
+	})
+}
+
+// atLeader has a request carried out by the leader. While none is known, it
+// waits for one; a request that may have reached a leader is not repeated.
+func (p *proposer) atLeader(ctx context.Context, q *LeaderRequest) (*LeaderAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.config.RequestTimeout)
+	defer cancel()
+	patience := time.NewTimer(p.config.LeaderTimeout)
+	defer patience.Stop()
+	for {
+		status, changed := p.watch()
+		a := p.tryLeader(ctx, status, q)
+		if a.Reason != waxwingseam.ReasonNotLeader && a.Reason != waxwingseam.ReasonNoQuorum {
+			return a, a.err()
+		}
+		select {
+		case <-changed:
+		case <-patience.C:
+			return a, refusal(waxwingseam.ReasonNoQuorum)
+		case <-ctx.Done():
+			return a, refusal(waxwingseam.ReasonNoQuorum)
+		case <-p.done:
+			return a, refusal(waxwingseam.ReasonStopped)
+		}
+	}
+}
+
+// tryLeader sends a request to the leader as this replica knows it.
+func (p *proposer) tryLeader(ctx context.Context, status waxwingseam.ReplicaStatus, q *LeaderRequest) *LeaderAnswer {
+	if status.Role == waxwingseam.RoleLeader {
+		return p.lead(ctx, q)
+	}
+	leader, ok := status.LeaderMember()
+	if !ok {
+		return &LeaderAnswer{Reason: waxwingseam.ReasonNoQuorum}
+	}
+	q.Cluster = status.Cluster
+	q.To = leader.Storage
+	return p.askLeader(ctx, leader.Address, q)
+}
+
+// askLeader sends a request over a new connection, so that one which has gone
+// silent is never in its way.
+func (p *proposer) askLeader(ctx context.Context, address netip.AddrPort, q *LeaderRequest) *LeaderAnswer {
+	dialing, cancel := context.WithTimeout(ctx, p.config.MessageTimeout)
+	defer cancel()
+	conn, err := p.config.Dialer.Dial(dialing, address)
+	if err != nil {
+		return &LeaderAnswer{Reason: waxwingseam.ReasonNoQuorum}
+	}
+	defer func() { _ = conn.Close() }()
+	a := &LeaderAnswer{}
+	if err := lead.invoke(ctx, conn, q, a); err != nil {
+		return &LeaderAnswer{Reason: q.unanswered()}
+	}
+	return a
+}
+
+// lead carries a request out at this replica.
+func (p *proposer) lead(ctx context.Context, q *LeaderRequest) *LeaderAnswer {
+	a := p.request(ctx, q.event)
+	if a.reason == waxwingseam.ReasonOutcomeUnknown {
+		a.reason = q.unanswered()
+	}
+	return &LeaderAnswer{Answer: a.data, Index: a.index, Reason: a.reason}
+}
+
+// Lead serves a request of another replica.
+func (p *proposer) Lead(ctx context.Context, q *LeaderRequest) (*LeaderAnswer, error) {
+	if reason := p.mismatch(q.Cluster, q.To); reason != "" {
+		return &LeaderAnswer{Reason: reason}, nil
+	}
+	return p.lead(ctx, q), nil
+}
+
+// mismatch says why a message is not for this replica; empty when it is.
+func (p *proposer) mismatch(cluster waxwingseam.ClusterID, to waxwingseam.StorageID) waxwingseam.ReplicaReason {
+	status := p.Status()
+	switch {
+	case status.Cluster == "":
+		return waxwingseam.ReasonNoQuorum
+	case status.Cluster != cluster:
+		return waxwingseam.ReasonClusterMismatch
+	case status.Self.Storage != to:
+		return waxwingseam.ReasonStorageMismatch
+	}
+	return ""
+}
+
+func (a *LeaderAnswer) err() error {
+	if a.Reason == "" {
+		return nil
+	}
+	return trace.Wrap(refusal(a.Reason))
+}
--- /dev/null
+++ b/replicaevent.go
@@ -0,0 +1,104 @@
+package waxwingseam
+
+// The kinds of events at a replica.
+const (
+	KindReplicaTicked         Kind = "replica-ticked"
+	KindReplicaMessageArrived Kind = "replica-message-arrived"
+	KindSnapshotArrived       Kind = "snapshot-arrived"
+	KindSnapshotTaken         Kind = "snapshot-taken"
+	KindReplicaPersisted      Kind = "replica-persisted"
+	KindCommandProposed       Kind = "command-proposed"
+	KindMembershipProposed    Kind = "membership-proposed"
+	KindReadAsked             Kind = "read-asked"
+	KindHandoverAsked         Kind = "handover-asked"
+)
+
+// RequestID numbers the requests to one replica in one life; 0 is none.
+type RequestID uint64
+
+// ReplicaTicked says that one tick has passed. A replica counts ticks and
+// reads no time of day, so a clock that jumps changes nothing.
+type ReplicaTicked struct {
+	Stamp
+}
+
+// ReplicaMessageArrived is a message from another replica.
+type ReplicaMessageArrived struct {
+	Stamp
+	Message ReplicaMessage
+}
+
+// SnapshotArrived is a whole snapshot from a leader.
+type SnapshotArrived struct {
+	Stamp
+	From     StorageID
+	Term     Term
+	Snapshot ReplicaSnapshot
+}
+
+// SnapshotTaken is the state machine's own state after an applied entry.
+type SnapshotTaken struct {
+	Stamp
+	Index LogIndex
+	Data  []byte
+}
+
+// ReplicaPersisted says that all that was to be persisted is durable.
+type ReplicaPersisted struct {
+	Stamp
+	State ReplicaState
+	// Last is the last durable entry.
+	Last LogIndex
+}
+
+// CommandProposed asks to append a command.
+type CommandProposed struct {
+	Stamp
+	ID      RequestID
+	Command []byte
+}
+
+// MembershipProposed asks for another membership.
+type MembershipProposed struct {
+	Stamp
+	ID     RequestID
+	Change MembershipChange
+}
+
+// ReadAsked asks for an index that covers all that was committed before.
+type ReadAsked struct {
+	Stamp
+	ID RequestID
+}
+
+// HandoverAsked asks a leader to hand its leadership to another voter.
+type HandoverAsked struct {
+	Stamp
+}
+
+// Kind implements Event.
+func (ReplicaTicked) Kind() Kind { return KindReplicaTicked }
+
+// Kind implements Event.
+func (ReplicaMessageArrived) Kind() Kind { return KindReplicaMessageArrived }
+
+// Kind implements Event.
+func (SnapshotArrived) Kind() Kind { return KindSnapshotArrived }
+
+// Kind implements Event.
+func (SnapshotTaken) Kind() Kind { return KindSnapshotTaken }
+
+// Kind implements Event.
+func (ReplicaPersisted) Kind() Kind { return KindReplicaPersisted }
+
+// Kind implements Event.
+func (CommandProposed) Kind() Kind { return KindCommandProposed }
+
+// Kind implements Event.
+func (MembershipProposed) Kind() Kind { return KindMembershipProposed }
+
+// Kind implements Event.
+func (ReadAsked) Kind() Kind { return KindReadAsked }
+
+// Kind implements Event.
+func (HandoverAsked) Kind() Kind { return KindHandoverAsked }
--- /dev/null
+++ b/replicamessage.go
@@ -0,0 +1,58 @@
+package waxwingseam
+
+// ReplicaMessage is a message between two replicas; one of its bodies is set.
+type ReplicaMessage struct {
+	From StorageID `cbor:"1,keyasint"`
+	To   StorageID `cbor:"2,keyasint"`
+	// Term is the sender's present term.
+	Term          Term           `cbor:"3,keyasint"`
+	VoteRequest   *VoteRequest   `cbor:"4,keyasint,omitempty"`
+	VoteReply     *VoteReply     `cbor:"5,keyasint,omitempty"`
+	AppendRequest *AppendRequest `cbor:"6,keyasint,omitempty"`
+	AppendReply   *AppendReply   `cbor:"7,keyasint,omitempty"`
+	Handover      *Handover      `cbor:"8,keyasint,omitempty"`
+}
+
+// VoteRequest asks for a vote, or whether one would be given.
+type VoteRequest struct {
+	// Trial is set for a pre-vote, which binds nobody.
+	Trial bool `cbor:"1,keyasint,omitempty"`
+	// Handover is set when the leader itself asked for the election.
+	Handover bool `cbor:"2,keyasint,omitempty"`
+	// Term is the term of the election.
+	Term Term `cbor:"3,keyasint"`
+	// Last is the candidate's last entry.
+	Last LogPosition `cbor:"4,keyasint"`
+}
+
+// VoteReply answers a VoteRequest.
+type VoteReply struct {
+	Trial   bool `cbor:"1,keyasint,omitempty"`
+	Granted bool `cbor:"2,keyasint,omitempty"`
+	// Term is that of the request.
+	Term Term `cbor:"3,keyasint"`
+}
+
+// AppendRequest replicates entries; without entries it is a heartbeat.
+type AppendRequest struct {
+	// Previous is the entry before the first of Entries.
+	Previous LogPosition `cbor:"1,keyasint"`
+	Entries  []LogEntry  `cbor:"2,keyasint,omitempty"`
+	Commit   LogIndex    `cbor:"3,keyasint"`
+	// Round numbers the leader's rounds of heartbeats.
+	Round uint64 `cbor:"4,keyasint"`
+}
+
+// AppendReply answers an AppendRequest or a snapshot.
+type AppendReply struct {
+	Accepted bool `cbor:"1,keyasint,omitempty"`
+	// Match is the last entry that is durable and equal to the leader's.
+	Match LogIndex `cbor:"2,keyasint,omitempty"`
+	// Hint is the last entry that may be equal, where Accepted is unset.
+	Hint LogIndex `cbor:"3,keyasint,omitempty"`
+	// Round is that of the request.
+	Round uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Handover asks a follower to start an election at once.
+type Handover struct{}
