--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -207,13 +207,17 @@
 	}
 }
 
-// stepBack finds where a follower's log goes on.
+// stepBack finds where a follower's log goes on. One that lacks what it had
+// accepted is asked no faster than by heartbeats.
 func (r *replicator) stepBack(from waxwingseam.StorageID, p *progress, v waxwingseam.AppendReply) {
 	if p.snapshot > 0 {
 		return
 	}
+	before := p.next
 	p.reject(v.Hint)
-	r.sendMore(from)
+	if p.next < before {
+		r.sendMore(from)
+	}
 }
 
 // sendMore sends what a member still lacks.
