--- /dev/null
+++ b/journaler/journaler_test.go
@@ -0,0 +1,214 @@
+package journaler
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+var identity = waxwingseam.ReplicaIdentity{Cluster: "k", Replica: "a", Storage: "s"}
+
+// entries returns entries of a term with commands longer than a sector.
+func entries(term waxwingseam.Term, from, to waxwingseam.LogIndex) []waxwingseam.LogEntry {
+	var out []waxwingseam.LogEntry
+	for i := from; i <= to; i++ {
+		command := strings.Repeat(fmt.Sprintf("command %d of term %d;", i, term), 60)
+		out = append(out, waxwingseam.LogEntry{Index: i, Term: term, Command: []byte(command)})
+	}
+	return out
+}
+
+// change is one call to a journal.
+type change struct {
+	persist *waxwingseam.PersistReplica
+	compact *waxwingseam.PersistSnapshot
+}
+
+func persist(term waxwingseam.Term, from, to waxwingseam.LogIndex) change {
+	return change{persist: &waxwingseam.PersistReplica{
+		State:   waxwingseam.ReplicaState{Term: term, Vote: "s"},
+		Entries: entries(term, from, to),
+	}}
+}
+
+func compact(term waxwingseam.Term, base, at, last waxwingseam.LogIndex) change {
+	return change{compact: &waxwingseam.PersistSnapshot{
+		State: waxwingseam.ReplicaState{Term: term},
+		Snapshot: waxwingseam.ReplicaSnapshot{
+			LogPosition: waxwingseam.LogPosition{Index: at, Term: term},
+			Data:        fmt.Appendf(nil, "state %d", at),
+		},
+		Base:    waxwingseam.LogPosition{Index: base, Term: term},
+		Entries: entries(term, base+1, last),
+	}}
+}
+
+// script holds each kind of change: a vote alone, entries, entries that replace
+// others, snapshots with and without entries behind them.
+var script = []change{
+	persist(1, 1, 0),
+	persist(1, 1, 3),
+	persist(2, 3, 5),
+	compact(2, 2, 4, 5),
+	persist(2, 6, 7),
+	persist(3, 7, 7),
+	compact(3, 9, 9, 9),
+	persist(3, 10, 10),
+}
+
+func (v change) apply(j waxwingseam.Journal) error {
+	if v.compact != nil {
+		return j.Compact(*v.compact)
+	}
+	return j.Persist(*v.persist)
+}
+
+// after returns what a journal holds after a number of changes.
+func after(n int) waxwingseam.Recovery {
+	var r waxwingseam.Recovery
+	for _, v := range script[:n] {
+		if v.compact != nil {
+			r = waxwingseam.Recovery{State: v.compact.State, Snapshot: v.compact.Snapshot, Base: v.compact.Base, Entries: v.compact.Entries}
+			continue
+		}
+		_ = replay(&r, batch(*v.persist))
+		r.Entries = slices.Clone(r.Entries)
+	}
+	return r
+}
+
+// perform formats a disk and makes the changes; it returns how many succeeded,
+// -1 when the disk is not formatted.
+func perform(d waxwingseam.Disk) (int, error) {
+	if err := Format(d, identity, waxwingseam.PersistReplica{}); err != nil {
+		return -1, err
+	}
+	j, _, err := Open(d)
+	if err != nil {
+		return 0, err
+	}
+	for i, v := range script {
+		if err := v.apply(j); err != nil {
+			if again := v.apply(j); again == nil {
+				return i, fmt.Errorf("a failed journal took a change")
+			}
+			return i, err
+		}
+	}
+	return len(script), nil
+}
+
+func equal(a, b waxwingseam.Recovery) bool {
+	return fmt.Sprintf("%+v", a) == fmt.Sprintf("%+v", b)
+}
+
+// TestFailureBetweenEachPairOfSteps fails the disk at each step, in each way,
+// and expects all that was acknowledged, and no more than the change that was
+// under way.
+func TestFailureBetweenEachPairOfSteps(t *testing.T) {
+	whole := newForgetfulDisk()
+	n, err := perform(whole)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, n, qt.Equals, len(script))
+	for step := 1; step <= whole.steps; step++ {
+		for _, l := range losses {
+			d := newForgetfulDisk()
+			d.failAt, d.failure = step, errCrash
+			done, err := perform(d)
+			qt.Assert(t, err, qt.ErrorMatches, "(?s).*the host failed.*")
+			d.crash(l)
+			checkRecovered(t, d, done, fmt.Sprintf("step %d, %s, after %d changes", step, l, done))
+		}
+	}
+}
+
+func checkRecovered(t *testing.T, d waxwingseam.Disk, done int, where string) {
+	t.Helper()
+	formatted, err := Formatted(d)
+	qt.Assert(t, err, qt.IsNil)
+	if !formatted {
+		qt.Assert(t, done, qt.Equals, -1, qt.Commentf("%s", where))
+		return
+	}
+	_, got, err := Open(d)
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", where))
+	done = max(done, 0)
+	fits := equal(got, after(done)) || done < len(script) && equal(got, after(done+1))
+	qt.Assert(t, fits, qt.IsTrue, qt.Commentf("%s: %+v", where, got))
+}
+
+func TestFullDiskStopsTheJournal(t *testing.T) {
+	whole := newForgetfulDisk()
+	_, _ = perform(whole)
+	for step := 1; step <= whole.steps; step++ {
+		d := newForgetfulDisk()
+		d.failAt, d.failure = step, errFull
+		done, err := perform(d)
+		qt.Assert(t, err, qt.ErrorMatches, "(?s).*no space left on device.*")
+		d.failAt = 0
+		checkRecovered(t, d, done, fmt.Sprintf("step %d", step))
+	}
+}
+
+// TestFlippedBitStopsTheStart flips each bit of each file in turn.
+func TestFlippedBitStopsTheStart(t *testing.T) {
+	d := newForgetfulDisk()
+	_, err := perform(d)
+	qt.Assert(t, err, qt.IsNil)
+	for name, n := range d.names {
+		for i := range n.data {
+			n.data[i] ^= 1 << (i % 8)
+			_, _, err := Open(d)
+			qt.Assert(t, err, qt.ErrorMatches, "(?s).*"+name+".*", qt.Commentf("%s, byte %d", name, i))
+			n.data[i] ^= 1 << (i % 8)
+		}
+	}
+	_, got, err := Open(d)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, equal(got, after(len(script))), qt.IsTrue)
+}
+
+func TestOpenNamesWhatIsMissing(t *testing.T) {
+	for _, v := range []struct {
+		name   string
+		remove string
+		want   string
+	}{
+		{"no snapshot", generation(3).snapshotFile(), "(?s).*snapshot-0000000000000003.*"},
+		{"no log", generation(3).logFile(), "(?s).*an identity and no log.*"},
+		{"no identity", identityFile, "(?s).*identity.*"},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			d := newForgetfulDisk()
+			_, err := perform(d)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, d.Remove(v.remove), qt.IsNil)
+			_, _, err = Open(d)
+			qt.Assert(t, err, qt.ErrorMatches, v.want)
+		})
+	}
+}
+
+func TestFolderKeepsWhatTheScriptWrote(t *testing.T) {
+	path := t.TempDir()
+	disk, err := OpenFolder(path)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = OpenFolder(path)
+	qt.Assert(t, err, qt.ErrorMatches, ".*in use by another process.*")
+	_, err = perform(disk)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, disk.Close(), qt.IsNil)
+	disk, err = OpenFolder(path)
+	qt.Assert(t, err, qt.IsNil)
+	j, got, err := Open(disk)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, equal(got, after(len(script))), qt.IsTrue)
+	qt.Assert(t, j.Identity(), qt.Equals, identity)
+	qt.Assert(t, Format(disk, identity, waxwingseam.PersistReplica{}), qt.ErrorMatches, ".*holds a replica already")
+	qt.Assert(t, j.Close(), qt.IsNil)
+}
