--- /dev/null
+++ b/administrator/problem.go
@@ -0,0 +1,77 @@
+package administrator
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/historian"
+)
+
+// Reason says in kebab case why a request was refused.
+type Reason string
+
+// The reasons of refusals.
+const (
+	ReasonUnknownPath     Reason = "unknown-path"
+	ReasonBadRequest      Reason = "bad-request"
+	ReasonTooLarge        Reason = "too-large"
+	ReasonNoQuorum        Reason = "no-quorum"
+	ReasonOutcomeUnknown  Reason = "outcome-unknown"
+	ReasonFindings        Reason = "findings"
+	ReasonWarnings        Reason = "warnings"
+	ReasonConflict        Reason = "conflict"
+	ReasonOtherContent    Reason = "other-content"
+	ReasonUnknownRevision Reason = "unknown-revision"
+	ReasonUnknownServer   Reason = "unknown-server"
+	ReasonUnknownService  Reason = "unknown-service"
+)
+
+// titles are the reasons in words.
+var titles = map[Reason]string{
+	ReasonUnknownPath:     "no such path",
+	ReasonBadRequest:      "the request cannot be read",
+	ReasonTooLarge:        "the request is too large",
+	ReasonNoQuorum:        "no quorum of replicas answers",
+	ReasonOutcomeUnknown:  "the change may be accepted yet; resend it with the same submission id",
+	ReasonFindings:        "the set has findings",
+	ReasonWarnings:        "the set has warnings that were not accepted",
+	ReasonConflict:        "another revision follows the base revision",
+	ReasonOtherContent:    "the submission id was used for another content",
+	ReasonUnknownRevision: "no such revision",
+	ReasonUnknownServer:   "no such backend server",
+	ReasonUnknownService:  "the backend server's service is not in the set",
+}
+
+// Problem is a refusal, in the form of RFC 9457.
+type Problem struct {
+	Type     string               `json:"type"`
+	Title    string               `json:"title"`
+	Status   int                  `json:"status"`
+	Detail   string               `json:"detail,omitempty"`
+	Reason   Reason               `json:"reason"`
+	Findings waxwingseam.Findings `json:"findings,omitempty"`
+	// Answer is set where the refusal is an answer to a submission.
+	Answer *historian.Answer `json:"answer,omitempty"`
+}
+
+// refuse writes a problem.
+func refuse(w http.ResponseWriter, p Problem) {
+	p.Type = "about:blank"
+	if p.Title == "" {
+		p.Title = titles[p.Reason]
+	}
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(p.Status)
+	_ = json.NewEncoder(w).Encode(p)
+}
+
+// Refuse writes a problem for the guard.
+func Refuse(w http.ResponseWriter, status int, reason, detail string) {
+	refuse(w, Problem{Status: status, Reason: Reason(reason), Title: detail})
+}
+
+func asTooLarge(err error, target **http.MaxBytesError) bool {
+	return errors.As(err, target)
+}
--- /dev/null
+++ b/administrator/reading.go
@@ -0,0 +1,204 @@
+package administrator
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/checker"
+	"waxwingseam.example/waxwingseam/historian"
+	"waxwingseam.example/waxwingseam/publisher"
+)
+
+// RevisionHeader names the revision that an answer shows.
+const RevisionHeader = "Waxwingseam-Revision"
+
+// SetAnswer is a set in JSON.
+type SetAnswer struct {
+	Revision waxwingseam.Revision `json:"revision"`
+	Digest   string               `json:"digest"`
+	Objects  []checker.Object     `json:"objects"`
+}
+
+// HistoryAnswer is a part of the history, oldest first.
+type HistoryAnswer struct {
+	// Newest is the revision in force.
+	Newest  waxwingseam.Revision `json:"newest"`
+	Entries []historian.Entry    `json:"entries"`
+}
+
+// DifferencesRequest is the body of a request to compare files.
+type DifferencesRequest struct {
+	Files []checker.File `json:"files"`
+}
+
+// DifferencesAnswer lists what files would change of a revision.
+type DifferencesAnswer struct {
+	Revision    waxwingseam.Revision `json:"revision"`
+	Differences []checker.Difference `json:"differences"`
+}
+
+// StatusAnswer is what a replica knows of the cluster.
+type StatusAnswer struct {
+	// Replica is the replica that answers.
+	Replica waxwingseam.ReplicaID `json:"replica"`
+	// Current is set when a quorum confirmed that the answer is up to date.
+	Current  bool                 `json:"current"`
+	Revision waxwingseam.Revision `json:"revision"`
+	Digest   string               `json:"digest"`
+	// Log describes the replica of the log.
+	Log any `json:"log"`
+	// Nodes sums up the nodes of each replica.
+	Nodes   []publisher.Holding `json:"nodes"`
+	Servers []ServerStatus      `json:"servers"`
+}
+
+// ServerStatus describes one announced backend server.
+type ServerStatus struct {
+	Name        waxwingseam.ServerName  `json:"name"`
+	Service     waxwingseam.ServiceName `json:"service"`
+	DataCentre  waxwingseam.DataCentre  `json:"data-centre"`
+	Node        string                  `json:"node"`
+	Incarnation waxwingseam.Incarnation `json:"incarnation"`
+	// State is present, leaving, lapsed or drained.
+	State string `json:"state"`
+	// Peer is the control replica that it announced itself to; empty for the
+	// replica that answers.
+	Peer string `json:"peer,omitempty"`
+	// Finding says what is wrong with the server; empty when nothing is.
+	Finding string `json:"finding,omitempty"`
+}
+
+// set answers with the set of a revision.
+func (a *administrator) set(w http.ResponseWriter, r *http.Request) {
+	if !a.current(w, r) {
+		return
+	}
+	set, ok := a.revision(w, r)
+	if !ok {
+		return
+	}
+	w.Header().Set(RevisionHeader, strconv.FormatUint(uint64(set.Revision), 10))
+	if r.URL.Query().Get("output") == "ini" {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		_, _ = w.Write(checker.Format(set))
+		return
+	}
+	answer(w, SetAnswer{
+		Revision: set.Revision,
+		Digest:   formatDigest(checker.Digest(set)),
+		Objects:  checker.Objects(set),
+	})
+}
+
+// revision returns the set of the revision that a request names, the newest
+// without one.
+func (a *administrator) revision(w http.ResponseWriter, r *http.Request) (*waxwingseam.Set, bool) {
+	head, _ := a.config.Historian.Head()
+	text := r.URL.Query().Get("revision")
+	if text == "" {
+		return head, true
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		refuse(w, Problem{Status: http.StatusBadRequest, Reason: ReasonBadRequest, Detail: "revision is not a number"})
+		return nil, false
+	}
+	set, err := a.config.Historian.Set(waxwingseam.Revision(n))
+	if err != nil {
+		refuse(w, Problem{Status: http.StatusNotFound, Reason: ReasonUnknownRevision, Detail: err.Error()})
+		return nil, false
+	}
+	return set, true
+}
+
+// history answers with entries after a revision.
+func (a *administrator) history(w http.ResponseWriter, r *http.Request) {
+	if !a.current(w, r) {
+		return
+	}
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	limit, err := strconv.Atoi(r.URL.Query().Get("limit"))
+	if err != nil || limit <= 0 || limit > maxEntries {
+		limit = maxEntries
+	}
+	head, _ := a.config.Historian.Head()
+	answer(w, HistoryAnswer{
+		Newest:  head.Revision,
+		Entries: a.config.Historian.Entries(waxwingseam.Revision(after), limit),
+	})
+}
+
+// differences compares files with the newest set.
+func (a *administrator) differences(w http.ResponseWriter, r *http.Request) {
+	var q DifferencesRequest
+	if !decode(w, r, &q) || !a.current(w, r) {
+		return
+	}
+	set, findings := checker.Parse(q.Files...)
+	if len(findings) > 0 {
+		refuse(w, Problem{Status: http.StatusUnprocessableEntity, Reason: ReasonFindings, Findings: findings})
+		return
+	}
+	head, _ := a.config.Historian.Head()
+	answer(w, DifferencesAnswer{
+		Revision:    head.Revision,
+		Differences: checker.Differences(head, set),
+	})
+}
+
+// status answers also without a quorum, and says so.
+func (a *administrator) status(w http.ResponseWriter, r *http.Request) {
+	err := a.config.Log.ReadIndex(r.Context())
+	head, digest := a.config.Historian.Head()
+	answer(w, StatusAnswer{
+		Replica:  a.config.Replica,
+		Current:  err == nil,
+		Revision: head.Revision,
+		Digest:   formatDigest(digest),
+		Log:      a.config.Cluster.Replica(),
+		Nodes:    a.config.Cluster.Holdings(),
+		Servers:  serverStatuses(head, a.config.Cluster.Registrations()),
+	})
+}
+
+func serverStatuses(set *waxwingseam.Set, registrations []waxwingseam.Registration) []ServerStatus {
+	list := make([]ServerStatus, 0, len(registrations))
+	for _, v := range registrations {
+		list = append(list, serverStatus(set, v))
+	}
+	return list
+}
+
+func serverStatus(set *waxwingseam.Set, v waxwingseam.Registration) ServerStatus {
+	server := v.Announcement.Server
+	status := ServerStatus{
+		Name:        server.Name,
+		Service:     server.Service,
+		DataCentre:  server.DataCentre,
+		Node:        server.Node.String(),
+		Incarnation: server.Incarnation,
+		State:       "present",
+		Peer:        v.Peer,
+	}
+	object, _ := set.BackendServer(server.Name)
+	switch {
+	case server.Leaving:
+		status.State = "leaving"
+	case v.Lapsed:
+		status.State = "lapsed"
+	case object.Drained:
+		status.State = "drained"
+	}
+	if _, ok := set.Service(server.Service); !ok {
+		status.Finding = "names a service that is not in the set, and takes no calls"
+	} else if object.Name != "" && object.Service != server.Service {
+		status.Finding = "announces another service than its object names"
+	}
+	return status
+}
+
+func formatDigest(digest uint64) string {
+	return fmt.Sprintf("%016x", digest)
+}
--- /dev/null
+++ b/controller/controller_test.go
@@ -0,0 +1,208 @@
+package controller
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/administrator"
+	"waxwingseam.example/waxwingseam/checker"
+	"waxwingseam.example/waxwingseam/historian"
+	"waxwingseam.example/waxwingseam/messenger"
+	"waxwingseam.example/waxwingseam/operator"
+	"waxwingseam.example/waxwingseam/subscriber"
+)
+
+// waitLimit ends a test whose condition never comes true.
+const waitLimit = 20 * time.Second
+
+func quiet(string) *slog.Logger {
+	return slog.New(slog.DiscardHandler)
+}
+
+// news is signalled when a node under test is told something.
+type news chan struct{}
+
+func (n news) signal() {
+	select {
+	case n <- struct{}{}:
+	default:
+	}
+}
+
+// await waits for a condition that news bring about.
+func (n news) await(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	limit := time.After(waitLimit)
+	for !condition() {
+		select {
+		case <-n:
+		case <-limit:
+			t.Fatalf("never came true: %s", what)
+		}
+	}
+}
+
+// replica is a control replica under test.
+type replica struct {
+	address netip.AddrPort
+	client  operator.Client
+	stop    func()
+}
+
+// listen opens a drpc server on loopback.
+func listen(t *testing.T, address netip.AddrPort) *messenger.Server {
+	server, err := messenger.Listen(t.Context(), messenger.ServerConfig{Address: address})
+	qt.Assert(t, err, qt.IsNil)
+	return server
+}
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// start runs a control replica on loopback until the test ends or it is
+// stopped.
+func start(t *testing.T, config Config) *replica {
+	var lc net.ListenConfig
+	operators, err := lc.Listen(t.Context(), "tcp", loopback.String())
+	qt.Assert(t, err, qt.IsNil)
+	config.Address = config.Server.Address()
+	config.Operators = operators
+	config.Logger = quiet
+	c, err := New(config)
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	group.Go(func() { _ = config.Server.Serve(ctx) })
+	group.Go(func() { _ = c.Serve(ctx) })
+	stop := sync.OnceFunc(func() { cancel(); group.Wait() })
+	t.Cleanup(stop)
+	return &replica{
+		address: config.Address,
+		client:  operator.New(operator.Config{Control: operators.Addr().String(), Name: "dina"}),
+		stop:    stop,
+	}
+}
+
+// node is a node under test: a subscriber that notes what it is told.
+type node struct {
+	subscriber subscriber.Subscriber
+	address    netip.AddrPort
+	stop       func()
+	news       news
+
+	mu        sync.Mutex
+	revisions []waxwingseam.Revision
+	servers   map[waxwingseam.ServerName]waxwingseam.Server
+}
+
+// step takes the place of a node's reducer.
+func (n *node) step(build func(waxwingseam.Stamp) waxwingseam.Event) {
+	defer n.news.signal()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch v := build(waxwingseam.Stamp{}).(type) {
+	case waxwingseam.SetAdopted:
+		n.revisions = append(n.revisions, v.Set.Revision)
+	case waxwingseam.ServersLearned:
+		for _, s := range v.Servers {
+			n.servers[s.Name] = s
+		}
+		for _, name := range v.Gone {
+			delete(n.servers, name)
+		}
+	}
+}
+
+// revision returns the revision in force; 0 if one was ever lower than the
+// one before.
+func (n *node) revision() waxwingseam.Revision {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var last waxwingseam.Revision
+	for _, r := range n.revisions {
+		if r <= last {
+			return 0
+		}
+		last = r
+	}
+	return last
+}
+
+func (n *node) server(name waxwingseam.ServerName) (waxwingseam.Server, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s, ok := n.servers[name]
+	return s, ok
+}
+
+// join starts a node of the service fees that watches control replicas.
+func join(t *testing.T, name waxwingseam.ServerName, control ...netip.AddrPort) *node {
+	server := listen(t, loopback)
+	n := &node{address: server.Address(), news: make(news, 1), servers: map[waxwingseam.ServerName]waxwingseam.Server{}}
+	n.subscriber = subscriber.New(subscriber.Config{
+		Control:  control,
+		Self:     waxwingseam.Server{Name: name, Service: "fees", Node: n.address, Incarnation: 1},
+		Services: []waxwingseam.ServiceName{"fees"},
+		Step:     n.step,
+		Logger:   quiet(""),
+	})
+	qt.Assert(t, server.Register(n.subscriber, subscriber.Description), qt.IsNil)
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	group.Go(func() { _ = server.Serve(ctx) })
+	group.Go(func() { _ = n.subscriber.Run(ctx) })
+	n.stop = sync.OnceFunc(func() { cancel(); group.Wait() })
+	t.Cleanup(n.stop)
+	return n
+}
+
+// example returns the example set of a deployment.
+func example(t *testing.T, deployment string) checker.File {
+	data, err := os.ReadFile("../examples/" + deployment + "/objects.ini")
+	qt.Assert(t, err, qt.IsNil)
+	return checker.File{Name: "objects.ini", Data: data}
+}
+
+func submission(id string, base waxwingseam.Revision, file checker.File) administrator.Submission {
+	return administrator.Submission{
+		ID:           waxwingseam.SubmissionID(id),
+		BaseRevision: base,
+		Files:        []checker.File{file},
+	}
+}
+
+func TestChangeReachesNodes(t *testing.T) {
+	control := start(t, Config{Replica: "r1", Server: listen(t, loopback), OpenLog: OpenLocalLog})
+	nodes := []*node{join(t, "fees-1", control.address), join(t, "fees-2", control.address)}
+	answer, err := control.client.Submit(t.Context(), submission("first", 0, example(t, "van-dalen")))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, answer, qt.DeepEquals, historian.Answer{Verdict: historian.VerdictAccepted, Revision: 1})
+	for _, n := range nodes {
+		n.news.await(t, "revision 1 in force", func() bool { return n.revision() == 1 })
+		n.news.await(t, "both servers known", func() bool {
+			_, one := n.server("fees-1")
+			_, two := n.server("fees-2")
+			return one && two
+		})
+	}
+	self, _ := nodes[0].server("fees-1")
+	self.Leaving = true
+	nodes[0].subscriber.Announce(self)
+	nodes[1].news.await(t, "leaving known", func() bool {
+		s, _ := nodes[1].server("fees-1")
+		return s.Leaving
+	})
+	status, err := control.client.Status(t.Context())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, status.Nodes[0].Nodes, qt.Equals, 2)
+	qt.Assert(t, status.Servers, qt.HasLen, 2)
+	qt.Assert(t, status.Servers[0].State, qt.Equals, "leaving")
+}
--- a/historian/command.go
+++ b/historian/command.go
@@ -42,6 +42,8 @@
 const (
 	// VerdictAccepted means that the submission is a revision now.
 	VerdictAccepted Verdict = "accepted"
+	// VerdictUnchanged means that the set in force is as submitted already.
+	VerdictUnchanged Verdict = "unchanged"
 	// VerdictConflict means that another revision follows the base.
 	VerdictConflict Verdict = "conflict"
 	// VerdictOtherContent means that the identifier was used for another content.
--- a/historian/historian.go
+++ b/historian/historian.go
@@ -172,9 +172,13 @@
 func (h *historian) accept(c Command, change checker.Change) Answer {
 	before := h.state.Head
 	next := change.Apply(before)
+	digest := checker.Digest(next)
+	if digest == h.state.Digest {
+		return Answer{Verdict: VerdictUnchanged, Revision: before.Revision}
+	}
 	next.Revision = before.Revision + 1
 	h.state.Head = next
-	h.state.Digest = checker.Digest(next)
+	h.state.Digest = digest
 	ids := change.IDs()
 	h.state.Entries = appendBounded(h.state.Entries, keptEntries, Entry{
 		Revision:   next.Revision,
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,211 @@
+// Package operator is the client of the operator API.
+package operator
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/administrator"
+	"waxwingseam.example/waxwingseam/authenticator"
+	"waxwingseam.example/waxwingseam/historian"
+)
+
+// requestTimeout bounds one request.
+const requestTimeout = 15 * time.Second
+
+// Config holds the settings of a client.
+type Config struct {
+	// Control is the address of the operator API, IP:PORT.
+	Control string
+	// TLS is nil for plain text.
+	TLS *tls.Config
+	// Token is the operator's token; empty without one.
+	Token string
+	// Name is the operator's name, where nothing proves it.
+	Name string
+}
+
+// Client calls the operator API of one replica.
+type Client interface {
+	// Submit submits a whole set.
+	Submit(ctx context.Context, s administrator.Submission) (historian.Answer, error)
+	// Drain drains a backend server, or takes the drain back.
+	Drain(ctx context.Context, d administrator.DrainRequest) (historian.Answer, error)
+	// Set returns a revision's set; the newest for 0.
+	Set(ctx context.Context, r waxwingseam.Revision) (administrator.SetAnswer, error)
+	// Format returns a revision's set in its canonical form.
+	Format(ctx context.Context, r waxwingseam.Revision) ([]byte, error)
+	// History returns entries after a revision, oldest first.
+	History(ctx context.Context, after waxwingseam.Revision) (administrator.HistoryAnswer, error)
+	// Differences compares files with the newest set.
+	Differences(ctx context.Context, q administrator.DifferencesRequest) (administrator.DifferencesAnswer, error)
+	// Status describes the cluster.
+	Status(ctx context.Context) (administrator.StatusAnswer, error)
+}
+
+// Refusal is a problem that the operator API answered.
+type Refusal struct {
+	administrator.Problem
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	text := string(r.Reason) + ": " + r.Title
+	if r.Detail != "" {
+		text += ": " + r.Detail
+	}
+	if len(r.Findings) > 0 {
+		text += "\n" + r.Findings.Error()
+	}
+	return text
+}
+
+// IsUnknown reports whether an error leaves open what became of a request.
+func IsUnknown(err error) bool {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r.Status >= http.StatusInternalServerError
+	}
+	return err != nil
+}
+
+type client struct {
+	config Config
+	http   *http.Client
+}
+
+// New returns a client.
+func New(config Config) Client {
+	return &client{
+		config: config,
+		http: &http.Client{
+			Timeout:   requestTimeout,
+			Transport: &http.Transport{TLSClientConfig: config.TLS},
+		},
+	}
+}
+
+// Submit implements Client.
+func (c *client) Submit(ctx context.Context, s administrator.Submission) (a historian.Answer, err error) {
+	err = c.call(ctx, http.MethodPost, "/v1/submissions", s, &a)
+	return a, err
+}
+
+// Drain implements Client.
+func (c *client) Drain(ctx context.Context, d administrator.DrainRequest) (a historian.Answer, err error) {
+	err = c.call(ctx, http.MethodPost, "/v1/drains", d, &a)
+	return a, err
+}
+
+// Set implements Client.
+func (c *client) Set(ctx context.Context, r waxwingseam.Revision) (a administrator.SetAnswer, err error) {
+	err = c.call(ctx, http.MethodGet, "/v1/set"+query("revision", r), nil, &a)
+	return a, err
+}
+
+// Format implements Client.
+func (c *client) Format(ctx context.Context, r waxwingseam.Revision) ([]byte, error) {
+	path := "/v1/set?output=ini"
+	if r > 0 {
+		path += "&revision=" + strconv.FormatUint(uint64(r), 10)
+	}
+	return c.do(ctx, http.MethodGet, path, nil)
+}
+
+// History implements Client.
+func (c *client) History(ctx context.Context, after waxwingseam.Revision) (a administrator.HistoryAnswer, err error) {
+	err = c.call(ctx, http.MethodGet, "/v1/history"+query("after", after), nil, &a)
+	return a, err
+}
+
+// Differences implements Client.
+func (c *client) Differences(ctx context.Context, q administrator.DifferencesRequest) (a administrator.DifferencesAnswer, err error) {
+	err = c.call(ctx, http.MethodPost, "/v1/differences", q, &a)
+	return a, err
+}
+
+// Status implements Client.
+func (c *client) Status(ctx context.Context) (a administrator.StatusAnswer, err error) {
+	err = c.call(ctx, http.MethodGet, "/v1/status", nil, &a)
+	return a, err
+}
+
+func query(key string, r waxwingseam.Revision) string {
+	if r == 0 {
+		return ""
+	}
+	return "?" + url.Values{key: {strconv.FormatUint(uint64(r), 10)}}.Encode()
+}
+
+// call makes one request with JSON bodies.
+func (c *client) call(ctx context.Context, method, path string, in, out any) error {
+	var body []byte
+	if in != nil {
+		encoded, err := json.Marshal(in)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		body = encoded
+	}
+	data, err := c.do(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	return trace.Wrap(json.Unmarshal(data, out))
+}
+
+// do makes one request and returns the body of its answer.
+func (c *client) do(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.url(path), bytes.NewReader(body))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if c.config.Token != "" {
+		request.Header.Set("Authorization", "Bearer "+c.config.Token)
+	}
+	if c.config.Name != "" {
+		request.Header.Set(authenticator.OperatorHeader, c.config.Name)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, trace.ConnectionProblem(err, "%s", c.config.Control)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, trace.ConnectionProblem(err, "%s", c.config.Control)
+	}
+	if response.StatusCode == http.StatusOK {
+		return data, nil
+	}
+	return nil, refusalOf(response.StatusCode, data)
+}
+
+func (c *client) url(path string) string {
+	scheme := "http://"
+	if c.config.TLS != nil {
+		scheme = "https://"
+	}
+	return scheme + c.config.Control + path
+}
+
+func refusalOf(status int, data []byte) error {
+	r := &Refusal{}
+	if err := json.Unmarshal(data, &r.Problem); err != nil {
+		r.Detail = string(data)
+	}
+	r.Status = status
+	return r
+}
--- /dev/null
+++ b/publisher/session.go
@@ -0,0 +1,321 @@
+package publisher
+
+import (
+	"errors"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcctx"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/messenger"
+)
+
+// session is one watcher. All but the channels is guarded by the publisher's
+// lock.
+type session struct {
+	publisher *publisher
+	woken     chan struct{}
+	ended     chan error
+
+	peer         bool
+	server       waxwingseam.ServerName
+	announcement *waxwingseam.Announcement
+	interest     Interest
+	// reported is what the watcher said that it holds, sent the newest
+	// revision on its way to it.
+	reported Held
+	sent     waxwingseam.Revision
+	// cleared is set once the state was confirmed, for a watcher that came
+	// without a set; asking while that goes on.
+	cleared bool
+	asking  bool
+	dirty   map[waxwingseam.ServerName]waxwingseam.Announcement
+	// whole is set once the watcher was told all servers.
+	whole bool
+}
+
+// wake makes the session's writer look for something to send.
+func (s *session) wake() {
+	select {
+	case s.woken <- struct{}{}:
+	default:
+	}
+}
+
+// wants reports whether the watcher is to know of a registration.
+func (s *session) wants(v waxwingseam.Registration) bool {
+	if s.peer {
+		return v.Peer == ""
+	}
+	return s.interest.All || slices.Contains(s.interest.Services, v.Announcement.Server.Service)
+}
+
+// Watch implements Publisher.
+func (p *publisher) Watch(stream drpc.Stream) error {
+	s := &session{
+		publisher: p,
+		woken:     make(chan struct{}, 1),
+		ended:     make(chan error, 1),
+		dirty:     map[waxwingseam.ServerName]waxwingseam.Announcement{},
+	}
+	var first Report
+	silence := time.AfterFunc(SilentAfter, func() { hangUp(stream) })
+	defer silence.Stop()
+	if err := stream.MsgRecv(&first, messenger.Encoding); err != nil {
+		return trace.Wrap(err)
+	}
+	p.join(s, first)
+	defer p.leave(s)
+	go s.read(stream, silence)
+	return s.write(stream)
+}
+
+// hangUp closes the connection below a stream, which ends pending sends.
+func hangUp(stream drpc.Stream) {
+	if transport, ok := drpcctx.Transport(stream.Context()); ok {
+		_ = transport.Close()
+	}
+}
+
+// join adds a session.
+func (p *publisher) join(s *session, first Report) {
+	s.peer = first.Peer
+	p.mu.Lock()
+	p.sessions[s] = struct{}{}
+	p.mu.Unlock()
+	p.receive(s, first)
+	s.wake()
+}
+
+func (p *publisher) leave(s *session) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.sessions, s)
+}
+
+// read takes in the watcher's reports until the stream ends.
+func (s *session) read(stream drpc.Stream, silence *time.Timer) {
+	for {
+		var r Report
+		if err := stream.MsgRecv(&r, messenger.Encoding); err != nil {
+			s.ended <- err
+			return
+		}
+		silence.Reset(SilentAfter)
+		s.publisher.receive(s, r)
+	}
+}
+
+// receive takes in one report.
+func (p *publisher) receive(s *session, r Report) {
+	p.mu.Lock()
+	if r.Held != nil {
+		s.reported = *r.Held
+		s.sent = max(s.sent, r.Held.Revision)
+		if p.mismatch(s) {
+			p.config.Logger.Error("a node holds another set under the newest revision", "server", s.server)
+		}
+	}
+	if r.Interest != nil {
+		p.widen(s, *r.Interest)
+	}
+	if r.Announcement != nil {
+		s.announcement = r.Announcement
+		s.server = r.Announcement.Server.Name
+	}
+	announcement := s.announcement
+	p.mu.Unlock()
+	if announcement == nil {
+		return
+	}
+	p.config.Step(func(stamp waxwingseam.Stamp) waxwingseam.Event {
+		if r.Announcement != nil {
+			return waxwingseam.ServerAnnounced{Stamp: stamp, Announcement: *r.Announcement}
+		}
+		return waxwingseam.LeaseRenewed{
+			Stamp:       stamp,
+			Server:      announcement.Server.Name,
+			Incarnation: announcement.Server.Incarnation,
+		}
+	})
+}
+
+// mismatch reports whether the watcher holds another set than the replica
+// under the same revision.
+func (p *publisher) mismatch(s *session) bool {
+	return s.reported.Revision == p.head.Set.Revision && s.reported.Digest != p.head.Digest
+}
+
+// widen takes in a watcher's interest and marks the servers of new services.
+func (p *publisher) widen(s *session, next Interest) {
+	before := s.interest
+	s.interest = next
+	s.whole = false
+	if next.All {
+		for name, v := range p.table {
+			if s.wants(v) {
+				s.dirty[name] = v.Announcement
+			}
+		}
+		s.wake()
+		return
+	}
+	for _, service := range next.Services {
+		if slices.Contains(before.Services, service) {
+			continue
+		}
+		for name := range p.services[service] {
+			s.dirty[name] = p.table[name].Announcement
+		}
+	}
+	s.wake()
+}
+
+// write sends pushes until the stream ends.
+func (s *session) write(stream drpc.Stream) error {
+	heartbeat := time.NewTicker(HeartbeatEvery)
+	defer heartbeat.Stop()
+	for {
+		beat := false
+		select {
+		case err := <-s.ended:
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			return trace.Wrap(err)
+		case <-s.woken:
+		case <-heartbeat.C:
+			beat = true
+		}
+		push, empty, err := s.publisher.next(s, beat)
+		if err != nil {
+			return err
+		}
+		if empty && !beat {
+			continue
+		}
+		if err := stream.MsgSend(&push, messenger.Encoding); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+}
+
+// next takes what the watcher is to be told.
+func (p *publisher) next(s *session, beat bool) (push Push, empty bool, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s.peer {
+		p.addHolding(&push, beat)
+	} else if err := p.addRevision(s, &push); err != nil {
+		return push, false, err
+	}
+	p.addServers(s, &push)
+	empty = len(push.Steps)+len(push.Set)+len(push.Present)+len(push.Gone) == 0 && !push.Whole
+	return push, empty, nil
+}
+
+func (p *publisher) addHolding(push *Push, beat bool) {
+	if beat {
+		holding := p.holding()
+		push.Holding = &holding
+	}
+}
+
+// addRevision adds what leads from the revision that the watcher has to the
+// newest. A watcher without a set gets one only once the state is confirmed.
+func (p *publisher) addRevision(s *session, push *Push) error {
+	if s.reported.Revision == 0 && !s.cleared {
+		p.confirm(s)
+		push.Unconfirmed = true
+		return nil
+	}
+	if s.sent >= p.head.Set.Revision {
+		return nil
+	}
+	push.Steps = p.stepsAfter(s.sent)
+	if push.Steps == nil {
+		if err := p.pack(); err != nil {
+			return err
+		}
+		push.Set = p.packed
+	}
+	s.sent = p.head.Set.Revision
+	return nil
+}
+
+// confirm asks for the state to be confirmed.
+func (p *publisher) confirm(s *session) {
+	if s.asking {
+		return
+	}
+	s.asking = true
+	p.confirmed.ask(func(err error) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		s.asking = false
+		s.cleared = err == nil
+		if s.cleared {
+			s.wake()
+		}
+	})
+}
+
+// pack packs the newest set, once for all watchers.
+func (p *publisher) pack() error {
+	if p.packed != nil {
+		return nil
+	}
+	packed, err := Pack(p.head.Set)
+	p.packed = packed
+	return err
+}
+
+// stepsAfter returns the steps from a revision to the newest; nil when they
+// are not all kept.
+func (p *publisher) stepsAfter(r waxwingseam.Revision) []Step {
+	missing := int(p.head.Set.Revision - r)
+	if r == 0 || missing > len(p.steps) {
+		return nil
+	}
+	return slices.Clone(p.steps[len(p.steps)-missing:])
+}
+
+// addServers adds the servers that changed since the last push.
+func (p *publisher) addServers(s *session, push *Push) {
+	for _, name := range slices.SortedFunc(maps.Keys(s.dirty), compareNames) {
+		if v, ok := p.table[name]; ok && s.wants(v) {
+			push.Present = append(push.Present, v.Announcement)
+			continue
+		}
+		push.Gone = append(push.Gone, s.dirty[name])
+	}
+	clear(s.dirty)
+	if s.whole || !p.complete(s) {
+		return
+	}
+	s.whole, push.Whole = true, true
+	push.Present = nil
+	for _, v := range p.table {
+		if s.wants(v) {
+			push.Present = append(push.Present, v.Announcement)
+		}
+	}
+}
+
+// complete reports whether the replica knows all that the watcher wants.
+func (p *publisher) complete(s *session) bool {
+	if s.peer {
+		return p.knowsOwn()
+	}
+	return p.knowsAll()
+}
+
+func compareNames(a, b waxwingseam.ServerName) int {
+	return strings.Compare(string(a), string(b))
+}
--- /dev/null
+++ b/registration.go
@@ -0,0 +1,90 @@
+package waxwingseam
+
+import "time"
+
+// Announcement is what a node says of its own backend server.
+type Announcement struct {
+	Server Server `cbor:"1,keyasint"`
+	// Sequence orders the announcements of one incarnation.
+	Sequence uint64 `cbor:"2,keyasint"`
+}
+
+// Newer reports whether a was made after o, by the same backend server.
+func (a Announcement) Newer(o Announcement) bool {
+	if a.Server.Incarnation != o.Server.Incarnation {
+		return a.Server.Incarnation > o.Server.Incarnation
+	}
+	return a.Sequence > o.Sequence
+}
+
+// The kinds of the events and effects of a registrar.
+const (
+	KindServerAnnounced Kind = "server-announced"
+	KindLeaseRenewed    Kind = "lease-renewed"
+	KindPeerLearned     Kind = "peer-learned"
+	KindPeerLost        Kind = "peer-lost"
+	KindServersChanged  Kind = "servers-changed"
+)
+
+// ServerAnnounced is an announcement from a node of the registrar's own.
+type ServerAnnounced struct {
+	Stamp
+	Announcement Announcement
+}
+
+// LeaseRenewed says that a node of the registrar's own was heard again.
+type LeaseRenewed struct {
+	Stamp
+	Server      ServerName
+	Incarnation Incarnation
+}
+
+// PeerLearned tells of the servers that announce themselves to another
+// registrar. Peer is that registrar's address.
+type PeerLearned struct {
+	Stamp
+	Peer    string
+	Present []Announcement
+	Gone    []Announcement
+	// Whole is set when Present lists all of the peer's servers.
+	Whole bool
+}
+
+// PeerLost says that another registrar is out of reach.
+type PeerLost struct {
+	Stamp
+	Peer string
+}
+
+// ServersChanged tells of changes to the table of servers.
+type ServersChanged struct {
+	Present []Registration
+	Gone    []Registration
+}
+
+// Registration is one server in the table of a registrar.
+type Registration struct {
+	Announcement Announcement
+	// Peer is the other registrar that the server announced itself to; empty
+	// for the registrar's own.
+	Peer string
+	// Expires is the end of the lease, for a server of the registrar's own.
+	Expires time.Time
+	// Lapsed is set on a server that is kept although its lease has ended.
+	Lapsed bool
+}
+
+// Kind implements Event.
+func (ServerAnnounced) Kind() Kind { return KindServerAnnounced }
+
+// Kind implements Event.
+func (LeaseRenewed) Kind() Kind { return KindLeaseRenewed }
+
+// Kind implements Event.
+func (PeerLearned) Kind() Kind { return KindPeerLearned }
+
+// Kind implements Event.
+func (PeerLost) Kind() Kind { return KindPeerLost }
+
+// Kind implements Effect.
+func (ServersChanged) Kind() Kind { return KindServersChanged }
--- /dev/null
+++ b/subscriber/subscriber.go
@@ -0,0 +1,212 @@
+// Package subscriber is the node's side of control: it announces the node's
+// backend server, and brings revisions and servers to the node's reducer.
+package subscriber
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/checker"
+	"waxwingseam.example/waxwingseam/messenger"
+	"waxwingseam.example/waxwingseam/publisher"
+)
+
+const (
+	// dialTimeout bounds the time to open a connection.
+	dialTimeout = 500 * time.Millisecond
+	// healthyAfter is how long a connection must last for the next attempt to
+	// follow at once.
+	healthyAfter = 2 * time.Second
+	// minBackoff and maxBackoff bound the time before another attempt.
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = time.Second
+)
+
+// Config holds the parts of a subscriber.
+type Config struct {
+	// Control lists the addresses of control replicas, the preferred first.
+	Control []netip.AddrPort
+	Dialer  messenger.Dialer
+	// Self is announced; its name is empty in a process without a backend
+	// server.
+	Self waxwingseam.Server
+	// Services are the services whose servers are learned from the start.
+	Services []waxwingseam.ServiceName
+	// All is set to learn the servers of all services.
+	All bool
+	// Step feeds the node's reducer.
+	Step   func(build func(waxwingseam.Stamp) waxwingseam.Event)
+	Logger *slog.Logger
+	// Seed starts the random source of delays and choices.
+	Seed uint64
+}
+
+// Subscriber keeps one node in touch with control.
+type Subscriber interface {
+	// Run keeps a connection to a control replica until the context ends.
+	Run(ctx context.Context) error
+	// Announce replaces what the node says of its backend server.
+	Announce(self waxwingseam.Server)
+	// Interest adds a service whose servers the node wants to know.
+	Interest(service waxwingseam.ServiceName)
+	// Notice says that another node holds a revision; a higher one is fetched
+	// from there when control does not bring it.
+	Notice(revision waxwingseam.Revision, node netip.AddrPort)
+	// Held answers another node with the set that this one holds.
+	Held(ctx context.Context, q *HeldQuery) (*HeldAnswer, error)
+	// Status describes the connection to control.
+	Status() Status
+}
+
+// Status is what a node knows of control.
+type Status struct {
+	Revision waxwingseam.Revision `json:"revision"`
+	// Control is the replica watched; the zero value without one.
+	Control netip.AddrPort `json:"control"`
+	// Servers counts the known backend servers.
+	Servers int `json:"servers"`
+}
+
+type subscriber struct {
+	config Config
+	woken  chan struct{}
+
+	// adopting orders the revisions on their way to the reducer.
+	adopting sync.Mutex
+
+	mu           sync.Mutex
+	random       *rand.Rand
+	held         *waxwingseam.Set
+	digest       uint64
+	announcement waxwingseam.Announcement
+	interest     publisher.Interest
+	servers      map[waxwingseam.ServerName]waxwingseam.Announcement
+	control      netip.AddrPort
+	noticed      notice
+	// changed tells the writer what to report.
+	changed changes
+}
+
+// changes marks what the present replica has not been told yet.
+type changes struct {
+	announcement bool
+	interest     bool
+	held         bool
+}
+
+// New returns a subscriber that holds no set.
+func New(config Config) Subscriber {
+	return &subscriber{
+		config:       config,
+		woken:        make(chan struct{}, 1),
+		random:       rand.New(rand.NewPCG(config.Seed, config.Seed)),
+		held:         &waxwingseam.Set{},
+		announcement: waxwingseam.Announcement{Server: config.Self},
+		interest:     publisher.Interest{Services: slices.Clone(config.Services), All: config.All},
+		servers:      map[waxwingseam.ServerName]waxwingseam.Announcement{},
+	}
+}
+
+// Announce implements Subscriber.
+func (s *subscriber) Announce(self waxwingseam.Server) {
+	s.mu.Lock()
+	s.announcement.Server = self
+	s.announcement.Sequence++
+	s.changed.announcement = true
+	s.mu.Unlock()
+	s.wake()
+}
+
+// Interest implements Subscriber.
+func (s *subscriber) Interest(service waxwingseam.ServiceName) {
+	s.mu.Lock()
+	known := s.interest.All || slices.Contains(s.interest.Services, service)
+	if !known {
+		s.interest.Services = append(slices.Clone(s.interest.Services), service)
+		s.changed.interest = true
+	}
+	s.mu.Unlock()
+	if !known {
+		s.wake()
+	}
+}
+
+// Status implements Subscriber.
+func (s *subscriber) Status() Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Status{Revision: s.held.Revision, Control: s.control, Servers: len(s.servers)}
+}
+
+func (s *subscriber) wake() {
+	select {
+	case s.woken <- struct{}{}:
+	default:
+	}
+}
+
+// Run implements Subscriber.
+func (s *subscriber) Run(ctx context.Context) error {
+	go s.keepCatchingUp(ctx)
+	backoff := minBackoff
+	for i := 0; ctx.Err() == nil; i++ {
+		started := time.Now()
+		if len(s.config.Control) > 0 {
+			address := s.config.Control[i%len(s.config.Control)]
+			err := s.watch(ctx, address)
+			s.config.Logger.Info("left a control replica", "address", address, "cause", err)
+		}
+		if time.Since(started) > healthyAfter {
+			backoff = minBackoff
+			continue
+		}
+		s.pause(ctx, backoff)
+		backoff = min(2*backoff, maxBackoff)
+	}
+	return nil
+}
+
+// pause waits for a random time around a mean.
+func (s *subscriber) pause(ctx context.Context, mean time.Duration) {
+	s.mu.Lock()
+	delay := mean/2 + time.Duration(s.random.Int64N(int64(mean)))
+	s.mu.Unlock()
+	select {
+	case <-ctx.Done():
+	case <-time.After(delay):
+	}
+}
+
+// adopt puts a set in force at the node if it is higher than the one held.
+func (s *subscriber) adopt(set *waxwingseam.Set) {
+	s.adopting.Lock()
+	defer s.adopting.Unlock()
+	digest := checker.Digest(set)
+	s.mu.Lock()
+	higher := set.Revision > s.held.Revision
+	if higher {
+		s.held, s.digest = set, digest
+		s.changed.held = true
+	}
+	s.mu.Unlock()
+	if !higher {
+		return
+	}
+	s.config.Step(func(stamp waxwingseam.Stamp) waxwingseam.Event {
+		return waxwingseam.SetAdopted{Stamp: stamp, Set: set}
+	})
+	s.wake()
+}
+
+// current returns the set held; it must not be changed.
+func (s *subscriber) current() *waxwingseam.Set {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held
+}
--- /dev/null
+++ b/subscriber/watch.go
@@ -0,0 +1,200 @@
+package subscriber
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+	"storj.io/drpc"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/checker"
+	"waxwingseam.example/waxwingseam/messenger"
+	"waxwingseam.example/waxwingseam/publisher"
+)
+
+// watch keeps one connection to a control replica until it fails or goes
+// silent.
+func (s *subscriber) watch(ctx context.Context, address netip.AddrPort) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	dialing, done := context.WithTimeout(ctx, dialTimeout)
+	conn, err := s.config.Dialer.Dial(dialing, address)
+	done()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { _ = conn.Close() }()
+	silence := time.AfterFunc(publisher.SilentAfter, func() { _ = conn.Close() })
+	defer silence.Stop()
+	stream, err := conn.NewStream(ctx, publisher.WatchMethod, messenger.Encoding)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	s.begin(address)
+	defer s.end()
+	failed := make(chan error, 1)
+	go func() { failed <- s.read(stream, silence) }()
+	return s.write(ctx, stream, failed)
+}
+
+// begin marks all as untold to the replica. The announcement gets a new
+// sequence, so that it replaces the one through another replica.
+func (s *subscriber) begin(address netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.control = address
+	s.announcement.Sequence++
+	s.changed = changes{announcement: true, interest: true, held: true}
+	s.wake()
+}
+
+func (s *subscriber) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.control = netip.AddrPort{}
+}
+
+// write sends reports, at least as often as heartbeats are due.
+func (s *subscriber) write(ctx context.Context, stream drpc.Stream, failed <-chan error) error {
+	heartbeat := time.NewTicker(publisher.HeartbeatEvery)
+	defer heartbeat.Stop()
+	for {
+		report := s.report()
+		if err := stream.MsgSend(&report, messenger.Encoding); err != nil {
+			return trace.Wrap(err)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case err := <-failed:
+			return err
+		case <-s.woken:
+		case <-heartbeat.C:
+		}
+	}
+}
+
+// report takes what the replica has not been told yet.
+func (s *subscriber) report() publisher.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var r publisher.Report
+	if s.changed.announcement && s.announcement.Server.Name != "" {
+		announcement := s.announcement
+		r.Announcement = &announcement
+	}
+	if s.changed.interest {
+		interest := s.interest
+		r.Interest = &interest
+	}
+	if s.changed.held {
+		r.Held = &publisher.Held{Revision: s.held.Revision, Digest: s.digest}
+	}
+	s.changed = changes{}
+	return r
+}
+
+// read takes in pushes until the stream ends.
+func (s *subscriber) read(stream drpc.Stream, silence *time.Timer) error {
+	for {
+		var p publisher.Push
+		if err := stream.MsgRecv(&p, messenger.Encoding); err != nil {
+			return trace.Wrap(err)
+		}
+		silence.Reset(publisher.SilentAfter)
+		if err := s.take(&p); err != nil {
+			return err
+		}
+	}
+}
+
+// take takes in one push.
+func (s *subscriber) take(p *publisher.Push) error {
+	if len(p.Set) > 0 {
+		set, err := publisher.Unpack(p.Set)
+		if err != nil {
+			return err
+		}
+		s.adopt(set)
+	}
+	if len(p.Steps) > 0 {
+		if err := s.advance(p.Steps); err != nil {
+			return err
+		}
+	}
+	if len(p.Present)+len(p.Gone) > 0 || p.Whole {
+		s.learn(p)
+	}
+	return nil
+}
+
+// advance applies steps to the set held.
+func (s *subscriber) advance(steps []publisher.Step) error {
+	set := s.current()
+	for _, step := range steps {
+		if step.Revision <= set.Revision {
+			continue
+		}
+		if step.Revision != set.Revision+1 {
+			return trace.CompareFailed("step to revision %d does not follow revision %d", step.Revision, set.Revision)
+		}
+		next := step.Change.Apply(set)
+		next.Revision = step.Revision
+		if checker.Digest(next) != step.Digest {
+			return trace.CompareFailed("revision %d has another digest than control says", step.Revision)
+		}
+		set = next
+	}
+	s.adopt(set)
+	return nil
+}
+
+// learn merges what a replica knows of the servers. What it does not list is
+// kept unless the list is whole.
+func (s *subscriber) learn(p *publisher.Push) {
+	s.mu.Lock()
+	var present []waxwingseam.Server
+	var gone []waxwingseam.ServerName
+	listed := map[waxwingseam.ServerName]bool{}
+	for _, a := range p.Present {
+		listed[a.Server.Name] = true
+		if known, ok := s.servers[a.Server.Name]; ok && !a.Newer(known) {
+			continue
+		}
+		s.servers[a.Server.Name] = a
+		present = append(present, a.Server)
+	}
+	for _, a := range p.Gone {
+		if known, ok := s.servers[a.Server.Name]; ok && !known.Newer(a) {
+			gone = append(gone, a.Server.Name)
+		}
+	}
+	if p.Whole {
+		gone = append(gone, s.unlisted(listed)...)
+	}
+	for _, name := range gone {
+		delete(s.servers, name)
+	}
+	s.mu.Unlock()
+	if len(present)+len(gone) == 0 {
+		return
+	}
+	s.config.Step(func(stamp waxwingseam.Stamp) waxwingseam.Event {
+		return waxwingseam.ServersLearned{Stamp: stamp, Servers: present, Gone: gone}
+	})
+}
+
+// unlisted returns the known servers that a whole list lacks, in order.
+func (s *subscriber) unlisted(listed map[waxwingseam.ServerName]bool) []waxwingseam.ServerName {
+	var names []waxwingseam.ServerName
+	for name := range s.servers {
+		if !listed[name] {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
