--- /dev/null
+++ b/cmd/waxwingseam/control.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/authenticator"
+	"waxwingseam.example/waxwingseam/historian"
+	"waxwingseam.example/waxwingseam/logger"
+	"waxwingseam.example/waxwingseam/operator"
+)
+
+// controlFlags name the control replica and the operator.
+type controlFlags struct {
+	Control     string `required:"" help:"Operator API of a control replica, IP:PORT."`
+	TokenFile   string `type:"existingfile" help:"File with the operator's token."`
+	Certificate string `type:"existingfile" help:"Operator's certificate."`
+	Key         string `type:"existingfile" help:"Key of the operator's certificate."`
+	Authority   string `type:"existingfile" help:"Certificates that the replica is checked against; sets TLS."`
+	Operator    string `env:"USER" help:"Operator's name, where no token or certificate tells it."`
+}
+
+// client returns a client of the operator API.
+func (f *controlFlags) client() (operator.Client, error) {
+	config := operator.Config{Control: f.Control, Name: f.Operator}
+	if f.TokenFile != "" {
+		token, err := os.ReadFile(f.TokenFile)
+		if err != nil {
+			return nil, trace.ConvertSystemError(err)
+		}
+		config.Token = strings.TrimSpace(string(token))
+	}
+	if f.Authority != "" {
+		certificates, err := authenticator.NewCertificates(authenticator.CertificateConfig{
+			CertificateFile: f.Certificate,
+			KeyFile:         f.Key,
+			AuthorityFile:   f.Authority,
+			Logger:          logger.New(logger.Config{Writer: os.Stderr}).Part("operator"),
+		})
+		if err != nil {
+			return nil, err
+		}
+		config.TLS = certificates.Client(authenticator.RoleControl)
+	}
+	return operator.New(config), nil
+}
+
+// submissionFlags identify a submission over all its resends.
+type submissionFlags struct {
+	SubmissionID   string `help:"Identifier of the submission; resend with the same one when the answer was lost."`
+	AcceptWarnings bool   `help:"Submit although there are warnings."`
+}
+
+// id returns the submission's identifier; a new one is shown, so that a
+// resend can name it.
+func (f *submissionFlags) id() waxwingseam.SubmissionID {
+	if f.SubmissionID == "" {
+		f.SubmissionID = uuid.NewString()
+		fmt.Fprintln(os.Stderr, "submission-id:", f.SubmissionID)
+	}
+	return waxwingseam.SubmissionID(f.SubmissionID)
+}
+
+// printAnswer shows what became of a submission.
+func printAnswer(a historian.Answer) {
+	fmt.Printf("%s: revision %d\n", a.Verdict, a.Revision)
+}
+
+// withClient runs a command with a client and a context.
+func (f *controlFlags) withClient(run func(ctx context.Context, c operator.Client) error) error {
+	c, err := f.client()
+	if err != nil {
+		return err
+	}
+	return run(context.Background(), c)
+}
+
+// printTable writes rows of cells in columns.
+func printTable(w io.Writer, rows [][]string) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		if _, err := fmt.Fprintln(table, strings.Join(row, "\t")); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return trace.Wrap(table.Flush())
+}
--- /dev/null
+++ b/cmd/waxwingseam/status.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam/administrator"
+	"waxwingseam.example/waxwingseam/operator"
+)
+
+type statusCommand struct {
+	controlFlags
+	Output string `short:"o" enum:"table,json" default:"table" help:"Form of the answer: table or json."`
+}
+
+// Run shows the replicas, the revision in force at the nodes, and the servers.
+func (c *statusCommand) Run() error {
+	return c.withClient(func(ctx context.Context, client operator.Client) error {
+		status, err := client.Status(ctx)
+		if err != nil {
+			return err
+		}
+		if c.Output == "json" {
+			return printJSON(status)
+		}
+		return printStatus(status)
+	})
+}
+
+func printStatus(s administrator.StatusAnswer) error {
+	current := "confirmed by a quorum"
+	if !s.Current {
+		current = "NOT CONFIRMED: no quorum answers this replica"
+	}
+	fmt.Printf("replica %s: revision %d, digest %s, %s\n", s.Replica, s.Revision, s.Digest, current)
+	log, err := json.Marshal(s.Log)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	fmt.Printf("log: %s\n\n", log)
+	nodes := [][]string{{"WATCHED REPLICA", "REVISION", "NODES", "AT NEWEST", "LOWEST", "LAGGING"}}
+	for _, n := range s.Nodes {
+		lagging := make([]string, len(n.Lagging))
+		for i, v := range n.Lagging {
+			lagging[i] = string(v)
+		}
+		nodes = append(nodes, []string{
+			string(n.Replica),
+			strconv.FormatUint(uint64(n.Revision), 10),
+			strconv.Itoa(n.Nodes),
+			strconv.Itoa(n.Newest),
+			strconv.FormatUint(uint64(n.Lowest), 10),
+			strings.Join(lagging, " "),
+		})
+	}
+	if err := printTable(os.Stdout, nodes); err != nil {
+		return err
+	}
+	fmt.Println()
+	servers := [][]string{{"BACKEND SERVER", "SERVICE", "DATA CENTRE", "NODE", "STATE", "FINDING"}}
+	for _, v := range s.Servers {
+		servers = append(servers, []string{
+			string(v.Name), string(v.Service), string(v.DataCentre), v.Node, v.State, v.Finding,
+		})
+	}
+	return printTable(os.Stdout, servers)
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -6,7 +6,7 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
-	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -54,7 +54,8 @@
 	Status(ctx context.Context) (administrator.StatusAnswer, error)
 }
 
-// Refusal is a problem that the operator API answered.
+// Refusal is a problem that the operator API answered. One that leaves open
+// what became of the request is a connection problem for package trace.
 type Refusal struct {
 	administrator.Problem
 }
@@ -68,16 +69,25 @@
 	if len(r.Findings) > 0 {
 		text += "\n" + r.Findings.Error()
 	}
+	if r.Answer != nil {
+		text += describe(r.Answer)
+	}
 	return text
 }
 
-// IsUnknown reports whether an error leaves open what became of a request.
-func IsUnknown(err error) bool {
-	var r *Refusal
-	if errors.As(err, &r) {
-		return r.Status >= http.StatusInternalServerError
+// describe tells of the revision that won, and of the objects that differ.
+func describe(a *historian.Answer) string {
+	text := fmt.Sprintf("\nthe newest revision is %d", a.Revision)
+	if w := a.Winner; w != nil {
+		text += fmt.Sprintf("\nrevision %d is by %s at %s, submission-id %s", w.Revision, w.Operator, w.At.Format(time.RFC3339), w.Submission)
+	}
+	for _, id := range a.Differing {
+		text += "\nchanged since the base: " + id.String()
+	}
+	for _, id := range a.Clashing {
+		text += "\nchanged by this submission as well: " + id.String()
 	}
-	return err != nil
+	return text
 }
 
 type client struct {
@@ -207,5 +217,8 @@
 		r.Detail = string(data)
 	}
 	r.Status = status
+	if status >= http.StatusInternalServerError {
+		return trace.ConnectionProblem(r, "%s", r.Error())
+	}
 	return r
 }
