--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -42,8 +42,8 @@
 	Holdings() []publisher.Holding
 	// Registrations returns the table of servers.
 	Registrations() []waxwingseam.Registration
-	// Replica describes the log's replica, in its JSON form.
-	Replica() any
+	// Replica describes the log's replica.
+	Replica() waxwingseam.ReplicaStatus
 }
 
 // Config holds the parts of an administrator.
--- a/administrator/reading.go
+++ b/administrator/reading.go
@@ -48,7 +48,7 @@
 	Revision waxwingseam.Revision `json:"revision"`
 	Digest   string               `json:"digest"`
 	// Log describes the replica of the log.
-	Log any `json:"log"`
+	Log waxwingseam.ReplicaStatus `json:"log"`
 	// Nodes sums up the nodes of each replica.
 	Nodes   []publisher.Holding `json:"nodes"`
 	Servers []ServerStatus      `json:"servers"`
--- a/administrator/submission.go
+++ b/administrator/submission.go
@@ -195,10 +195,18 @@
 	a.reply(w, decided)
 }
 
-// refuseProposal answers for a command that may or may not be in the log.
+// refuseProposal answers for a command that has no answer. Without a quorum it
+// was not taken in; otherwise it may be in the log.
 func (a *administrator) refuseProposal(w http.ResponseWriter, err error) {
+	p := Problem{Status: http.StatusServiceUnavailable, Reason: ReasonOutcomeUnknown, Detail: err.Error()}
+	switch waxwingseam.ReplicaReasonOf(err) {
+	case waxwingseam.ReasonCommandTooLarge:
+		p.Status, p.Reason = http.StatusRequestEntityTooLarge, ReasonTooLarge
+	case waxwingseam.ReasonNotLeader, waxwingseam.ReasonNoQuorum, waxwingseam.ReasonStopped:
+		p.Reason = ReasonNoQuorum
+	}
 	w.Header().Set("Retry-After", "1")
-	refuse(w, Problem{Status: http.StatusServiceUnavailable, Reason: ReasonOutcomeUnknown, Detail: err.Error()})
+	refuse(w, p)
 }
 
 // reply writes the answer to a submission.
--- /dev/null
+++ b/cmd/waxwingseam/initialize.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam/loader"
+	"waxwingseam.example/waxwingseam/proposer"
+)
+
+type initializeCommand struct {
+	Settings string `required:"" help:"Settings file of the first control replica."`
+}
+
+// Run creates the identity of a new cluster in an empty data folder, once.
+func (c *initializeCommand) Run() error {
+	settings, findings := loader.Load(c.Settings)
+	if err := findings.OrNil(); err != nil {
+		return err
+	}
+	if settings.Control == nil {
+		return trace.BadParameter("%s has no control section", c.Settings)
+	}
+	cluster, err := proposer.Initialize(proposer.Config{
+		DataFolder: settings.Control.DataFolder,
+		Self:       settings.Control.Replica,
+		Address:    settings.Process.PeerAddress,
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Println("cluster:", cluster)
+	return nil
+}
--- a/cmd/waxwingseam/status.go
+++ b/cmd/waxwingseam/status.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"os"
 	"strconv"
 	"strings"
 
-	"github.com/gravitational/trace"
-
+	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/administrator"
 	"waxwingseam.example/waxwingseam/operator"
 )
@@ -33,17 +31,37 @@
 	})
 }
 
+// printMembers shows the replicas of the log as this one knows them.
+func printMembers(s waxwingseam.ReplicaStatus) error {
+	fmt.Printf("cluster %s: %s in term %d, committed %d, applied %d %s\n\n",
+		s.Cluster, s.Role, s.Term, s.Commit, s.Applied, s.Refused)
+	rows := [][]string{{"REPLICA", "ADDRESS", "VOTER", "LEADER", "MATCH", "SILENT TICKS"}}
+	for _, m := range s.Members {
+		rows = append(rows, []string{
+			string(m.Replica),
+			m.Address.String(),
+			strconv.FormatBool(m.Voter),
+			strconv.FormatBool(m.Storage == s.Leader),
+			strconv.FormatUint(uint64(m.Match), 10),
+			strconv.Itoa(m.Silent),
+		})
+	}
+	if err := printTable(os.Stdout, rows); err != nil {
+		return err
+	}
+	fmt.Println()
+	return nil
+}
+
 func printStatus(s administrator.StatusAnswer) error {
 	current := "confirmed by a quorum"
 	if !s.Current {
 		current = "NOT CONFIRMED: no quorum answers this replica"
 	}
 	fmt.Printf("replica %s: revision %d, digest %s, %s\n", s.Replica, s.Revision, s.Digest, current)
-	log, err := json.Marshal(s.Log)
-	if err != nil {
-		return trace.Wrap(err)
+	if err := printMembers(s.Log); err != nil {
+		return err
 	}
-	fmt.Printf("log: %s\n\n", log)
 	nodes := [][]string{{"WATCHED REPLICA", "REVISION", "NODES", "AT NEWEST", "LOWEST", "LAGGING"}}
 	for _, n := range s.Nodes {
 		lagging := make([]string, len(n.Lagging))
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -23,6 +23,7 @@
 	"waxwingseam.example/waxwingseam/authenticator"
 	"waxwingseam.example/waxwingseam/historian"
 	"waxwingseam.example/waxwingseam/messenger"
+	"waxwingseam.example/waxwingseam/proposer"
 	"waxwingseam.example/waxwingseam/publisher"
 	"waxwingseam.example/waxwingseam/reducer"
 	"waxwingseam.example/waxwingseam/registrar"
@@ -40,22 +41,6 @@
 	shutdownTimeout = 2 * time.Second
 )
 
-// Log is the replicated log.
-type Log interface {
-	administrator.Log
-	// Serve runs the replica until the context ends.
-	Serve(ctx context.Context) error
-	// Describe returns what status shows of the replica, in its JSON form.
-	Describe() any
-}
-
-// StateMachine is the state behind the log.
-type StateMachine interface {
-	Apply(command []byte) []byte
-	Snapshot() ([]byte, error)
-	Restore(snapshot []byte) error
-}
-
 // Config holds the parts of a controller.
 type Config struct {
 	Replica waxwingseam.ReplicaID
@@ -67,8 +52,12 @@
 	Dialer  messenger.Dialer
 	// Server serves the drpc services of the process.
 	Server *messenger.Server
-	// OpenLog opens the replicated log with the state behind it.
-	OpenLog func(s StateMachine) (Log, error)
+	// DataFolder holds the replica's durable state.
+	DataFolder string
+	// Disk takes the place of the data folder where it is set.
+	Disk waxwingseam.Disk
+	// Voter is set for a replica that votes once it holds all that is committed.
+	Voter bool
 	// Operators is the listener of the operator API.
 	Operators net.Listener
 	// OperatorsTLS is nil for plain text.
@@ -90,7 +79,7 @@
 type controller struct {
 	config    Config
 	historian historian.Historian
-	log       Log
+	log       waxwingseam.Proposer
 	publisher publisher.Publisher
 	runner    *runner.Runner
 	exchanges []*exchange
@@ -101,11 +90,9 @@
 func New(config Config) (Controller, error) {
 	c := &controller{config: config}
 	c.historian = historian.New(historian.Config{Published: c.published})
-	log, err := config.OpenLog(c.historian)
-	if err != nil {
-		return nil, trace.Wrap(err)
+	if err := c.openLog(); err != nil {
+		return nil, err
 	}
-	c.log = log
 	c.runner = runner.New(runner.Config{
 		Reducer: reducer.New(reducer.Config{
 			Workers: []waxwingseam.Prioritized{{Worker: registrar.New()}},
@@ -116,7 +103,7 @@
 	c.publisher = publisher.New(publisher.Config{
 		Replica:   config.Replica,
 		Historian: c.historian,
-		Confirmer: log,
+		Confirmer: c.log,
 		Step:      c.runner.Step,
 		Peers:     len(peers),
 		Logger:    config.Logger("publisher"),
@@ -131,6 +118,24 @@
 	return c, trace.Wrap(config.Server.Register(c.publisher, publisher.Description))
 }
 
+// openLog opens the replica on its data folder.
+func (c *controller) openLog() error {
+	log, err := proposer.New(proposer.Config{
+		DataFolder: c.config.DataFolder,
+		Disk:       c.config.Disk,
+		Self:       c.config.Replica,
+		Address:    c.config.Address,
+		Join:       c.peers(),
+		Voter:      c.config.Voter,
+		Messenger:  c.config.Server,
+		Dialer:     c.config.Dialer,
+		Logger:     c.config.Logger("replica"),
+		Applier:    c.historian,
+	})
+	c.log = log
+	return trace.Wrap(err)
+}
+
 // published passes revisions on. Those that are applied before the publisher
 // exists are read by it when it is made.
 func (c *controller) published(u historian.Update) {
@@ -223,6 +228,6 @@
 }
 
 // Replica implements administrator.Cluster.
-func (c *controller) Replica() any {
-	return c.log.Describe()
+func (c *controller) Replica() waxwingseam.ReplicaStatus {
+	return c.log.Status()
 }
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -18,6 +19,7 @@
 	"waxwingseam.example/waxwingseam/historian"
 	"waxwingseam.example/waxwingseam/messenger"
 	"waxwingseam.example/waxwingseam/operator"
+	"waxwingseam.example/waxwingseam/proposer"
 	"waxwingseam.example/waxwingseam/subscriber"
 )
 
@@ -91,6 +93,41 @@
 	}
 }
 
+// cluster starts control replicas that form one cluster.
+func cluster(t *testing.T, n int) []*replica {
+	servers := make([]*messenger.Server, n)
+	addresses := make([]netip.AddrPort, n)
+	for i := range servers {
+		servers[i] = listen(t, loopback)
+		addresses[i] = servers[i].Address()
+	}
+	replicas := make([]*replica, n)
+	for i := range replicas {
+		config := Config{
+			Replica:    waxwingseam.ReplicaID(fmt.Sprintf("r%d", i+1)),
+			Control:    addresses,
+			Server:     servers[i],
+			DataFolder: t.TempDir(),
+			Voter:      true,
+		}
+		if i == 0 {
+			initialize(t, config)
+		}
+		replicas[i] = start(t, config)
+	}
+	return replicas
+}
+
+// initialize creates a cluster with one voter.
+func initialize(t *testing.T, config Config) {
+	_, err := proposer.Initialize(proposer.Config{
+		DataFolder: config.DataFolder,
+		Self:       config.Replica,
+		Address:    config.Server.Address(),
+	})
+	qt.Assert(t, err, qt.IsNil)
+}
+
 // node is a node under test: a subscriber that notes what it is told.
 type node struct {
 	subscriber subscriber.Subscriber
@@ -180,7 +217,7 @@
 }
 
 func TestChangeReachesNodes(t *testing.T) {
-	control := start(t, Config{Replica: "r1", Server: listen(t, loopback), OpenLog: OpenLocalLog})
+	control := cluster(t, 1)[0]
 	nodes := []*node{join(t, "fees-1", control.address), join(t, "fees-2", control.address)}
 	answer, err := control.client.Submit(t.Context(), submission("first", 0, example(t, "van-dalen")))
 	qt.Assert(t, err, qt.IsNil)
--- a/historian/historian.go
+++ b/historian/historian.go
@@ -47,12 +47,7 @@
 // Historian is the state that a replicated log applies its commands to. Sets
 // that it hands out are shared and must not be changed.
 type Historian interface {
-	// Apply applies a command of the log and returns its encoded answer.
-	Apply(command []byte) []byte
-	// Snapshot returns the whole state.
-	Snapshot() ([]byte, error)
-	// Restore replaces the whole state.
-	Restore(snapshot []byte) error
+	waxwingseam.Applier
 	// Head returns the set in force and its digest.
 	Head() (*waxwingseam.Set, uint64)
 	// Set returns the set of an earlier revision.
@@ -116,8 +111,8 @@
 	}
 }
 
-// Apply implements Historian.
-func (h *historian) Apply(command []byte) []byte {
+// Apply implements waxwingseam.Applier.
+func (h *historian) Apply(_ waxwingseam.LogIndex, command []byte) []byte {
 	var c Command
 	var answer Answer
 	h.mu.Lock()
@@ -270,7 +265,7 @@
 	return all[first:min(len(all), first+limit)]
 }
 
-// Snapshot implements Historian.
+// Snapshot implements waxwingseam.Applier.
 func (h *historian) Snapshot() ([]byte, error) {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
@@ -278,7 +273,7 @@
 	return data, trace.Wrap(err)
 }
 
-// Restore implements Historian.
+// Restore implements waxwingseam.Applier.
 func (h *historian) Restore(snapshot []byte) error {
 	var s state
 	if err := cbor.Unmarshal(snapshot, &s); err != nil {
