--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -23,6 +23,8 @@
 	MaxBody = 8 << 20
 	// requestTimeout bounds the time for one request.
 	requestTimeout = 10 * time.Second
+	// statusWait bounds the time that status waits for a quorum.
+	statusWait = time.Second
 	// maxRequests bounds the requests that are served at once.
 	maxRequests = 32
 	// maxEntries bounds the entries of one answer on the history.
--- a/administrator/reading.go
+++ b/administrator/reading.go
@@ -1,6 +1,7 @@
 package administrator
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -150,7 +151,9 @@
 
 // status answers also without a quorum, and says so.
 func (a *administrator) status(w http.ResponseWriter, r *http.Request) {
-	err := a.config.Log.ReadIndex(r.Context())
+	ctx, cancel := context.WithTimeout(r.Context(), statusWait)
+	defer cancel()
+	err := a.config.Log.ReadIndex(ctx)
 	head, digest := a.config.Historian.Head()
 	answer(w, StatusAnswer{
 		Replica:  a.config.Replica,
--- /dev/null
+++ b/controller/cluster_test.go
@@ -0,0 +1,158 @@
+package controller
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/administrator"
+	"waxwingseam.example/waxwingseam/historian"
+	"waxwingseam.example/waxwingseam/operator"
+)
+
+// restart starts a stopped replica on its data folder and address.
+func (r *replica) restart(t *testing.T) *replica {
+	r.stop()
+	config := r.config
+	config.Server = listen(t, r.address)
+	return start(t, config)
+}
+
+// submit submits until an answer is had, as an operator does whose answers
+// get lost; the replicas are asked in turn.
+func submit(t *testing.T, s administrator.Submission, replicas ...*replica) (historian.Answer, administrator.Reason) {
+	t.Helper()
+	for end := time.Now().Add(waitLimit); time.Now().Before(end); {
+		for _, r := range replicas {
+			answer, err := r.client.Submit(t.Context(), s)
+			var refusal *operator.Refusal
+			if errors.As(err, &refusal) && refusal.Answer != nil {
+				return *refusal.Answer, refusal.Reason
+			}
+			if err == nil {
+				return answer, ""
+			}
+		}
+	}
+	t.Fatalf("submission %s never had an answer", s.ID)
+	return historian.Answer{}, ""
+}
+
+// slots returns the Van Dalen set with other slots for the fees.
+func slots(t *testing.T, n int) administrator.Submission {
+	file := example(t, "van-dalen")
+	file.Data = []byte(strings.Replace(string(file.Data), "slots = 15", fmt.Sprintf("slots = %d", n), 1))
+	return submission(fmt.Sprintf("slots-%d", n), 0, file)
+}
+
+// voters counts the voters that a replica knows of.
+func voters(s waxwingseam.ReplicaStatus) int {
+	n := 0
+	for _, m := range s.Members {
+		if m.Voter {
+			n++
+		}
+	}
+	return n
+}
+
+// leaderOf waits until all replicas vote, and returns which one leads.
+func leaderOf(t *testing.T, replicas []*replica) int {
+	t.Helper()
+	for end := time.Now().Add(waitLimit); time.Now().Before(end); {
+		for i, r := range replicas {
+			status, err := r.client.Status(t.Context())
+			if err == nil && status.Current && status.Log.Role == waxwingseam.RoleLeader && voters(status.Log) == len(replicas) {
+				return i
+			}
+		}
+	}
+	t.Fatal("never had a leader")
+	return 0
+}
+
+// TestOperatorsRace has two operators submit on one base at two replicas at
+// once, round after round.
+func TestOperatorsRace(t *testing.T) {
+	replicas := cluster(t, 3)
+	leaderOf(t, replicas)
+	n := join(t, "fees-1", replicas[2].address)
+	for base := range waxwingseam.Revision(5) {
+		var answers [2]historian.Answer
+		var group sync.WaitGroup
+		for i := range answers {
+			s := slots(t, 20+10*int(base)+i)
+			s.BaseRevision = base
+			group.Go(func() { answers[i], _ = submit(t, s, replicas[i]) })
+		}
+		group.Wait()
+		if answers[0].Verdict == historian.VerdictConflict {
+			answers[0], answers[1] = answers[1], answers[0]
+		}
+		qt.Assert(t, answers[0], qt.DeepEquals, historian.Answer{Verdict: historian.VerdictAccepted, Revision: base + 1})
+		qt.Assert(t, answers[1].Verdict, qt.Equals, historian.VerdictConflict)
+		qt.Assert(t, answers[1].Winner.Revision, qt.Equals, base+1)
+		n.news.await(t, "the winner in force", func() bool { return n.revision() == base+1 })
+	}
+}
+
+// TestResendDuringLeaderChange stops the leader while a submission is under
+// way, resends it elsewhere, and again once all replicas were restarted.
+func TestResendDuringLeaderChange(t *testing.T) {
+	replicas := cluster(t, 3)
+	leader := leaderOf(t, replicas)
+	n := join(t, "fees-1", replicas[0].address, replicas[1].address, replicas[2].address)
+	others := append(append([]*replica{}, replicas[:leader]...), replicas[leader+1:]...)
+	s := slots(t, 20)
+	var group sync.WaitGroup
+	group.Go(func() { _, _ = replicas[leader].client.Submit(t.Context(), s) })
+	replicas[leader].stop()
+	first, _ := submit(t, s, others...)
+	group.Wait()
+	qt.Assert(t, first, qt.DeepEquals, historian.Answer{Verdict: historian.VerdictAccepted, Revision: 1})
+	n.news.await(t, "revision 1 in force", func() bool { return n.revision() == 1 })
+
+	for i, r := range replicas {
+		r.stop()
+		replicas[i] = r.restart(t)
+	}
+	again, _ := submit(t, s, replicas...)
+	qt.Assert(t, again, qt.DeepEquals, first)
+	late := slots(t, 30)
+	answer, reason := submit(t, late, replicas...)
+	qt.Assert(t, reason, qt.Equals, administrator.ReasonConflict)
+	qt.Assert(t, answer.Winner.Submission, qt.Equals, s.ID)
+	late.ID, late.BaseRevision = "late", 1
+	answer, _ = submit(t, late, replicas...)
+	qt.Assert(t, answer.Revision, qt.Equals, waxwingseam.Revision(2))
+	n.news.await(t, "revision 2 in force", func() bool { return n.revision() == 2 })
+}
+
+// TestStartWithoutQuorum starts a node beside a replica that is cut off: it
+// gets no set from there, but that of another node.
+func TestStartWithoutQuorum(t *testing.T) {
+	replicas := cluster(t, 3)
+	leaderOf(t, replicas)
+	old := join(t, "fees-1", replicas[0].address)
+	_, _ = submit(t, slots(t, 20), replicas...)
+	old.news.await(t, "revision 1 in force", func() bool { return old.revision() == 1 })
+	replicas[1].stop()
+	replicas[2].stop()
+	status, err := replicas[0].client.Status(t.Context())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, status.Current, qt.IsFalse)
+	_, err = replicas[0].client.Set(t.Context(), 0)
+	qt.Assert(t, err, qt.ErrorMatches, "no-quorum.*")
+
+	fresh := join(t, "fees-2", replicas[0].address)
+	fresh.news.await(t, "the other node known", func() bool { _, ok := fresh.server("fees-1"); return ok })
+	fresh.news.await(t, "revision 1 taken over", func() bool { return fresh.revision() == 1 })
+	held := fresh.subscriber.Status()
+	qt.Assert(t, held.Revision, qt.Equals, waxwingseam.Revision(1))
+}
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -55,6 +55,7 @@
 
 // replica is a control replica under test.
 type replica struct {
+	config  Config
 	address netip.AddrPort
 	client  operator.Client
 	stop    func()
@@ -87,6 +88,7 @@
 	stop := sync.OnceFunc(func() { cancel(); group.Wait() })
 	t.Cleanup(stop)
 	return &replica{
+		config:  config,
 		address: config.Address,
 		client:  operator.New(operator.Config{Control: operators.Addr().String(), Name: "dina"}),
 		stop:    stop,
--- a/historian/command.go
+++ b/historian/command.go
@@ -48,6 +48,8 @@
 	VerdictConflict Verdict = "conflict"
 	// VerdictOtherContent means that the identifier was used for another content.
 	VerdictOtherContent Verdict = "other-content"
+	// VerdictUnreadable means that the command is none that this version knows.
+	VerdictUnreadable Verdict = "unreadable"
 	// VerdictUnknownService means that a drained server's service has no object.
 	VerdictUnknownService Verdict = "unknown-service"
 )
--- a/historian/historian.go
+++ b/historian/historian.go
@@ -114,7 +114,7 @@
 // Apply implements waxwingseam.Applier.
 func (h *historian) Apply(_ waxwingseam.LogIndex, command []byte) []byte {
 	var c Command
-	var answer Answer
+	answer := Answer{Verdict: VerdictUnreadable}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if err := cbor.Unmarshal(command, &c); err == nil {
--- a/registrar/lease.go
+++ b/registrar/lease.go
@@ -17,12 +17,11 @@
 		return
 	}
 	r.armed = false
-	counts := r.count(c)
-	for _, known := range r.sorted() {
+	counts, due := r.survey(c)
+	for _, known := range due {
 		switch {
 		case r.forgotten(c, known):
 			r.drop(c, known, changed)
-		case !ended(c, known) || known.Lapsed:
 		case known.Announcement.Server.Leaving || counts[known.Announcement.Server.Service].believable():
 			r.drop(c, known, changed)
 		default:
@@ -51,9 +50,11 @@
 	return ok && c.Now.Sub(since) > OrphanTime
 }
 
-// count takes the census of each service.
-func (r *registrar) count(c *waxwingseam.Context) map[waxwingseam.ServiceName]census {
+// survey takes the census of each service, and lists in order of names the
+// servers to decide on.
+func (r *registrar) survey(c *waxwingseam.Context) (map[waxwingseam.ServiceName]census, []*waxwingseam.Registration) {
 	counts := map[waxwingseam.ServiceName]census{}
+	var due []*waxwingseam.Registration
 	for _, known := range r.table {
 		n := counts[known.Announcement.Server.Service]
 		n.all++
@@ -61,12 +62,16 @@
 			n.ending++
 		}
 		counts[known.Announcement.Server.Service] = n
+		if ended(c, known) && !known.Lapsed || r.forgotten(c, known) {
+			due = append(due, known)
+		}
 	}
-	return counts
+	sortByName(due)
+	return counts, due
 }
 
 // believable reports whether few enough leases end at once that the servers
-// are taken to be gone. A service's only server is dropped when it ends.
+// are taken to be gone.
 func (n census) believable() bool {
-	return n.all == 1 || n.ending*hundred <= n.all*maxLapsedPercent
+	return n.ending*hundred <= n.all*maxLapsedPercent
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -138,8 +138,8 @@
 	if !e.Whole {
 		return
 	}
-	for _, known := range r.sorted() {
-		if known.Peer == e.Peer && !listed[known.Announcement.Server.Name] {
+	for _, known := range r.of(e.Peer) {
+		if !listed[known.Announcement.Server.Name] {
 			r.drop(c, known, changed)
 		}
 	}
@@ -159,16 +159,22 @@
 	changed.Gone = append(changed.Gone, *known)
 }
 
-// sorted returns the table in order of names.
-func (r *registrar) sorted() []*waxwingseam.Registration {
-	list := make([]*waxwingseam.Registration, 0, len(r.table))
+// of returns a peer's servers in order of names.
+func (r *registrar) of(peer string) []*waxwingseam.Registration {
+	var list []*waxwingseam.Registration
 	for _, v := range r.table {
-		list = append(list, v)
+		if v.Peer == peer {
+			list = append(list, v)
+		}
 	}
+	sortByName(list)
+	return list
+}
+
+func sortByName(list []*waxwingseam.Registration) {
 	slices.SortFunc(list, func(a, b *waxwingseam.Registration) int {
 		return strings.Compare(string(a.Announcement.Server.Name), string(b.Announcement.Server.Name))
 	})
-	return list
 }
 
 // arm keeps the timer running while there is something that may end.
