--- /dev/null
+++ b/checker/bench_test.go
@@ -0,0 +1,56 @@
+package checker
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// The objects of the size planned.
+const (
+	plannedServices = 360
+	plannedServers  = 6_900
+	plannedClasses  = 5
+)
+
+// planned returns a set of the size planned.
+func planned() File {
+	var b bytes.Buffer
+	fmt.Fprint(&b, "[wait-limit usual]\nwait = 250ms\nwaiting = 60\n")
+	for i := range plannedServices {
+		fmt.Fprintf(&b, "[service s%d]\nslots = 60\nconnections = 500\n", i)
+		for j := range plannedClasses {
+			fmt.Fprintf(&b, "[request-class s%d-c%d]\nservice = s%d\nmethod = GET\npath = /c%d/{id}\nimportance = 5\nrepeat = idempotent\ndeadline = 1s\nwait-limit = usual\n", i, j, i, j)
+		}
+	}
+	for i := range plannedServers {
+		fmt.Fprintf(&b, "[backend-server b%d]\nservice = s%d\nslots = 50\n", i, i%plannedServices)
+	}
+	return File{Name: "planned.ini", Data: b.Bytes()}
+}
+
+func BenchmarkParse(b *testing.B) {
+	file := planned()
+	b.SetBytes(int64(len(file.Data)))
+	for b.Loop() {
+		Parse(file)
+	}
+}
+
+func BenchmarkDigest(b *testing.B) {
+	set, _ := Parse(planned())
+	for b.Loop() {
+		Digest(set)
+	}
+}
+
+func BenchmarkStep(b *testing.B) {
+	set, _ := Parse(planned())
+	var c Change
+	c.Put.BackendServers = []waxwingseam.BackendServer{{Name: "b9", Service: "s9", Drained: true, Weight: 100}}
+	for b.Loop() {
+		set = c.Apply(set)
+	}
+}
--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"waxwingseam.example/waxwingseam"
 )
 
 var update = flag.Bool("update", false, "write the golden files anew")
@@ -60,3 +63,66 @@
 		})
 	}
 }
+
+// FuzzParse checks that any input is read or refused, and that what is read
+// without findings comes back from its canonical form.
+func FuzzParse(f *testing.F) {
+	for _, pattern := range []string{"testdata/faulty/*.ini", "testdata/good/*.ini", "../examples/*/objects.ini"} {
+		files, err := filepath.Glob(pattern)
+		qt.Assert(f, err, qt.IsNil)
+		for _, path := range files {
+			f.Add(load(f, path).Data)
+		}
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		set, findings := Parse(File{Name: "fuzz.ini", Data: data})
+		if len(findings) > 0 {
+			return
+		}
+		again, findings := Parse(File{Name: "canonical.ini", Data: Format(set)})
+		qt.Assert(t, findings.OrNil(), qt.IsNil)
+		qt.Assert(t, Format(again), qt.DeepEquals, Format(set))
+	})
+}
+
+func parse(t *testing.T, text string) *waxwingseam.Set {
+	set, findings := Parse(File{Name: "set.ini", Data: []byte(text)})
+	qt.Assert(t, findings.OrNil(), qt.IsNil)
+	return set
+}
+
+const (
+	deskText  = "[service desk]\nslots = 1\nconnections = 1\n"
+	drainText = "[backend-server desk-%d]\nservice = desk\ndrained = true\n"
+)
+
+func TestWarnings(t *testing.T) {
+	both := fmt.Sprintf(drainText+drainText, 1, 2)
+	announced := []waxwingseam.Server{{Name: "desk-1", Service: "desk"}, {Name: "desk-2", Service: "desk"}}
+	for _, v := range []struct{ name, before, after, want string }{
+		{"nothing", deskText, deskText, ""},
+		{"one drained", deskText, deskText + fmt.Sprintf(drainText, 1), ""},
+		{"all drained", deskText, deskText + both, ":0: [service desk] is left without a backend server that takes calls"},
+		{"were drained before", deskText + both, deskText + both, ""},
+		{"service removed", deskText, "", ":0: [service desk] is removed while 2 backend servers announce it"},
+		{"object removed", deskText + fmt.Sprintf(drainText, 1), deskText, ":0: [backend-server desk-1] is removed while it is announced"},
+		{"object of none removed", deskText + fmt.Sprintf(drainText, 3), deskText, ""},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			got := Warnings(parse(t, v.before), parse(t, v.after), announced)
+			qt.Assert(t, got.Error(), qt.Equals, v.want)
+		})
+	}
+	found := DrainWarnings(parse(t, deskText), "desk-1", "desk", announced[:1])
+	qt.Assert(t, found, qt.HasLen, 1)
+	qt.Assert(t, found[0].Warning, qt.IsTrue)
+}
+
+func TestChangeRoundTrip(t *testing.T) {
+	before, after := parse(t, deskText+fmt.Sprintf(drainText, 1)), parse(t, string(load(t, "../examples/jnina/objects.ini").Data))
+	there := ChangeOf(before, after)
+	back := Reverse(there, before)
+	qt.Assert(t, Format(there.Apply(before)), qt.DeepEquals, Format(after))
+	qt.Assert(t, Format(back.Apply(after)), qt.DeepEquals, Format(before))
+	qt.Assert(t, len(Differences(before, after)), qt.Equals, len(there.IDs()))
+}
