--- a/checker/bench_test.go
+++ b/checker/bench_test.go
@@ -50,7 +50,10 @@
 	set, _ := Parse(planned())
 	var c Change
 	c.Put.BackendServers = []waxwingseam.BackendServer{{Name: "b9", Service: "s9", Drained: true, Weight: 100}}
+	digest := Digest(set)
 	for b.Loop() {
-		set = c.Apply(set)
+		next := c.Apply(set)
+		digest = c.Digest(set, digest)
+		set = next
 	}
 }
--- a/checker/change.go
+++ b/checker/change.go
@@ -72,10 +72,16 @@
 	return ids
 }
 
-// Apply returns the set that the change makes of another, which it leaves as
-// it is.
+// Apply returns the set that the change makes of another, which is in the
+// canonical order and stays as it is.
 func (c *Change) Apply(set *waxwingseam.Set) *waxwingseam.Set {
 	next := Clone(set)
+	c.ApplyTo(next)
+	return next
+}
+
+// ApplyTo changes a set in place.
+func (c *Change) ApplyTo(next *waxwingseam.Set) {
 	for _, id := range c.Gone {
 		if e := elementOf(id.Kind); e != nil {
 			e.remove(next, id.Name)
@@ -84,7 +90,24 @@
 	for _, e := range elements() {
 		e.put(next, &c.Put)
 	}
-	return next
+}
+
+// Digest returns the digest of the set that the change makes of another, whose
+// digest is known.
+func (c *Change) Digest(set *waxwingseam.Set, digest uint64) uint64 {
+	for _, id := range c.IDs() {
+		e := elementOf(id.Kind)
+		if e == nil {
+			continue
+		}
+		if before, ok := e.object(set, id.Name); ok {
+			digest -= before.digest()
+		}
+		if after, ok := e.object(&c.Put, id.Name); ok {
+			digest += after.digest()
+		}
+	}
+	return digest
 }
 
 // Clone returns a copy of a set that shares nothing with it.
--- a/checker/checker.go
+++ b/checker/checker.go
@@ -8,8 +8,6 @@
 	"fmt"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"waxwingseam.example/waxwingseam"
 )
 
@@ -130,7 +128,12 @@
 	return b.Bytes()
 }
 
-// Digest returns the xxhash of a set's canonical form.
+// Digest returns the sum of the xxhashes of a set's objects. A sum can be
+// brought forward by a change without a look at the whole set.
 func Digest(set *waxwingseam.Set) uint64 {
-	return xxhash.Sum64(Format(set))
+	var sum uint64
+	for _, o := range Objects(set) {
+		sum += o.digest()
+	}
+	return sum
 }
--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -124,5 +124,6 @@
 	back := Reverse(there, before)
 	qt.Assert(t, Format(there.Apply(before)), qt.DeepEquals, Format(after))
 	qt.Assert(t, Format(back.Apply(after)), qt.DeepEquals, Format(before))
+	qt.Assert(t, there.Digest(before, Digest(before)), qt.Equals, Digest(after))
 	qt.Assert(t, len(Differences(before, after)), qt.Equals, len(there.IDs()))
 }
--- a/checker/element.go
+++ b/checker/element.go
@@ -27,6 +27,8 @@
 	normalize(set *waxwingseam.Set)
 	// objects returns the set's objects in that order.
 	objects(set *waxwingseam.Set) []Object
+	// object returns the named object of a set in the canonical order.
+	object(set *waxwingseam.Set, name string) (Object, bool)
 	// put replaces or adds the objects that other holds.
 	put(set, other *waxwingseam.Set)
 	// remove takes an object out.
@@ -100,12 +102,12 @@
 func (k *kindOf[T]) objects(set *waxwingseam.Set) []Object {
 	objects := make([]Object, 0, len(*k.list(set)))
 	for _, v := range *k.list(set) {
-		objects = append(objects, k.object(v))
+		objects = append(objects, k.objectOf(v))
 	}
 	return objects
 }
 
-func (k *kindOf[T]) object(v T) Object {
+func (k *kindOf[T]) objectOf(v T) Object {
 	o := Object{Kind: k.name, Name: k.nameOf(v)}
 	for _, f := range k.fields {
 		if text := f.write(&v); text != "" {
@@ -115,36 +117,50 @@
 	return o
 }
 
-func (k *kindOf[T]) index(list []T, name string) int {
-	return slices.IndexFunc(list, func(v T) bool { return k.nameOf(v) == name })
+// find returns the place of an object in a list in order of names, and
+// whether it is there.
+func (k *kindOf[T]) find(list []T, name string) (int, bool) {
+	return slices.BinarySearchFunc(list, name, func(v T, name string) int {
+		return cmp.Compare(k.nameOf(v), name)
+	})
+}
+
+func (k *kindOf[T]) object(set *waxwingseam.Set, name string) (Object, bool) {
+	list := *k.list(set)
+	i, ok := k.find(list, name)
+	if !ok {
+		return Object{}, false
+	}
+	return k.objectOf(list[i]), true
 }
 
 func (k *kindOf[T]) put(set, other *waxwingseam.Set) {
 	list := k.list(set)
 	for _, v := range *k.list(other) {
-		if i := k.index(*list, k.nameOf(v)); i >= 0 {
+		i, ok := k.find(*list, k.nameOf(v))
+		if ok {
 			(*list)[i] = v
 			continue
 		}
-		*list = append(*list, v)
+		*list = slices.Insert(*list, i, v)
 	}
-	k.normalize(set)
 }
 
 func (k *kindOf[T]) remove(set *waxwingseam.Set, name string) {
 	list := k.list(set)
-	if i := k.index(*list, name); i >= 0 {
+	if i, ok := k.find(*list, name); ok {
 		*list = slices.Delete(*list, i, i+1)
 	}
 }
 
 func (k *kindOf[T]) copyTo(set, other *waxwingseam.Set, name string) bool {
 	list := *k.list(set)
-	i := k.index(list, name)
-	if i < 0 {
+	i, ok := k.find(list, name)
+	if !ok {
 		return false
 	}
 	to := k.list(other)
-	*to = append(*to, list[i])
+	at, _ := k.find(*to, name)
+	*to = slices.Insert(*to, at, list[i])
 	return true
 }
--- a/checker/object.go
+++ b/checker/object.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"waxwingseam.example/waxwingseam"
 )
 
@@ -40,6 +42,16 @@
 	return slices.Equal(o.Values, other.Values)
 }
 
+// digest returns the xxhash of the object's text.
+func (o Object) digest() uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(o.ID().String())
+	for _, v := range o.Values {
+		_, _ = d.WriteString("\n" + v.Key + " = " + v.Text)
+	}
+	return d.Sum64()
+}
+
 // Objects returns the objects of a set in order of kind and name.
 func Objects(set *waxwingseam.Set) []Object {
 	objects := make([]Object, 0, len(set.BackendServers)+len(set.RequestClasses))
--- a/historian/historian.go
+++ b/historian/historian.go
@@ -167,7 +167,7 @@
 func (h *historian) accept(c Command, change checker.Change) Answer {
 	before := h.state.Head
 	next := change.Apply(before)
-	digest := checker.Digest(next)
+	digest := change.Digest(before, h.state.Digest)
 	if digest == h.state.Digest {
 		return Answer{Verdict: VerdictUnchanged, Revision: before.Revision}
 	}
@@ -232,12 +232,15 @@
 func (h *historian) Set(r waxwingseam.Revision) (*waxwingseam.Set, error) {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
-	set := h.state.Head
+	if r == h.state.Head.Revision {
+		return h.state.Head, nil
+	}
+	set := checker.Clone(h.state.Head)
 	if r > set.Revision {
 		return nil, trace.NotFound("revision %d does not exist; the newest is %d", r, set.Revision)
 	}
 	for i := len(h.state.Undos) - 1; i >= 0 && set.Revision > r; i-- {
-		set = h.state.Undos[i].Change.Apply(set)
+		h.state.Undos[i].Change.ApplyTo(set)
 		set.Revision = h.state.Undos[i].Revision - 1
 	}
 	if set.Revision != r {
--- a/subscriber/peer.go
+++ b/subscriber/peer.go
@@ -9,6 +9,7 @@
 	"storj.io/drpc"
 
 	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/checker"
 	"waxwingseam.example/waxwingseam/messenger"
 	"waxwingseam.example/waxwingseam/publisher"
 )
@@ -55,7 +56,7 @@
 
 // Held implements Subscriber.
 func (s *subscriber) Held(_ context.Context, q *HeldQuery) (*HeldAnswer, error) {
-	set := s.current()
+	set, _ := s.current()
 	if set.Revision <= q.Above {
 		return &HeldAnswer{}, nil
 	}
@@ -150,7 +151,8 @@
 		return trace.Wrap(err)
 	}
 	defer func() { _ = conn.Close() }()
-	query := &HeldQuery{Above: s.current().Revision}
+	held, _ := s.current()
+	query := &HeldQuery{Above: held.Revision}
 	var answer HeldAnswer
 	if err := conn.Invoke(ctx, heldMethod, messenger.Encoding, query, &answer); err != nil {
 		return trace.Wrap(err)
@@ -162,6 +164,6 @@
 	if err != nil {
 		return err
 	}
-	s.adopt(set)
+	s.adopt(set, checker.Digest(set))
 	return nil
 }
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"waxwingseam.example/waxwingseam"
-	"waxwingseam.example/waxwingseam/checker"
 	"waxwingseam.example/waxwingseam/messenger"
 	"waxwingseam.example/waxwingseam/publisher"
 )
@@ -184,10 +183,9 @@
 }
 
 // adopt puts a set in force at the node if it is higher than the one held.
-func (s *subscriber) adopt(set *waxwingseam.Set) {
+func (s *subscriber) adopt(set *waxwingseam.Set, digest uint64) {
 	s.adopting.Lock()
 	defer s.adopting.Unlock()
-	digest := checker.Digest(set)
 	s.mu.Lock()
 	higher := set.Revision > s.held.Revision
 	if higher {
@@ -204,9 +202,9 @@
 	s.wake()
 }
 
-// current returns the set held; it must not be changed.
-func (s *subscriber) current() *waxwingseam.Set {
+// current returns the set held, which must not be changed, and its digest.
+func (s *subscriber) current() (*waxwingseam.Set, uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.held
+	return s.held, s.digest
 }
--- a/subscriber/watch.go
+++ b/subscriber/watch.go
@@ -118,7 +118,7 @@
 		if err != nil {
 			return err
 		}
-		s.adopt(set)
+		s.adopt(set, checker.Digest(set))
 	}
 	if len(p.Steps) > 0 {
 		if err := s.advance(p.Steps); err != nil {
@@ -133,7 +133,7 @@
 
 // advance applies steps to the set held.
 func (s *subscriber) advance(steps []publisher.Step) error {
-	set := s.current()
+	set, digest := s.current()
 	for _, step := range steps {
 		if step.Revision <= set.Revision {
 			continue
@@ -143,12 +143,13 @@
 		}
 		next := step.Change.Apply(set)
 		next.Revision = step.Revision
-		if checker.Digest(next) != step.Digest {
+		digest = step.Change.Digest(set, digest)
+		if digest != step.Digest {
 			return trace.CompareFailed("revision %d has another digest than control says", step.Revision)
 		}
 		set = next
 	}
-	s.adopt(set)
+	s.adopt(set, digest)
 	return nil
 }
 
