--- a/historian/command.go
+++ b/historian/command.go
@@ -42,10 +42,14 @@
 const (
 	// VerdictAccepted means that the submission is a revision now.
 	VerdictAccepted Verdict = "accepted"
+	// VerdictUnchanged means that the set in force is as submitted already.
+	VerdictUnchanged Verdict = "unchanged"
 	// VerdictConflict means that another revision follows the base.
 	VerdictConflict Verdict = "conflict"
 	// VerdictOtherContent means that the identifier was used for another content.
 	VerdictOtherContent Verdict = "other-content"
+	// VerdictUnreadable means that the command is none that this version knows.
+	VerdictUnreadable Verdict = "unreadable"
 	// VerdictUnknownService means that a drained server's service has no object.
 	VerdictUnknownService Verdict = "unknown-service"
 )
