--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -24,18 +24,17 @@
 )
 
 // newBackendTransport returns the connections to the backend server.
-func newBackendTransport(connections int) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func newBackendTransport(config Config) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := config.BackendDialer.DialContext(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
 			return &countedConn{Conn: conn}, nil
 		},
-		MaxConnsPerHost:        connections,
-		MaxIdleConnsPerHost:    connections,
+		MaxConnsPerHost:        config.Connections,
+		MaxIdleConnsPerHost:    config.Connections,
 		IdleConnTimeout:        backendIdle,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		DisableCompression:     true,
--- a/forwarder/bench_test.go
+++ b/forwarder/bench_test.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
-	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -14,6 +14,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
 
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/admitter"
@@ -52,24 +54,41 @@
 	return set
 }
 
+// world holds the processes of one test, on a fake network.
+type world struct {
+	t   testing.TB
+	net *network
+}
+
+func newWorld(t testing.TB) *world {
+	return &world{t: t, net: newNetwork()}
+}
+
 // backend is a backend server that keeps the list of its runs.
 type backend struct {
-	*httptest.Server
-	mu   sync.Mutex
-	runs []string
+	address netip.AddrPort
+	mu      sync.Mutex
+	runs    []string
 }
 
 // newBackend starts a backend server; serve answers after the run is listed
 // under its request's Name header.
-func newBackend(t testing.TB, serve http.HandlerFunc) *backend {
+func (w *world) newBackend(serve http.HandlerFunc) *backend {
 	b := &backend{}
-	b.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	l := newFakeListener()
+	b.address = w.net.reserve()
+	w.net.listen(b.address, l.serve)
+	server := &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		b.mu.Lock()
 		b.runs = append(b.runs, r.Header.Get("Name"))
 		b.mu.Unlock()
-		serve(w, r)
-	}))
-	t.Cleanup(b.Close)
+		serve(rw, r)
+	})}
+	go func() { _ = server.Serve(l) }()
+	w.t.Cleanup(func() {
+		w.net.kill(b.address)
+		_ = server.Close()
+	})
 	return b
 }
 
@@ -86,71 +105,63 @@
 	return n
 }
 
-// node is one whole process, on loopback.
+// node is one whole process.
 type node struct {
 	*forwarder.Forwarder
-	self     waxwingseam.Server
-	step     func(func(waxwingseam.Stamp) waxwingseam.Event)
-	entry    *httptest.Server
-	outbound *httptest.Server
-	stop     context.CancelFunc
+	world *world
+	self  waxwingseam.Server
+	step  func(func(waxwingseam.Stamp) waxwingseam.Event)
+	stop  context.CancelFunc
 }
 
 type nodeConfig struct {
 	service     waxwingseam.ServiceName
 	name        waxwingseam.ServerName
-	backend     *backend
+	backend     netip.AddrPort
 	incarnation waxwingseam.Incarnation
 	address     netip.AddrPort
 	observers   []runner.Observer
 }
 
-// loopback is a free port.
-var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+// registry lets a drpc mux take the forwarder's service.
+type registry struct{ *drpcmux.Mux }
 
-func addressOf(s *httptest.Server) netip.AddrPort {
-	return netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+func (r registry) Register(implementation any, d messenger.Description) error {
+	return r.Mux.Register(implementation, d)
 }
 
-func newNode(t testing.TB, config nodeConfig) *node {
+func (w *world) newNode(config nodeConfig) *node {
+	ctx, cancel := context.WithCancel(context.Background())
+	mux := drpcmux.New()
 	if !config.address.IsValid() {
-		config.address = loopback
+		config.address = w.net.reserve()
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	server, err := messenger.Listen(ctx, messenger.ServerConfig{Address: config.address})
-	qt.Assert(t, err, qt.IsNil)
-	n := &node{stop: cancel, self: waxwingseam.Server{
-		Name: config.name, Service: config.service, Node: server.Address(),
+	n := &node{stop: cancel, world: w, self: waxwingseam.Server{
+		Name: config.name, Service: config.service, Node: config.address,
 		Incarnation: max(config.incarnation, 1),
 	}}
 	r := runner.New(runner.Config{Reducer: newReducer(n.self), Seed: 1, Observers: config.observers})
 	n.step = r.Step
-	fc := forwarder.Config{Step: r.Step, Self: n.self, Logger: slog.New(slog.DiscardHandler)}
-	if config.backend != nil {
-		fc.Backend = addressOf(config.backend.Server)
-	}
-	n.Forwarder = forwarder.New(fc)
+	n.Forwarder = forwarder.New(forwarder.Config{
+		Step: r.Step, Self: n.self, Dialer: w.net, Backend: config.backend, BackendDialer: w.net,
+	})
 	r.Attach(n.Forwarder)
-	qt.Assert(t, n.Register(server), qt.IsNil)
-	n.entry = httptest.NewServer(n.Entry())
-	n.outbound = httptest.NewServer(n.Outbound())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = server.Serve(ctx)
-	}()
-	t.Cleanup(func() {
-		n.entry.CloseClientConnections()
-		n.entry.Close()
-		n.outbound.Close()
-		n.Forwarder.Close()
-		cancel()
-		<-done
+	qt.Assert(w.t, n.Register(registry{mux}), qt.IsNil)
+	w.net.listen(config.address, func(c net.Conn) {
+		_ = drpcserver.New(mux).ServeOne(ctx, c)
 	})
+	w.t.Cleanup(n.kill)
 	n.step(func(s waxwingseam.Stamp) waxwingseam.Event { return waxwingseam.SetAdopted{Stamp: s, Set: testSet()} })
 	return n
 }
 
+// kill ends the process at once.
+func (n *node) kill() {
+	n.world.net.kill(n.self.Node)
+	n.stop()
+	n.Close()
+}
+
 // learn tells a node of others.
 func (n *node) learn(others ...*node) {
 	n.step(func(s waxwingseam.Stamp) waxwingseam.Event {
@@ -162,6 +173,11 @@
 	})
 }
 
+// drain starts or undoes a drain of the node's backend server.
+func (n *node) drain(undo bool) {
+	n.step(func(s waxwingseam.Stamp) waxwingseam.Event { return waxwingseam.DrainAsked{Stamp: s, Undo: undo} })
+}
+
 // newReducer assembles the workers of a node.
 func newReducer(self waxwingseam.Server) waxwingseam.Reducer {
 	retries := retrier.New(retrier.Config{})
@@ -187,7 +203,7 @@
 	status  int
 	header  http.Header
 	body    string
-	err     error
+	broken  bool
 	problem forwarder.Problem
 }
 
@@ -198,19 +214,14 @@
 	header                  map[string]string
 }
 
-// call makes a call through a node and reads the whole answer.
-func (n *node) call(r request) answer {
-	return callURL(n.entry.URL, r)
-}
-
-func callURL(url string, r request) answer {
+func (r request) build(ctx context.Context) *http.Request {
 	if r.method == "" {
 		r.method = http.MethodPost
 	}
-	hr, err := http.NewRequestWithContext(context.Background(), r.method, url+r.path, r.body)
-	if err != nil {
-		return answer{err: err}
+	if r.path == "" {
+		r.path = "/ledger/marks"
 	}
+	hr := httptest.NewRequestWithContext(ctx, r.method, r.path, r.body)
 	hr.Header.Set("Name", r.name)
 	if r.key != "" {
 		hr.Header.Set(forwarder.HeaderKey, r.key)
@@ -218,22 +229,32 @@
 	for k, v := range r.header {
 		hr.Header.Set(k, v)
 	}
-	res, err := http.DefaultTransport.RoundTrip(hr)
-	if err != nil {
-		return answer{err: err}
-	}
-	defer func() { _ = res.Body.Close() }()
-	body, err := io.ReadAll(res.Body)
-	a := answer{status: res.StatusCode, header: res.Header, body: string(body), err: err}
-	if strings.HasPrefix(res.Header.Get("Content-Type"), "application/problem+json") {
-		_ = json.Unmarshal(body, &a.problem)
-	}
+	return hr
+}
+
+// call makes a call through a node and waits for the whole answer.
+func (n *node) call(r request) answer {
+	return n.callIn(context.Background(), r)
+}
+
+func (n *node) callIn(ctx context.Context, r request) (a answer) {
+	w := httptest.NewRecorder()
+	defer func() {
+		if recover() != nil {
+			a.broken = true
+		}
+		a.status, a.header, a.body = w.Code, w.Header(), w.Body.String()
+		if strings.HasPrefix(a.header.Get("Content-Type"), "application/problem+json") {
+			_ = json.Unmarshal(w.Body.Bytes(), &a.problem)
+		}
+	}()
+	n.Entry().ServeHTTP(w, r.build(ctx))
 	return a
 }
 
 // said is the outcome, and the reason where the system answered itself.
 func (a answer) said() string {
-	if a.err != nil {
+	if a.broken {
 		return "broken"
 	}
 	return strings.TrimSuffix(a.header.Get(forwarder.HeaderOutcome)+":"+a.problem.Reason, ":")
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -35,13 +36,32 @@
 	defaultConnections = 400
 )
 
+// Dialer opens connections to other nodes.
+type Dialer interface {
+	// Dial opens one connection, which carries one call at a time.
+	Dial(ctx context.Context, address netip.AddrPort) (*drpcconn.Conn, error)
+}
+
+// BackendDialer opens connections to the node's own backend server.
+type BackendDialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Registry takes in the service that other nodes call; a messenger.Server is
+// one.
+type Registry interface {
+	Register(implementation any, d messenger.Description) error
+}
+
 // Config holds the parts of a forwarder.
 type Config struct {
 	// Step feeds an event to the node's reducer.
 	Step   func(build func(waxwingseam.Stamp) waxwingseam.Event)
-	Dialer messenger.Dialer
+	Dialer Dialer
 	// Backend is the node's own backend server; invalid without one.
 	Backend netip.AddrPort
+	// BackendDialer is a net.Dialer when unset.
+	BackendDialer BackendDialer
 	// Connections bounds the connections to the backend server.
 	Connections int
 	Self        waxwingseam.Server
@@ -72,6 +92,9 @@
 	if config.Connections == 0 {
 		config.Connections = defaultConnections
 	}
+	if config.BackendDialer == nil {
+		config.BackendDialer = &net.Dialer{Timeout: dialTimeout}
+	}
 	if config.Logger == nil {
 		config.Logger = slog.New(slog.DiscardHandler)
 	}
@@ -80,7 +103,7 @@
 		peers: newPool[netip.AddrPort](pooledLife, pooledLimit, func(c *drpcconn.Conn) {
 			go func() { _ = c.Close() }()
 		}),
-		backend:   newBackendTransport(config.Connections),
+		backend:   newBackendTransport(config),
 		exchanges: map[waxwingseam.CallID]*exchange{},
 		hosted:    map[waxwingseam.CallID]*hosted{},
 		inbounds:  map[attemptKey]*inbound{},
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -1,25 +1,33 @@
 package forwarder_test
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"testing"
+	"testing/synctest"
 
 	qt "github.com/frankban/quicktest"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/forwarder"
+	"waxwingseam.example/waxwingseam/messenger"
+	"waxwingseam.example/waxwingseam/runner"
 )
 
 // pair is a node without a backend server and one beside a ledger.
-func pair(t testing.TB, serve http.HandlerFunc) (*node, *node, *backend) {
-	b := newBackend(t, serve)
-	front := newNode(t, nodeConfig{})
-	back := newNode(t, nodeConfig{service: "ledger", name: "ledger-1", backend: b})
+func (w *world) pair(serve http.HandlerFunc) (*node, *node, *backend) {
+	b := w.newBackend(serve)
+	front := w.newNode(nodeConfig{})
+	back := w.newNode(nodeConfig{service: "ledger", name: "ledger-1", backend: b.address})
 	front.learn(back)
 	return front, back, b
 }
 
 func TestWholeAnswers(t *testing.T) {
-	front, _, _ := pair(t, echo)
 	for _, v := range []struct {
 		name, method, body string
 	}{
@@ -30,12 +38,57 @@
 		{"longer than the window", http.MethodPost, strings.Repeat("0123456789", 100_000)},
 	} {
 		t.Run(v.name, func(t *testing.T) {
-			for _, body := range []io.Reader{strings.NewReader(v.body), io.MultiReader(strings.NewReader(v.body))} {
-				got := front.call(request{method: v.method, path: "/ledger/marks/a%2Fb?x=1", name: v.name, body: body})
-				qt.Assert(t, got.err, qt.IsNil)
-				qt.Assert(t, got.said(), qt.Equals, "completed")
-				qt.Assert(t, got.body == v.method+" /marks/a%2Fb?x=1 "+v.name+" "+v.body, qt.IsTrue, qt.Commentf("%d bytes, %.200s", len(got.body), got.body))
-			}
+			synctest.Test(t, func(t *testing.T) {
+				front, _, _ := newWorld(t).pair(echo)
+				for _, body := range []io.Reader{strings.NewReader(v.body), io.MultiReader(strings.NewReader(v.body))} {
+					got := front.call(request{method: v.method, path: "/ledger/marks/a%2Fb?x=1", name: "x", body: body})
+					qt.Assert(t, got.said(), qt.Equals, "completed")
+					qt.Assert(t, got.body == v.method+" /marks/a%2Fb?x=1 x "+v.body, qt.IsTrue, qt.Commentf("%d bytes, %.200s", len(got.body), got.body))
+				}
+			})
 		})
 	}
 }
+
+// TestRealSockets carries one call over TCP and real HTTP servers, on both
+// protocols of the callers' interface.
+func TestRealSockets(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	backend := httptest.NewServer(http.HandlerFunc(echo))
+	defer backend.Close()
+	server, err := messenger.Listen(ctx, messenger.ServerConfig{Address: netip.MustParseAddrPort("127.0.0.1:0")})
+	qt.Assert(t, err, qt.IsNil)
+	self := waxwingseam.Server{Name: "ledger-1", Service: "ledger", Node: server.Address(), Incarnation: 1}
+	r := runner.New(runner.Config{Reducer: newReducer(self)})
+	f := forwarder.New(forwarder.Config{
+		Step: r.Step, Self: self, Dialer: messenger.Dialer{},
+		Backend: netip.MustParseAddrPort(strings.TrimPrefix(backend.URL, "http://")),
+	})
+	defer f.Close()
+	r.Attach(f)
+	qt.Assert(t, f.Register(server), qt.IsNil)
+	done := make(chan error)
+	go func() { done <- server.Serve(ctx) }()
+	r.Step(func(s waxwingseam.Stamp) waxwingseam.Event { return waxwingseam.SetAdopted{Stamp: s, Set: testSet()} })
+	r.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
+		return waxwingseam.ServersLearned{Stamp: s, Servers: []waxwingseam.Server{self}}
+	})
+	entry := httptest.NewUnstartedServer(nil)
+	entry.Config = forwarder.NewServer(f.Entry())
+	entry.Start()
+	defer entry.Close()
+	h2c := &http.Protocols{}
+	h2c.SetUnencryptedHTTP2(true)
+	for _, transport := range []*http.Transport{{}, {Protocols: h2c}} {
+		body := strings.Repeat("0123456789", 100_000)
+		res, err := (&http.Client{Transport: transport}).Post(entry.URL+"/ledger/marks", "text/plain", strings.NewReader(body))
+		qt.Assert(t, err, qt.IsNil)
+		got, err := io.ReadAll(res.Body)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(got) == "POST /marks  "+body, qt.IsTrue)
+		_ = res.Body.Close()
+		transport.CloseIdleConnections()
+	}
+	cancel()
+	<-done
+}
--- /dev/null
+++ b/forwarder/network_test.go
@@ -0,0 +1,281 @@
+package forwarder_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+
+	"storj.io/drpc/drpcconn"
+)
+
+// mode is what a fake connection does with what is written to it.
+type mode int
+
+const (
+	passing mode = iota
+	// vanishing takes everything and delivers nothing, without an error.
+	vanishing
+	// holding delivers only once it passes again.
+	holding
+)
+
+// wire is one direction of a fake connection. Writing to it never blocks.
+type wire struct {
+	mu      sync.Mutex
+	changed sync.Cond
+	queue   [][]byte
+	closed  bool
+	mode    mode
+	// left is how many bytes are delivered until the connection breaks; below
+	// 0 for no end.
+	left int
+	out  net.Conn
+}
+
+func newWire(left int) (*wire, net.Conn) {
+	in, out := net.Pipe()
+	w := &wire{out: in, left: left}
+	w.changed.L = &w.mu
+	go w.run()
+	return w, out
+}
+
+func (w *wire) push(p []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed {
+		return 0, net.ErrClosed
+	}
+	w.queue = append(w.queue, append([]byte(nil), p...))
+	w.changed.Broadcast()
+	return len(p), nil
+}
+
+func (w *wire) set(m mode) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.mode = m
+	w.changed.Broadcast()
+}
+
+// close ends the wire after what is queued; at once where that is stuck.
+func (w *wire) close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.closed = true
+	w.changed.Broadcast()
+}
+
+// next waits for something to deliver; false at the end.
+func (w *wire) next() ([]byte, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for {
+		switch {
+		case w.left == 0 || w.closed && (len(w.queue) == 0 || w.mode == vanishing):
+			return nil, false
+		case w.mode == vanishing:
+			w.queue = nil
+		case w.mode == passing && len(w.queue) > 0:
+			p := w.queue[0]
+			w.queue = w.queue[1:]
+			if w.left >= 0 {
+				p = p[:min(len(p), w.left)]
+				w.left -= len(p)
+			}
+			return p, true
+		}
+		w.changed.Wait()
+	}
+}
+
+func (w *wire) run() {
+	defer func() { _ = w.out.Close() }()
+	for {
+		p, ok := w.next()
+		if !ok {
+			return
+		}
+		if _, err := w.out.Write(p); err != nil {
+			return
+		}
+	}
+}
+
+// end is one end of a fake connection.
+type end struct {
+	net.Conn
+	out  *wire
+	peer *wire
+}
+
+func (e *end) Write(p []byte) (int, error) { return e.out.push(p) }
+
+func (e *end) Close() error {
+	e.out.close()
+	return e.Conn.Close()
+}
+
+// link is a fake connection.
+type link struct {
+	to             netip.AddrPort
+	dialed, served *end
+}
+
+func (l *link) set(m mode) {
+	l.dialed.out.set(m)
+	l.served.out.set(m)
+}
+
+func (l *link) kill() {
+	l.set(vanishing)
+	_ = l.dialed.Close()
+	_ = l.served.Close()
+}
+
+// network carries fake connections between the processes of one test.
+type network struct {
+	mu      sync.Mutex
+	port    uint16
+	servers map[netip.AddrPort]func(net.Conn)
+	links   []*link
+	dials   map[netip.AddrPort]int
+	// cut is how many bytes the next connection delivers in each direction.
+	cut map[netip.AddrPort][2]int
+}
+
+func newNetwork() *network {
+	return &network{
+		servers: map[netip.AddrPort]func(net.Conn){},
+		dials:   map[netip.AddrPort]int{},
+		cut:     map[netip.AddrPort][2]int{},
+	}
+}
+
+// reserve returns a fresh address.
+func (n *network) reserve() netip.AddrPort {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.port++
+	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), n.port)
+}
+
+// listen serves an address.
+func (n *network) listen(address netip.AddrPort, serve func(net.Conn)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.servers[address] = serve
+}
+
+// kill ends an address and breaks its connections.
+func (n *network) kill(address netip.AddrPort) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.servers, address)
+	for _, l := range n.links {
+		if l.to == address {
+			l.kill()
+		}
+	}
+}
+
+// set changes what the present connections to an address do; later ones pass.
+func (n *network) set(address netip.AddrPort, m mode) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range n.links {
+		if l.to == address {
+			l.set(m)
+		}
+	}
+}
+
+// cutNext lets the next connection to an address deliver only so many bytes
+// to it, and from it; below 0 for no end.
+func (n *network) cutNext(address netip.AddrPort, to, from int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[address] = [2]int{to, from}
+}
+
+func (n *network) dialed(address netip.AddrPort) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dials[address]
+}
+
+func (n *network) connect(address netip.AddrPort) (net.Conn, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	serve, ok := n.servers[address]
+	if !ok {
+		return nil, syscall.ECONNREFUSED
+	}
+	cut, ok := n.cut[address]
+	if !ok {
+		cut = [2]int{-1, -1}
+	}
+	delete(n.cut, address)
+	to, served := newWire(cut[0])
+	from, dialed := newWire(cut[1])
+	l := &link{
+		to:     address,
+		dialed: &end{Conn: dialed, out: to},
+		served: &end{Conn: served, out: from},
+	}
+	n.links = append(n.links, l)
+	n.dials[address]++
+	go serve(l.served)
+	return l.dialed, nil
+}
+
+// Dial implements forwarder.Dialer.
+func (n *network) Dial(_ context.Context, address netip.AddrPort) (*drpcconn.Conn, error) {
+	conn, err := n.connect(address)
+	if err != nil {
+		return nil, err
+	}
+	return drpcconn.New(conn), nil
+}
+
+// DialContext implements forwarder.BackendDialer.
+func (n *network) DialContext(_ context.Context, _, address string) (net.Conn, error) {
+	return n.connect(netip.MustParseAddrPort(address))
+}
+
+// fakeListener hands the connections of an address to an HTTP server.
+type fakeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newFakeListener() *fakeListener {
+	return &fakeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *fakeListener) serve(c net.Conn) {
+	select {
+	case l.conns <- c:
+	case <-l.closed:
+		_ = c.Close()
+	}
+}
+
+func (l *fakeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *fakeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *fakeListener) Addr() net.Addr { return &net.TCPAddr{} }
--- a/forwarder/node.go
+++ b/forwarder/node.go
@@ -30,8 +30,8 @@
 }
 
 // Register adds the service that other nodes call.
-func (f *Forwarder) Register(s *messenger.Server) error {
-	return trace.Wrap(s.Register(&nodeService{f}, messenger.Description{
+func (f *Forwarder) Register(r Registry) error {
+	return trace.Wrap(r.Register(&nodeService{f}, messenger.Description{
 		{
 			Name: methodCall,
 			Receiver: func(service any, _ context.Context, in1, _ any) (drpc.Message, error) {
