deduplicator, forwarder: replies stay until delivered; late openings are fenced

Cause: over silent connections a reply longer than the kept size could not be resumed after its run ended, a reply might be skipped when join and answer came at once, an opening held back by the network could run after its did-not-run, and a run blocked on an unread reply outlived its deadline. Root: Call.Resumed.

--- a/call.go
+++ b/call.go
@@ -26,6 +26,9 @@
 	Allowance Allowance
 	// Key is the caller's idempotency key; empty without one.
 	Key string
+	// Resumed is set when an attempt goes on over a fresh connection, so that
+	// an earlier opening of it may still be under way.
+	Resumed bool
 	// Revision is the sender's configuration in force.
 	Revision Revision
 	// Trace is the trace that the call belongs to.
--- a/deduplicator/deduplicator.go
+++ b/deduplicator/deduplicator.go
@@ -9,45 +9,53 @@
 )
 
 const (
-	defaultReplyLife  = 10 * time.Second
-	defaultRecordLife = time.Minute
-	defaultKeyLife    = 10 * time.Minute
-	defaultReplyBytes = 256 << 10
-	defaultTotalBytes = 32 << 20
-	defaultSkew       = 2 * time.Second
+	defaultReplyLife      = 10 * time.Second
+	defaultKeyedReplyLife = time.Minute
+	defaultRecordLife     = time.Minute
+	defaultKeyLife        = 10 * time.Minute
+	defaultReplyBytes     = 256 << 10
+	defaultTotalBytes     = 32 << 20
 )
 
 // Config holds the bounds of a deduplicator; what is zero takes its default.
 type Config struct {
-	// ReplyLife is how long a whole reply is kept after its run.
+	// ReplyLife is how long a reply is kept after its run, for a call that
+	// goes on over a fresh connection.
 	ReplyLife time.Duration
-	// RecordLife is how long a record outlives its run or its deadline.
+	// KeyedReplyLife is ReplyLife for a not-repeatable call with a caller's
+	// key, which the caller may send again.
+	KeyedReplyLife time.Duration
+	// RecordLife is how long a record outlives its deadline and its run. It is
+	// longer than the clocks of two hosts may differ.
 	RecordLife time.Duration
 	// KeyLife is RecordLife for a not-repeatable call with a caller's key.
 	KeyLife time.Duration
-	// ReplyBytes is the largest reply kept.
+	// ReplyBytes is the most that is kept of one reply.
 	ReplyBytes int64
 	// TotalBytes bounds all replies kept.
 	TotalBytes int64
-	// Skew is added to the time for which a fence stands.
-	Skew time.Duration
 }
 
-// callersKey is a caller's key within its scope.
+// callersKey is a caller's key within its request class.
 type callersKey struct {
 	class waxwingseam.ClassName
 	key   string
 }
 
+// record is what is kept of one call. A nil key is that of a call without one.
 type record struct {
 	standing waxwingseam.Standing
-	key      callersKey
-	result   waxwingseam.Result
+	// resumed is set once the call went on over a fresh connection, so that an
+	// earlier opening may still be under way.
+	resumed bool
+	key     *callersKey
+	// owner is set where the call joined another with the same key.
+	owner waxwingseam.CallID
+	// result is set while the reply is kept.
+	result   *waxwingseam.Result
 	deadline time.Time
 	// until is when the record may go.
 	until time.Time
-	// replyUntil is when the kept reply may go.
-	replyUntil time.Time
 }
 
 type deduplicator struct {
@@ -55,25 +63,29 @@
 	records  map[waxwingseam.CallID]*record
 	keys     map[callersKey]waxwingseam.CallID
 	schedule schedule
-	kept     int64
+	plain    replies
+	keyed    replies
 }
 
 // New returns a deduplicator without records.
 func New(config Config) waxwingseam.Deduplicator {
+	config = config.withDefaults()
 	return &deduplicator{
-		config:  config.withDefaults(),
+		config:  config,
 		records: map[waxwingseam.CallID]*record{},
 		keys:    map[callersKey]waxwingseam.CallID{},
+		plain:   replies{life: config.ReplyLife},
+		keyed:   replies{life: config.KeyedReplyLife},
 	}
 }
 
 func (c Config) withDefaults() Config {
 	c.ReplyLife = or(c.ReplyLife, defaultReplyLife)
+	c.KeyedReplyLife = or(c.KeyedReplyLife, defaultKeyedReplyLife)
 	c.RecordLife = or(c.RecordLife, defaultRecordLife)
 	c.KeyLife = or(c.KeyLife, defaultKeyLife)
 	c.ReplyBytes = or(c.ReplyBytes, defaultReplyBytes)
 	c.TotalBytes = or(c.TotalBytes, defaultTotalBytes)
-	c.Skew = or(c.Skew, defaultSkew)
 	return c
 }
 
@@ -87,51 +99,70 @@
 // Arrive implements waxwingseam.Deduplicator.
 func (d *deduplicator) Arrive(c *waxwingseam.Context, call waxwingseam.Call) waxwingseam.Record {
 	if r, ok := d.records[call.ID]; ok {
-		return r.view(call.ID)
+		r.resumed = r.resumed || call.Resumed
+		return d.view(call.ID)
 	}
 	key := keyOf(call)
-	if owner, ok := d.keys[key]; ok {
-		return d.records[owner].view(owner)
+	r := &record{
+		resumed:  call.Resumed,
+		deadline: call.Deadline,
+	}
+	if key != nil {
+		r.owner = d.keys[*key]
 	}
-	d.add(c, call, key)
-	return waxwingseam.Record{Owner: call.ID}
+	if r.owner.IsZero() {
+		r.standing = waxwingseam.StandingWaiting
+		r.key = key
+		d.claim(key, call.ID)
+	}
+	d.records[call.ID] = r
+	d.keep(call.ID, r, latest(c.Now, call.Deadline).Add(d.life(r)))
+	if r.owner.IsZero() {
+		return waxwingseam.Record{Owner: call.ID}
+	}
+	return d.view(call.ID)
 }
 
-// keyOf returns the key that joins calls; zero where none does.
-func keyOf(call waxwingseam.Call) callersKey {
+// keyOf returns the key that joins calls; nil where none does.
+func keyOf(call waxwingseam.Call) *callersKey {
 	if call.Key == "" || call.Repeat != waxwingseam.RepeatNever {
-		return callersKey{}
+		return nil
 	}
-	return callersKey{
+	return &callersKey{
 		class: call.Class,
 		key:   call.Key,
 	}
 }
 
-func (d *deduplicator) add(c *waxwingseam.Context, call waxwingseam.Call, key callersKey) {
-	r := &record{
-		standing: waxwingseam.StandingWaiting,
-		key:      key,
-		deadline: call.Deadline,
+func (d *deduplicator) claim(key *callersKey, id waxwingseam.CallID) {
+	if key != nil {
+		d.keys[*key] = id
 	}
-	d.records[call.ID] = r
-	if key != (callersKey{}) {
-		d.keys[key] = call.ID
-	}
-	d.keep(call.ID, r, latest(c.Now, call.Deadline).Add(d.life(r)))
 }
 
-func (r *record) view(id waxwingseam.CallID) waxwingseam.Record {
-	return waxwingseam.Record{
-		Standing: r.standing,
+// view returns the record of a call, or of the one that it joined. An owner
+// that is forgotten leaves nothing to collect.
+func (d *deduplicator) view(id waxwingseam.CallID) waxwingseam.Record {
+	r := d.records[id]
+	if !r.owner.IsZero() {
+		id = r.owner
+	}
+	out := waxwingseam.Record{
+		Standing: waxwingseam.StandingUnkept,
 		Owner:    id,
-		Result:   r.result,
 	}
+	if owner, ok := d.records[id]; ok {
+		out.Standing = owner.standing
+		if owner.result != nil {
+			out.Result = *owner.result
+		}
+	}
+	return out
 }
 
 // life returns how long the record outlives its run.
 func (d *deduplicator) life(r *record) time.Duration {
-	if r.key != (callersKey{}) {
+	if r.key != nil {
 		return d.config.KeyLife
 	}
 	return d.config.RecordLife
@@ -139,17 +170,23 @@
 
 // keep puts off the end of a record.
 func (d *deduplicator) keep(id waxwingseam.CallID, r *record, until time.Time) {
+	if r.until.IsZero() {
+		d.schedule.add(due{at: until, id: id})
+	}
 	r.until = until
-	d.schedule.add(due{at: until, id: id})
 }
 
-// Refuse implements waxwingseam.Deduplicator.
-func (d *deduplicator) Refuse(_ *waxwingseam.Context, id waxwingseam.CallID) {
+// Refuse implements waxwingseam.Deduplicator. Where an earlier opening of the
+// call may still be under way, the call is fenced.
+func (d *deduplicator) Refuse(c *waxwingseam.Context, id waxwingseam.CallID) {
 	r, ok := d.records[id]
 	if !ok || r.standing != waxwingseam.StandingWaiting {
 		return
 	}
 	d.forget(id, r)
+	if r.resumed {
+		d.fence(c, id, r.deadline)
+	}
 }
 
 // Start implements waxwingseam.Deduplicator.
@@ -159,82 +196,102 @@
 	}
 }
 
-// Finish implements waxwingseam.Deduplicator.
+// Finish implements waxwingseam.Deduplicator. A run of which nothing was
+// handed over is a refusal.
 func (d *deduplicator) Finish(c *waxwingseam.Context, id waxwingseam.CallID, result waxwingseam.Result) bool {
 	r, ok := d.records[id]
 	if !ok {
 		return false
 	}
-	r.result = result
+	if result.Outcome == waxwingseam.OutcomeDidNotRun {
+		r.standing = waxwingseam.StandingWaiting
+		d.Refuse(c, id)
+		return false
+	}
 	r.standing = waxwingseam.StandingUnkept
 	d.keep(id, r, latest(c.Now, r.deadline).Add(d.life(r)))
-	if !d.fits(result) {
+	bytes := min(result.Length, d.config.ReplyBytes)
+	if !result.Completed() || d.plain.bytes+d.keyed.bytes+bytes > d.config.TotalBytes {
 		return false
 	}
 	r.standing = waxwingseam.StandingFinished
-	r.replyUntil = c.Now.Add(d.config.ReplyLife)
-	d.kept += result.Length
-	d.schedule.add(due{at: r.replyUntil, id: id})
+	r.result = &result
+	d.repliesOf(r).add(c.Now, id, bytes)
 	return true
 }
 
-func (d *deduplicator) fits(result waxwingseam.Result) bool {
-	return result.Completed() &&
-		result.Length <= d.config.ReplyBytes &&
-		d.kept+result.Length <= d.config.TotalBytes
+func (d *deduplicator) repliesOf(r *record) *replies {
+	if r.key != nil {
+		return &d.keyed
+	}
+	return &d.plain
 }
 
-// Fence implements waxwingseam.Deduplicator.
+// Fence implements waxwingseam.Deduplicator. A call that joined another has
+// started where the other has.
 func (d *deduplicator) Fence(c *waxwingseam.Context, id waxwingseam.CallID, until time.Time) bool {
 	r, ok := d.records[id]
-	if ok && r.standing != waxwingseam.StandingWaiting && r.standing != waxwingseam.StandingFenced {
-		return true
-	}
 	if ok {
+		standing := d.view(id).Standing
+		if standing != waxwingseam.StandingWaiting && standing != waxwingseam.StandingFenced {
+			return true
+		}
 		d.forget(id, r)
 	}
-	fence := &record{standing: waxwingseam.StandingFenced}
-	d.records[id] = fence
-	d.keep(id, fence, latest(c.Now, until).Add(d.config.Skew))
+	d.fence(c, id, until)
 	return false
 }
 
-// Expire implements waxwingseam.Deduplicator.
+func (d *deduplicator) fence(c *waxwingseam.Context, id waxwingseam.CallID, until time.Time) {
+	r := &record{standing: waxwingseam.StandingFenced}
+	d.records[id] = r
+	d.keep(id, r, latest(c.Now, until).Add(d.config.RecordLife))
+}
+
+// Expire implements waxwingseam.Deduplicator. Half of the bytes for replies
+// are free again afterwards.
 func (d *deduplicator) Expire(c *waxwingseam.Context) []waxwingseam.CallID {
-	var gone []waxwingseam.CallID
+	spare := d.config.TotalBytes / 2
+	gone := d.plain.drop(c.Now, max(spare-d.keyed.bytes, 0))
+	gone = append(gone, d.keyed.drop(c.Now, spare-d.plain.bytes)...)
+	for _, id := range gone {
+		d.unkeep(id)
+	}
 	for {
 		next, ok := d.schedule.next(c.Now)
 		if !ok {
 			return gone
 		}
-		if d.expire(c.Now, next.id) {
-			gone = append(gone, next.id)
-		}
+		d.expire(c.Now, next.id)
 	}
 }
 
-// expire drops what has ended of one record and reports whether its kept
-// reply goes.
-func (d *deduplicator) expire(now time.Time, id waxwingseam.CallID) bool {
-	r, ok := d.records[id]
-	if !ok {
-		return false
-	}
-	dropped := r.standing == waxwingseam.StandingFinished && !r.replyUntil.After(now)
-	if dropped {
+// unkeep marks a record whose reply goes.
+func (d *deduplicator) unkeep(id waxwingseam.CallID) {
+	if r, ok := d.records[id]; ok && r.standing == waxwingseam.StandingFinished {
 		r.standing = waxwingseam.StandingUnkept
-		d.kept -= r.result.Length
+		r.result = nil
 	}
-	if !r.until.After(now) && r.standing != waxwingseam.StandingRunning {
+}
+
+// expire drops a record that has ended, or looks at it again later.
+func (d *deduplicator) expire(now time.Time, id waxwingseam.CallID) {
+	r, ok := d.records[id]
+	switch {
+	case !ok:
+	case r.until.After(now):
+		d.schedule.add(due{at: r.until, id: id})
+	case r.standing == waxwingseam.StandingRunning:
+		d.schedule.add(due{at: now.Add(d.config.RecordLife), id: id})
+	default:
 		d.forget(id, r)
 	}
-	return dropped
 }
 
 func (d *deduplicator) forget(id waxwingseam.CallID, r *record) {
 	delete(d.records, id)
-	if d.keys[r.key] == id {
-		delete(d.keys, r.key)
+	if r.key != nil && d.keys[*r.key] == id {
+		delete(d.keys, *r.key)
 	}
 }
 
--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -82,6 +82,8 @@
 	began := time.Now()
 	ctx, cancel := context.WithDeadline(context.Background(), call.Deadline)
 	defer cancel()
+	stop := context.AfterFunc(ctx, func() { h.reply.fail(errLeft) })
+	defer stop()
 	h.mu.Lock()
 	h.cancel = cancel
 	h.mu.Unlock()
--- a/forwarder/failure_test.go
+++ b/forwarder/failure_test.go
@@ -86,14 +86,14 @@
 		name    string
 		kill    time.Duration
 		restart bool
-		want    []string
+		want    string
 		runs    int
 	}{
-		{"idle, and restarted", 0, true, []string{"completed"}, 1},
-		{"idle, and gone", 0, false, []string{"did-not-run:connection-failed"}, 0},
-		{"running, and restarted", 500 * time.Millisecond, true, []string{"may-have-run:incarnation"}, 1},
-		{"running, and gone", 500 * time.Millisecond, false, []string{"may-have-run:connection-failed"}, 1},
-		{"replying, and restarted", 1500 * time.Millisecond, true, []string{"broken"}, 1},
+		{"idle, and restarted", 0, true, "completed", 1},
+		{"idle, and gone", 0, false, "did-not-run:connection-failed", 0},
+		{"running, and restarted", 500 * time.Millisecond, true, "may-have-run:connection-failed", 1},
+		{"running, and gone", 500 * time.Millisecond, false, "may-have-run:connection-failed", 1},
+		{"replying, and restarted", 1500 * time.Millisecond, true, "broken", 1},
 	} {
 		t.Run(v.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -115,7 +115,7 @@
 					time.AfterFunc(v.kill, strike)
 				}
 				got := front.call(request{name: "x", body: strings.NewReader("lot")})
-				qt.Assert(t, v.want, qt.Contains, got.said())
+				qt.Assert(t, got.said(), qt.Equals, v.want)
 				time.Sleep(3 * time.Second)
 				qt.Assert(t, b.ran("x"), qt.Equals, v.runs)
 			})
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -7,9 +7,11 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -111,8 +113,14 @@
 	}
 }
 
-// Close closes the idle connections; it does not end calls.
+// Close cancels the runs that go on, and closes the idle connections.
 func (f *Forwarder) Close() {
+	f.mu.Lock()
+	left := slices.Collect(maps.Values(f.hosted))
+	f.mu.Unlock()
+	for _, h := range left {
+		h.stop()
+	}
 	f.peers.shut()
 	f.backend.CloseIdleConnections()
 }
--- a/forwarder/frame.go
+++ b/forwarder/frame.go
@@ -74,6 +74,8 @@
 	Resumed bool `cbor:"20,keyasint,omitempty"`
 	// Trace is the trace that the call belongs to.
 	Trace waxwingseam.TraceContext `cbor:"21,keyasint"`
+	// Deadline is that of the call on the sender's clock.
+	Deadline time.Time `cbor:"22,keyasint"`
 }
 
 // heading is the beginning of a reply.
@@ -84,8 +86,12 @@
 	Length int64 `cbor:"3,keyasint"`
 }
 
+// maxSkew is how far the clocks of two hosts may differ. What the network
+// holds back for longer is taken for late and never starts.
+const maxSkew = 30 * time.Second
+
 // newOpening returns the header of an attempt. The deadline travels as the
-// time that is left, so that the hosts' clocks need not agree.
+// time that is left, so that the hosts' clocks need not agree closely.
 func newOpening(call waxwingseam.Call, attempt waxwingseam.Attempt, now time.Time) *opening {
 	return &opening{
 		Root:     call.Root,
@@ -97,6 +103,7 @@
 		Depth:    call.Depth,
 		Repeat:   call.Repeat,
 		Left:     call.Deadline.Sub(now),
+		Deadline: call.Deadline,
 		Retries:  call.Allowance,
 		Key:      call.Key,
 		Revision: call.Revision,
@@ -105,6 +112,15 @@
 	}
 }
 
+// deadline returns the call's deadline on the local clock.
+func (o *opening) deadline(now time.Time) time.Time {
+	deadline := now.Add(o.Left)
+	if latest := o.Deadline.Add(maxSkew); latest.Before(deadline) {
+		return latest
+	}
+	return deadline
+}
+
 // call returns the call as the receiving node sees it.
 func (o *opening) call(now time.Time) waxwingseam.Call {
 	return waxwingseam.Call{
@@ -116,7 +132,8 @@
 		Rank:      o.Rank,
 		Depth:     o.Depth,
 		Repeat:    o.Repeat,
-		Deadline:  now.Add(o.Left),
+		Deadline:  o.deadline(now),
+		Resumed:   o.Resumed,
 		Allowance: o.Retries,
 		Key:       o.Key,
 		Revision:  o.Revision,
--- a/forwarder/hosted.go
+++ b/forwarder/hosted.go
@@ -197,10 +197,13 @@
 
 // cancelRun carries out a CancelRun.
 func (f *Forwarder) cancelRun(e waxwingseam.CancelRun) {
-	h := f.host(e.ID)
-	if h == nil {
-		return
+	if h := f.host(e.ID); h != nil {
+		h.stop()
 	}
+}
+
+// stop cancels the run, if there is one.
+func (h *hosted) stop() {
 	h.mu.Lock()
 	cancel := h.cancel
 	h.mu.Unlock()
@@ -215,7 +218,11 @@
 	if in == nil {
 		return
 	}
-	in.answer(e.Result)
+	result := e.Result
+	if result.Outcome == waxwingseam.OutcomeMayHaveRun && result.Reason == waxwingseam.ReasonNone {
+		result.Reason = waxwingseam.ReasonReplyNotKept
+	}
+	in.answer(result)
 	if !e.Result.Completed() && !in.host.started() {
 		in.host.forget()
 	}
--- a/forwarder/inbound.go
+++ b/forwarder/inbound.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"sync"
 	"sync/atomic"
 
@@ -159,13 +160,13 @@
 	}
 	select {
 	case <-in.followed:
-		if err := in.sendReply(); err != nil {
-			return err
-		}
 	case <-in.answered:
 	case <-in.gone:
 		return errLeft
 	}
+	if err := in.sendReply(); err != nil {
+		return err
+	}
 	select {
 	case <-in.answered:
 	case <-in.gone:
@@ -187,7 +188,12 @@
 
 // sendReply sends the followed run's reply, as far as it comes.
 func (in *inbound) sendReply() error {
+	in.mu.Lock()
 	source := in.source
+	in.mu.Unlock()
+	if source == nil {
+		return nil
+	}
 	select {
 	case <-source.headed:
 	case <-in.answered:
@@ -225,6 +231,9 @@
 	defer in.leave()
 	for {
 		f, err := in.channel.receive()
+		if errors.Is(err, io.EOF) {
+			in.delivered()
+		}
 		if err != nil {
 			return
 		}
@@ -234,6 +243,17 @@
 	}
 }
 
+// delivered lets a reply go that its sender has whole, unless a caller may
+// ask for it by key.
+func (in *inbound) delivered() {
+	in.mu.Lock()
+	whole := in.result != nil && in.result.Completed() && in.source == in.host
+	in.mu.Unlock()
+	if whole && in.opening.Key == "" {
+		in.host.forget()
+	}
+}
+
 func (in *inbound) take(f frame) error {
 	in.mu.Lock()
 	source := in.source
