forwarder: uploads resume where they broke, cancellation reaches the backend server

Cause: an upload cut at a chunk boundary could hang until the deadline, as the sending began at bytes just dropped; a cancelled run waited for its body; an empty POST went out chunked, so that the backend server did not see the caller leave; net/http may send a request with an Idempotency-Key twice on its own. Change: sending goes on at what is held; a cancelled run fails both bodies; bodies that can't be rewound and lower-case key headers; uploads may be retried until their beginning is dropped (event body-taken). Root: BodyTaken, ReasonBodyTaken; dispatcher handles BodyTaken.

--- a/callevent.go
+++ b/callevent.go
@@ -7,6 +7,7 @@
 	KindCallArrived    Kind = "call-arrived"
 	KindCallerLeft     Kind = "caller-left"
 	KindReplyStarted   Kind = "reply-started"
+	KindBodyTaken      Kind = "body-taken"
 	KindAttemptEnded   Kind = "attempt-ended"
 	KindAttemptSilent  Kind = "attempt-silent"
 	KindFenceAnswered  Kind = "fence-answered"
@@ -56,6 +57,13 @@
 	Attempt Attempt
 }
 
+// BodyTaken says that the beginning of a call's body is held no more, so that
+// the call can be retried no more.
+type BodyTaken struct {
+	Stamp
+	ID CallID
+}
+
 // AttemptEnded is the end of one attempt, as its sender sees it.
 type AttemptEnded struct {
 	Stamp
@@ -112,6 +120,9 @@
 // Kind implements Event.
 func (ReplyStarted) Kind() Kind { return KindReplyStarted }
 
+// Kind implements Event.
+func (BodyTaken) Kind() Kind { return KindBodyTaken }
+
 // Kind implements Event.
 func (AttemptEnded) Kind() Kind { return KindAttemptEnded }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -49,6 +49,7 @@
 		waxwingseam.KindCallArrived,
 		waxwingseam.KindCallerLeft,
 		waxwingseam.KindReplyStarted,
+		waxwingseam.KindBodyTaken,
 		waxwingseam.KindAttemptEnded,
 		waxwingseam.KindAttemptSilent,
 		waxwingseam.KindFenceAnswered,
@@ -68,7 +69,9 @@
 	case waxwingseam.CallerLeft:
 		d.leave(c, v)
 	case waxwingseam.ReplyStarted:
-		d.replyStarted(v)
+		d.keepFromRetry(v.ID)
+	case waxwingseam.BodyTaken:
+		d.keepFromRetry(v.ID)
 	case waxwingseam.AttemptEnded:
 		d.attemptEnded(c, v)
 	case waxwingseam.AttemptSilent:
--- a/dispatcher/outcome.go
+++ b/dispatcher/outcome.go
@@ -9,8 +9,9 @@
 // clockSkew bounds how far the clocks of two hosts differ.
 const clockSkew = 2 * time.Second
 
-func (d *dispatcher) replyStarted(e waxwingseam.ReplyStarted) {
-	if f, ok := d.flights[e.ID]; ok {
+// keepFromRetry marks a call that can't be sent again as a whole.
+func (d *dispatcher) keepFromRetry(id waxwingseam.CallID) {
+	if f, ok := d.flights[id]; ok {
 		f.replayable = false
 	}
 }
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -67,6 +67,10 @@
 	a.leaveConnection()
 	a.turn.Lock()
 	defer a.turn.Unlock()
+	if !resumed && a.exchange.body.start() > 0 {
+		a.end(unreached(waxwingseam.ReasonBodyTaken))
+		return
+	}
 	result, err := a.talk(resumed)
 	if err != nil {
 		a.lost()
@@ -189,6 +193,7 @@
 	o := newOpening(a.call, a.number, time.Now())
 	o.Method = x.method
 	o.Target = x.target
+	o.Host = x.host
 	o.Header = x.header
 	o.Length = x.length
 	if resumed {
--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -82,7 +83,10 @@
 	began := time.Now()
 	ctx, cancel := context.WithDeadline(context.Background(), call.Deadline)
 	defer cancel()
-	stop := context.AfterFunc(ctx, func() { h.reply.fail(errLeft) })
+	stop := context.AfterFunc(ctx, func() {
+		h.body.fail(errLeft)
+		h.reply.fail(errLeft)
+	})
 	defer stop()
 	h.mu.Lock()
 	h.cancel = cancel
@@ -162,32 +166,80 @@
 	return result
 }
 
-// request returns the request for the backend server. Its body can't be
-// rewound, so that the HTTP client sends nothing twice on its own.
+// emptyBody is a request body without bytes that can't be rewound.
+type emptyBody struct{}
+
+// Read implements io.Reader.
+func (emptyBody) Read([]byte) (int, error) {
+	return 0, io.EOF
+}
+
+// Close implements io.Closer.
+func (emptyBody) Close() error {
+	return nil
+}
+
+// request returns the request for the backend server, which the HTTP client
+// must not take for one that it may send twice on its own.
 func (h *hosted) request(ctx context.Context, call waxwingseam.Call) *http.Request {
 	o := h.opening
-	request, err := http.NewRequestWithContext(ctx, o.Method, "http://"+h.forwarder.config.Backend.String()+o.Target, h)
-	if err != nil {
-		request = &http.Request{}
+	address := h.forwarder.config.Backend.String()
+	host := o.Host
+	if host == "" {
+		host = address
 	}
-	request.ContentLength = max(o.Length, 0)
-	if o.Length < 0 {
-		request.ContentLength = -1
+	target, err := url.ParseRequestURI(o.Target)
+	if err != nil {
+		target = &url.URL{Path: "/"}
+	}
+	target.Scheme = "http"
+	target.Host = address
+	request := &http.Request{
+		Method:        o.Method,
+		URL:           target,
+		Host:          host,
+		Header:        h.requestHeader(call),
+		ContentLength: o.Length,
+		Body:          h,
+	}
+	if o.Length == 0 {
+		request.Body = noBody(o.Method)
+	}
+	return request.WithContext(ctx)
+}
+
+// noBody returns the body of a request without one. The HTTP client probes the
+// body of some methods, and takes the others for chunked.
+func noBody(method string) io.ReadCloser {
+	switch method {
+	case http.MethodPost, http.MethodPut, http.MethodPatch:
+		return http.NoBody
 	}
-	request.Header = o.Header.Clone()
-	if request.Header == nil {
-		request.Header = http.Header{}
+	return emptyBody{}
+}
+
+// rewindableKeys are headers that make the HTTP client send a request twice;
+// in lower case it does not see them.
+var rewindableKeys = []string{HeaderKey, "X-Idempotency-Key"}
+
+// requestHeader returns the headers of the request for the backend server.
+func (h *hosted) requestHeader(call waxwingseam.Call) http.Header {
+	header := h.opening.Header.Clone()
+	if header == nil {
+		header = http.Header{}
 	}
-	if host := request.Header.Get("Host"); host != "" {
-		request.Host = host
-		request.Header.Del("Host")
+	for _, name := range rewindableKeys {
+		if values, ok := header[name]; ok {
+			delete(header, name)
+			header[strings.ToLower(name)] = values
+		}
 	}
-	request.Header.Set(HeaderContext, call.ID.String())
+	header.Set(HeaderContext, call.ID.String())
 	if parent := formatTraceParent(call.Trace); parent != "" {
-		request.Header.Set(headerTraceParent, parent)
+		header.Set(headerTraceParent, parent)
 	}
-	if strings.TrimSpace(request.Header.Get("User-Agent")) == "" {
-		request.Header["User-Agent"] = nil
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = nil
 	}
-	return request
+	return header
 }
--- a/forwarder/bench_test.go
+++ b/forwarder/bench_test.go
@@ -60,7 +60,9 @@
 	net *network
 }
 
+// newWorld returns a world whose goroutines have the time to end.
 func newWorld(t testing.TB) *world {
+	t.Cleanup(func() { time.Sleep(time.Minute) })
 	return &world{t: t, net: newNetwork()}
 }
 
@@ -92,13 +94,13 @@
 	return b
 }
 
-// ran returns how often the request of a name was run.
-func (b *backend) ran(name string) int {
+// ran returns how often the request of the name x was run.
+func (b *backend) ran() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n := 0
 	for _, v := range b.runs {
-		if v == name {
+		if v == "x" {
 			n++
 		}
 	}
--- a/forwarder/buffer.go
+++ b/forwarder/buffer.go
@@ -39,6 +39,8 @@
 	data     []byte
 	// withheld is how many last bytes stay unread until the body is whole.
 	withheld int
+	// trimmed is called once, when the first bytes are dropped; nil for none.
+	trimmed func()
 	// ended is set once the body is whole.
 	ended bool
 	err   error
@@ -120,6 +122,9 @@
 	if n <= 0 {
 		return
 	}
+	if b.base == 0 && b.trimmed != nil {
+		go b.trimmed()
+	}
 	b.data = append(b.data[:0], b.data[n:]...)
 	b.base += int64(n)
 	b.gauge.add(-n)
--- a/forwarder/entry.go
+++ b/forwarder/entry.go
@@ -105,7 +105,7 @@
 		Path:       path,
 		Timeout:    timeout,
 		Key:        key,
-		Replayable: r.ContentLength >= 0 && r.ContentLength <= readAheadLimit,
+		Replayable: true,
 		Trace:      parseTraceParent(r.Header),
 	}
 	_, _ = rand.Read(arrival.ID[:])
@@ -142,7 +142,8 @@
 	control := http.NewResponseController(c.writer)
 	_ = control.EnableFullDuplex()
 	body := http.MaxBytesReader(nil, c.request.Body, c.forwarder.config.MaxBody)
-	if c.arrival.Replayable {
+	ahead := c.request.ContentLength >= 0 && c.request.ContentLength <= readAheadLimit
+	if ahead {
 		if err := x.takeBody(body); err != nil {
 			c.answerEarlier()
 			return
@@ -152,7 +153,7 @@
 		c.arrival.Stamp = s
 		return c.arrival
 	})
-	if c.arrival.Replayable {
+	if ahead {
 		c.wait(nil)
 		return
 	}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -21,6 +21,7 @@
 	id        waxwingseam.CallID
 	method    string
 	target    string
+	host      string
 	header    http.Header
 	// length is the request body's as declared; -1 while unknown.
 	length int64
@@ -43,6 +44,7 @@
 		id:        id,
 		method:    r.Method,
 		target:    target,
+		host:      r.Host,
 		header:    forwardable(r.Header),
 		length:    r.ContentLength,
 		body:      newBuffer(&f.gauge),
@@ -50,6 +52,7 @@
 		started:   make(chan *attempt, 1),
 		attempts:  map[waxwingseam.Attempt]*attempt{},
 	}
+	x.body.trimmed = x.bodyTaken
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.exchanges[id] = x
@@ -85,6 +88,16 @@
 	return nil
 }
 
+// bodyTaken steps that the request body can't be sent again.
+func (x *exchange) bodyTaken() {
+	x.forwarder.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
+		return waxwingseam.BodyTaken{
+			Stamp: s,
+			ID:    x.id,
+		}
+	})
+}
+
 // whole returns the length and digest of the whole request body.
 func (x *exchange) whole() (int64, uint64) {
 	x.mu.Lock()
--- a/forwarder/failure_test.go
+++ b/forwarder/failure_test.go
@@ -1,17 +1,22 @@
 package forwarder_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"waxwingseam.example/waxwingseam/forwarder"
 )
 
 // silenceTarget bounds the time until a silent connection is left.
@@ -53,7 +58,7 @@
 				got := front.call(request{name: "x", body: strings.NewReader("lot")})
 				qt.Assert(t, got.said(), qt.Equals, "completed")
 				qt.Assert(t, len(got.body), qt.Equals, 400_000)
-				qt.Assert(t, b.ran("x"), qt.Equals, 1)
+				qt.Assert(t, b.ran(), qt.Equals, 1)
 				qt.Assert(t, w.net.dialed(back.self.Node), qt.Equals, 2)
 				qt.Assert(t, time.Since(start) <= 2*time.Second+silenceTarget, qt.IsTrue, qt.Commentf("%v", time.Since(start)))
 			})
@@ -75,7 +80,7 @@
 		back.drain(true)
 		w.net.set(back.self.Node, passing)
 		time.Sleep(5 * time.Second)
-		qt.Assert(t, b.ran("x"), qt.Equals, 0)
+		qt.Assert(t, b.ran(), qt.Equals, 0)
 	})
 }
 
@@ -111,13 +116,14 @@
 				}
 				if v.kill == 0 {
 					strike()
+					synctest.Wait()
 				} else {
 					time.AfterFunc(v.kill, strike)
 				}
 				got := front.call(request{name: "x", body: strings.NewReader("lot")})
 				qt.Assert(t, got.said(), qt.Equals, v.want)
 				time.Sleep(3 * time.Second)
-				qt.Assert(t, b.ran("x"), qt.Equals, v.runs)
+				qt.Assert(t, b.ran(), qt.Equals, v.runs)
 			})
 		})
 	}
@@ -163,3 +169,198 @@
 		all.Wait()
 	})
 }
+
+// rawBackend starts a backend server that answers with raw bytes.
+func (w *world) rawBackend(serve func(c net.Conn)) *backend {
+	b := &backend{address: w.net.reserve()}
+	w.net.listen(b.address, func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		serve(c)
+	})
+	w.t.Cleanup(func() { w.net.kill(b.address) })
+	return b
+}
+
+// TestLyingBackend plays backend servers that break HTTP: the caller gets a
+// whole reply or an honest error, and soon.
+func TestLyingBackend(t *testing.T) {
+	say := func(parts ...string) func(net.Conn) {
+		return func(c net.Conn) {
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			for _, p := range parts {
+				_, _ = io.WriteString(c, p)
+				time.Sleep(time.Millisecond)
+			}
+		}
+	}
+	forever := func(pause time.Duration) func(net.Conn) {
+		return func(c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
+			for {
+				if _, err := io.WriteString(c, "More: and more\r\n"); err != nil {
+					return
+				}
+				time.Sleep(pause)
+			}
+		}
+	}
+	big := strings.Repeat("b", 1<<20)
+	for _, v := range []struct {
+		name  string
+		serve func(net.Conn)
+		body  string
+		want  string
+		reply string
+	}{
+		{"closes half-way", say("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n", "half"), "", "may-have-run:server-failed", ""},
+		{"closes half-way in chunks", say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nhalf\r\n"), "", "may-have-run:server-failed", ""},
+		{"closes half-way of a long reply", say("HTTP/1.1 200 OK\r\nContent-Length: 2000000\r\n\r\n", big), "", "broken", ""},
+		{"sends more than it said", say("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhalf and more"), "", "completed", "half"},
+		{"sends nothing", say(), "", "may-have-run:server-failed", ""},
+		{"sends no HTTP", say("hello\r\n\r\n"), "", "may-have-run:server-failed", ""},
+		{"never answers", func(c net.Conn) { _, _ = io.Copy(io.Discard, c) }, "", "may-have-run:deadline", ""},
+		{"sends headers without end", forever(0), "", "may-have-run:server-failed", ""},
+		{"sends headers slowly", forever(time.Second), "", "may-have-run:deadline", ""},
+		{"answers before the body", say("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nConnection: close\r\n\r\nearly"), big, "completed", "early"},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				b := w.rawBackend(v.serve)
+				front := w.newNode(nodeConfig{})
+				back := w.newNode(nodeConfig{service: "ledger", name: "ledger-1", backend: b.address})
+				front.learn(back)
+				start := time.Now()
+				got := front.call(request{body: strings.NewReader(v.body), header: map[string]string{forwarder.HeaderTimeout: "5"}})
+				qt.Assert(t, got.said(), qt.Equals, v.want)
+				qt.Assert(t, time.Since(start) <= 5*time.Second, qt.IsTrue)
+				if v.want == "completed" {
+					qt.Assert(t, got.body, qt.Equals, v.reply)
+				}
+			})
+		})
+	}
+}
+
+// TestInterruptedUpload breaks the connection between the nodes after each
+// number of chunks of the upload, and of the reply: what completes is whole,
+// and nothing runs twice.
+func TestInterruptedUpload(t *testing.T) {
+	const size = 300_000
+	body := strings.Repeat("0123456789", size/10)
+	for n := range 24 {
+		for _, cut := range [][2]int{{n * 16 << 10, -1}, {-1, n * 16 << 10}} {
+			t.Run(fmt.Sprint(cut), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					w := newWorld(t)
+					front, back, b := w.pair(echo)
+					w.net.cutNext(back.self.Node, cut[0], cut[1])
+					got := front.call(request{name: "x", body: io.MultiReader(strings.NewReader(body))})
+					qt.Assert(t, got.said(), qt.Equals, "completed")
+					qt.Assert(t, got.body == "POST /marks x "+body, qt.IsTrue)
+					qt.Assert(t, b.ran(), qt.Equals, 1)
+				})
+			})
+		}
+	}
+}
+
+// TestCallerBreaksOff ends the caller's upload after each number of bytes: the
+// backend server never takes it for whole.
+func TestCallerBreaksOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var whole int
+		front, _, _ := newWorld(t).pair(func(_ http.ResponseWriter, r *http.Request) {
+			if _, err := io.Copy(io.Discard, r.Body); err == nil {
+				whole++
+			}
+		})
+		for n := 0; n < 600_000; n += 50_000 {
+			body := io.MultiReader(strings.NewReader(strings.Repeat("u", n)), iotest.ErrReader(io.ErrUnexpectedEOF))
+			got := front.call(request{body: body})
+			qt.Assert(t, got.said(), qt.Equals, "may-have-run:cancelled")
+		}
+		qt.Assert(t, whole, qt.Equals, 0)
+	})
+}
+
+// TestCancelled lets a caller leave while its call runs: the backend server's
+// request is cancelled, and so is the call that it made for it.
+func TestCancelled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		var mu sync.Mutex
+		ended := map[string]time.Duration{}
+		start := time.Now()
+		wait := func(r *http.Request) {
+			select {
+			case <-r.Context().Done():
+			case <-time.After(10 * time.Second):
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			ended[r.URL.Path] = time.Since(start)
+		}
+		fees := w.newBackend(func(_ http.ResponseWriter, r *http.Request) { wait(r) })
+		var outer *node
+		ledger := w.newBackend(func(_ http.ResponseWriter, r *http.Request) {
+			go outer.call(request{path: "/fees/inner", header: map[string]string{
+				forwarder.HeaderContext: r.Header.Get(forwarder.HeaderContext),
+			}})
+			wait(r)
+		})
+		inner := w.newNode(nodeConfig{service: "fees", name: "fees-1", backend: fees.address})
+		outer = w.newNode(nodeConfig{service: "ledger", name: "ledger-1", backend: ledger.address})
+		front := w.newNode(nodeConfig{})
+		front.learn(outer)
+		outer.learn(inner)
+		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+		defer cancel()
+		front.callIn(ctx, request{path: "/ledger/outer"})
+		time.Sleep(time.Second)
+		mu.Lock()
+		defer mu.Unlock()
+		qt.Assert(t, ended, qt.DeepEquals, map[string]time.Duration{
+			"/outer": 500 * time.Millisecond,
+			"/inner": 500 * time.Millisecond,
+		})
+	})
+}
+
+// TestBoundedMemory uploads 64 MB, and downloads as much, through two nodes
+// while the other side is slow.
+func TestBoundedMemory(t *testing.T) {
+	const (
+		size  = 64 << 20
+		bound = 4 << 20
+	)
+	synctest.Test(t, func(t *testing.T) {
+		front, back, _ := newWorld(t).pair(func(w http.ResponseWriter, r *http.Request) {
+			n, _ := io.Copy(io.Discard, slowReader{r.Body})
+			_, _ = io.Copy(w, io.LimitReader(zeros{}, n))
+		})
+		got := front.callIn(context.Background(), request{body: io.LimitReader(zeros{}, size)})
+		qt.Assert(t, got.said(), qt.Equals, "completed")
+		qt.Assert(t, len(got.body), qt.Equals, size)
+		synctest.Wait()
+		for _, n := range []*node{front, back} {
+			held, peak := n.Held()
+			qt.Assert(t, peak > 0 && peak < bound, qt.IsTrue, qt.Commentf("%d", peak))
+			qt.Assert(t, held, qt.Equals, int64(0))
+		}
+	})
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+type slowReader struct{ io.Reader }
+
+func (s slowReader) Read(p []byte) (int, error) {
+	time.Sleep(time.Millisecond)
+	return s.Reader.Read(p)
+}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -67,8 +67,11 @@
 	defer f.Close()
 	r.Attach(f)
 	qt.Assert(t, f.Register(server), qt.IsNil)
-	done := make(chan error)
-	go func() { done <- server.Serve(ctx) }()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(ctx)
+	}()
 	r.Step(func(s waxwingseam.Stamp) waxwingseam.Event { return waxwingseam.SetAdopted{Stamp: s, Set: testSet()} })
 	r.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
 		return waxwingseam.ServersLearned{Stamp: s, Servers: []waxwingseam.Server{self}}
@@ -81,7 +84,9 @@
 	h2c.SetUnencryptedHTTP2(true)
 	for _, transport := range []*http.Transport{{}, {Protocols: h2c}} {
 		body := strings.Repeat("0123456789", 100_000)
-		res, err := (&http.Client{Transport: transport}).Post(entry.URL+"/ledger/marks", "text/plain", strings.NewReader(body))
+		r, err := http.NewRequestWithContext(ctx, http.MethodPost, entry.URL+"/ledger/marks", strings.NewReader(body))
+		qt.Assert(t, err, qt.IsNil)
+		res, err := transport.RoundTrip(r)
 		qt.Assert(t, err, qt.IsNil)
 		got, err := io.ReadAll(res.Body)
 		qt.Assert(t, err, qt.IsNil)
--- a/forwarder/inbound.go
+++ b/forwarder/inbound.go
@@ -280,4 +280,9 @@
 			Attempt: in.opening.Attempt,
 		}
 	})
+	in.answer(waxwingseam.Result{
+		Outcome: waxwingseam.OutcomeMayHaveRun,
+		Reason:  waxwingseam.ReasonCancelled,
+		Reached: true,
+	})
 }
--- a/forwarder/network_test.go
+++ b/forwarder/network_test.go
@@ -107,8 +107,7 @@
 // end is one end of a fake connection.
 type end struct {
 	net.Conn
-	out  *wire
-	peer *wire
+	out *wire
 }
 
 func (e *end) Write(p []byte) (int, error) { return e.out.push(p) }
--- a/forwarder/node.go
+++ b/forwarder/node.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/url"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -71,12 +73,13 @@
 		return trace.BadParameter("first frame: kind %d, want an opening", f.Kind)
 	case o.ID.IsZero() || o.Attempt == 0:
 		return trace.BadParameter("opening: no call id or attempt")
-	case o.Method == "" || len(o.Target) == 0 || o.Target[0] != '/':
+	case o.Method == "" || !strings.HasPrefix(o.Target, "/"):
 		return trace.BadParameter("opening: no method or path")
 	case o.Offset < 0 || o.Length < -1:
 		return trace.BadParameter("opening: negative offset or length")
 	}
-	return nil
+	_, err := url.ParseRequestURI(o.Target)
+	return trace.Wrap(err)
 }
 
 // Fence steps a fence and waits for the answer.
--- a/forwarder/pump.go
+++ b/forwarder/pump.go
@@ -58,10 +58,14 @@
 	}
 }
 
-// sendBody sends a request body, then its length and digest. Where the caller
-// ended it early, nothing is sent in place of the rest.
+// sendBody sends a request body, then its length and digest. What was dropped
+// meanwhile, the receiving node has from an earlier connection. Where the
+// caller ended the body early, nothing is sent in place of the rest.
 func (p *pump) sendBody(x *exchange) {
 	err := p.send(x.body.start())
+	for errors.Is(err, errTrimmed) {
+		err = p.send(x.body.start())
+	}
 	if err != nil || p.halted() {
 		return
 	}
--- a/outcome.go
+++ b/outcome.go
@@ -50,4 +50,5 @@
 	ReasonCancelled        Reason = "cancelled"
 	ReasonDigestMismatch   Reason = "digest-mismatch"
 	ReasonReplyNotKept     Reason = "reply-not-kept"
+	ReasonBodyTaken        Reason = "body-taken"
 )
