--- /dev/null
+++ b/recorder/catalog.go
@@ -0,0 +1,40 @@
+package recorder
+
+import (
+	"reflect"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// Catalog lists the types of the events that a log may hold, by kind.
+type Catalog map[waxwingseam.Kind]reflect.Type
+
+// NewCatalog returns a catalog of events of the given types.
+func NewCatalog(events ...waxwingseam.Event) Catalog {
+	c := Catalog{}
+	for _, e := range events {
+		c[e.Kind()] = reflect.TypeOf(e)
+	}
+	return c
+}
+
+// DefaultCatalog returns the catalog of the events of a call.
+func DefaultCatalog() Catalog {
+	return NewCatalog(
+		waxwingseam.CallArrived{},
+		waxwingseam.CallerLeft{},
+		waxwingseam.ReplyStarted{},
+		waxwingseam.BodyTaken{},
+		waxwingseam.AttemptEnded{},
+		waxwingseam.AttemptSilent{},
+		waxwingseam.FenceAnswered{},
+		waxwingseam.TimerFired{},
+		waxwingseam.ServersLearned{},
+		waxwingseam.SetAdopted{},
+		waxwingseam.AttemptArrived{},
+		waxwingseam.AttemptCancelled{},
+		waxwingseam.RunEnded{},
+		waxwingseam.FenceAsked{},
+		waxwingseam.DrainAsked{},
+	)
+}
