--- a/forwarder/node.go
+++ b/forwarder/node.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/url"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -30,8 +32,8 @@
 }
 
 // Register adds the service that other nodes call.
-func (f *Forwarder) Register(s *messenger.Server) error {
-	return trace.Wrap(s.Register(&nodeService{f}, messenger.Description{
+func (f *Forwarder) Register(r Registry) error {
+	return trace.Wrap(r.Register(&nodeService{f}, messenger.Description{
 		{
 			Name: methodCall,
 			Receiver: func(service any, _ context.Context, in1, _ any) (drpc.Message, error) {
@@ -71,12 +73,13 @@
 		return trace.BadParameter("first frame: kind %d, want an opening", f.Kind)
 	case o.ID.IsZero() || o.Attempt == 0:
 		return trace.BadParameter("opening: no call id or attempt")
-	case o.Method == "" || len(o.Target) == 0 || o.Target[0] != '/':
+	case o.Method == "" || !strings.HasPrefix(o.Target, "/"):
 		return trace.BadParameter("opening: no method or path")
 	case o.Offset < 0 || o.Length < -1:
 		return trace.BadParameter("opening: negative offset or length")
 	}
-	return nil
+	_, err := url.ParseRequestURI(o.Target)
+	return trace.Wrap(err)
 }
 
 // Fence steps a fence and waits for the answer.
