assembler: a process from its settings; serve; the whole path in separate processes

Cause: the parts ran only inside one test binary. Change: a process with node and control roles by its settings, drain at SIGTERM, telemetry endpoints, and the first calls of a service held until its servers are known.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/limiter"
 )
 
 const (
@@ -20,7 +21,7 @@
 type Config struct {
 	// Limiter sets how many calls run at once.
 	Limiter waxwingseam.Limiter
-	// Roots sets how many of them are roots.
+	// Roots sets how many of them are roots; unset for no bound of its own.
 	Roots waxwingseam.Limiter
 }
 
@@ -37,6 +38,9 @@
 
 // New returns an admitter without slots; Configure sets them.
 func New(config Config) waxwingseam.Admitter {
+	if config.Roots == nil {
+		config.Roots = limiter.NewFixed()
+	}
 	return &admitter{
 		limiter: config.Limiter,
 		roots:   config.Roots,
--- /dev/null
+++ b/assembler/announcer.go
@@ -0,0 +1,33 @@
+package assembler
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/subscriber"
+)
+
+// announcer hands changes of the node's own state to the subscriber.
+type announcer struct {
+	subscriber subscriber.Subscriber
+}
+
+// Kinds implements runner.Executor.
+func (announcer) Kinds() []waxwingseam.Kind {
+	return []waxwingseam.Kind{waxwingseam.KindAnnounce}
+}
+
+// Execute implements runner.Executor.
+func (a announcer) Execute(e waxwingseam.Effect) {
+	if v, ok := e.(waxwingseam.Announce); ok {
+		a.subscriber.Announce(v.Self)
+	}
+}
+
+// newSeed returns a seed for one life of a process.
+func newSeed() uint64 {
+	var data [8]byte
+	_, _ = rand.Read(data[:])
+	return binary.BigEndian.Uint64(data[:])
+}
--- a/assembler/chain_test.go
+++ b/assembler/chain_test.go
@@ -127,7 +127,7 @@
 	set, findings := checker.Parse(checker.File{Name: "chain.ini", Data: []byte(chainObjects)})
 	qt.Assert(t, findings.OrNil(), qt.IsNil)
 	set.Revision = 1
-	var servers []waxwingseam.Server
+	servers := make([]waxwingseam.Server, 0, len(hops))
 	for _, h := range hops {
 		servers = append(servers, h.self)
 	}
--- a/assembler/node.go
+++ b/assembler/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -31,6 +32,9 @@
 	Dialer      messenger.Dialer
 	Logger      *logger.Logger
 	Observers   []runner.Observer
+	// NewTrace returns the trace of a root whose caller sent none; unset for
+	// no traces.
+	NewTrace func(waxwingseam.RootID) waxwingseam.TraceContext
 	// Seed starts the random words of the node's events.
 	Seed uint64
 }
@@ -39,14 +43,41 @@
 type Node struct {
 	Runner    *runner.Runner
 	Forwarder *forwarder.Forwarder
+	state     *nodeState
+}
+
+// nodeState is what the node's readiness depends on. It observes the events
+// and effects of the reducer.
+type nodeState struct {
+	configured atomic.Bool
+	leaving    atomic.Bool
+}
+
+// Observe implements runner.Observer.
+func (s *nodeState) Observe(e waxwingseam.Event, effects []waxwingseam.Effect) {
+	if _, ok := e.(waxwingseam.SetAdopted); ok {
+		s.configured.Store(true)
+	}
+	for _, v := range effects {
+		if a, ok := v.(waxwingseam.Announce); ok {
+			s.leaving.Store(a.Self.Leaving)
+		}
+	}
+}
+
+// Ready reports whether the node has a configuration and takes new work.
+func (n *Node) Ready() bool {
+	return n.state.configured.Load() && !n.state.leaving.Load()
 }
 
 // NewNode returns a node whose drpc service is registered.
 func NewNode(config NodeConfig) (*Node, error) {
+	state := &nodeState{}
 	n := &Node{
+		state: state,
 		Runner: runner.New(runner.Config{
 			Reducer:   reducer.New(reducer.Config{Self: config.Self, Workers: Workers(config.Self)}),
-			Observers: config.Observers,
+			Observers: append([]runner.Observer{state}, config.Observers...),
 			Seed:      config.Seed,
 		}),
 	}
@@ -56,6 +87,7 @@
 		Backend:     config.Backend,
 		Connections: config.Connections,
 		Self:        config.Self,
+		NewTrace:    config.NewTrace,
 		Logger:      config.Logger.Part("node"),
 	})
 	n.Runner.Attach(n.Forwarder)
--- /dev/null
+++ b/assembler/process.go
@@ -0,0 +1,300 @@
+package assembler
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/authenticator"
+	"waxwingseam.example/waxwingseam/controller"
+	"waxwingseam.example/waxwingseam/forwarder"
+	"waxwingseam.example/waxwingseam/loader"
+	"waxwingseam.example/waxwingseam/logger"
+	"waxwingseam.example/waxwingseam/messenger"
+	"waxwingseam.example/waxwingseam/meter"
+	"waxwingseam.example/waxwingseam/runner"
+	"waxwingseam.example/waxwingseam/subscriber"
+	"waxwingseam.example/waxwingseam/tracer"
+)
+
+// closeTimeout bounds the export of the last spans.
+const closeTimeout = 2 * time.Second
+
+// Process is one process of the system with the roles of its settings.
+type Process struct {
+	settings   loader.Settings
+	logger     *logger.Logger
+	protection protection
+	messenger  *messenger.Server
+	dialer     messenger.Dialer
+	meter      *meter.Meter
+	tracer     *tracer.Tracer
+	node       *Node
+	subscriber subscriber.Subscriber
+	interests  *interests
+	controller controller.Controller
+}
+
+// protection holds the TLS settings of a process; all are nil in plain text.
+type protection struct {
+	peer      *tls.Config
+	client    *tls.Config
+	operators *tls.Config
+}
+
+// NewProcess assembles a process and opens its listener for other processes.
+func NewProcess(ctx context.Context, settings loader.Settings, l *logger.Logger) (*Process, error) {
+	p := &Process{
+		settings: settings,
+		logger:   l,
+		meter:    meter.New(),
+	}
+	steps := []func(context.Context) error{
+		p.openProtection,
+		p.openMessenger,
+		p.openTracer,
+		p.openControl,
+		p.openNode,
+	}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+	return p, nil
+}
+
+func (p *Process) openProtection(context.Context) error {
+	files := p.settings.TLS
+	if files == nil {
+		p.logger.Part("process").Warn("connections between processes are in plain text")
+		return nil
+	}
+	certificates, err := authenticator.NewCertificates(authenticator.CertificateConfig{
+		CertificateFile: files.CertificateFile,
+		KeyFile:         files.KeyFile,
+		AuthorityFile:   files.AuthorityFile,
+		Logger:          p.logger.Part("tls"),
+	})
+	if err != nil {
+		return err
+	}
+	p.protection = protection{
+		peer:      certificates.Server(authenticator.RoleNode, authenticator.RoleControl),
+		client:    certificates.Client(authenticator.RoleNode, authenticator.RoleControl),
+		operators: certificates.OptionalServer(),
+	}
+	return nil
+}
+
+func (p *Process) openMessenger(ctx context.Context) error {
+	server, err := messenger.Listen(ctx, messenger.ServerConfig{
+		Address: p.settings.Process.PeerAddress,
+		TLS:     p.protection.peer,
+	})
+	p.messenger = server
+	p.dialer = messenger.Dialer{TLS: p.protection.client}
+	return err
+}
+
+func (p *Process) openTracer(ctx context.Context) error {
+	if p.settings.Process.TraceEndpoint == nil {
+		return nil
+	}
+	config := tracer.Config{Endpoint: p.settings.Process.TraceEndpoint}
+	if p.settings.Node != nil {
+		config.Server = p.settings.Node.ServerName
+	}
+	t, err := tracer.New(ctx, config)
+	p.tracer = t
+	return err
+}
+
+func (p *Process) openControl(ctx context.Context) error {
+	settings := p.settings.Control
+	if settings == nil {
+		return nil
+	}
+	listener, err := listen(ctx, settings.OperatorAddress)
+	if err != nil {
+		return err
+	}
+	c, err := controller.New(controller.Config{
+		Replica:       settings.Replica,
+		Address:       p.settings.Process.PeerAddress,
+		Control:       p.settings.Process.ControlAddresses,
+		Dialer:        p.dialer,
+		Server:        p.messenger,
+		DataFolder:    settings.DataFolder,
+		Voter:         settings.Voter,
+		Operators:     listener,
+		OperatorsTLS:  p.protection.operators,
+		OperatorsFile: settings.TokensFile,
+		Logger:        p.logger.Part,
+		Seed:          newSeed(),
+	})
+	p.controller = c
+	return err
+}
+
+func (p *Process) openNode(context.Context) error {
+	settings := p.settings.Node
+	if settings == nil {
+		return nil
+	}
+	self := waxwingseam.Server{
+		Name:        settings.ServerName,
+		Service:     settings.Service,
+		Node:        p.settings.Process.PeerAddress,
+		EntryPoint:  settings.EntryAddress,
+		DataCentre:  p.settings.Process.DataCentre,
+		Incarnation: waxwingseam.Incarnation(time.Now().UnixNano()),
+		Since:       time.Now(),
+	}
+	p.interests = newInterests()
+	node, err := NewNode(NodeConfig{
+		Self:      self,
+		Backend:   settings.BackendAddress,
+		Messenger: p.messenger,
+		Dialer:    p.dialer,
+		Logger:    p.logger,
+		NewTrace:  p.newTrace,
+		Observers: p.observers(),
+		Seed:      newSeed(),
+	})
+	if err != nil {
+		return err
+	}
+	p.node = node
+	p.subscriber = subscriber.New(subscriber.Config{
+		Control: p.settings.Process.ControlAddresses,
+		Dialer:  p.dialer,
+		Self:    self,
+		Step:    node.Runner.Step,
+		Logger:  p.logger.Part("subscriber"),
+		Seed:    newSeed(),
+	})
+	p.interests.subscriber = p.subscriber
+	node.Runner.Attach(announcer{p.subscriber})
+	return p.messenger.Register(p.subscriber, subscriber.Description)
+}
+
+// newTrace returns the trace of a root whose caller sent none.
+func (p *Process) newTrace(root waxwingseam.RootID) waxwingseam.TraceContext {
+	if p.tracer == nil {
+		return waxwingseam.TraceContext{}
+	}
+	return tracer.NewTrace(root, p.settings.Process.TraceSamplePercent)
+}
+
+// observers lists who sees the events and effects of the node's reducer.
+func (p *Process) observers() []runner.Observer {
+	observers := []runner.Observer{p.meter, p.interests}
+	if p.tracer != nil {
+		observers = append(observers, p.tracer)
+	}
+	return observers
+}
+
+// Serve runs the process. When stop ends, the node drains: it refuses new work
+// and ends its calls. When abort ends, the process leaves at once.
+func (p *Process) Serve(stop, abort context.Context) error {
+	ctx, cancel := context.WithCancel(abort)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return p.messenger.Serve(ctx) })
+	if p.controller != nil {
+		group.Go(func() error { return p.controller.Serve(ctx) })
+	}
+	if p.node != nil {
+		group.Go(func() error { return p.subscriber.Run(ctx) })
+		if err := p.serveNode(ctx, group); err != nil {
+			return err
+		}
+	}
+	if err := p.serveTelemetry(ctx, group); err != nil {
+		return err
+	}
+	p.logger.Part("process").Info("ready", "peer-address", p.messenger.Address())
+	group.Go(func() error {
+		defer cancel()
+		return p.waitForStop(ctx, stop)
+	})
+	err := group.Wait()
+	p.close()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return trace.Wrap(err)
+}
+
+// waitForStop returns once the process may leave.
+func (p *Process) waitForStop(ctx, stop context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-stop.Done():
+	}
+	if p.node == nil {
+		return nil
+	}
+	p.logger.Part("node").Info("draining")
+	if err := p.node.Drain(ctx); err != nil {
+		return err
+	}
+	p.logger.Part("node").Info("drained")
+	return nil
+}
+
+func (p *Process) close() {
+	if p.tracer == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := p.tracer.Close(ctx); err != nil {
+		p.logger.Part("tracer").Warn("last spans are lost", "error", err)
+	}
+}
+
+func (p *Process) serveNode(ctx context.Context, group *errgroup.Group) error {
+	f := p.node.Forwarder
+	if err := serveHTTP(ctx, group, p.settings.Node.EntryAddress, p.interests.Hold(f.Entry())); err != nil {
+		return err
+	}
+	return serveHTTP(ctx, group, p.settings.Node.OutboundAddress, p.interests.Hold(f.Outbound()))
+}
+
+// serveHTTP serves a handler until the context ends.
+func serveHTTP(ctx context.Context, group *errgroup.Group, address netip.AddrPort, handler http.Handler) error {
+	listener, err := listen(ctx, address)
+	if err != nil {
+		return err
+	}
+	server := forwarder.NewServer(handler)
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	group.Go(func() error {
+		if err := server.Serve(listener); ctx.Err() == nil {
+			return trace.Wrap(err)
+		}
+		return nil
+	})
+	return nil
+}
+
+func listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
+	var lc net.ListenConfig
+	listener, err := lc.Listen(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	return listener, nil
+}
--- a/assembler/workers.go
+++ b/assembler/workers.go
@@ -30,7 +30,10 @@
 		{
 			Priority: priorityReceiver,
 			Worker: receiver.New(receiver.Config{
-				Admitter:     admitter.New(admitter.Config{Limiter: limiter.NewAIMD()}),
+				Admitter: admitter.New(admitter.Config{
+					Limiter: limiter.NewFixed(),
+					Roots:   limiter.NewQueueDelay(),
+				}),
 				Deduplicator: deduplicator.New(deduplicator.Config{}),
 				Drainer:      drainer.New(),
 				Tracker:      runs,
--- a/checker/bench_test.go
+++ b/checker/bench_test.go
@@ -35,7 +35,9 @@
 	file := planned()
 	b.SetBytes(int64(len(file.Data)))
 	for b.Loop() {
-		Parse(file)
+		if _, findings := Parse(file); len(findings) > 0 {
+			b.Fatal(findings)
+		}
 	}
 }
 
--- a/cmd/waxwingseam/main.go
+++ b/cmd/waxwingseam/main.go
@@ -22,9 +22,16 @@
 )
 
 type commands struct {
-	Serve   serveCommand   `cmd:"" help:"Run one process: a node, a control replica, or both."`
-	Check   checkCommand   `cmd:"" help:"Check a set of objects offline and list all findings."`
-	Version versionCommand `cmd:"" help:"Print the version."`
+	Serve      serveCommand      `cmd:"" help:"Run one process: a node, a control replica, or both."`
+	Check      checkCommand      `cmd:"" help:"Check a set of objects offline and list all findings."`
+	Apply      applyCommand      `cmd:"" help:"Submit a set of objects."`
+	Get        getCommand        `cmd:"" help:"Show a revision's set of objects."`
+	History    historyCommand    `cmd:"" help:"Show who changed what, when."`
+	Diff       diffCommand       `cmd:"" help:"Compare files with the set in force."`
+	Status     statusCommand     `cmd:"" help:"Show replicas, nodes and backend servers."`
+	Drain      drainCommand      `cmd:"" help:"Take a backend server out of service."`
+	Initialize initializeCommand `cmd:"" help:"Create the identity of a new cluster, once."`
+	Version    versionCommand    `cmd:"" help:"Print the version."`
 }
 
 func main() {
--- /dev/null
+++ b/cmd/waxwingseam/serve.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam/assembler"
+	"waxwingseam.example/waxwingseam/loader"
+	"waxwingseam.example/waxwingseam/logger"
+)
+
+type serveCommand struct {
+	Settings string `required:"" type:"path" help:"Settings file of the process."`
+}
+
+// Run serves until a signal comes. The first SIGTERM or interrupt drains, the
+// second one leaves at once; SIGHUP reads the log level again.
+func (c *serveCommand) Run() error {
+	settings, findings := loader.Load(c.Settings)
+	if err := findings.OrNil(); err != nil {
+		return err
+	}
+	l := logger.New(logger.Config{
+		Writer: os.Stderr,
+		Format: settings.Process.LogFormat,
+		Level:  settings.Process.LogLevel,
+	})
+	abort, leave := context.WithCancel(context.Background())
+	defer leave()
+	stop, drain := context.WithCancel(abort)
+	defer drain()
+	go c.watchSignals(l, drain, leave)
+	process, err := assembler.NewProcess(abort, settings, l)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(process.Serve(stop, abort))
+}
+
+func (c *serveCommand) watchSignals(l *logger.Logger, drain, leave context.CancelFunc) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	stopping := false
+	for s := range signals {
+		switch {
+		case s == syscall.SIGHUP:
+			c.reload(l)
+		case stopping:
+			leave()
+		default:
+			stopping = true
+			drain()
+		}
+	}
+}
+
+// reload takes the log level from the settings file again.
+func (c *serveCommand) reload(l *logger.Logger) {
+	part := l.Part("process")
+	settings, findings := loader.Load(c.Settings)
+	if err := findings.OrNil(); err != nil {
+		part.Error("settings are not read again", "findings", err)
+		return
+	}
+	l.SetLevel(settings.Process.LogLevel)
+	part.Info("log level is read again", "level", settings.Process.LogLevel)
+}
--- a/cmd/waxwingseam/status.go
+++ b/cmd/waxwingseam/status.go
@@ -35,7 +35,8 @@
 func printMembers(s waxwingseam.ReplicaStatus) error {
 	fmt.Printf("cluster %s: %s in term %d, committed %d, applied %d %s\n\n",
 		s.Cluster, s.Role, s.Term, s.Commit, s.Applied, s.Refused)
-	rows := [][]string{{"REPLICA", "ADDRESS", "VOTER", "LEADER", "MATCH", "SILENT TICKS"}}
+	rows := make([][]string, 0, 1+len(s.Members))
+	rows = append(rows, []string{"REPLICA", "ADDRESS", "VOTER", "LEADER", "MATCH", "SILENT TICKS"})
 	for _, m := range s.Members {
 		rows = append(rows, []string{
 			string(m.Replica),
--- a/cmd/waxwingseam/version.go
+++ b/cmd/waxwingseam/version.go
@@ -13,6 +13,6 @@
 	if info, ok := debug.ReadBuildInfo(); ok {
 		version = info.Main.Version + " " + info.GoVersion
 	}
-	fmt.Println("waxwingseam", version)
-	return nil
+	_, err := fmt.Println("waxwingseam", version)
+	return err
 }
--- a/experimenter/layer.go
+++ b/experimenter/layer.go
@@ -52,7 +52,7 @@
 func Variant(name string, newAdmitter func() waxwingseam.Admitter) Layer {
 	return Layer{Name: name, New: func(self waxwingseam.Server) waxwingseam.Reducer {
 		retries := retrier.New(retrier.Config{})
-		runs := tracker.New(tracker.Config{Splitter: retries})
+		runs := tracker.New(tracker.Config{})
 		return reducer.New(reducer.Config{
 			Self: self,
 			Workers: []waxwingseam.Prioritized{
--- a/forwarder/entry.go
+++ b/forwarder/entry.go
@@ -111,10 +111,18 @@
 	_, _ = rand.Read(arrival.ID[:])
 	if parent.IsZero() {
 		_, _ = rand.Read(arrival.Root[:])
+		e.forwarder.beginTrace(&arrival)
 	}
 	return arrival, target, nil
 }
 
+// beginTrace gives a root the trace that its caller did not send.
+func (f *Forwarder) beginTrace(a *waxwingseam.CallArrived) {
+	if f.config.NewTrace != nil && a.Trace == (waxwingseam.TraceContext{}) {
+		a.Trace = f.config.NewTrace(a.Root)
+	}
+}
+
 // splitTarget parts the service's name from what goes to the backend server.
 func splitTarget(r *http.Request) (service, target string) {
 	path := strings.TrimPrefix(r.URL.EscapedPath(), "/")
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -67,7 +67,10 @@
 	// Connections bounds the connections to the backend server.
 	Connections int
 	Self        waxwingseam.Server
-	Logger      *slog.Logger
+	// NewTrace returns the trace of a root whose caller sent none; unset for
+	// no traces.
+	NewTrace func(waxwingseam.RootID) waxwingseam.TraceContext
+	Logger   *slog.Logger
 	// MaxBody is the longest request body in bytes.
 	MaxBody int64
 }
--- a/historian/historian_test.go
+++ b/historian/historian_test.go
@@ -124,7 +124,7 @@
 
 func TestEarlierSets(t *testing.T) {
 	h := New(Config{})
-	digests := []uint64{0}
+	digests := make([]uint64, 1, keptUndos+6)
 	for i := range keptUndos + 5 {
 		apply(t, h, command(fmt.Sprint(i), waxwingseam.Revision(i), fmt.Sprintf("s%d", i%7), i+1))
 		_, digest := h.Head()
--- a/loader/keys.go
+++ b/loader/keys.go
@@ -50,6 +50,7 @@
 	{sectionNode, "outbound-address", true, parseOutbound},
 	{sectionNode, "backend-address", true, address(func(s *Settings) *netip.AddrPort { return &s.Node.BackendAddress })},
 	{sectionControl, "replica", true, name(func(s *Settings, v string) { s.Control.Replica = waxwingseam.ReplicaID(v) })},
+	{sectionControl, "voter", false, parseVoter},
 	{sectionControl, "data-folder", true, parseDataFolder},
 	{sectionControl, "operator-address", true, address(func(s *Settings) *netip.AddrPort { return &s.Control.OperatorAddress })},
 	{sectionControl, "tokens-file", false, file(func(s *Settings) *string { return &s.Control.TokensFile })},
@@ -172,6 +173,15 @@
 	return nil
 }
 
+func parseVoter(s *Settings, v string) error {
+	voter, err := strconv.ParseBool(v)
+	if err != nil {
+		return trace.BadParameter("voter is %q, want true or false", v)
+	}
+	s.Control.Voter = voter
+	return nil
+}
+
 func parseDataFolder(s *Settings, v string) error {
 	if v == "" {
 		return trace.BadParameter("the folder has no name")
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -85,7 +85,7 @@
 	case sectionNode:
 		l.settings.Node = &Node{}
 	case sectionControl:
-		l.settings.Control = &Control{}
+		l.settings.Control = &Control{Voter: true}
 	case sectionTLS:
 		l.settings.TLS = &TLS{}
 	default:
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -55,6 +55,8 @@
 // Control holds the settings of the control role.
 type Control struct {
 	Replica waxwingseam.ReplicaID
+	// Voter is set for a replica that votes once it holds all that is committed.
+	Voter bool
 	// DataFolder holds the replica's durable state.
 	DataFolder string
 	// OperatorAddress serves the operator API.
