balancer: cost from own calls alone, spill in steps, usual limit from reports

Change: the cost leaves reported calls out; calls leave the data centre by a share that moves in small steps; an unknown limit is the usual one.

--- a/balancer/fleet_benchmark_test.go
+++ b/balancer/fleet_benchmark_test.go
@@ -1,8 +1,11 @@
 package balancer_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
+
+	"waxwingseam.example/waxwingseam"
 )
 
 // BenchmarkFleet reports how calls spread over machines, in virtual time.
@@ -19,9 +22,11 @@
 		{"one-slow/60", 0.6, func(f *fleet) { f.machines[0].slow = 5 }},
 		{"one-slow-stale/60", 0.6, func(f *fleet) { f.machines[0].slow = 5; f.stale = 5 * time.Second }},
 		{"one-failing/60", 0.6, func(f *fleet) { f.machines[0].failing = true }},
+		{"skewed/70", 0.7, func(f *fleet) { f.skewed = 60 }},
+		{"skewed-stale/70", 0.7, func(f *fleet) { f.skewed = 60; f.stale = 5 * time.Second }},
 		{"one-refusing/60", 0.6, func(f *fleet) { f.machines[0].slots = 1 }},
 	} {
-		for _, size := range []struct{ senders, machines, slots int }{{4, 4, 15}, {24, 12, 60}} {
+		for _, size := range []struct{ senders, machines, slots int }{{3, 3, 15}, {24, 12, 60}} {
 			b.Run(v.name, func(b *testing.B) {
 				for b.Loop() {
 					f := newFleet(size.senders, size.machines, size.slots)
@@ -36,6 +41,38 @@
 					b.ReportMetric(100*float64(len(f.ended))/calls, "%served")
 					b.ReportMetric(100*float64(f.early)/calls, "%early")
 					b.ReportMetric(f.spread(), "max/mean")
+					b.ReportMetric(100*float64(f.far)/calls, "%far")
+					b.ReportMetric(0, "ns/op")
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkSurge reports what a surge of three classes comes to.
+func BenchmarkSurge(b *testing.B) {
+	for _, factor := range []float64{1.2, 3, 10} {
+		for name, threshold := range map[string]func(*machine) (waxwingseam.Rank, bool){"thresholds": shedLeast, "refusals": nil} {
+			b.Run(fmt.Sprintf("%s/%v", name, factor), func(b *testing.B) {
+				for b.Loop() {
+					f := newFleet(12, 6, 15)
+					f.threshold = threshold
+					f.run(factor*f.capacity(), time.Second, f.surge)
+					f.reset()
+					f.run(factor*f.capacity(), 5*time.Second, f.surge)
+					b.ReportMetric(100*float64(len(f.ended))/(5*f.capacity()), "%goodput")
+					b.ReportMetric(100*float64(f.early)/float64(f.early+f.refusals), "%early")
+					b.ReportMetric(float64(f.inversions), "inversions")
+					for _, i := range []waxwingseam.Importance{2, 5, 8} {
+						v := f.byClass[i]
+						b.ReportMetric(100*float64(v.done)/float64(v.sent+v.early), fmt.Sprintf("%%done-%d", i))
+					}
+					calm := f.now
+					for f.early = 1; f.early > 0 && f.now.Sub(calm) < 10*time.Second; {
+						f.reset()
+						f.run(0.7*f.capacity(), 100*time.Millisecond, f.surge)
+					}
+					b.ReportMetric(f.now.Sub(calm).Seconds(), "recovery-s")
 					b.ReportMetric(0, "ns/op")
 				}
 			})
--- /dev/null
+++ b/balancer/fleet_bounds_test.go
@@ -0,0 +1,69 @@
+package balancer_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestFleetServes checks that nothing of what the servers could serve is lost,
+// whatever their reports say and however one of them behaves.
+func TestFleetServes(t *testing.T) {
+	for _, v := range []struct {
+		name   string
+		load   float64
+		served float64
+		change func(f *fleet)
+	}{
+		{"fresh reports", 0.8, 0.99, func(*fleet) {}},
+		{"reports 5 s old", 0.8, 0.99, func(f *fleet) { f.stale = 5 * time.Second }},
+		{"one server slow", 0.6, 0.99, func(f *fleet) { f.machines[0].slow = 5 }},
+		{"one server fails fast", 0.6, 0.99, func(f *fleet) { f.machines[0].failing = true }},
+		{"one server has lost its slots", 0.6, 0.99, func(f *fleet) { f.machines[0].slots = 1 }},
+		{"demand in one data centre", 0.7, 0.95, func(f *fleet) { f.skewed = 60 }},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			f := newFleet(6, 6, 6)
+			rate := v.load * f.capacity()
+			v.change(f)
+			f.run(rate, 2*time.Second, same)
+			f.reset()
+			f.run(rate, 5*time.Second, same)
+			served := float64(len(f.ended)) / float64(len(f.ended)+f.refusals+f.failures+f.early)
+			qt.Assert(t, served >= v.served, qt.IsTrue, qt.Commentf("served %.4f, want %.2f", served, v.served))
+		})
+	}
+}
+
+// TestServerComesBack checks that a server that fails no more has its share of
+// the calls again within 2 s.
+func TestServerComesBack(t *testing.T) {
+	f := newFleet(6, 6, 6)
+	rate := 0.6 * f.capacity()
+	f.machines[0].failing = true
+	f.run(rate, 10*time.Second, same)
+	f.machines[0].failing = false
+	f.run(rate, 2*time.Second, same)
+	f.reset()
+	f.run(rate, time.Second, same)
+	share := float64(f.machines[0].served) / (rate / 6)
+	qt.Assert(t, share > 0.8 && share < 1.2, qt.IsTrue, qt.Commentf("share %.2f", share))
+}
+
+// TestAllFail checks that ejections stop at a third of the servers.
+func TestAllFail(t *testing.T) {
+	f := newFleet(6, 6, 6)
+	for _, m := range f.machines {
+		m.failing = true
+	}
+	f.run(1000, 2*time.Second, same)
+	f.reset()
+	f.run(1000, time.Second, same)
+	qt.Assert(t, f.early, qt.Equals, 0)
+	f.machines[5].failing = false
+	f.run(1000, 2*time.Second, same)
+	f.reset()
+	f.run(1000, time.Second, same)
+	qt.Assert(t, len(f.ended) > f.failures/4, qt.IsTrue)
+}
--- a/balancer/fleet_test.go
+++ b/balancer/fleet_test.go
@@ -43,12 +43,17 @@
 	stale   time.Duration
 	service time.Duration
 	// Results since the last call of reset.
-	ended     []time.Duration
-	failures  int
-	refusals  int
-	early     int
-	byClass   map[waxwingseam.Importance]*tally
-	threshold func(m *machine) (waxwingseam.Rank, bool)
+	ended    []time.Duration
+	failures int
+	refusals int
+	early    int
+	far      int
+	// skewed is the share of calls, in hundredths, from one data centre only.
+	skewed int
+	// inversions counts refusals of a call while a less important one is sent.
+	inversions int
+	byClass    map[waxwingseam.Importance]*tally
+	threshold  func(m *machine) (waxwingseam.Rank, bool)
 }
 
 type tally struct{ sent, early, done int }
@@ -78,19 +83,24 @@
 	servers := make([]waxwingseam.Server, 0, machines)
 	for i := range machines {
 		m := &machine{slots: slots, slow: 1, server: waxwingseam.Server{
-			Name: waxwingseam.ServerName(fmt.Sprintf("fees-%d", i)), Service: "fees", Incarnation: 1, Since: start.Add(-time.Hour),
+			Name: waxwingseam.ServerName(fmt.Sprintf("fees-%d", i)), Service: "fees", Incarnation: 1, DataCentre: centre(i), Since: start.Add(-time.Hour),
 		}}
 		f.machines = append(f.machines, m)
 		servers = append(servers, m.server)
 	}
 	for i := range senders {
-		b := balancer.New(balancer.Config{Self: waxwingseam.ServerName(fmt.Sprintf("desk-%d", i))})
+		b := balancer.New(balancer.Config{Self: waxwingseam.ServerName(fmt.Sprintf("desk-%d", i)), DataCentre: centre(i)})
 		b.Learn(f.context(), servers, nil)
 		f.senders = append(f.senders, b)
 	}
 	return f
 }
 
+// centre spreads machines and senders over three data centres.
+func centre(i int) waxwingseam.DataCentre {
+	return waxwingseam.DataCentre(fmt.Sprintf("dc-%d", i%3))
+}
+
 func (f *fleet) context() *waxwingseam.Context {
 	c := waxwingseam.NewContext(waxwingseam.Server{})
 	c.Begin(waxwingseam.Stamp{Now: f.now, Random: f.random.Uint64()})
@@ -123,7 +133,11 @@
 func same() waxwingseam.Importance { return 5 }
 
 func (f *fleet) call(i waxwingseam.Importance) {
-	b := f.senders[f.random.IntN(len(f.senders))]
+	from := f.random.IntN(len(f.senders))
+	if f.random.IntN(100) < f.skewed {
+		from -= from % 3
+	}
+	b := f.senders[from]
 	rank := waxwingseam.Rank{Importance: i, Order: f.random.Uint64()}
 	choice := b.Choose(f.context(), waxwingseam.Query{Service: "fees", Class: "lookup", Rank: rank})
 	v, ok := f.byClass[i]
@@ -134,15 +148,22 @@
 	if choice.Refused {
 		f.early++
 		v.early++
+		f.checkOrder(b, rank)
 		return
 	}
 	v.sent++
 	n := slices.IndexFunc(f.machines, func(m *machine) bool { return m.server.Name == choice.Server.Name })
 	m, sent := f.machines[n], f.now
+	way := time.Millisecond
+	if m.server.DataCentre == centre(from) {
+		way = time.Millisecond / 4
+	} else {
+		f.far++
+	}
 	end := func(result waxwingseam.Result) {
 		result.Reached = true
 		result.Load = f.load(m)
-		f.after(time.Millisecond, func() {
+		f.after(2*way, func() {
 			b.Observe(f.context(), waxwingseam.Feedback{Server: m.server.Name, Class: "lookup", Rank: rank, Result: result, Elapsed: f.now.Sub(sent)})
 		})
 		switch {
@@ -160,6 +181,18 @@
 	f.arrive(m, rank, end)
 }
 
+// checkOrder asks, at the moment of an early refusal, for less important calls.
+func (f *fleet) checkOrder(b waxwingseam.Balancer, refused waxwingseam.Rank) {
+	if refused.Importance == 0 {
+		return
+	}
+	refused.Importance--
+	choice := b.Choose(f.context(), waxwingseam.Query{Service: "fees", Class: "lookup", Rank: refused})
+	if !choice.Refused {
+		f.inversions++
+	}
+}
+
 func (f *fleet) arrive(m *machine, rank waxwingseam.Rank, end func(waxwingseam.Result)) {
 	barred := false
 	if f.threshold != nil {
@@ -206,7 +239,7 @@
 }
 
 func (f *fleet) reset() {
-	f.ended, f.failures, f.refusals, f.early = nil, 0, 0, 0
+	f.ended, f.failures, f.refusals, f.early, f.far = nil, 0, 0, 0, 0
 	f.byClass = map[waxwingseam.Importance]*tally{}
 	for _, m := range f.machines {
 		m.served, m.refused = 0, 0
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -6,14 +6,6 @@
 	"waxwingseam.example/waxwingseam"
 )
 
-const (
-	// spillAt is the reported utilisation from which calls may leave the data
-	// centre.
-	spillAt = 0.8
-	// spillGain is by how much a far server's utilisation must be lower.
-	spillGain = 0.1
-)
-
 // pick chooses a server by two random choices (Mitzenmacher, 2001). Filters are
 // given up one by one, the last first, while no server passes them.
 func (b *balancer) pick(c *waxwingseam.Context, p *pool, q waxwingseam.Query) *target {
@@ -38,17 +30,16 @@
 	random  *rand.Rand
 }
 
-// choose prefers the own data centre, unless another is clearly less loaded.
+// choose prefers the own data centre, but for the share that spills.
 func (s *selection) choose(p *pool) *target {
-	near := s.two(p.near)
-	if near != nil && near.utilisation() < spillAt {
-		return near
+	first, second := p.near, p.far
+	if p.spill.out(s.context, s.random.Float64()) {
+		first, second = second, first
 	}
-	far := s.two(p.far)
-	if near == nil || far != nil && far.utilisation() < near.utilisation()-spillGain {
-		return far
+	if t := s.two(first); t != nil {
+		return t
 	}
-	return near
+	return s.two(second)
 }
 
 // two returns the better of two random servers that pass; nil without one.
--- a/balancer/pool.go
+++ b/balancer/pool.go
@@ -15,11 +15,13 @@
 	near, far []*target
 	stale     bool
 	// failing is the sum of the servers' failure shares, ejected the count of
-	// those that are ejected, limits the sum of the reported limits.
+	// those that are ejected.
 	failing float64
 	ejected int
-	limits  float64
+	// usual is the mean of the limits reported lately.
+	usual float64
 
+	spill    spill
 	throttle throttle
 	classes  map[waxwingseam.ClassName]*throttle
 }
@@ -52,9 +54,10 @@
 			t.drained = v.Drained
 			t.weight = weightOf(v)
 		}
+		t.near = t.server.DataCentre == config.DataCentre
 		switch {
 		case t.leaving():
-		case t.server.DataCentre == config.DataCentre:
+		case t.near:
 			near = append(near, t)
 		default:
 			far = append(far, t)
@@ -62,13 +65,6 @@
 	}
 	p.near = subset(config.Self, near, size)
 	p.far = subset(config.Self, far, size)
-	p.limits = 0
-	for _, t := range p.near {
-		p.limits += float64(t.load.Limit)
-	}
-	for _, t := range p.far {
-		p.limits += float64(t.load.Limit)
-	}
 }
 
 func weightOf(v waxwingseam.BackendServer) float64 {
@@ -78,9 +74,15 @@
 	return float64(v.Weight) / fullWeight
 }
 
-// usualLimit stands in for the limit of a server that has not reported one.
-func (p *pool) usualLimit() float64 {
-	return max(p.limits/float64(max(len(p.near)+len(p.far), 1)), 1)
+// usualGain is the weight of one more reported limit in the usual one.
+const usualGain = 0.05
+
+// reported takes in a limit that a server reported.
+func (p *pool) reported(limit uint32) {
+	if p.usual == 0 {
+		p.usual = float64(limit)
+	}
+	p.usual += usualGain * (float64(limit) - p.usual)
 }
 
 // admits reports whether a call may be sent at all, by what the service and
@@ -114,6 +116,11 @@
 		p.class(f.Class).accepted(c.Now)
 	}
 	p.judge(c, t, f)
+	if t.near {
+		p.spill.near.observe(f)
+	} else {
+		p.spill.far.observe(f)
+	}
 }
 
 const (
--- a/balancer/target.go
+++ b/balancer/target.go
@@ -31,6 +31,8 @@
 	// weight is that of the server's object; drained keeps new work away.
 	weight  float64
 	drained bool
+	// near is set for a server in the node's own data centre.
+	near bool
 
 	load     waxwingseam.Load
 	loadAt   time.Time
@@ -71,6 +73,7 @@
 	if load.Leaving != t.load.Leaving {
 		t.pool.stale = true
 	}
+	t.pool.reported(load.Limit)
 	t.load = load
 	t.loadAt = c.Now
 }
@@ -118,36 +121,22 @@
 func (t *target) limit(now time.Time) float64 {
 	limit := float64(t.load.Limit)
 	if limit == 0 {
-		limit = t.pool.usualLimit()
+		limit = t.pool.usual
 	}
 	return max(limit*t.weight*t.warmth(now), 1)
 }
 
-// cost ranks servers, the lower one preferred: the time that the calls ahead of
-// a new one take.
+// cost ranks servers, the lower one preferred: the time that the node's own
+// calls ahead of a new one take. What the server reports of others' calls is
+// left out: it is old when it arrives, and those who follow it herd.
 func (t *target) cost(c *waxwingseam.Context) float64 {
-	own := float64(t.inFlight + 1)
-	others := float64(t.load.InFlight+t.load.Waiting) * t.trust(c)
-	return (own + others) / t.limit(c.Now) * (t.latency + minLatency)
+	return float64(t.inFlight+1) / t.limit(c.Now) * (t.latency + minLatency)
 }
 
 // minLatency stands in for the latency of a server that has not answered yet,
 // in seconds.
 const minLatency = 0.001
 
-// trust fades a report with its age.
-func (t *target) trust(c *waxwingseam.Context) float64 {
-	return math.Exp(-c.Now.Sub(t.loadAt).Seconds() / loadLifetime.Seconds())
-}
-
-// utilisation is the share of the limit that was in use, as reported.
-func (t *target) utilisation() float64 {
-	if t.load.Limit == 0 {
-		return 0
-	}
-	return float64(t.load.InFlight+t.load.Waiting) / float64(t.load.Limit)
-}
-
 // succeeded reports whether the backend server did what was asked.
 func succeeded(r waxwingseam.Result) bool {
 	return r.Completed() && r.Status < failureStatus
