--- /dev/null
+++ b/forwarder/bench_test.go
@@ -0,0 +1,273 @@
+package forwarder_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/admitter"
+	"waxwingseam.example/waxwingseam/balancer"
+	"waxwingseam.example/waxwingseam/classifier"
+	"waxwingseam.example/waxwingseam/deduplicator"
+	"waxwingseam.example/waxwingseam/dispatcher"
+	"waxwingseam.example/waxwingseam/drainer"
+	"waxwingseam.example/waxwingseam/forwarder"
+	"waxwingseam.example/waxwingseam/limiter"
+	"waxwingseam.example/waxwingseam/messenger"
+	"waxwingseam.example/waxwingseam/receiver"
+	"waxwingseam.example/waxwingseam/reducer"
+	"waxwingseam.example/waxwingseam/retrier"
+	"waxwingseam.example/waxwingseam/runner"
+	"waxwingseam.example/waxwingseam/tracker"
+)
+
+// testSet is the configuration of all tests: fees may be repeated, ledger not.
+func testSet() *waxwingseam.Set {
+	set := &waxwingseam.Set{
+		Revision:    1,
+		RetryLimits: []waxwingseam.RetryLimit{{Name: "retries", Allowance: 3, BudgetPercent: 100}},
+		WaitLimits:  []waxwingseam.WaitLimit{{Name: "waits", Wait: time.Second, Waiting: 100}},
+	}
+	for name, repeat := range map[waxwingseam.ServiceName]waxwingseam.Repeat{
+		"ledger": waxwingseam.RepeatNever,
+		"fees":   waxwingseam.RepeatIdempotent,
+	} {
+		set.Services = append(set.Services, waxwingseam.Service{Name: name, Slots: 50, Connections: 50})
+		set.RequestClasses = append(set.RequestClasses, waxwingseam.RequestClass{
+			Name: waxwingseam.ClassName(name), Service: name, Path: "/{rest...}", Importance: 5,
+			Repeat: repeat, Deadline: 20 * time.Second, RetryLimit: "retries", WaitLimit: "waits",
+		})
+	}
+	return set
+}
+
+// world holds the processes of one test, on a fake network.
+type world struct {
+	t   testing.TB
+	net *network
+}
+
+// newWorld returns a world whose goroutines have the time to end.
+func newWorld(t testing.TB) *world {
+	t.Cleanup(func() { time.Sleep(time.Minute) })
+	return &world{t: t, net: newNetwork()}
+}
+
+// backend is a backend server that keeps the list of its runs.
+type backend struct {
+	address netip.AddrPort
+	mu      sync.Mutex
+	runs    []string
+}
+
+// newBackend starts a backend server; serve answers after the run is listed
+// under its request's Name header.
+func (w *world) newBackend(serve http.HandlerFunc) *backend {
+	b := &backend{}
+	l := newFakeListener()
+	b.address = w.net.reserve()
+	w.net.listen(b.address, l.serve)
+	server := &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		b.mu.Lock()
+		b.runs = append(b.runs, r.Header.Get("Name"))
+		b.mu.Unlock()
+		serve(rw, r)
+	})}
+	go func() { _ = server.Serve(l) }()
+	w.t.Cleanup(func() {
+		w.net.kill(b.address)
+		_ = server.Close()
+	})
+	return b
+}
+
+// ran returns how often the request of the name x was run.
+func (b *backend) ran() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, v := range b.runs {
+		if v == "x" {
+			n++
+		}
+	}
+	return n
+}
+
+// node is one whole process.
+type node struct {
+	*forwarder.Forwarder
+	world *world
+	self  waxwingseam.Server
+	step  func(func(waxwingseam.Stamp) waxwingseam.Event)
+	stop  context.CancelFunc
+}
+
+type nodeConfig struct {
+	service     waxwingseam.ServiceName
+	name        waxwingseam.ServerName
+	backend     netip.AddrPort
+	incarnation waxwingseam.Incarnation
+	address     netip.AddrPort
+	observers   []runner.Observer
+}
+
+// registry lets a drpc mux take the forwarder's service.
+type registry struct{ *drpcmux.Mux }
+
+func (r registry) Register(implementation any, d messenger.Description) error {
+	return r.Mux.Register(implementation, d)
+}
+
+func (w *world) newNode(config nodeConfig) *node {
+	ctx, cancel := context.WithCancel(context.Background())
+	mux := drpcmux.New()
+	if !config.address.IsValid() {
+		config.address = w.net.reserve()
+	}
+	n := &node{stop: cancel, world: w, self: waxwingseam.Server{
+		Name: config.name, Service: config.service, Node: config.address,
+		Incarnation: max(config.incarnation, 1),
+	}}
+	r := runner.New(runner.Config{Reducer: newReducer(n.self), Seed: 1, Observers: config.observers})
+	n.step = r.Step
+	n.Forwarder = forwarder.New(forwarder.Config{
+		Step: r.Step, Self: n.self, Dialer: w.net, Backend: config.backend, BackendDialer: w.net,
+	})
+	r.Attach(n.Forwarder)
+	qt.Assert(w.t, n.Register(registry{mux}), qt.IsNil)
+	w.net.listen(config.address, func(c net.Conn) {
+		_ = drpcserver.New(mux).ServeOne(ctx, c)
+	})
+	w.t.Cleanup(n.kill)
+	n.step(func(s waxwingseam.Stamp) waxwingseam.Event { return waxwingseam.SetAdopted{Stamp: s, Set: testSet()} })
+	return n
+}
+
+// kill ends the process at once.
+func (n *node) kill() {
+	n.world.net.kill(n.self.Node)
+	n.stop()
+	n.Close()
+}
+
+// learn tells a node of others.
+func (n *node) learn(others ...*node) {
+	n.step(func(s waxwingseam.Stamp) waxwingseam.Event {
+		e := waxwingseam.ServersLearned{Stamp: s}
+		for _, o := range others {
+			e.Servers = append(e.Servers, o.self)
+		}
+		return e
+	})
+}
+
+// drain starts or undoes a drain of the node's backend server.
+func (n *node) drain(undo bool) {
+	n.step(func(s waxwingseam.Stamp) waxwingseam.Event { return waxwingseam.DrainAsked{Stamp: s, Undo: undo} })
+}
+
+// newReducer assembles the workers of a node.
+func newReducer(self waxwingseam.Server) waxwingseam.Reducer {
+	retries := retrier.New(retrier.Config{})
+	runs := tracker.New(tracker.Config{Splitter: retries})
+	return reducer.New(reducer.Config{Self: self, Workers: []waxwingseam.Prioritized{
+		{Priority: receiver.Priority, Worker: receiver.New(receiver.Config{
+			Admitter:     admitter.New(admitter.Config{Limiter: limiter.NewFixed()}),
+			Deduplicator: deduplicator.New(deduplicator.Config{}),
+			Drainer:      drainer.New(),
+			Tracker:      runs,
+		})},
+		{Priority: 2 * receiver.Priority, Worker: dispatcher.New(dispatcher.Config{
+			Classifier: classifier.New(),
+			Balancer:   balancer.New(balancer.Config{Self: self.Name}),
+			Retrier:    retries,
+			Tracker:    runs,
+		})},
+	}})
+}
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	header  http.Header
+	body    string
+	broken  bool
+	problem forwarder.Problem
+}
+
+// request is one call of a test.
+type request struct {
+	method, path, name, key string
+	body                    io.Reader
+	header                  map[string]string
+}
+
+func (r request) build(ctx context.Context) *http.Request {
+	if r.method == "" {
+		r.method = http.MethodPost
+	}
+	if r.path == "" {
+		r.path = "/ledger/marks"
+	}
+	hr := httptest.NewRequestWithContext(ctx, r.method, r.path, r.body)
+	hr.Header.Set("Name", r.name)
+	if r.key != "" {
+		hr.Header.Set(forwarder.HeaderKey, r.key)
+	}
+	for k, v := range r.header {
+		hr.Header.Set(k, v)
+	}
+	return hr
+}
+
+// call makes a call through a node and waits for the whole answer.
+func (n *node) call(r request) answer {
+	return n.callIn(context.Background(), r)
+}
+
+func (n *node) callIn(ctx context.Context, r request) (a answer) {
+	w := httptest.NewRecorder()
+	defer func() {
+		if recover() != nil {
+			a.broken = true
+		}
+		a.status, a.header, a.body = w.Code, w.Header(), w.Body.String()
+		if strings.HasPrefix(a.header.Get("Content-Type"), "application/problem+json") {
+			_ = json.Unmarshal(w.Body.Bytes(), &a.problem)
+		}
+	}()
+	n.Entry().ServeHTTP(w, r.build(ctx))
+	return a
+}
+
+// said is the outcome, and the reason where the system answered itself.
+func (a answer) said() string {
+	if a.broken {
+		return "broken"
+	}
+	return strings.TrimSuffix(a.header.Get(forwarder.HeaderOutcome)+":"+a.problem.Reason, ":")
+}
+
+// echo answers with the request's body, the method, path and name before it.
+func echo(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(w, r.Method+" "+r.URL.RequestURI()+" "+r.Header.Get("Name")+" ")
+	_, _ = w.Write(body)
+}
