limiter, admitter: roots in flight by Little's law, no wait that cannot end in time

Change: the limit is 1.25 times what is in use, and 1.3 times the rate of runs times their time without queues once queues pass 30%; the queue of roots holds no more than start within the wait limit.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -96,11 +96,23 @@
 // is not for it.
 func (a *admitter) full(t *waxwingseam.Ticket) bool {
 	if t.Depth == 0 {
-		return a.queue.roots >= t.Waiting
+		return a.queue.roots >= a.places(t)
 	}
 	return a.queue.len()-a.queue.roots >= deepQueueFactor*a.slots
 }
 
+// places returns how many roots may wait: no more than start within the
+// ticket's wait, by Little's law, so that a root which could not start in time
+// is refused at once.
+func (a *admitter) places(t *waxwingseam.Ticket) int {
+	usual := a.roots.ServiceTime()
+	if usual <= t.Wait/time.Duration(max(t.Waiting, 1)) {
+		return t.Waiting
+	}
+	inTime := time.Duration(a.roots.Limit()) * t.Wait / usual
+	return min(max(int(inTime), 1), t.Waiting)
+}
+
 // until returns when a waiting ticket is refused: a root after its class's
 // wait, every call once it could not finish by its deadline.
 func (a *admitter) until(t *waxwingseam.Ticket) time.Time {
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -61,6 +61,14 @@
 			{"offer", 5, 1, 3, 1, "5 wait, 5 run"},
 			{"finish", 2, 0, 0, 2, "3 run"},
 		}},
+		{"a root that cannot start in time is refused at once", 1, 9, []step{
+			{"offer", 1, 1, 0, 0, "1 run"},
+			{"finish", 1, 0, 0, 400, ""},
+			{"offer", 2, 1, 0, 400, "2 run"},
+			{"offer", 3, 1, 0, 401, "3 wait"},
+			{"offer", 4, 1, 0, 402, "4 refuse overloaded"},
+			{"offer", 5, 2, 0, 403, "3 refuse evicted, 5 wait"},
+		}},
 		{"the wait ends", 1, 9, []step{
 			{"offer", 1, 1, 0, 0, "1 run"},
 			{"offer", 2, 1, 0, 10, "2 wait"},
@@ -92,7 +100,7 @@
 			Arrived: c.Now, Deadline: zero.Add(time.Second), Wait: 100 * time.Millisecond, Waiting: places,
 		})
 	case "finish":
-		out = a.Finish(c, waxwingseam.RunEnd{ID: id, Elapsed: 10 * time.Millisecond})
+		out = a.Finish(c, waxwingseam.RunEnd{ID: id, Elapsed: time.Duration(s.at) * time.Millisecond})
 	case "expire":
 		out = a.Expire(c)
 	}
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -30,3 +30,27 @@
 	feed(l, now, 2*time.Second, steady)
 	qt.Assert(t, l.Limit() >= 54, qt.IsTrue, qt.Commentf("limit %d", l.Limit()))
 }
+
+// chain is a fake of roots in flight: what exceeds the places below waits.
+func chain(l waxwingseam.Limiter, from time.Time, d, free time.Duration, places int) time.Time {
+	end := from.Add(d)
+	for now := from; now.Before(end); {
+		inFlight := l.Limit()
+		elapsed := free * time.Duration(max(inFlight, places)) / time.Duration(places)
+		l.Observe(waxwingseam.Sample{Now: now, Elapsed: elapsed, Waited: elapsed - free, InFlight: inFlight})
+		now = now.Add(elapsed / time.Duration(inFlight))
+	}
+	return end
+}
+
+func TestQueueDelayKeepsInFlightNearToFree(t *testing.T) {
+	l := NewQueueDelay()
+	l.Configure(130)
+	free := 400 * time.Millisecond
+	now := chain(l, time.Unix(1000, 0), 5*time.Second, free, 20)
+	qt.Assert(t, l.Limit() >= 20 && l.Limit() <= 30, qt.IsTrue, qt.Commentf("limit %d", l.Limit()))
+	now = chain(l, now, 5*time.Second, 10*free, 20)
+	qt.Assert(t, l.Limit() >= 20 && l.Limit() <= 30, qt.IsTrue, qt.Commentf("slower: limit %d", l.Limit()))
+	chain(l, now, 2*time.Second, free, 60)
+	qt.Assert(t, l.Limit() >= 54, qt.IsTrue, qt.Commentf("after: limit %d", l.Limit()))
+}
--- a/limiter/queuedelay.go
+++ b/limiter/queuedelay.go
@@ -7,22 +7,24 @@
 )
 
 const (
-	// delayTargetPercent is the share of queue time in the time without queues
-	// that is left alone.
-	delayTargetPercent = 30
+	// delayTarget is the share of queue time in the time without queues that is
+	// left alone.
+	delayTarget = 0.3
 	// delayWindow is the least time between two changes of the limit.
 	delayWindow = 50 * time.Millisecond
-	// delayFloor is what one change leaves of the limit at least.
-	delayFloor = 0.5
-	// delayClimb is the factor of a change while nearly nothing waits.
-	delayClimb = 1.25
-	// delayStart is the part of the slots that the limit starts from.
-	delayStart = 4
+	// delayRoom is the limit, as a multiple of what is in use, while nearly
+	// nothing waits.
+	delayRoom = 1.25
+	// delayFloorParts is the part of the slots that the limit keeps where
+	// little is in use.
+	delayFloorParts = 8
 )
 
-// queueDelay holds the time that runs spend in queues, by their own account,
-// to a share of the rest of their time. It needs no memory of an unloaded
-// latency, so a service that becomes slow does not mislead it.
+// queueDelay keeps what is in flight near to what would be in flight without
+// queues: the rate of runs times their time out of queues, by Little's law.
+// Runs tell their queue time by their own account, so no unloaded latency is
+// remembered, and a service that becomes slow does not mislead it. The bound
+// on data in flight is that of BBR (Cardwell et al., 2016).
 type queueDelay struct {
 	slots   int
 	limit   float64
@@ -42,7 +44,7 @@
 // Configure implements waxwingseam.Limiter.
 func (l *queueDelay) Configure(slots int) {
 	l.slots = max(slots, 1)
-	l.limit = max(float64(l.slots)/delayStart, 1)
+	l.limit = float64(l.slots)
 }
 
 // Limit implements waxwingseam.Limiter.
@@ -65,24 +67,23 @@
 	if l.started.IsZero() {
 		l.started = s.Now
 	}
-	if s.Now.Sub(l.started) >= max(delayWindow, l.elapsed/time.Duration(l.count)) {
-		l.adapt()
+	if passed := s.Now.Sub(l.started); passed >= max(delayWindow, l.elapsed/time.Duration(l.count)) {
+		l.adapt(passed)
 		l.started = s.Now
 	}
 }
 
 // adapt changes the limit once in the time of a run, when the last change has
 // shown its effect.
-func (l *queueDelay) adapt() {
+func (l *queueDelay) adapt(passed time.Duration) {
 	free := float64(l.elapsed - l.waited)
+	inUse := free / float64(passed)
 	share := float64(l.waited) / max(free, 1)
-	target := float64(delayTargetPercent) / 100
 	switch {
-	case share > target:
-		l.limit *= max((1+target)/(1+share), delayFloor)
-	case l.peak*2 < l.Limit():
-	case share < target/2:
-		l.limit = max(l.limit*delayClimb, l.limit+1)
+	case share > delayTarget:
+		l.limit = min(l.limit, inUse*(1+delayTarget))
+	case share < delayTarget/2:
+		l.limit = max(float64(l.peak)*delayRoom, float64(l.slots)/delayFloorParts)
 	default:
 		l.limit++
 	}
