--- a/proposer/link.go
+++ b/proposer/link.go
@@ -153,6 +153,7 @@
 			err = k.deliver(conn, messages)
 		}
 		if err != nil {
+			k.drop()
 			closeConn(conn)
 			conn = nil
 			k.pause()
@@ -233,8 +234,7 @@
 	k.refused = reason
 }
 
-// pause drops what waits, which is stale by the time the peer is back, and
-// waits before the next attempt.
+// pause waits before the next attempt.
 func (k *link) pause() {
 	timer := time.NewTimer(redialDelay)
 	defer timer.Stop()
@@ -242,6 +242,11 @@
 	case <-k.links.ctx.Done():
 	case <-timer.C:
 	}
+}
+
+// drop forgets the messages that wait, which are stale by the time the peer is
+// back.
+func (k *link) drop() {
 	for {
 		select {
 		case <-k.messages:
--- a/proposer/proposer_test.go
+++ b/proposer/proposer_test.go
@@ -1,10 +1,14 @@
 package proposer
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
 	"net/netip"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -12,9 +16,11 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/gravitational/trace"
 
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/messenger"
+	"waxwingseam.example/waxwingseam/replicator"
 )
 
 // ledger is a state machine that lists the commands it was given.
@@ -63,6 +69,13 @@
 // start runs a replica on a folder. One without join addresses is initialized
 // where its folder is new.
 func start(t testing.TB, folder, name string, address netip.AddrPort, join ...netip.AddrPort) *replica {
+	t.Helper()
+	r, err := tryStart(t, folder, name, address, join...)
+	qt.Assert(t, err, qt.IsNil)
+	return r
+}
+
+func tryStart(t testing.TB, folder, name string, address netip.AddrPort, join ...netip.AddrPort) (*replica, error) {
 	t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	server, err := messenger.Listen(ctx, messenger.ServerConfig{Address: address})
@@ -76,6 +89,7 @@
 		Voter:          true,
 		LeaderTimeout:  time.Minute,
 		RequestTimeout: time.Minute,
+		Replicator:     replicator.Config{SnapshotEntries: 16, KeepEntries: 2},
 		Messenger:      server,
 		Applier:        r.ledger,
 	}
@@ -83,7 +97,10 @@
 		_, _ = Initialize(r.config)
 	}
 	r.Proposer, err = New(r.config)
-	qt.Assert(t, err, qt.IsNil)
+	if err != nil {
+		stop()
+		return nil, trace.NewAggregate(err, server.Serve(ctx))
+	}
 	var serving sync.WaitGroup
 	serving.Go(func() { _ = server.Serve(ctx) })
 	go func() {
@@ -92,14 +109,21 @@
 		serving.Wait()
 		r.stopped <- err
 	}()
-	t.Cleanup(r.kill)
-	return r
+	t.Cleanup(func() { _ = r.kill() })
+	return r, nil
 }
 
-// kill stops a replica and waits for its end.
-func (r *replica) kill() {
+// kill stops a replica and returns what Serve returned.
+func (r *replica) kill() error {
 	r.stop()
-	r.stopped <- <-r.stopped
+	return r.ended()
+}
+
+// ended waits for the end of Serve.
+func (r *replica) ended() error {
+	err := <-r.stopped
+	r.stopped <- err
+	return err
 }
 
 // await waits until the replica's status satisfies a condition.
@@ -157,7 +181,7 @@
 	folder := t.TempDir()
 	r := start(t, folder, "a", loopback)
 	r.propose(t, 1, 3)
-	r.kill()
+	qt.Assert(t, r.kill(), qt.IsNil)
 	r = start(t, folder, "a", r.config.Address)
 	qt.Assert(t, r.ReadIndex(t.Context()), qt.IsNil)
 	qt.Assert(t, r.ledger.String(), qt.Equals, "c1 c2 c3")
@@ -169,10 +193,122 @@
 	replicas[1].propose(t, 1, 5)
 	leader := replicas[0]
 	qt.Assert(t, leader.Status().Role, qt.Equals, waxwingseam.RoleLeader)
-	leader.kill()
+	qt.Assert(t, leader.kill(), qt.IsNil)
 	replicas[1].propose(t, 6, 9)
 	for _, r := range replicas[1:] {
 		qt.Assert(t, r.ReadIndex(t.Context()), qt.IsNil)
 		qt.Assert(t, r.ledger.String(), qt.Equals, "c1 c2 c3 c4 c5 c6 c7 c8 c9")
 	}
 }
+
+// TestEmptiedDiskJoinsAnew empties the disk of one host, and loses another for
+// good as soon as the first votes again.
+func TestEmptiedDiskJoinsAnew(t *testing.T) {
+	folder := t.TempDir()
+	replicas := trio(t, folder)
+	a, b, c := replicas[0], replicas[1], replicas[2]
+	a.propose(t, 1, 40)
+	old := c.Status().Self
+	qt.Assert(t, c.kill(), qt.IsNil)
+	qt.Assert(t, os.RemoveAll(c.config.DataFolder), qt.IsNil)
+	c = start(t, folder, "c", c.config.Address, a.config.Address, b.config.Address)
+	status := c.await(t, func(s waxwingseam.ReplicaStatus) bool { return s.Self.Voter })
+	qt.Assert(t, status.Self.Storage, qt.Not(qt.Equals), old.Storage)
+	qt.Assert(t, a.kill(), qt.IsNil)
+	c.propose(t, 41, 42)
+	qt.Assert(t, b.ReadIndex(t.Context()), qt.IsNil)
+	qt.Assert(t, c.ledger.String(), qt.Equals, b.ledger.String())
+	receipt, err := c.Proposer.(*proposer).Deliver(t.Context(), &Delivery{Cluster: status.Cluster, To: old.Storage})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, receipt.Reason, qt.Equals, waxwingseam.ReasonStorageMismatch)
+}
+
+func TestLargeSnapshotGoesInParts(t *testing.T) {
+	folder := t.TempDir()
+	a := start(t, folder, "a", loopback)
+	large := bytes.Repeat([]byte("x"), 3*partBytes/2)
+	_, err := a.Propose(t.Context(), large)
+	qt.Assert(t, err, qt.IsNil)
+	a.propose(t, 2, 40)
+	b := start(t, folder, "b", loopback, a.config.Address)
+	b.await(t, voters(2))
+	qt.Assert(t, b.ReadIndex(t.Context()), qt.IsNil)
+	qt.Assert(t, b.ledger.String() == a.ledger.String(), qt.IsTrue)
+	_, err = a.Propose(t.Context(), make([]byte, MaxCommandBytes+1))
+	qt.Assert(t, waxwingseam.ReplicaReasonOf(err), qt.Equals, waxwingseam.ReasonCommandTooLarge)
+}
+
+// TestStrangersAreRefused starts replicas that are not the cluster's own.
+func TestStrangersAreRefused(t *testing.T) {
+	folder, other := t.TempDir(), t.TempDir()
+	replicas := trio(t, folder)
+	stranger := start(t, other, "d", loopback)
+	qt.Assert(t, stranger.kill(), qt.IsNil)
+	stranger = start(t, other, "d", loopback, replicas[0].config.Address)
+	qt.Assert(t, stranger.ended(), qt.ErrorMatches, "(?s).*belongs to cluster.*")
+	qt.Assert(t, start(t, other, "e", loopback).kill(), qt.IsNil)
+	removed := replicas[2]
+	member := removed.Status().Self
+	qt.Assert(t, removed.kill(), qt.IsNil)
+	err := replicas[1].ChangeMembership(t.Context(), waxwingseam.MembershipChange{Kind: waxwingseam.ChangeRemove, Member: member})
+	qt.Assert(t, err, qt.IsNil)
+	removed = start(t, folder, "c", removed.config.Address, replicas[0].config.Address)
+	qt.Assert(t, removed.ended(), qt.ErrorMatches, "(?s).*is no member any more.*")
+	qt.Assert(t, os.Rename(filepath.Join(other, "e"), filepath.Join(other, "f")), qt.IsNil)
+	_, err = tryStart(t, other, "f", loopback)
+	qt.Assert(t, err, qt.ErrorMatches, `(?s).*is that of replica "e".*`)
+}
+
+func TestCutOffReplicaAnswersNothingAsCurrent(t *testing.T) {
+	replicas := trio(t, t.TempDir())
+	replicas[0].propose(t, 1, 1)
+	left := replicas[2]
+	qt.Assert(t, replicas[0].kill(), qt.IsNil)
+	qt.Assert(t, replicas[1].kill(), qt.IsNil)
+	left.await(t, func(s waxwingseam.ReplicaStatus) bool { return s.Leader == "" })
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	qt.Assert(t, waxwingseam.ReplicaReasonOf(left.ReadIndex(ctx)), qt.Equals, waxwingseam.ReasonNoQuorum)
+	_, err := left.Propose(ctx, []byte("c2"))
+	qt.Assert(t, waxwingseam.ReplicaReasonOf(err), qt.Equals, waxwingseam.ReasonNoQuorum)
+}
+
+// TestSilentConnectionIsLeft has a peer that takes connections and never
+// answers on them.
+func TestSilentConnectionIsLeft(t *testing.T) {
+	var lc net.ListenConfig
+	listener, err := lc.Listen(t.Context(), "tcp", loopback.String())
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = listener.Close() }()
+	config := Config{MessageTimeout: 10 * time.Millisecond}.withDefaults()
+	l := newLinks(config, waxwingseam.ReplicaIdentity{Storage: "s1"})
+	defer l.close()
+	l.learn(waxwingseam.Member{Storage: "s2", Address: netip.MustParseAddrPort(listener.Addr().String())})
+	stop := l.repeat(waxwingseam.ReplicaMessage{To: "s2"})
+	defer stop()
+	for range 2 {
+		conn, err := listener.Accept()
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = conn.Close() }()
+		_, err = io.Copy(io.Discard, conn)
+		qt.Assert(t, err, qt.IsNil)
+	}
+}
+
+// repeat sends a message again and again until it is stopped.
+func (l *links) repeat(m waxwingseam.ReplicaMessage) (stop func()) {
+	ticker := time.NewTicker(time.Millisecond)
+	stopped := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-ticker.C:
+				l.send(m)
+			case <-stopped:
+				ticker.Stop()
+				return
+			}
+		}
+	}()
+	return func() { close(stopped) }
+}
--- a/replicator/failure_test.go
+++ b/replicator/failure_test.go
@@ -113,7 +113,7 @@
 }
 
 func TestAllReplicasRestartTogether(t *testing.T) {
-	for _, n := range []int{0, 500} {
+	for _, n := range []int{0, 500, 10_000} {
 		c := steady(t, noFlaw)
 		c.accept(t, n)
 		for _, s := range c.sites {
