--- a/proposer/loop.go
+++ b/proposer/loop.go
@@ -39,7 +39,7 @@
 		var batch []build
 		select {
 		case <-ctx.Done():
-			return nil
+			return p.resign()
 		case err := <-refused:
 			if err != nil {
 				return err
@@ -59,6 +59,36 @@
 	}
 }
 
+// resign hands a leadership over before the replica stops, and waits for the
+// next leader for as long as the others would wait for this one.
+func (p *proposer) resign() error {
+	if p.Status().Role != waxwingseam.RoleLeader || p.Status().Voters() == 1 {
+		return nil
+	}
+	wait := time.NewTimer(p.config.handoverTimeout())
+	defer wait.Stop()
+	batch := []build{askHandover}
+	for {
+		if err := p.process(p.drain(batch)); err != nil {
+			return err
+		}
+		p.publish()
+		if p.Status().Role != waxwingseam.RoleLeader {
+			return nil
+		}
+		select {
+		case <-wait.C:
+			return nil
+		case b := <-p.inbox:
+			batch = []build{b}
+		}
+	}
+}
+
+func askHandover(s waxwingseam.Stamp) waxwingseam.Event {
+	return waxwingseam.HandoverAsked{Stamp: s}
+}
+
 func tick(s waxwingseam.Stamp) waxwingseam.Event {
 	return waxwingseam.ReplicaTicked{Stamp: s}
 }
--- a/proposer/proposer.go
+++ b/proposer/proposer.go
@@ -4,6 +4,7 @@
 package proposer
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net/netip"
@@ -82,6 +83,11 @@
 	return c
 }
 
+// handoverTimeout is how long a replica that stops waits for another leader.
+func (c Config) handoverTimeout() time.Duration {
+	return time.Duration(cmp.Or(c.Replicator.ElectionTicks, replicator.DefaultElectionTicks)) * c.Tick
+}
+
 type proposer struct {
 	config  Config
 	disk    waxwingseam.Disk
--- a/proposer/request.go
+++ b/proposer/request.go
@@ -109,9 +109,7 @@
 
 // HandOver implements waxwingseam.Proposer.
 func (p *proposer) HandOver() {
-	p.step(context.Background(), func(s waxwingseam.Stamp) waxwingseam.Event {
-		return waxwingseam.HandoverAsked{Stamp: s}
-	})
+	p.step(context.Background(), askHandover)
 }
 
 // atLeader has a request carried out by the leader. While none is known, it
--- a/replication.go
+++ b/replication.go
@@ -187,6 +187,17 @@
 	Refused  ReplicaReason `json:"refused,omitempty"`
 }
 
+// Voters returns how many members vote.
+func (s ReplicaStatus) Voters() int {
+	n := 0
+	for _, v := range s.Members {
+		if v.Voter {
+			n++
+		}
+	}
+	return n
+}
+
 // LeaderMember returns the leader's entry among the members.
 func (s ReplicaStatus) LeaderMember() (Member, bool) {
 	for _, v := range s.Members {
@@ -249,7 +260,8 @@
 
 // Proposer runs one replica.
 type Proposer interface {
-	// Serve runs the replica until the context ends or its disk fails.
+	// Serve runs the replica until the context ends or its disk fails. The
+	// messenger must go on until Serve has returned: a leader hands over first.
 	Serve(ctx context.Context) error
 	// Propose has a command applied and returns the state machine's answer. An
 	// error is a ReplicaError or that of the context; unless its reason is
