replicator: a leader that hands over appends nothing more

Cause: a third of the handovers failed. The leader took a command while its successor was campaigning; the other follower had it, the successor had not, and lost the election for an incomplete log. Change: as in section 3.10 of Ongaro's thesis, proposals are refused as not-leader while a handover is under way, and the successor is the first voter found to hold the whole log.

--- a/replicator/election.go
+++ b/replicator/election.go
@@ -27,6 +27,7 @@
 	for _, p := range r.progress {
 		p.tick(r.config.ElectionTicks)
 	}
+	r.handover.tick()
 	if !r.hasQuorum() {
 		r.follow(r.state.Term, "")
 		return
@@ -90,6 +91,7 @@
 	r.leader = leader
 	r.votes = nil
 	r.progress = nil
+	r.handover = handover{}
 	r.dropRequests()
 }
 
@@ -112,7 +114,7 @@
 }
 
 // campaign asks the voters for their votes. A trial changes no term.
-func (r *replicator) campaign(role waxwingseam.ReplicaRole, handover bool) {
+func (r *replicator) campaign(role waxwingseam.ReplicaRole, invited bool) {
 	r.role = role
 	r.leader = ""
 	r.votes = map[waxwingseam.StorageID]bool{}
@@ -128,7 +130,7 @@
 		}
 		r.send(m.Storage, waxwingseam.ReplicaMessage{VoteRequest: &waxwingseam.VoteRequest{
 			Trial:    trial,
-			Handover: handover,
+			Handover: invited,
 			Term:     term,
 			Last:     r.log.last(),
 		}})
@@ -215,28 +217,3 @@
 	r.append(waxwingseam.LogEntry{Kind: waxwingseam.EntryEmpty})
 	r.heartbeat()
 }
-
-// handOver asks the voter with the longest log to take over.
-func (r *replicator) handOver() {
-	if r.role != waxwingseam.RoleLeader {
-		return
-	}
-	var to waxwingseam.StorageID
-	var best waxwingseam.LogIndex
-	r.others(func(m waxwingseam.Member) {
-		p := r.progress[m.Storage]
-		if m.Voter && p.silent <= r.config.HeartbeatTicks+1 && p.match > best {
-			to, best = m.Storage, p.match
-		}
-	})
-	if to != "" {
-		r.send(to, waxwingseam.ReplicaMessage{Handover: &waxwingseam.Handover{}})
-	}
-}
-
-// takeOver starts an election at the leader's own wish.
-func (r *replicator) takeOver(from waxwingseam.StorageID) {
-	if from == r.leader && r.members.latest().Votes(r.self) {
-		r.campaign(waxwingseam.RoleCandidate, true)
-	}
-}
--- a/replicator/failure_test.go
+++ b/replicator/failure_test.go
@@ -205,9 +205,13 @@
 func TestHandoverNeedsNoTimeout(t *testing.T) {
 	c := steady(t, noFlaw)
 	c.accept(t, 1)
+	early := c.propose(c.sites[0])
 	c.reduce(c.sites[0], waxwingseam.HandoverAsked{Stamp: c.stamp()}, 0)
+	late := c.propose(c.sites[0])
 	c.settle()
 	qt.Assert(t, c.leader(), qt.Not(qt.Equals), c.sites[0])
+	qt.Assert(t, c.accepted[early], qt.Not(qt.Equals), waxwingseam.LogIndex(0))
+	qt.Assert(t, c.refused[late], qt.Equals, waxwingseam.ReasonNotLeader)
 	c.accept(t, 1)
 	c.check(t)
 }
--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -71,7 +71,7 @@
 
 // proposeMembership appends another membership to the leader's log.
 func (r *replicator) proposeMembership(e waxwingseam.MembershipProposed) {
-	if r.role != waxwingseam.RoleLeader {
+	if !r.appends() {
 		r.refuse(e.ID, r.whyNotLeader())
 		return
 	}
@@ -192,7 +192,7 @@
 // promoteCandidate promotes a learner that asked to vote once it holds all
 // that is committed.
 func (r *replicator) promoteCandidate(id waxwingseam.StorageID) {
-	if r.role != waxwingseam.RoleLeader {
+	if !r.appends() {
 		return
 	}
 	m, _ := r.members.latest().Member(id)
--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -204,6 +204,7 @@
 	r.promoteCandidate(from)
 	if r.role == waxwingseam.RoleLeader {
 		r.sendMore(from)
+		r.offerLeadership(from)
 	}
 }
 
@@ -278,7 +279,7 @@
 
 // propose appends a command to the leader's log.
 func (r *replicator) propose(e waxwingseam.CommandProposed) {
-	if r.role != waxwingseam.RoleLeader {
+	if !r.appends() {
 		r.refuse(e.ID, r.whyNotLeader())
 		return
 	}
@@ -287,6 +288,11 @@
 	r.broadcast()
 }
 
+// appends reports whether the replica takes new entries.
+func (r *replicator) appends() bool {
+	return r.role == waxwingseam.RoleLeader && r.handover.ticks == 0
+}
+
 func (r *replicator) whyNotLeader() waxwingseam.ReplicaReason {
 	if r.leader == "" {
 		return waxwingseam.ReasonNoQuorum
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -87,6 +87,7 @@
 	requests map[waxwingseam.LogIndex]request
 	reads    []read
 	round    uint64
+	handover handover
 	// beat counts the ticks since the last round of heartbeats.
 	beat int
 
