--- /dev/null
+++ b/arbiter/joining.go
@@ -0,0 +1,171 @@
+package arbiter
+
+import (
+	"slices"
+	"time"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// joining is a node's search for the view of its service, and its taking over
+// of the claims.
+type joining struct {
+	since time.Time
+	// learned is set once the node was told of other servers.
+	learned bool
+	// pulled are the members whose claims are all here.
+	pulled map[waxwingseam.Life]bool
+	// replaces is set when an earlier life of the node counts.
+	replaces bool
+	// strangers are the nodes that answered that they have no view.
+	strangers map[waxwingseam.ServerName]bool
+}
+
+func newJoining(now time.Time) *joining {
+	return &joining{
+		since:     now,
+		pulled:    map[waxwingseam.Life]bool{},
+		strangers: map[waxwingseam.ServerName]bool{},
+	}
+}
+
+// join asks all other nodes of the service for their claims, or founds the
+// view where there is none.
+func (a *arbiter) join(c *waxwingseam.Context) {
+	if a.founds(c) {
+		a.view.add(a.self(c))
+		a.joined(c)
+		return
+	}
+	if a.aged(c) && a.view.has(a.self(c)) {
+		a.joined(c)
+		return
+	}
+	for _, peer := range a.sortedPeers() {
+		if !a.pulled(peer) {
+			a.ask(c, peer, waxwingseam.WitnessMessage{Request: waxwingseam.RequestJoin})
+		}
+	}
+}
+
+// founds reports whether the node is to found the view: the service is too
+// young for keys of an earlier time, no node has a view, and none that comes
+// before this one in the order of names may found it.
+func (a *arbiter) founds(c *waxwingseam.Context) bool {
+	j := a.joining
+	if !j.learned || c.Now.Sub(j.since) < a.config.Settle || len(a.view.members) > 0 {
+		return false
+	}
+	if service, ok := c.Set.Service(c.Self.Service); !ok || a.old(c, service) {
+		return false
+	}
+	for name := range a.peers {
+		if !j.strangers[name] || name < c.Self.Name {
+			return false
+		}
+	}
+	return true
+}
+
+// old reports whether keys may have been used before any node of the service
+// that lives now was started.
+func (a *arbiter) old(c *waxwingseam.Context, service waxwingseam.Service) bool {
+	return !service.Founded.IsZero() && c.Now.Sub(service.Founded) >= a.config.KeyLife && !a.aged(c)
+}
+
+// aged reports whether the node has granted nothing for so long that it can
+// have forgotten no claim that still stands.
+func (a *arbiter) aged(c *waxwingseam.Context) bool {
+	return c.Now.Sub(a.joining.since) >= a.config.KeyLife
+}
+
+// joinAnswered takes over a member's claims.
+func (a *arbiter) joinAnswered(c *waxwingseam.Context, e waxwingseam.WitnessAnswered) {
+	if e.Answer.Verdict != waxwingseam.WitnessGranted {
+		if a.joining != nil {
+			a.joining.strangers[e.To] = true
+		}
+		return
+	}
+	a.mergeAnswer(c, e.Answer)
+	if e.Answer.Next != 0 {
+		if peer, ok := a.peers[e.To]; ok {
+			a.ask(c, peer, waxwingseam.WitnessMessage{
+				Request: waxwingseam.RequestJoin,
+				Index:   e.Answer.Next,
+			})
+		}
+		return
+	}
+	if a.joining != nil {
+		a.joining.pulled[e.Answer.From] = true
+		if a.pulledEnough(c) {
+			a.joined(c)
+		}
+	}
+}
+
+func (a *arbiter) mergeAnswer(c *waxwingseam.Context, answer waxwingseam.WitnessAnswer) {
+	for _, l := range answer.View.Removed {
+		if l.Name == c.Self.Name && a.joining != nil {
+			a.joining.replaces = true
+		}
+	}
+	a.view.merge(answer.View)
+	a.recordAll(c, answer.Claims)
+}
+
+// pulledEnough reports whether the claims of so many members are here that
+// none with a quorum can be missing, and no other node can have joined unseen.
+func (a *arbiter) pulledEnough(c *waxwingseam.Context) bool {
+	before := len(a.view.members)
+	others := 0
+	pulled := 0
+	for _, l := range a.view.members {
+		if l.Name == c.Self.Name {
+			continue
+		}
+		others++
+		if a.joining.pulled[l] {
+			pulled++
+		}
+	}
+	if !a.joining.replaces {
+		before = others
+	}
+	return pulled >= min(before/2+1, others)
+}
+
+// joined makes the node a witness and goes on with what waited for it.
+func (a *arbiter) joined(c *waxwingseam.Context) {
+	a.joining = nil
+	a.ready = true
+	for _, p := range a.sortedPending() {
+		a.askForClaim(c, p)
+	}
+}
+
+// greetStrangers joins with nodes of the service that do not count yet here,
+// so that views which arose apart become one.
+func (a *arbiter) greetStrangers(c *waxwingseam.Context) {
+	for _, peer := range a.sortedPeers() {
+		if !a.counts(peer) && !peer.Leaving {
+			a.ask(c, peer, waxwingseam.WitnessMessage{Request: waxwingseam.RequestJoin})
+		}
+	}
+}
+
+// counts reports whether a life of a server is a member.
+func (a *arbiter) counts(s waxwingseam.Server) bool {
+	return slices.ContainsFunc(a.view.members, lifeOf(s).Same)
+}
+
+// pulled reports whether all claims of a server are here.
+func (a *arbiter) pulled(s waxwingseam.Server) bool {
+	for l := range a.joining.pulled {
+		if l.Same(lifeOf(s)) {
+			return true
+		}
+	}
+	return false
+}
--- a/forwarder/buffer.go
+++ b/forwarder/buffer.go
@@ -169,6 +169,13 @@
 	}
 }
 
+// freed returns the offset before which bytes may be dropped.
+func (b *buffer) freed() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.released
+}
+
 // wake makes readers look at their stop condition again.
 func (b *buffer) wake() {
 	b.mu.Lock()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -67,7 +67,10 @@
 	// Connections bounds the connections to the backend server.
 	Connections int
 	Self        waxwingseam.Server
-	Logger      *slog.Logger
+	// Arbitrated is set where an arbiter decides on the calls with a caller's
+	// key that may not be repeated.
+	Arbitrated bool
+	Logger     *slog.Logger
 	// MaxBody is the longest request body in bytes.
 	MaxBody int64
 }
@@ -84,6 +87,8 @@
 	hosted    map[waxwingseam.CallID]*hosted
 	inbounds  map[attemptKey]*inbound
 	fences    map[waxwingseam.CallID][]chan waxwingseam.AnswerFence
+	witnesses map[uint64]chan waxwingseam.WitnessAnswer
+	asked     uint64
 }
 
 // New returns a forwarder without calls.
@@ -110,6 +115,7 @@
 		hosted:    map[waxwingseam.CallID]*hosted{},
 		inbounds:  map[attemptKey]*inbound{},
 		fences:    map[waxwingseam.CallID][]chan waxwingseam.AnswerFence{},
+		witnesses: map[uint64]chan waxwingseam.WitnessAnswer{},
 	}
 }
 
@@ -158,6 +164,9 @@
 		waxwingseam.KindJoinRun,
 		waxwingseam.KindAnswerFence,
 		waxwingseam.KindForgetRun,
+		waxwingseam.KindDecideKey,
+		waxwingseam.KindAskWitness,
+		waxwingseam.KindAnswerWitness,
 	}
 }
 
@@ -186,6 +195,12 @@
 		f.answerFence(v)
 	case waxwingseam.ForgetRun:
 		f.forgetRun(v)
+	case waxwingseam.DecideKey:
+		f.decideKey(v)
+	case waxwingseam.AskWitness:
+		go f.askWitness(v)
+	case waxwingseam.AnswerWitness:
+		f.answerWitness(v)
 	}
 }
 
--- a/forwarder/frame.go
+++ b/forwarder/frame.go
@@ -76,6 +76,8 @@
 	Trace waxwingseam.TraceContext `cbor:"21,keyasint"`
 	// Deadline is that of the call on the sender's clock.
 	Deadline time.Time `cbor:"22,keyasint"`
+	// Relayed is set when another node passes the attempt on.
+	Relayed bool `cbor:"24,keyasint,omitempty"`
 	// Host is the host that the caller named.
 	Host string `cbor:"23,keyasint,omitempty"`
 }
--- a/forwarder/hosted.go
+++ b/forwarder/hosted.go
@@ -34,7 +34,9 @@
 	digest  hash.Hash64
 	streams map[waxwingseam.Attempt]*inbound
 	running bool
-	done    bool
+	// relaying is set when another node runs the call.
+	relaying bool
+	done     bool
 	// forgotten is set once the call is kept no more.
 	forgotten bool
 	// followers counts the attempts that follow the reply.
@@ -183,6 +185,13 @@
 	go h.execute(e.Call)
 }
 
+// relayed reports whether another node runs the call.
+func (h *hosted) relayed() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.relaying
+}
+
 // endRun reports the end of a run.
 func (f *Forwarder) endRun(id waxwingseam.CallID, result waxwingseam.Result, elapsed time.Duration) {
 	f.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
--- a/forwarder/inbound.go
+++ b/forwarder/inbound.go
@@ -63,7 +63,18 @@
 	f.mu.Lock()
 	f.inbounds[in.key()] = in
 	f.mu.Unlock()
-	f.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
+	if f.config.Arbitrated && o.Key != "" && o.Repeat == waxwingseam.RepeatNever {
+		in.arriveWithKey()
+	} else {
+		in.arrive()
+	}
+	return in
+}
+
+// arrive steps the attempt's arrival.
+func (in *inbound) arrive() {
+	o := in.opening
+	in.forwarder.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
 		return waxwingseam.AttemptArrived{
 			Stamp:       s,
 			Call:        o.call(s.Now),
@@ -71,7 +82,6 @@
 			Incarnation: o.Incarnation,
 		}
 	})
-	return in
 }
 
 // leave ends the attempt's connection; the run goes on.
@@ -272,7 +282,11 @@
 	return nil
 }
 
+// cancelled steps that the attempt is wanted no more.
 func (in *inbound) cancelled() {
+	if in.host.relayed() {
+		in.host.stop()
+	}
 	in.forwarder.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
 		return waxwingseam.AttemptCancelled{
 			Stamp:   s,
--- /dev/null
+++ b/forwarder/key.go
@@ -0,0 +1,125 @@
+package forwarder
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/messenger"
+)
+
+// witnessPatience is how long a witness's answer is waited for.
+const witnessPatience = 250 * time.Millisecond
+
+// arriveWithKey steps the arrival of an attempt with a caller's key.
+func (in *inbound) arriveWithKey() {
+	o := in.opening
+	in.forwarder.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
+		return waxwingseam.KeyArrived{
+			Stamp:   s,
+			Call:    o.call(s.Now),
+			Attempt: o.Attempt,
+			Relayed: o.Relayed,
+		}
+	})
+}
+
+// decideKey carries out a DecideKey.
+func (f *Forwarder) decideKey(e waxwingseam.DecideKey) {
+	in := f.inbound(attemptKey{e.ID, e.Attempt})
+	switch {
+	case in == nil:
+		f.dropKey(e)
+	case e.Verdict == waxwingseam.KeyAdmit:
+		in.arrive()
+	case e.Verdict == waxwingseam.KeyRelay:
+		in.relay(e.Holder)
+	default:
+		in.answer(e.Result)
+		in.host.forget()
+	}
+}
+
+// dropKey ends an attempt whose connection was lost while its key was decided
+// on.
+func (f *Forwarder) dropKey(e waxwingseam.DecideKey) {
+	f.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
+		return waxwingseam.AttemptCancelled{
+			Stamp:   s,
+			ID:      e.ID,
+			Attempt: e.Attempt,
+		}
+	})
+}
+
+// askWitness carries out an AskWitness.
+func (f *Forwarder) askWitness(e waxwingseam.AskWitness) {
+	answer := &waxwingseam.WitnessAnswer{}
+	err := f.invoke(e.To, methodAsk, &e.Message, answer, witnessPatience)
+	f.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
+		return waxwingseam.WitnessAnswered{
+			Stamp:   s,
+			To:      e.To.Name,
+			Message: e.Message,
+			Reached: err == nil,
+			Answer:  *answer,
+		}
+	})
+}
+
+// invoke makes one call of a method at another node.
+func (f *Forwarder) invoke(to waxwingseam.Server, method string, question, answer any, patience time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	conn, err := f.connect(ctx, to.Node)
+	if err != nil {
+		return err
+	}
+	if err := conn.Invoke(ctx, method, messenger.Encoding, question, answer); err != nil {
+		f.peers.clear(to.Node)
+		go func() { _ = conn.Close() }()
+		return trace.Wrap(err)
+	}
+	f.peers.put(to.Node, conn, time.Now())
+	return nil
+}
+
+// Ask steps a message of another node and waits for the answer.
+func (n *nodeService) Ask(ctx context.Context, m *waxwingseam.WitnessMessage) (*waxwingseam.WitnessAnswer, error) {
+	f := n.forwarder
+	if !f.config.Arbitrated {
+		return nil, trace.NotImplemented("no arbiter")
+	}
+	answer := make(chan waxwingseam.WitnessAnswer, 1)
+	f.mu.Lock()
+	f.asked++
+	number := f.asked
+	f.witnesses[number] = answer
+	f.mu.Unlock()
+	f.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
+		return waxwingseam.WitnessAsked{
+			Stamp:   s,
+			Number:  number,
+			Message: *m,
+		}
+	})
+	select {
+	case a := <-answer:
+		return &a, nil
+	case <-ctx.Done():
+		return nil, trace.Wrap(ctx.Err())
+	}
+}
+
+// answerWitness carries out an AnswerWitness.
+func (f *Forwarder) answerWitness(e waxwingseam.AnswerWitness) {
+	f.mu.Lock()
+	answer := f.witnesses[e.Number]
+	delete(f.witnesses, e.Number)
+	f.mu.Unlock()
+	if answer != nil {
+		answer <- e.Answer
+	}
+}
--- a/forwarder/node.go
+++ b/forwarder/node.go
@@ -16,6 +16,7 @@
 const (
 	methodCall  = "/waxwingseam.Node/Call"
 	methodFence = "/waxwingseam.Node/Fence"
+	methodAsk   = "/waxwingseam.Node/Ask"
 )
 
 // fencePatience is how long the answer to a fence is waited for.
@@ -25,6 +26,7 @@
 type node interface {
 	Call(stream drpc.Stream) error
 	Fence(ctx context.Context, q *fenceQuestion) (*fenceReply, error)
+	Ask(ctx context.Context, m *waxwingseam.WitnessMessage) (*waxwingseam.WitnessAnswer, error)
 }
 
 type nodeService struct {
@@ -48,6 +50,13 @@
 			},
 			Expression: node.Fence,
 		},
+		{
+			Name: methodAsk,
+			Receiver: func(service any, ctx context.Context, in1, _ any) (drpc.Message, error) {
+				return service.(node).Ask(ctx, in1.(*waxwingseam.WitnessMessage))
+			},
+			Expression: node.Ask,
+		},
 	}))
 }
 
--- /dev/null
+++ b/forwarder/relay.go
@@ -0,0 +1,168 @@
+package forwarder
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/messenger"
+)
+
+// relayTries is how often a relayed attempt is sent over a fresh connection.
+const relayTries = 3
+
+// relay passes the attempt on to the server that holds its key; the reply
+// comes back through this node.
+func (in *inbound) relay(holder waxwingseam.Server) {
+	h := in.host
+	ctx, cancel := context.WithDeadline(context.Background(), in.opening.deadline(time.Now()))
+	h.mu.Lock()
+	again := h.running
+	h.running = true
+	h.relaying = true
+	h.cancel = cancel
+	h.mu.Unlock()
+	in.follow(h)
+	if again {
+		cancel()
+		return
+	}
+	go func() {
+		defer cancel()
+		h.relay(ctx, in, holder)
+	}()
+}
+
+// relay carries the call over one connection after another until its result.
+func (h *hosted) relay(ctx context.Context, in *inbound, holder waxwingseam.Server) {
+	result := waxwingseam.Result{
+		Outcome: waxwingseam.OutcomeMayHaveRun,
+		Reason:  waxwingseam.ReasonConnectionFailed,
+	}
+	for range relayTries {
+		got, err := h.relayOnce(ctx, in, holder)
+		if err == nil {
+			result = got
+			break
+		}
+		if ctx.Err() != nil {
+			result.Reason = waxwingseam.ReasonCancelled
+			break
+		}
+	}
+	if result.Completed() {
+		h.reply.end()
+	} else {
+		h.reply.fail(errLeft)
+	}
+	h.settle()
+	result.Reached = true
+	for _, number := range h.attempts() {
+		if in := h.forwarder.inbound(attemptKey{h.opening.ID, number}); in != nil {
+			in.answer(result)
+		}
+	}
+	h.forget()
+}
+
+// attempts lists the attempts that are connected.
+func (h *hosted) attempts() []waxwingseam.Attempt {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make([]waxwingseam.Attempt, 0, len(h.streams))
+	for number := range h.streams {
+		out = append(out, number)
+	}
+	return out
+}
+
+// relayOnce carries the call over one connection.
+func (h *hosted) relayOnce(ctx context.Context, in *inbound, holder waxwingseam.Server) (waxwingseam.Result, error) {
+	f := h.forwarder
+	conn, err := f.connectAnew(ctx, holder.Node)
+	if err != nil {
+		return waxwingseam.Result{}, err
+	}
+	defer func() { _ = conn.Close() }()
+	stream, err := conn.NewStream(ctx, methodCall, messenger.Encoding)
+	if err != nil {
+		return waxwingseam.Result{}, trace.Wrap(err)
+	}
+	c := newChannel(stream, h.reply.freed, func() { _ = conn.Transport().Close() })
+	defer c.stop()
+	opening := *in.opening
+	opening.Relayed = true
+	opening.Incarnation = 0
+	opening.Offset = h.reply.length()
+	opening.Left = time.Until(in.opening.deadline(time.Now()))
+	if err := c.send(frame{Kind: frameOpen, Open: &opening}); err != nil {
+		return waxwingseam.Result{}, err
+	}
+	ended := make(chan struct{})
+	defer close(ended)
+	stop := context.AfterFunc(ctx, func() { _ = c.send(frame{Kind: frameCancel}) })
+	defer stop()
+	go h.relayBody(c, ended)
+	return h.relayReply(c)
+}
+
+// relayBody sends the request body on until the connection ends.
+func (h *hosted) relayBody(c *channel, ended <-chan struct{}) {
+	halted := func() bool {
+		select {
+		case <-ended:
+			return true
+		default:
+			return false
+		}
+	}
+	if err := newPump(c, h.body, halted).send(h.body.start()); err != nil || halted() {
+		return
+	}
+	h.mu.Lock()
+	f := frame{
+		Kind:   frameEnd,
+		Length: h.body.length(),
+		Digest: h.digest.Sum64(),
+	}
+	h.mu.Unlock()
+	_ = c.send(f)
+}
+
+// relayReply takes the reply in until the result. The sender checks its digest.
+func (h *hosted) relayReply(c *channel) (waxwingseam.Result, error) {
+	for {
+		f, err := c.receive()
+		if err != nil {
+			return waxwingseam.Result{}, err
+		}
+		h.taken.Store(max(h.taken.Load(), f.Taken))
+		h.body.release(f.Taken)
+		switch f.Kind {
+		case frameHead:
+			h.relayHead(f.Head)
+		case frameData:
+			data, err := unseen(f, h.reply.length())
+			if err != nil {
+				return waxwingseam.Result{}, err
+			}
+			if err := h.reply.add(data); err != nil {
+				return waxwingseam.Result{}, err
+			}
+		case frameResult:
+			if f.Result == nil {
+				return waxwingseam.Result{}, trace.BadParameter("a result frame without a result")
+			}
+			return *f.Result, nil
+		}
+	}
+}
+
+func (h *hosted) relayHead(head *heading) {
+	if head != nil && h.head == nil {
+		h.head = head
+		close(h.headed)
+	}
+}
--- a/outcome.go
+++ b/outcome.go
@@ -51,4 +51,5 @@
 	ReasonDigestMismatch   Reason = "digest-mismatch"
 	ReasonReplyNotKept     Reason = "reply-not-kept"
 	ReasonBodyTaken        Reason = "body-taken"
+	ReasonKeyUnproven      Reason = "key-unproven"
 )
--- a/recorder/catalog.go
+++ b/recorder/catalog.go
@@ -36,5 +36,8 @@
 		waxwingseam.RunEnded{},
 		waxwingseam.FenceAsked{},
 		waxwingseam.DrainAsked{},
+		waxwingseam.KeyArrived{},
+		waxwingseam.WitnessAsked{},
+		waxwingseam.WitnessAnswered{},
 	)
 }
