--- a/historian/historian.go
+++ b/historian/historian.go
@@ -47,12 +47,7 @@
 // Historian is the state that a replicated log applies its commands to. Sets
 // that it hands out are shared and must not be changed.
 type Historian interface {
-	// Apply applies a command of the log and returns its encoded answer.
-	Apply(command []byte) []byte
-	// Snapshot returns the whole state.
-	Snapshot() ([]byte, error)
-	// Restore replaces the whole state.
-	Restore(snapshot []byte) error
+	waxwingseam.Applier
 	// Head returns the set in force and its digest.
 	Head() (*waxwingseam.Set, uint64)
 	// Set returns the set of an earlier revision.
@@ -116,10 +111,10 @@
 	}
 }
 
-// Apply implements Historian.
-func (h *historian) Apply(command []byte) []byte {
+// Apply implements waxwingseam.Applier.
+func (h *historian) Apply(_ waxwingseam.LogIndex, command []byte) []byte {
 	var c Command
-	var answer Answer
+	answer := Answer{Verdict: VerdictUnreadable}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if err := cbor.Unmarshal(command, &c); err == nil {
@@ -172,9 +167,13 @@
 func (h *historian) accept(c Command, change checker.Change) Answer {
 	before := h.state.Head
 	next := change.Apply(before)
+	digest := change.Digest(before, h.state.Digest)
+	if digest == h.state.Digest {
+		return Answer{Verdict: VerdictUnchanged, Revision: before.Revision}
+	}
 	next.Revision = before.Revision + 1
 	h.state.Head = next
-	h.state.Digest = checker.Digest(next)
+	h.state.Digest = digest
 	ids := change.IDs()
 	h.state.Entries = appendBounded(h.state.Entries, keptEntries, Entry{
 		Revision:   next.Revision,
@@ -233,12 +232,15 @@
 func (h *historian) Set(r waxwingseam.Revision) (*waxwingseam.Set, error) {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
-	set := h.state.Head
+	if r == h.state.Head.Revision {
+		return h.state.Head, nil
+	}
+	set := checker.Clone(h.state.Head)
 	if r > set.Revision {
 		return nil, trace.NotFound("revision %d does not exist; the newest is %d", r, set.Revision)
 	}
 	for i := len(h.state.Undos) - 1; i >= 0 && set.Revision > r; i-- {
-		set = h.state.Undos[i].Change.Apply(set)
+		h.state.Undos[i].Change.ApplyTo(set)
 		set.Revision = h.state.Undos[i].Revision - 1
 	}
 	if set.Revision != r {
@@ -266,7 +268,7 @@
 	return all[first:min(len(all), first+limit)]
 }
 
-// Snapshot implements Historian.
+// Snapshot implements waxwingseam.Applier.
 func (h *historian) Snapshot() ([]byte, error) {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
@@ -274,7 +276,7 @@
 	return data, trace.Wrap(err)
 }
 
-// Restore implements Historian.
+// Restore implements waxwingseam.Applier.
 func (h *historian) Restore(snapshot []byte) error {
 	var s state
 	if err := cbor.Unmarshal(snapshot, &s); err != nil {
