--- a/assembler/process.go
+++ b/assembler/process.go
@@ -178,9 +178,11 @@
 		Control: p.settings.Process.ControlAddresses,
 		Dialer:  p.dialer,
 		Self:    self,
-		Step:    node.Runner.Step,
-		Logger:  p.logger.Part("subscriber"),
-		Seed:    newSeed(),
+		// The arbiter needs to know the other servers of its own service.
+		Services: []waxwingseam.ServiceName{settings.Service},
+		Step:     node.Runner.Step,
+		Logger:   p.logger.Part("subscriber"),
+		Seed:     newSeed(),
 	})
 	p.interests.subscriber = p.subscriber
 	node.Runner.Attach(announcer{p.subscriber})
