--- a/balancer/target.go
+++ b/balancer/target.go
@@ -12,8 +12,12 @@
 	warmUp = 10 * time.Second
 	// coldWeight is the share that it starts with.
 	coldWeight = 0.2
-	// loadLifetime is how long a reported threshold is believed.
-	loadLifetime = 300 * time.Millisecond
+	// thresholdTurns is for how many service times a reported threshold is
+	// believed, within minThresholdLifetime and maxThresholdLifetime: by then the
+	// queue that led to it may have emptied.
+	thresholdTurns       = 2
+	minThresholdLifetime = 10 * time.Millisecond
+	maxThresholdLifetime = 300 * time.Millisecond
 	// latencyMemory is the time in which an old latency fades.
 	latencyMemory = time.Second
 	// failureStatus is the least HTTP status that counts as a failure.
@@ -99,7 +103,8 @@
 
 // shedding reports whether the server was seen to refuse calls just now.
 func (t *target) shedding(c *waxwingseam.Context) bool {
-	return t.load.Shedding && c.Now.Sub(t.loadAt) < loadLifetime
+	lifetime := min(max(thresholdTurns*t.load.ServiceTime, minThresholdLifetime), maxThresholdLifetime)
+	return t.load.Shedding && c.Now.Sub(t.loadAt) < lifetime
 }
 
 // refuses reports whether the server would refuse a call of a rank. Ranks of
