dispatcher: a call that finds no second server keeps its last reason

Change: where no server is left for a retry, the answer is that of the last attempt, and the retry goes back to the pot.

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -174,6 +174,16 @@
 	qt.Assert(t, n.step(child), qt.Equals, "reply:did-not-run:unknown-context")
 }
 
+// TestLastServerGoes checks that a call keeps the reason of its last attempt
+// where no server is left for another, and the retry that it did not use.
+func TestLastServerGoes(t *testing.T) {
+	n := newNode("ledger-1")
+	leaving := refused
+	leaving.Load.Leaving = true
+	qt.Assert(t, n.call("ledger"), qt.Equals, "dispatch#1+2")
+	qt.Assert(t, n.ended(1, leaving), qt.Equals, "reply:did-not-run:draining")
+}
+
 // TestRunEnds checks that the children of an ended run are cancelled.
 func TestRunEnds(t *testing.T) {
 	n := newNode("ledger-1")
--- a/dispatcher/flight.go
+++ b/dispatcher/flight.go
@@ -17,6 +17,8 @@
 	tried      []waxwingseam.ServerName
 	replayable bool
 	backingOff bool
+	// last is the result of the last attempt that ended.
+	last waxwingseam.Result
 }
 
 // proof is what is known of whether an attempt ran.
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -15,7 +15,7 @@
 	}
 	choice := d.Balancer.Choose(c, query)
 	if choice.Refused {
-		d.finish(c, f, waxwingseam.Result{Reason: choice.Reason, RetryAfter: choice.RetryAfter})
+		d.unsent(c, f, choice)
 		return
 	}
 	share := min(d.Retrier.Split(f.pot.Left), f.pot.Left)
@@ -33,6 +33,18 @@
 	c.Emit(waxwingseam.Dispatch{Call: call, Attempt: number, Server: choice.Server})
 }
 
+// unsent answers a call that finds no server. One that has been sent before
+// keeps the reason of its last attempt and the retry that it did not use.
+func (d *dispatcher) unsent(c *waxwingseam.Context, f *flight, choice waxwingseam.Choice) {
+	result := waxwingseam.Result{Reason: choice.Reason, RetryAfter: choice.RetryAfter}
+	if len(f.attempts) > 0 {
+		f.pot.Left++
+		result = f.last
+		result.RetryAfter = max(result.RetryAfter, choice.RetryAfter)
+	}
+	d.finish(c, f, result)
+}
+
 // settle ends an attempt and tells the balancer.
 func (d *dispatcher) settle(c *waxwingseam.Context, f *flight, a *attempt, p proof, result waxwingseam.Result) {
 	a.proof = p
@@ -50,6 +62,7 @@
 
 // proceed follows a settled attempt with another one or with the answer.
 func (d *dispatcher) proceed(c *waxwingseam.Context, f *flight, a *attempt, result waxwingseam.Result) {
+	f.last = result
 	answer := waxwingseam.RetryAnswer{}
 	if f.repeatable() && f.pot.Left > 0 {
 		answer = d.Retrier.Decide(c, waxwingseam.RetryQuestion{
