admitter: bounds by depth wait until enough runs were seen

Cause: a new node sees the deepest calls end first, gave shallower ones one slot, and starved them. Change: bounds by measured time hold after 2 runs a slot, a fixed part for each deeper depth until then; a depth out of use is forgotten. The experiment uses the real deduplicator and drainer, and follows Tracker.Open and Close.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -56,6 +56,8 @@
 // Offer implements waxwingseam.Admitter.
 func (a *admitter) Offer(c *waxwingseam.Context, t waxwingseam.Ticket) []waxwingseam.Admission {
 	a.now = c.Now
+	_, depth := level(&t)
+	a.reserve.arrived(depth)
 	if c.Now.Add(a.limiter.ServiceTime()).After(t.Deadline) {
 		return []waxwingseam.Admission{a.refuse(t, waxwingseam.ReasonDeadline)}
 	}
--- a/admitter/reserve.go
+++ b/admitter/reserve.go
@@ -7,6 +7,14 @@
 	reservePeriod = 100 * time.Millisecond
 	// reserveKeep is what one change keeps of what was seen before it.
 	reserveKeep = 0.99
+	// forgotten is the time that a depth not in use any more may still weigh.
+	forgotten = time.Microsecond
+	// reserveRuns times the limit is how many runs are seen before the bounds
+	// follow them.
+	reserveRuns = 2
+	// reserveParts is the part of the limit that each deeper depth has until
+	// then.
+	reserveParts = 16
 )
 
 // reserve keeps slots free for calls that come deeper in the chain, so that
@@ -19,12 +27,21 @@
 	held    [depths]time.Duration
 	bounds  [depths]float64
 	deepest int
+	seen    [depths]bool
+	runs    int
 	updated time.Time
 }
 
+// arrived notes a depth in use.
+func (r *reserve) arrived(depth int) {
+	r.seen[depth] = true
+	r.deepest = max(r.deepest, depth)
+}
+
 // finished takes in the end of a run that was served.
 func (r *reserve) finished(now time.Time, depth int, held time.Duration) {
 	r.held[depth] += held
+	r.runs++
 	if now.Sub(r.updated) < reservePeriod {
 		return
 	}
@@ -34,13 +51,15 @@
 
 func (r *reserve) update() {
 	var total, above time.Duration
-	for d, held := range r.held {
+	for _, held := range r.held {
 		total += held
-		if held > 0 {
-			r.deepest = d
-		}
 	}
+	r.deepest = 0
 	for d, held := range r.held {
+		r.seen[d] = r.seen[d] && held > forgotten
+		if r.seen[d] {
+			r.deepest = d
+		}
 		above += held
 		r.bounds[d] = float64(above) / float64(max(total, 1))
 		r.held[d] = time.Duration(float64(held) * reserveKeep)
@@ -53,5 +72,19 @@
 	if depth >= r.deepest {
 		return limit
 	}
+	if r.runs < reserveRuns*limit {
+		return r.first(limit, depth)
+	}
 	return max(min(int(r.bounds[depth]*float64(limit)+0.5), limit-1), 1)
 }
+
+// first returns the bound of a depth while little has been seen.
+func (r *reserve) first(limit, depth int) int {
+	deeper := 0
+	for _, seen := range r.seen[depth+1:] {
+		if seen {
+			deeper++
+		}
+	}
+	return max(limit-deeper*max(limit/reserveParts, 1), 1)
+}
--- a/experimenter/layer.go
+++ b/experimenter/layer.go
@@ -7,7 +7,9 @@
 	"waxwingseam.example/waxwingseam/admitter"
 	"waxwingseam.example/waxwingseam/balancer"
 	"waxwingseam.example/waxwingseam/classifier"
+	"waxwingseam.example/waxwingseam/deduplicator"
 	"waxwingseam.example/waxwingseam/dispatcher"
+	"waxwingseam.example/waxwingseam/drainer"
 	"waxwingseam.example/waxwingseam/limiter"
 	"waxwingseam.example/waxwingseam/receiver"
 	"waxwingseam.example/waxwingseam/reducer"
@@ -52,14 +54,14 @@
 func Variant(name string, newAdmitter func() waxwingseam.Admitter) Layer {
 	return Layer{Name: name, New: func(self waxwingseam.Server) waxwingseam.Reducer {
 		retries := retrier.New(retrier.Config{})
-		runs := tracker.New(tracker.Config{Splitter: retries})
+		runs := tracker.New(tracker.Config{})
 		return reducer.New(reducer.Config{
 			Self: self,
 			Workers: []waxwingseam.Prioritized{
 				{Priority: receiver.Priority, Worker: receiver.New(receiver.Config{
 					Admitter:     newAdmitter(),
-					Deduplicator: newRecords(),
-					Drainer:      openDoor{},
+					Deduplicator: deduplicator.New(deduplicator.Config{}),
+					Drainer:      drainer.New(),
 					Tracker:      runs,
 				})},
 				{Priority: senderPriority, Worker: dispatcher.New(dispatcher.Config{
--- a/experimenter/records.go
+++ b/experimenter/records.go
@@ -78,12 +78,12 @@
 	return call, ok
 }
 
-func (f *families) Draw(parent, child waxwingseam.CallID) waxwingseam.Allowance {
+func (f *families) Open(parent, child waxwingseam.CallID) *waxwingseam.Pot {
 	f.children[parent] = append(f.children[parent], child)
-	return 0
+	return &waxwingseam.Pot{}
 }
 
-func (f *families) Return(waxwingseam.CallID, waxwingseam.CallID, waxwingseam.Allowance) {}
+func (f *families) Close(waxwingseam.CallID, waxwingseam.CallID) {}
 
 func (f *families) Unspent(waxwingseam.CallID) waxwingseam.Allowance { return 0 }
 
--- a/experimenter/sender.go
+++ b/experimenter/sender.go
@@ -107,7 +107,7 @@
 		ok = ok && live
 		call.Root, call.Rank, call.Deadline = parent.Root, parent.Rank, parent.Deadline
 		call.Depth = parent.Depth + 1
-		s.families.Draw(e.Parent, e.ID)
+		s.families.Open(e.Parent, e.ID)
 	}
 	if !ok {
 		c.Emit(waxwingseam.Reply{ID: e.ID, Result: failure(waxwingseam.ReasonUnknownContext)})
