--- a/experimenter/layer.go
+++ b/experimenter/layer.go
@@ -7,7 +7,9 @@
 	"waxwingseam.example/waxwingseam/admitter"
 	"waxwingseam.example/waxwingseam/balancer"
 	"waxwingseam.example/waxwingseam/classifier"
+	"waxwingseam.example/waxwingseam/deduplicator"
 	"waxwingseam.example/waxwingseam/dispatcher"
+	"waxwingseam.example/waxwingseam/drainer"
 	"waxwingseam.example/waxwingseam/limiter"
 	"waxwingseam.example/waxwingseam/receiver"
 	"waxwingseam.example/waxwingseam/reducer"
@@ -58,8 +60,8 @@
 			Workers: []waxwingseam.Prioritized{
 				{Priority: receiver.Priority, Worker: receiver.New(receiver.Config{
 					Admitter:     newAdmitter(),
-					Deduplicator: newRecords(),
-					Drainer:      openDoor{},
+					Deduplicator: deduplicator.New(deduplicator.Config{}),
+					Drainer:      drainer.New(),
 					Tracker:      runs,
 				})},
 				{Priority: senderPriority, Worker: dispatcher.New(dispatcher.Config{
