demonstrator: a deployment under a surge without the layer and with it

Cause: newcomers and operators need to see what the layer does, in one command. Change: waxwingseam demo with stand-ins of both deployments, callers that retry hard, real control and node code in one process, an audit of the event logs, a table and an SVG plot.

--- a/assembler/chain_test.go
+++ b/assembler/chain_test.go
@@ -84,7 +84,7 @@
 		Address:     loopback,
 		Slots:       4,
 		ServiceTime: time.Millisecond,
-		Children:    children,
+		Routes:      []imitator.Route{{Prefix: "/", Children: children}},
 	})
 	qt.Assert(t, err, qt.IsNil)
 	peer, err := messenger.Listen(ctx, messenger.ServerConfig{Address: loopback})
--- a/assembler/process.go
+++ b/assembler/process.go
@@ -28,10 +28,20 @@
 // closeTimeout bounds the export of the last spans.
 const closeTimeout = 2 * time.Second
 
+// ProcessConfig holds what a process is assembled from.
+type ProcessConfig struct {
+	Settings loader.Settings
+	Logger   *logger.Logger
+	// Observers see the events and effects of the node's reducer, beside the
+	// process's own metrics and traces.
+	Observers []runner.Observer
+}
+
 // Process is one process of the system with the roles of its settings.
 type Process struct {
 	settings   loader.Settings
 	logger     *logger.Logger
+	extra      []runner.Observer
 	protection protection
 	messenger  *messenger.Server
 	dialer     messenger.Dialer
@@ -51,10 +61,11 @@
 }
 
 // NewProcess assembles a process and opens its listener for other processes.
-func NewProcess(ctx context.Context, settings loader.Settings, l *logger.Logger) (*Process, error) {
+func NewProcess(ctx context.Context, config ProcessConfig) (*Process, error) {
 	p := &Process{
-		settings: settings,
-		logger:   l,
+		settings: config.Settings,
+		logger:   config.Logger,
+		extra:    config.Observers,
 		meter:    meter.New(),
 	}
 	steps := []func(context.Context) error{
@@ -203,7 +214,7 @@
 	if p.tracer != nil {
 		observers = append(observers, p.tracer)
 	}
-	return observers
+	return append(observers, p.extra...)
 }
 
 // Serve runs the process. When stop ends, the node drains: it refuses new work
--- a/cmd/imitator/main.go
+++ b/cmd/imitator/main.go
@@ -65,13 +65,15 @@
 			return config, trace.BadParameter("outbound: %v", err)
 		}
 	}
+	route := imitator.Route{Prefix: "/"}
 	for _, v := range c.Child {
 		service, path, _ := strings.Cut(v, "/")
-		config.Children = append(config.Children, imitator.Child{
+		route.Children = append(route.Children, imitator.Child{
 			Service: waxwingseam.ServiceName(service),
 			Path:    "/" + path,
 		})
 	}
+	config.Routes = []imitator.Route{route}
 	return config, nil
 }
 
--- a/cmd/waxwingseam/main.go
+++ b/cmd/waxwingseam/main.go
@@ -31,6 +31,7 @@
 	Status     statusCommand     `cmd:"" help:"Show replicas, nodes and backend servers."`
 	Drain      drainCommand      `cmd:"" help:"Take a backend server out of service."`
 	Initialize initializeCommand `cmd:"" help:"Create the identity of a new cluster, once."`
+	Demo       demoCommand       `cmd:"" help:"Show a deployment under a surge, without the layer and with it."`
 	Version    versionCommand    `cmd:"" help:"Print the version."`
 }
 
--- a/cmd/waxwingseam/serve.go
+++ b/cmd/waxwingseam/serve.go
@@ -11,10 +11,13 @@
 	"waxwingseam.example/waxwingseam/assembler"
 	"waxwingseam.example/waxwingseam/loader"
 	"waxwingseam.example/waxwingseam/logger"
+	"waxwingseam.example/waxwingseam/recorder"
+	"waxwingseam.example/waxwingseam/runner"
 )
 
 type serveCommand struct {
 	Settings string `required:"" type:"path" help:"Settings file of the process."`
+	Record   string `type:"path" help:"File to record the node's events and effects in."`
 }
 
 // Run serves until a signal comes. The first SIGTERM or interrupt drains, the
@@ -34,7 +37,21 @@
 	stop, drain := context.WithCancel(abort)
 	defer drain()
 	go c.watchSignals(l, drain, leave)
-	process, err := assembler.NewProcess(abort, settings, l)
+	config := assembler.ProcessConfig{
+		Settings: settings,
+		Logger:   l,
+	}
+	if c.Record != "" {
+		file, err := os.Create(c.Record)
+		if err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		defer func() { _ = file.Close() }()
+		events := recorder.New(recorder.Config{Writer: file})
+		defer func() { _ = events.Flush() }()
+		config.Observers = []runner.Observer{events}
+	}
+	process, err := assembler.NewProcess(abort, config)
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- /dev/null
+++ b/demonstrator/deployment.go
@@ -0,0 +1,160 @@
+package demonstrator
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/examples"
+	"waxwingseam.example/waxwingseam/imitator"
+)
+
+// Deployment is a set of services with the requests that callers make.
+type Deployment struct {
+	Name string
+	// Objects is the set of objects in INI.
+	Objects  []byte
+	Services []Service
+	Requests []Request
+}
+
+// Service describes the stand-ins of one service.
+type Service struct {
+	Name    waxwingseam.ServiceName
+	Servers int
+	Slots   int
+	// ServiceTime is the mean work of one request.
+	ServiceTime time.Duration
+	Routes      []imitator.Route
+}
+
+// Request is one kind of request that callers make.
+type Request struct {
+	Name    string
+	Service waxwingseam.ServiceName
+	Method  string
+	Path    string
+	// Percent is its share of all requests.
+	Percent int
+	// Body is the length of its body in bytes.
+	Body int
+	// Once is set for requests that may not be repeated.
+	Once bool
+	// Patience is how long a caller waits for one try.
+	Patience time.Duration
+}
+
+// serviceTime is the mean work of one request at every stand-in. It is long, so
+// that the deployments are saturated by a load that one machine can make.
+const serviceTime = 200 * time.Millisecond
+
+// photoSize is the length of an uploaded body in bytes.
+const photoSize = 64 << 10
+
+// Deployments returns the deployments by name.
+func Deployments() []Deployment {
+	return []Deployment{VanDalen(), Jnina()}
+}
+
+// Find returns the deployment of a name.
+func Find(name string) (Deployment, error) {
+	for _, d := range Deployments() {
+		if d.Name == name {
+			return d, nil
+		}
+	}
+	return Deployment{}, trace.NotFound("no deployment %q", name)
+}
+
+// VanDalen returns the hallmarking office: fees is the small service below the
+// others.
+func VanDalen() Deployment {
+	fee := imitator.Child{Service: "fees", Path: "/fees/1"}
+	mark := imitator.Child{Service: "mark-ledger", Method: http.MethodPost, Path: "/marks"}
+	check := imitator.Child{Service: "mark-ledger", Path: "/checks/1"}
+	return Deployment{
+		Name:    "van-dalen",
+		Objects: examples.VanDalen,
+		Services: []Service{
+			{Name: "lot-desk", Servers: 3, Slots: 60, Routes: []imitator.Route{
+				{Prefix: "/registrations", Children: []imitator.Child{mark}},
+				{Prefix: "/lots", Children: []imitator.Child{fee}},
+				{Prefix: "/checks", Children: []imitator.Child{check}},
+			}},
+			{Name: "mark-ledger", Servers: 3, Slots: 60, Routes: []imitator.Route{
+				{Prefix: "/marks", Children: []imitator.Child{fee}},
+			}},
+			{Name: "assay-images", Servers: 4, Slots: 50},
+			{Name: "fees", Servers: 3, Slots: 15},
+		},
+		Requests: []Request{
+			{Name: "lot-registration", Service: "lot-desk", Method: http.MethodPost, Path: "/registrations", Percent: 20, Once: true, Patience: 3 * time.Second},
+			{Name: "photo-upload", Service: "assay-images", Method: http.MethodPut, Path: "/photos/1", Percent: 15, Body: photoSize, Patience: 3 * time.Second},
+			{Name: "lot-lookup", Service: "lot-desk", Method: http.MethodGet, Path: "/lots/1", Percent: 40, Patience: time.Second},
+			{Name: "lot-check", Service: "lot-desk", Method: http.MethodGet, Path: "/checks/1", Percent: 25, Patience: time.Second},
+		},
+	}
+}
+
+// Jnina returns the association for seasonal work: rosters is the small service
+// below the others.
+func Jnina() Deployment {
+	roster := imitator.Child{Service: "rosters", Path: "/rosters/1"}
+	place := imitator.Child{Service: "placements", Path: "/placements/1"}
+	return Deployment{
+		Name:    "jnina",
+		Objects: examples.Jnina,
+		Services: []Service{
+			{Name: "job-board", Servers: 4, Slots: 130, Routes: []imitator.Route{
+				{Prefix: "/jobs", Children: []imitator.Child{roster}},
+				{Prefix: "/checks", Children: []imitator.Child{place}},
+			}},
+			{Name: "placements", Servers: 3, Slots: 170, Routes: []imitator.Route{
+				{Prefix: "/placements", Children: []imitator.Child{roster}},
+			}},
+			{Name: "paperwork", Servers: 3, Slots: 170},
+			{Name: "rosters", Servers: 3, Slots: 30},
+		},
+		Requests: []Request{
+			{Name: "placement", Service: "placements", Method: http.MethodPost, Path: "/placements", Percent: 20, Once: true, Patience: 3 * time.Second},
+			{Name: "document-upload", Service: "paperwork", Method: http.MethodPut, Path: "/documents/1", Percent: 10, Body: photoSize, Patience: 3 * time.Second},
+			{Name: "roster-lookup", Service: "rosters", Method: http.MethodGet, Path: "/rosters/1", Percent: 30, Patience: time.Second},
+			{Name: "job-browsing", Service: "job-board", Method: http.MethodGet, Path: "/jobs/1", Percent: 40, Patience: time.Second},
+		},
+	}
+}
+
+// Saturation returns the most requests a second that the deployment completes
+// in its mix: the service with the least room decides.
+func (d Deployment) Saturation() float64 {
+	load := map[waxwingseam.ServiceName]float64{}
+	for _, r := range d.Requests {
+		d.addLoad(load, r.Service, r.Path, float64(r.Percent)/100)
+	}
+	least := 0.0
+	for _, s := range d.Services {
+		if load[s.Name] == 0 {
+			continue
+		}
+		rate := float64(s.Servers*s.Slots) / serviceTime.Seconds() / load[s.Name]
+		if least == 0 || rate < least {
+			least = rate
+		}
+	}
+	return least
+}
+
+// addLoad adds a call and those below it.
+func (d Deployment) addLoad(load map[waxwingseam.ServiceName]float64, service waxwingseam.ServiceName, path string, share float64) {
+	load[service] += share
+	for _, s := range d.Services {
+		if s.Name != service {
+			continue
+		}
+		for _, c := range imitator.Children(s.Routes, path) {
+			d.addLoad(load, c.Service, c.Path, share)
+		}
+	}
+}
--- /dev/null
+++ b/demonstrator/plot.go
@@ -0,0 +1,30 @@
+package demonstrator
+
+import (
+	"io"
+
+	"github.com/gravitational/trace"
+	"github.com/wcharczuk/go-chart/v2"
+)
+
+// Plot writes the completed requests over time as an SVG.
+func Plot(w io.Writer, reports []Report) error {
+	graph := chart.Chart{
+		Title: "Completed requests a second",
+		XAxis: chart.XAxis{Name: "seconds"},
+		YAxis: chart.YAxis{Name: "requests a second"},
+	}
+	for _, r := range reports {
+		series := chart.ContinuousSeries{Name: "layer off"}
+		if r.On {
+			series.Name = "layer on"
+		}
+		for n, v := range r.Completed {
+			series.XValues = append(series.XValues, float64(n)*bucket.Seconds())
+			series.YValues = append(series.YValues, float64(v)/bucket.Seconds())
+		}
+		graph.Series = append(graph.Series, series)
+	}
+	graph.Elements = []chart.Renderable{chart.Legend(&graph)}
+	return trace.Wrap(graph.Render(chart.SVG, w))
+}
--- /dev/null
+++ b/demonstrator/report.go
@@ -0,0 +1,241 @@
+package demonstrator
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/imitator"
+)
+
+const (
+	// bucket is the width of the windows that goodput is counted in.
+	bucket = 500 * time.Millisecond
+	// recoveredShare is the share of completed requests that counts as
+	// recovered, in parts of that before the surge.
+	recoveredShare = 0.95
+	// wholePercent turns shares into hundredths.
+	wholePercent = 100
+)
+
+// KindReport counts the requests of one kind that began during the surge.
+type KindReport struct {
+	Name      string
+	Offered   int
+	Completed int
+	// DidNotRun, MayHaveRun and Other split the rest by the last answer.
+	DidNotRun  int
+	MayHaveRun int
+	Other      int
+}
+
+// Report is what one demonstration showed.
+type Report struct {
+	On         bool
+	Deployment string
+	// Goodput is the rate of whole requests completed in the surge, in parts
+	// of saturation.
+	Goodput float64
+	// Recovery is the time from the surge's end until completions are back.
+	Recovery  time.Duration
+	Recovered bool
+	// TriesPerRequest counts the callers' own tries.
+	TriesPerRequest float64
+	// RunsPerRequest counts the stand-ins' runs for each request offered.
+	RunsPerRequest float64
+	// Doubled counts not-repeatable requests that ran more than once at one
+	// service.
+	Doubled int
+	// Wasted is the share of runs that served requests which failed.
+	Wasted float64
+	Kinds  []KindReport
+	// Audit lists broken promises; nil with the layer off.
+	Audit error
+	// Completed counts the completed requests by the window they began in.
+	Completed []int
+}
+
+// summary returns the parts of an answer that show whose request it answers.
+func summary(data []byte) string {
+	var answer imitator.Answer
+	if err := json.Unmarshal(data, &answer); err != nil {
+		return "not an answer"
+	}
+	return fmt.Sprintf("%s %s %d", answer.Path, answer.Tag, answer.BodyDigest)
+}
+
+// newReport counts what the callers and the stand-ins saw.
+func newReport(f *fleet, l *load, on bool) Report {
+	r := Report{
+		On:         on,
+		Deployment: f.deployment.Name,
+		Completed:  make([]int, l.schedule.length/bucket),
+	}
+	offered := make([]int, len(r.Completed))
+	done := map[string]bool{}
+	tries := 0
+	for _, k := range f.deployment.Requests {
+		r.Kinds = append(r.Kinds, KindReport{Name: k.Name})
+	}
+	for _, o := range l.outcomes {
+		tries += o.tries
+		done[o.tag] = o.done
+		n := min(int(o.began/bucket), len(offered)-1)
+		offered[n]++
+		if o.done {
+			r.Completed[n]++
+		}
+		if o.began >= l.schedule.surgeStart && o.began < l.schedule.surgeEnd {
+			r.Kinds[o.kind].add(o)
+		}
+	}
+	r.TriesPerRequest = float64(tries) / float64(max(len(l.outcomes), 1))
+	r.measureGoodput(l.schedule)
+	r.measureRecovery(l.schedule, offered)
+	r.measureRuns(f, done)
+	return r
+}
+
+func (k *KindReport) add(o outcome) {
+	k.Offered++
+	switch {
+	case o.done:
+		k.Completed++
+	case o.answer == waxwingseam.OutcomeDidNotRun.String():
+		k.DidNotRun++
+	case o.answer == waxwingseam.OutcomeMayHaveRun.String():
+		k.MayHaveRun++
+	default:
+		k.Other++
+	}
+}
+
+func (r *Report) measureGoodput(s schedule) {
+	completed := 0
+	for _, k := range r.Kinds {
+		completed += k.Completed
+	}
+	r.Goodput = float64(completed) / (s.surgeEnd - s.surgeStart).Seconds() / s.saturation
+}
+
+// measureRecovery finds the first window after the surge from which on the
+// share of completed requests stays near that before the surge.
+func (r *Report) measureRecovery(s schedule, offered []int) {
+	before := share(r.Completed, offered, 0, int(s.surgeStart/bucket))
+	first := int(s.surgeEnd / bucket)
+	recovered := len(offered)
+	for n := len(offered) - 1; n >= first; n-- {
+		if share(r.Completed, offered, n, n+1) < recoveredShare*before {
+			break
+		}
+		recovered = n
+	}
+	r.Recovered = recovered < len(offered)
+	r.Recovery = time.Duration(recovered)*bucket - s.surgeEnd
+}
+
+func share(completed, offered []int, from, to int) float64 {
+	some, all := 0, 0
+	for n := from; n < to; n++ {
+		some += completed[n]
+		all += offered[n]
+	}
+	if all == 0 {
+		return 1
+	}
+	return float64(some) / float64(all)
+}
+
+// measureRuns counts the stand-ins' own lists of runs.
+func (r *Report) measureRuns(f *fleet, done map[string]bool) {
+	runs, wasted := 0, 0
+	doubled := map[runKey]int{}
+	for _, s := range f.standIns {
+		for _, v := range s.Ledger().Runs() {
+			runs++
+			if !done[v.Tag] {
+				wasted++
+			}
+			if v.Method == "POST" {
+				doubled[runKey{s.service.Name, v.Tag}]++
+			}
+		}
+	}
+	for _, n := range doubled {
+		if n > 1 {
+			r.Doubled++
+		}
+	}
+	r.RunsPerRequest = float64(runs) / float64(max(len(done), 1))
+	r.Wasted = float64(wasted) / float64(max(runs, 1))
+}
+
+// runKey names a request at one service.
+type runKey struct {
+	service waxwingseam.ServiceName
+	tag     string
+}
+
+// Print writes reports side by side as a table.
+func Print(w io.Writer, reports []Report) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	rows := []struct {
+		name  string
+		value func(r Report) string
+	}{
+		{"layer", func(r Report) string { return map[bool]string{true: "on", false: "off"}[r.On] }},
+		{"goodput in the surge, % of saturation", func(r Report) string { return percent(r.Goodput) }},
+		{"recovery after the surge", Report.recoveryText},
+		{"callers' tries per request", func(r Report) string { return fmt.Sprintf("%.2f", r.TriesPerRequest) }},
+		{"runs at backend servers per request", func(r Report) string { return fmt.Sprintf("%.2f", r.RunsPerRequest) }},
+		{"not-repeatable requests run twice", func(r Report) string { return fmt.Sprint(r.Doubled) }},
+		{"runs for requests that failed, %", func(r Report) string { return percent(r.Wasted) }},
+		{"broken promises found by the audit", Report.auditText},
+	}
+	for _, row := range rows {
+		fmt.Fprint(t, row.name)
+		for _, r := range reports {
+			fmt.Fprint(t, "\t", row.value(r))
+		}
+		fmt.Fprintln(t)
+	}
+	fmt.Fprintln(t, "\nrequests begun in the surge\tlayer\toffered\tcompleted\tdid-not-run\tmay-have-run\tother")
+	for _, r := range reports {
+		for _, k := range r.Kinds {
+			fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\n", k.Name, map[bool]string{true: "on", false: "off"}[r.On], k.Offered, k.Completed, k.DidNotRun, k.MayHaveRun, k.Other)
+		}
+	}
+	return t.Flush()
+}
+
+func (r Report) recoveryText() string {
+	if !r.Recovered {
+		return "not within the demonstration"
+	}
+	return r.Recovery.String()
+}
+
+func (r Report) auditText() string {
+	if !r.On {
+		return "not audited"
+	}
+	if r.Audit == nil {
+		return "none"
+	}
+	return r.Audit.Error()
+}
+
+func percent(share float64) string {
+	return fmt.Sprintf("%.1f", wholePercent*share)
+}
+
+// Failed reports whether the layer, where it is on, broke a promise.
+func Failed(reports []Report) bool {
+	return slices.ContainsFunc(reports, func(r Report) bool {
+		return r.On && (r.Audit != nil || r.Doubled > 0)
+	})
+}
--- /dev/null
+++ b/imitator/child.go
@@ -0,0 +1,100 @@
+package imitator
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// directTimeout bounds one direct call to another stand-in.
+const directTimeout = time.Second
+
+// Peer is another stand-in that is called directly.
+type Peer struct {
+	Service waxwingseam.ServiceName
+	Address netip.AddrPort
+}
+
+// Children returns the calls that the first matching route names.
+func Children(routes []Route, path string) []Child {
+	for _, v := range routes {
+		if strings.HasPrefix(path, v.Prefix) {
+			return v.Children
+		}
+	}
+	return nil
+}
+
+// callChildren makes the calls of a request, in order; false when one failed.
+func (i *Imitator) callChildren(r *http.Request) bool {
+	for _, c := range Children(i.config.Routes, r.URL.Path) {
+		if !i.callChild(r, c) {
+			return false
+		}
+	}
+	return true
+}
+
+// callChild makes one call through the node, or directly with retries.
+func (i *Imitator) callChild(r *http.Request, c Child) bool {
+	if len(i.config.Direct) == 0 {
+		return i.send(r.Context(), r, c, i.config.Outbound, "/"+string(c.Service)+c.Path)
+	}
+	for range 1 + i.config.Retries {
+		if i.callDirectly(r, c) {
+			return true
+		}
+	}
+	return false
+}
+
+func (i *Imitator) callDirectly(r *http.Request, c Child) bool {
+	ctx, cancel := context.WithTimeout(r.Context(), directTimeout)
+	defer cancel()
+	return i.send(ctx, r, c, i.pick(c.Service), c.Path)
+}
+
+// pick returns a random stand-in of a service.
+func (i *Imitator) pick(service waxwingseam.ServiceName) netip.AddrPort {
+	var addresses []netip.AddrPort
+	for _, p := range i.config.Direct {
+		if p.Service == service {
+			addresses = append(addresses, p.Address)
+		}
+	}
+	if len(addresses) == 0 {
+		return netip.AddrPort{}
+	}
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return addresses[i.random.IntN(len(addresses))]
+}
+
+// send makes one call and reads the whole answer.
+func (i *Imitator) send(ctx context.Context, r *http.Request, c Child, address netip.AddrPort, path string) bool {
+	method := c.Method
+	if method == "" {
+		method = http.MethodGet
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address.String()+path, nil)
+	if err != nil {
+		return false
+	}
+	for _, name := range []string{ContextHeader, TagHeader} {
+		if v := r.Header.Get(name); v != "" {
+			request.Header.Set(name, v)
+		}
+	}
+	response, err := i.client.Do(request)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err == nil && response.StatusCode < http.StatusBadRequest
+}
--- a/imitator/imitator.go
+++ b/imitator/imitator.go
@@ -27,13 +27,22 @@
 // headerTimeout bounds the reading of request headers.
 const headerTimeout = 5 * time.Second
 
-// Child is a call that the stand-in makes to another service for each request.
+// Child is a call that the stand-in makes to another service.
 type Child struct {
 	Service waxwingseam.ServiceName
+	// Method is the HTTP method; GET when empty.
+	Method string
 	// Path is appended to the service's name.
 	Path string
 }
 
+// Route says which calls the stand-in makes for matching requests.
+type Route struct {
+	// Prefix is the beginning of the paths that match.
+	Prefix   string
+	Children []Child
+}
+
 // Config describes one stand-in backend server.
 type Config struct {
 	Name    waxwingseam.ServerName
@@ -51,8 +60,14 @@
 	ColdTime time.Duration
 	// LoadLag is how old its load endpoint's answer may be.
 	LoadLag time.Duration
-	// Children are called in order within each request.
-	Children []Child
+	// Routes name the calls made within each request, in order; the first that
+	// matches counts.
+	Routes []Route
+	// Direct lists other stand-ins that are called without the system between;
+	// with it, Outbound is unused.
+	Direct []Peer
+	// Retries is how often a failed direct call is repeated.
+	Retries int
 	// Seed starts the random spread of the work.
 	Seed uint64
 }
@@ -118,6 +133,11 @@
 	i.config.Outbound = address
 }
 
+// SetDirect sets the other stand-ins before the first request comes.
+func (i *Imitator) SetDirect(peers []Peer) {
+	i.config.Direct = peers
+}
+
 // Serve serves until the context ends.
 func (i *Imitator) Serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = i.server.Close() })
@@ -201,28 +221,3 @@
 	defer i.mu.Unlock()
 	return time.Duration(float64(i.config.ServiceTime) * (0.5 + i.random.Float64()))
 }
-
-func (i *Imitator) callChildren(r *http.Request) bool {
-	for _, c := range i.config.Children {
-		if !i.callChild(r, c) {
-			return false
-		}
-	}
-	return true
-}
-
-func (i *Imitator) callChild(r *http.Request, c Child) bool {
-	url := "http://" + i.config.Outbound.String() + "/" + string(c.Service) + c.Path
-	request, err := http.NewRequestWithContext(r.Context(), http.MethodGet, url, nil)
-	if err != nil {
-		return false
-	}
-	request.Header.Set(ContextHeader, r.Header.Get(ContextHeader))
-	response, err := i.client.Do(request)
-	if err != nil {
-		return false
-	}
-	defer func() { _ = response.Body.Close() }()
-	_, err = io.Copy(io.Discard, response.Body)
-	return err == nil && response.StatusCode < http.StatusBadRequest
-}
