--- a/experimenter/backend.go
+++ b/experimenter/backend.go
@@ -30,6 +30,9 @@
 	connections int
 	// parallel is how many runs work at full speed at once.
 	parallel int
+	// drag is the part of its speed that the server loses to each further
+	// multiple of that.
+	drag float64
 	// speed scales all work; 1 is usual.
 	speed float64
 
@@ -91,10 +94,12 @@
 
 // rate is the speed at which each working run proceeds.
 func (b *backend) rate() float64 {
-	if n := len(b.working); n > b.parallel {
-		return b.speed * float64(b.parallel) / float64(n)
+	n := len(b.working)
+	if n <= b.parallel {
+		return b.speed
 	}
-	return b.speed
+	times := float64(n) / float64(b.parallel)
+	return b.speed / times / (1 + b.drag*(times-1))
 }
 
 // setSpeed scales all work from now on.
--- a/experimenter/node.go
+++ b/experimenter/node.go
@@ -210,10 +210,12 @@
 	n.backend.setSpeed(speed)
 }
 
-// SetParallel bounds how many runs work at full speed at once.
-func (n *Node) SetParallel(parallel int) {
+// SetParallel bounds how many runs work at full speed at once; the server loses
+// the part drag of its speed to each further multiple of that.
+func (n *Node) SetParallel(parallel int, drag float64) {
 	n.backend.advance()
 	n.backend.parallel = parallel
+	n.backend.drag = drag
 	n.backend.plan()
 }
 
