--- a/assembler/node.go
+++ b/assembler/node.go
@@ -88,6 +88,7 @@
 		Connections: config.Connections,
 		Self:        config.Self,
 		NewTrace:    config.NewTrace,
+		Arbitrated:  true,
 		Logger:      config.Logger.Part("node"),
 	})
 	n.Runner.Attach(n.Forwarder)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -70,7 +70,10 @@
 	// NewTrace returns the trace of a root whose caller sent none; unset for
 	// no traces.
 	NewTrace func(waxwingseam.RootID) waxwingseam.TraceContext
-	Logger   *slog.Logger
+	// Arbitrated is set where an arbiter decides on the calls with a caller's
+	// key that may not be repeated.
+	Arbitrated bool
+	Logger     *slog.Logger
 	// MaxBody is the longest request body in bytes.
 	MaxBody int64
 }
@@ -87,6 +90,8 @@
 	hosted    map[waxwingseam.CallID]*hosted
 	inbounds  map[attemptKey]*inbound
 	fences    map[waxwingseam.CallID][]chan waxwingseam.AnswerFence
+	witnesses map[uint64]chan waxwingseam.WitnessAnswer
+	asked     uint64
 }
 
 // New returns a forwarder without calls.
@@ -113,6 +118,7 @@
 		hosted:    map[waxwingseam.CallID]*hosted{},
 		inbounds:  map[attemptKey]*inbound{},
 		fences:    map[waxwingseam.CallID][]chan waxwingseam.AnswerFence{},
+		witnesses: map[uint64]chan waxwingseam.WitnessAnswer{},
 	}
 }
 
@@ -161,6 +167,9 @@
 		waxwingseam.KindJoinRun,
 		waxwingseam.KindAnswerFence,
 		waxwingseam.KindForgetRun,
+		waxwingseam.KindDecideKey,
+		waxwingseam.KindAskWitness,
+		waxwingseam.KindAnswerWitness,
 	}
 }
 
@@ -189,6 +198,12 @@
 		f.answerFence(v)
 	case waxwingseam.ForgetRun:
 		f.forgetRun(v)
+	case waxwingseam.DecideKey:
+		f.decideKey(v)
+	case waxwingseam.AskWitness:
+		go f.askWitness(v)
+	case waxwingseam.AnswerWitness:
+		f.answerWitness(v)
 	}
 }
 
