--- /dev/null
+++ b/authenticator/authenticator_test.go
@@ -0,0 +1,236 @@
+package authenticator
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"fmt"
+	"log/slog"
+	"math/big"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var quiet = slog.New(slog.DiscardHandler)
+
+// authority signs certificates under test.
+type authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+func newAuthority(t *testing.T) *authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	qt.Assert(t, err, qt.IsNil)
+	template := &x509.Certificate{
+		SerialNumber:          big.NewInt(1),
+		NotBefore:             time.Now().Add(-time.Hour),
+		NotAfter:              time.Now().Add(time.Hour),
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		KeyUsage:              x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	qt.Assert(t, err, qt.IsNil)
+	certificate, err := x509.ParseCertificate(der)
+	qt.Assert(t, err, qt.IsNil)
+	return &authority{certificate: certificate, key: key}
+}
+
+// issue writes a certificate with its key, and the authority that its holder
+// trusts, to files of a folder.
+func (a *authority) issue(t *testing.T, folder string, id Identity, expires time.Time, trusts *authority) CertificateConfig {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	qt.Assert(t, err, qt.IsNil)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(2),
+		NotBefore:    time.Now().Add(-time.Hour),
+		NotAfter:     expires,
+		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+		URIs:         []*url.URL{{Scheme: scheme, Host: string(id.Role), Path: "/" + id.Name}},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	qt.Assert(t, err, qt.IsNil)
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	qt.Assert(t, err, qt.IsNil)
+	write := func(name, kind string, data []byte) string {
+		path := filepath.Join(folder, name)
+		block := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data})
+		qt.Assert(t, os.WriteFile(path, block, 0o600), qt.IsNil)
+		return path
+	}
+	return CertificateConfig{
+		CertificateFile: write("certificate.pem", "CERTIFICATE", der),
+		KeyFile:         write("key.pem", "PRIVATE KEY", keyDER),
+		AuthorityFile:   write("authority.pem", "CERTIFICATE", trusts.certificate.Raw),
+		Logger:          quiet,
+	}
+}
+
+func open(t *testing.T, config CertificateConfig) Certificates {
+	c, err := NewCertificates(config)
+	qt.Assert(t, err, qt.IsNil)
+	return c
+}
+
+// shake makes one TLS handshake on loopback and returns what either side says.
+func shake(t *testing.T, server, client *tls.Config) (atServer, atClient error) {
+	var lc net.ListenConfig
+	listener, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = listener.Close() }()
+	done := make(chan error, 1)
+	go func() { done <- greet(t, listener, server) }()
+	raw, err := net.Dial("tcp", listener.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	conn := tls.Client(raw, client)
+	_, atClient = conn.Read(make([]byte, 1))
+	_ = raw.Close()
+	return <-done, atClient
+}
+
+// greet takes one connection and writes a byte once its handshake is done.
+func greet(t *testing.T, listener net.Listener, config *tls.Config) error {
+	raw, err := listener.Accept()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = raw.Close() }()
+	conn := tls.Server(raw, config)
+	if err := conn.HandshakeContext(t.Context()); err != nil {
+		return err
+	}
+	_, err = conn.Write([]byte{1})
+	return err
+}
+
+func TestHandshake(t *testing.T) {
+	good, bad := newAuthority(t), newAuthority(t)
+	later, past := time.Now().Add(time.Hour), time.Now().Add(-time.Minute)
+	control, node, alice := Identity{RoleControl, "r1"}, Identity{RoleNode, "fees-1"}, Identity{RoleOperator, "alice"}
+	for _, v := range []struct {
+		name                   string
+		serverBy, clientBy     *authority
+		server, client         Identity
+		serverTill, clientTill time.Time
+		serverSays, clientSays string
+	}{
+		{"fits", good, good, control, node, later, later, "", ""},
+		{"client of another authority", good, bad, control, node, later, later, ".*unknown authority.*", ".*"},
+		{"client expired", good, good, control, node, later, past, ".*expired.*", ".*"},
+		{"client of a wrong role", good, good, control, alice, later, later, ".*is a operator.*", ".*"},
+		{"server of another authority", bad, good, control, node, later, later, ".*", ".*unknown authority.*"},
+		{"server expired", good, good, control, node, past, later, ".*", ".*expired.*"},
+		{"server of a wrong role", good, good, node, node, later, later, ".*", ".*is a node.*"},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			server := open(t, v.serverBy.issue(t, t.TempDir(), v.server, v.serverTill, good))
+			client := open(t, v.clientBy.issue(t, t.TempDir(), v.client, v.clientTill, good))
+			atServer, atClient := shake(t, server.Server(RoleNode, RoleControl), client.Client(RoleControl))
+			matches(t, atServer, v.serverSays)
+			matches(t, atClient, v.clientSays)
+		})
+	}
+}
+
+func matches(t *testing.T, err error, pattern string) {
+	t.Helper()
+	if pattern == "" {
+		qt.Assert(t, err, qt.IsNil)
+		return
+	}
+	qt.Assert(t, err, qt.ErrorMatches, pattern)
+}
+
+// TestReload replaces the files of both sides by those of another authority;
+// unusable files in between leave the old ones in force.
+func TestReload(t *testing.T) {
+	first, second := newAuthority(t), newAuthority(t)
+	later := time.Now().Add(time.Hour)
+	folders := []string{t.TempDir(), t.TempDir()}
+	ids := []Identity{{RoleControl, "r1"}, {RoleNode, "fees-1"}}
+	var sides []*certificates
+	for i, folder := range folders {
+		sides = append(sides, open(t, first.issue(t, folder, ids[i], later, first)).(*certificates))
+	}
+	server, client := sides[0].Server(RoleNode), sides[1].Client(RoleControl)
+	try := func() error {
+		for i, c := range sides {
+			c.checked, c.modified[i] = time.Time{}, time.Time{}
+		}
+		_, err := shake(t, server, client)
+		return err
+	}
+	qt.Assert(t, try(), qt.IsNil)
+	qt.Assert(t, os.WriteFile(filepath.Join(folders[0], "key.pem"), []byte("torn"), 0o600), qt.IsNil)
+	qt.Assert(t, try(), qt.IsNil)
+	second.issue(t, folders[0], ids[0], later, second)
+	qt.Assert(t, try(), qt.IsNotNil)
+	second.issue(t, folders[1], ids[1], later, second)
+	qt.Assert(t, try(), qt.IsNil)
+}
+
+func TestGuard(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "operators.ini")
+	text := fmt.Sprintf("[operator alice]\nrights = write\ntoken-digest = %s\n[operator bob]\nrights = read\ntoken-digest = %s\n", Digest("a"), Digest("b"))
+	qt.Assert(t, os.WriteFile(file, []byte(text), 0o600), qt.IsNil)
+	refuse := func(w http.ResponseWriter, status int, reason, _ string) { http.Error(w, reason, status) }
+	g, err := NewGuard(GuardConfig{OperatorsFile: file, Refuse: refuse, Logger: quiet})
+	qt.Assert(t, err, qt.IsNil)
+	name := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write([]byte(OperatorOf(r.Context()).Name))
+	})
+	ask := func(token string, right Right) (int, string) {
+		r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/", http.NoBody)
+		if token != "" {
+			r.Header.Set("Authorization", "Bearer "+token)
+		}
+		w := httptest.NewRecorder()
+		g.Identify(g.Require(right)(name)).ServeHTTP(w, r)
+		return w.Code, w.Body.String()
+	}
+	for _, v := range []struct {
+		token string
+		right Right
+		code  int
+		body  string
+	}{
+		{"a", RightWrite, http.StatusOK, "alice"},
+		{"a", RightRead, http.StatusOK, "alice"},
+		{"b", RightRead, http.StatusOK, "bob"},
+		{"b", RightWrite, http.StatusForbidden, "missing-right\n"},
+		{"c", RightRead, http.StatusUnauthorized, "unknown-operator\n"},
+		{"", RightRead, http.StatusUnauthorized, "unknown-operator\n"},
+	} {
+		code, body := ask(v.token, v.right)
+		qt.Assert(t, code, qt.Equals, v.code)
+		qt.Assert(t, body, qt.Equals, v.body)
+	}
+	limited := 0
+	for range 2 * rateBurst {
+		if code, _ := ask("b", RightRead); code == http.StatusTooManyRequests {
+			limited++
+		}
+	}
+	qt.Assert(t, limited > 0, qt.IsTrue)
+	code, _ := ask("a", RightRead)
+	qt.Assert(t, code, qt.Equals, http.StatusOK)
+}
+
+func TestOperatorsFileFindings(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "operators.ini")
+	qt.Assert(t, os.WriteFile(file, []byte("[alice]\nrights = all\ntoken-digest = 12\n"), 0o600), qt.IsNil)
+	_, findings := loadOperators(file)
+	qt.Assert(t, findings, qt.HasLen, 4)
+}
--- a/authenticator/identity.go
+++ b/authenticator/identity.go
@@ -42,6 +42,23 @@
 	return Identity{}, trace.AccessDenied("certificate has no waxwingseam URI")
 }
 
+// replicaMethods begin the names of the methods that only control replicas
+// may call.
+const replicaMethods = "/waxwingseam.Replica/"
+
+// Authorize lets a drpc call through by the role of its peer's certificate;
+// over plain text it lets all through.
+func Authorize(ctx context.Context, method string) error {
+	id, plain, err := PeerIdentity(ctx)
+	if plain || err != nil {
+		return err
+	}
+	if id.Role == RoleControl || id.Role == RoleNode && !strings.HasPrefix(method, replicaMethods) {
+		return nil
+	}
+	return trace.AccessDenied("%s %s may not call %s", id.Role, id.Name, method)
+}
+
 // PeerIdentity returns the identity of the peer of a drpc call. Plain is set
 // where the connection is not protected and says nothing of the peer.
 func PeerIdentity(ctx context.Context) (id Identity, plain bool, err error) {
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -7,6 +7,7 @@
 	"net/netip"
 
 	"github.com/gravitational/trace"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -14,8 +15,9 @@
 
 // Server serves the drpc services of one process on one listener.
 type Server struct {
-	mux      *drpcmux.Mux
-	listener net.Listener
+	mux       *drpcmux.Mux
+	listener  net.Listener
+	authorize func(ctx context.Context, method string) error
 }
 
 // ServerConfig holds a server's listener.
@@ -23,6 +25,8 @@
 	Address netip.AddrPort
 	// TLS is nil for plain text.
 	TLS *tls.Config
+	// Authorize lets a call of a method through, or fails it; nil for all.
+	Authorize func(ctx context.Context, method string) error
 }
 
 // Listen returns a server that listens and does not serve yet.
@@ -36,8 +40,9 @@
 		listener = tls.NewListener(listener, config.TLS)
 	}
 	return &Server{
-		mux:      drpcmux.New(),
-		listener: listener,
+		mux:       drpcmux.New(),
+		listener:  listener,
+		authorize: config.Authorize,
 	}, nil
 }
 
@@ -53,7 +58,17 @@
 
 // Serve serves until the context ends.
 func (s *Server) Serve(ctx context.Context) error {
-	return trace.Wrap(drpcserver.New(s.mux).Serve(ctx, s.listener))
+	return trace.Wrap(drpcserver.New(s).Serve(ctx, s.listener))
+}
+
+// HandleRPC implements drpc.Handler.
+func (s *Server) HandleRPC(stream drpc.Stream, method string) error {
+	if s.authorize != nil {
+		if err := s.authorize(stream.Context(), method); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return s.mux.HandleRPC(stream, method)
 }
 
 // Dialer opens connections to other processes.
--- a/publisher/session.go
+++ b/publisher/session.go
@@ -13,6 +13,7 @@
 	"storj.io/drpc/drpcctx"
 
 	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/authenticator"
 	"waxwingseam.example/waxwingseam/messenger"
 )
 
@@ -70,12 +71,31 @@
 	if err := stream.MsgRecv(&first, messenger.Encoding); err != nil {
 		return trace.Wrap(err)
 	}
+	if err := vouch(stream, first); err != nil {
+		return err
+	}
 	p.join(s, first)
 	defer p.leave(s)
 	go s.read(stream, silence)
 	return s.write(stream)
 }
 
+// vouch checks a first report against the certificate of the watcher: a node
+// may announce only the backend server that its certificate names.
+func vouch(stream drpc.Stream, first Report) error {
+	id, plain, err := authenticator.PeerIdentity(stream.Context())
+	if plain || err != nil || id.Role == authenticator.RoleControl {
+		return err
+	}
+	if first.Peer {
+		return trace.AccessDenied("%s is a %s, not another control replica", id.Name, id.Role)
+	}
+	if first.Announcement != nil && string(first.Announcement.Server.Name) != id.Name {
+		return trace.AccessDenied("%s announces %s", id.Name, first.Announcement.Server.Name)
+	}
+	return nil
+}
+
 // hangUp closes the connection below a stream, which ends pending sends.
 func hangUp(stream drpc.Stream) {
 	if transport, ok := drpcctx.Transport(stream.Context()); ok {
@@ -125,7 +145,7 @@
 	if r.Interest != nil {
 		p.widen(s, *r.Interest)
 	}
-	if r.Announcement != nil {
+	if r.Announcement != nil && (s.server == "" || r.Announcement.Server.Name == s.server) {
 		s.announcement = r.Announcement
 		s.server = r.Announcement.Server.Name
 	}
@@ -136,7 +156,7 @@
 	}
 	p.config.Step(func(stamp waxwingseam.Stamp) waxwingseam.Event {
 		if r.Announcement != nil {
-			return waxwingseam.ServerAnnounced{Stamp: stamp, Announcement: *r.Announcement}
+			return waxwingseam.ServerAnnounced{Stamp: stamp, Announcement: *announcement}
 		}
 		return waxwingseam.LeaseRenewed{
 			Stamp:       stamp,
