--- /dev/null
+++ b/assembler/workers.go
@@ -0,0 +1,56 @@
+// Package assembler puts the parts of a process together. The default workers
+// of a node stand here, in one place.
+package assembler
+
+import (
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/admitter"
+	"waxwingseam.example/waxwingseam/arbiter"
+	"waxwingseam.example/waxwingseam/balancer"
+	"waxwingseam.example/waxwingseam/classifier"
+	"waxwingseam.example/waxwingseam/deduplicator"
+	"waxwingseam.example/waxwingseam/dispatcher"
+	"waxwingseam.example/waxwingseam/drainer"
+	"waxwingseam.example/waxwingseam/limiter"
+	"waxwingseam.example/waxwingseam/receiver"
+	"waxwingseam.example/waxwingseam/retrier"
+	"waxwingseam.example/waxwingseam/tracker"
+)
+
+// priorityDispatcher is the dispatcher's place among the workers. It follows
+// up the runs that the receiver cancels in the same event, so it stands after
+// it, and after the arbiter.
+const priorityDispatcher = 2 * receiver.Priority
+
+// Workers returns the default workers of a node.
+func Workers(self waxwingseam.Server) []waxwingseam.Prioritized {
+	runs := tracker.New(tracker.Config{})
+	records := deduplicator.New(deduplicator.Config{})
+	return []waxwingseam.Prioritized{
+		{
+			Priority: receiver.Priority,
+			Worker: receiver.New(receiver.Config{
+				Admitter: admitter.New(admitter.Config{
+					Limiter: limiter.NewFixed(),
+					Roots:   limiter.NewQueueDelay(),
+				}),
+				Deduplicator: records,
+				Drainer:      drainer.New(),
+				Tracker:      runs,
+			}),
+		},
+		{
+			Priority: arbiter.Priority,
+			Worker:   arbiter.New(arbiter.Config{Deduplicator: records}),
+		},
+		{
+			Priority: priorityDispatcher,
+			Worker: dispatcher.New(dispatcher.Config{
+				Classifier: classifier.New(),
+				Balancer:   balancer.New(balancer.Config{Self: self.Name, DataCentre: self.DataCentre}),
+				Retrier:    retrier.New(retrier.Config{}),
+				Tracker:    runs,
+			}),
+		},
+	}
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -9,6 +9,10 @@
 	"waxwingseam.example/waxwingseam"
 )
 
+// Priority is the dispatcher's place among the workers: after the receiver,
+// whose cancelled runs it follows up.
+const Priority = 200
+
 // The purposes of the dispatcher's timers.
 const (
 	PurposeDeadline waxwingseam.TimerPurpose = "call-deadline"
@@ -28,10 +32,10 @@
 type dispatcher struct {
 	Config
 	flights map[waxwingseam.CallID]*flight
+	keys    keys
 }
 
-// New returns a dispatcher without calls. In the order of workers it stands
-// after the receiver, whose cancelled runs it follows up.
+// New returns a dispatcher without calls.
 func New(config Config) waxwingseam.Worker {
 	config.Routers = slices.Clone(config.Routers)
 	slices.SortStableFunc(config.Routers, func(a, b waxwingseam.PrioritizedRouter) int {
@@ -40,6 +44,7 @@
 	return &dispatcher{
 		Config:  config,
 		flights: map[waxwingseam.CallID]*flight{},
+		keys:    keys{pots: map[rootKey]*keyedPot{}},
 	}
 }
 
@@ -49,6 +54,7 @@
 		waxwingseam.KindCallArrived,
 		waxwingseam.KindCallerLeft,
 		waxwingseam.KindReplyStarted,
+		waxwingseam.KindBodyTaken,
 		waxwingseam.KindAttemptEnded,
 		waxwingseam.KindAttemptSilent,
 		waxwingseam.KindFenceAnswered,
@@ -68,7 +74,9 @@
 	case waxwingseam.CallerLeft:
 		d.leave(c, v)
 	case waxwingseam.ReplyStarted:
-		d.replyStarted(v)
+		d.keepFromRetry(v.ID)
+	case waxwingseam.BodyTaken:
+		d.keepFromRetry(v.ID)
 	case waxwingseam.AttemptEnded:
 		d.attemptEnded(c, v)
 	case waxwingseam.AttemptSilent:
--- a/dispatcher/flight.go
+++ b/dispatcher/flight.go
@@ -10,12 +10,15 @@
 type flight struct {
 	call  waxwingseam.Call
 	limit waxwingseam.RetryLimit
-	// left is the allowance in hand; open attempts hold their shares.
-	left       waxwingseam.Allowance
+	// pot is the allowance in hand, shared with the other children of the run
+	// that made the call; open attempts hold their shares.
+	pot        *waxwingseam.Pot
 	attempts   []attempt
 	tried      []waxwingseam.ServerName
 	replayable bool
 	backingOff bool
+	// last is the result of the last attempt that ended.
+	last waxwingseam.Result
 }
 
 // proof is what is known of whether an attempt ran.
--- a/dispatcher/outcome.go
+++ b/dispatcher/outcome.go
@@ -6,11 +6,16 @@
 	"waxwingseam.example/waxwingseam"
 )
 
-// clockSkew bounds how far the clocks of two hosts differ.
-const clockSkew = 2 * time.Second
+const (
+	// clockSkew bounds how far the clocks of two hosts differ.
+	clockSkew = 2 * time.Second
+	// failureStatus is the least HTTP status that counts as a failure.
+	failureStatus = 500
+)
 
-func (d *dispatcher) replyStarted(e waxwingseam.ReplyStarted) {
-	if f, ok := d.flights[e.ID]; ok {
+// keepFromRetry marks a call that can't be sent again as a whole.
+func (d *dispatcher) keepFromRetry(id waxwingseam.CallID) {
+	if f, ok := d.flights[id]; ok {
 		f.replayable = false
 	}
 }
@@ -34,7 +39,8 @@
 	switch {
 	case result.Completed():
 		d.complete(c, f, a, result)
-	case result.Outcome == waxwingseam.OutcomeDidNotRun && a.proves(result):
+	case a.provesNotRun(result):
+		result.Outcome = waxwingseam.OutcomeDidNotRun
 		d.settle(c, f, a, proofNotRun, result)
 		d.proceed(c, f, a, result)
 	default:
@@ -42,15 +48,23 @@
 	}
 }
 
-// proves reports whether a did-not-run speaks for the whole attempt: once it
-// has been taken up again, a connection that failed says nothing of the first.
-func (a *attempt) proves(result waxwingseam.Result) bool {
-	return result.Reached || a.resumes == 0
+// provesNotRun reports whether a result proves that the attempt did not run.
+// Once it has been taken up again, a connection that failed says nothing of the
+// first one. A node that is in another life than the one meant has refused the
+// attempt, and that of the first connection reached no other.
+func (a *attempt) provesNotRun(result waxwingseam.Result) bool {
+	first := a.resumes == 0
+	if result.Reached && result.Reason == waxwingseam.ReasonIncarnation {
+		return first
+	}
+	return result.Outcome == waxwingseam.OutcomeDidNotRun && (result.Reached || first)
 }
 
 func (d *dispatcher) complete(c *waxwingseam.Context, f *flight, a *attempt, result waxwingseam.Result) {
-	f.left += min(result.Unspent, a.share)
-	d.Retrier.Succeeded(f.call.Service)
+	f.pot.Left += min(result.Unspent, a.share)
+	if result.Status < failureStatus {
+		d.Retrier.Succeeded(f.call.Service, f.limit)
+	}
 	d.settle(c, f, a, proofNone, result)
 	d.reply(c, f, result)
 }
@@ -61,7 +75,7 @@
 	switch {
 	case !result.Reached && a.resumes == 0:
 		d.resume(c, f, a)
-	case a.resumes > 0 && !a.fenced && f.call.Repeat == waxwingseam.RepeatNever:
+	case a.resumes > 0 && !a.fenced:
 		d.fence(c, f, a)
 	default:
 		d.giveUp(c, f, a, result)
@@ -70,7 +84,7 @@
 
 // giveUp settles an attempt that may have run.
 func (d *dispatcher) giveUp(c *waxwingseam.Context, f *flight, a *attempt, result waxwingseam.Result) {
-	f.left += min(result.Unspent, a.share)
+	f.pot.Left += min(result.Unspent, a.share)
 	result.Outcome = waxwingseam.OutcomeMayHaveRun
 	d.settle(c, f, a, proofNone, result)
 	d.proceed(c, f, a, result)
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -6,6 +6,7 @@
 func (d *dispatcher) send(c *waxwingseam.Context, f *flight) {
 	query := waxwingseam.Query{
 		Service: f.call.Service,
+		Class:   f.call.Class,
 		Rank:    f.call.Rank,
 		Tried:   f.tried,
 	}
@@ -14,13 +15,12 @@
 	}
 	choice := d.Balancer.Choose(c, query)
 	if choice.Refused {
-		d.finish(c, f, waxwingseam.Result{Reason: choice.Reason, RetryAfter: choice.RetryAfter})
+		d.unsent(c, f, choice)
 		return
 	}
-	share := min(d.Retrier.Split(f.left), f.left)
-	f.left -= share
+	share := min(d.Retrier.Split(f.pot.Left), f.pot.Left)
+	f.pot.Left -= share
 	number := waxwingseam.Attempt(len(f.attempts) + 1)
-	d.Retrier.Sent(f.call.Service, number > 1)
 	f.tried = append(f.tried, choice.Server.Name)
 	f.attempts = append(f.attempts, attempt{
 		number: number,
@@ -33,14 +33,28 @@
 	c.Emit(waxwingseam.Dispatch{Call: call, Attempt: number, Server: choice.Server})
 }
 
+// unsent answers a call that finds no server. One that has been sent before
+// keeps the reason of its last attempt and the retry that it did not use.
+func (d *dispatcher) unsent(c *waxwingseam.Context, f *flight, choice waxwingseam.Choice) {
+	result := waxwingseam.Result{Reason: choice.Reason, RetryAfter: choice.RetryAfter}
+	if len(f.attempts) > 0 {
+		f.pot.Left++
+		result = f.last
+		result.RetryAfter = max(result.RetryAfter, choice.RetryAfter)
+	}
+	d.finish(c, f, result)
+}
+
 // settle ends an attempt and tells the balancer.
 func (d *dispatcher) settle(c *waxwingseam.Context, f *flight, a *attempt, p proof, result waxwingseam.Result) {
 	a.proof = p
 	if p == proofNotRun {
-		f.left += a.share
+		f.pot.Left += a.share
 	}
 	d.Balancer.Observe(c, waxwingseam.Feedback{
 		Server:  a.server.Name,
+		Class:   f.call.Class,
+		Rank:    f.call.Rank,
 		Result:  result,
 		Elapsed: c.Now.Sub(a.sent),
 	})
@@ -48,23 +62,24 @@
 
 // proceed follows a settled attempt with another one or with the answer.
 func (d *dispatcher) proceed(c *waxwingseam.Context, f *flight, a *attempt, result waxwingseam.Result) {
+	f.last = result
 	answer := waxwingseam.RetryAnswer{}
-	if f.repeatable() && f.left > 0 {
+	if f.repeatable() && f.pot.Left > 0 {
 		answer = d.Retrier.Decide(c, waxwingseam.RetryQuestion{
 			Call:       f.call,
 			Attempt:    a.number,
 			Result:     result,
 			Limit:      f.limit,
-			Left:       f.left,
+			Left:       f.pot.Left,
 			Replayable: f.replayable,
-			Overloaded: d.Balancer.Overloaded(f.call.Service),
+			Overloaded: d.Balancer.Overloaded(c, f.call.Service),
 		})
 	}
 	if !answer.Retry {
 		d.finish(c, f, result)
 		return
 	}
-	f.left--
+	f.pot.Spend()
 	if answer.Delay <= 0 {
 		d.send(c, f)
 		return
@@ -100,8 +115,9 @@
 		Attempt: waxwingseam.Attempt(len(f.attempts)),
 		Result:  result,
 	})
-	if !f.call.Parent.IsZero() {
-		d.Tracker.Return(f.call.Parent, id, f.left)
+	d.Tracker.Close(f.call.Parent, id)
+	if key, ok := f.rootKey(); ok {
+		d.keys.close(key, c.Now)
 	}
 	delete(d.flights, id)
 }
--- a/forwarder/entry.go
+++ b/forwarder/entry.go
@@ -105,16 +105,24 @@
 		Path:       path,
 		Timeout:    timeout,
 		Key:        key,
-		Replayable: r.ContentLength >= 0 && r.ContentLength <= readAheadLimit,
+		Replayable: true,
 		Trace:      parseTraceParent(r.Header),
 	}
 	_, _ = rand.Read(arrival.ID[:])
 	if parent.IsZero() {
 		_, _ = rand.Read(arrival.Root[:])
+		e.forwarder.beginTrace(&arrival)
 	}
 	return arrival, target, nil
 }
 
+// beginTrace gives a root the trace that its caller did not send.
+func (f *Forwarder) beginTrace(a *waxwingseam.CallArrived) {
+	if f.config.NewTrace != nil && a.Trace == (waxwingseam.TraceContext{}) {
+		a.Trace = f.config.NewTrace(a.Root)
+	}
+}
+
 // splitTarget parts the service's name from what goes to the backend server.
 func splitTarget(r *http.Request) (service, target string) {
 	path := strings.TrimPrefix(r.URL.EscapedPath(), "/")
@@ -142,7 +150,8 @@
 	control := http.NewResponseController(c.writer)
 	_ = control.EnableFullDuplex()
 	body := http.MaxBytesReader(nil, c.request.Body, c.forwarder.config.MaxBody)
-	if c.arrival.Replayable {
+	ahead := c.request.ContentLength >= 0 && c.request.ContentLength <= readAheadLimit
+	if ahead {
 		if err := x.takeBody(body); err != nil {
 			c.answerEarlier()
 			return
@@ -152,7 +161,7 @@
 		c.arrival.Stamp = s
 		return c.arrival
 	})
-	if c.arrival.Replayable {
+	if ahead {
 		c.wait(nil)
 		return
 	}
--- a/forwarder/hosted.go
+++ b/forwarder/hosted.go
@@ -34,7 +34,9 @@
 	digest  hash.Hash64
 	streams map[waxwingseam.Attempt]*inbound
 	running bool
-	done    bool
+	// relaying is set when another node runs the call.
+	relaying bool
+	done     bool
 	// forgotten is set once the call is kept no more.
 	forgotten bool
 	// followers counts the attempts that follow the reply.
@@ -183,6 +185,13 @@
 	go h.execute(e.Call)
 }
 
+// relayed reports whether another node runs the call.
+func (h *hosted) relayed() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.relaying
+}
+
 // endRun reports the end of a run.
 func (f *Forwarder) endRun(id waxwingseam.CallID, result waxwingseam.Result, elapsed time.Duration) {
 	f.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
@@ -197,10 +206,13 @@
 
 // cancelRun carries out a CancelRun.
 func (f *Forwarder) cancelRun(e waxwingseam.CancelRun) {
-	h := f.host(e.ID)
-	if h == nil {
-		return
+	if h := f.host(e.ID); h != nil {
+		h.stop()
 	}
+}
+
+// stop cancels the run, if there is one.
+func (h *hosted) stop() {
 	h.mu.Lock()
 	cancel := h.cancel
 	h.mu.Unlock()
@@ -215,7 +227,11 @@
 	if in == nil {
 		return
 	}
-	in.answer(e.Result)
+	result := e.Result
+	if result.Outcome == waxwingseam.OutcomeMayHaveRun && result.Reason == waxwingseam.ReasonNone {
+		result.Reason = waxwingseam.ReasonReplyNotKept
+	}
+	in.answer(result)
 	if !e.Result.Completed() && !in.host.started() {
 		in.host.forget()
 	}
--- a/forwarder/inbound.go
+++ b/forwarder/inbound.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"sync"
 	"sync/atomic"
 
@@ -62,7 +63,18 @@
 	f.mu.Lock()
 	f.inbounds[in.key()] = in
 	f.mu.Unlock()
-	f.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
+	if f.config.Arbitrated && o.Key != "" && o.Repeat == waxwingseam.RepeatNever {
+		in.arriveWithKey()
+	} else {
+		in.arrive()
+	}
+	return in
+}
+
+// arrive steps the attempt's arrival.
+func (in *inbound) arrive() {
+	o := in.opening
+	in.forwarder.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
 		return waxwingseam.AttemptArrived{
 			Stamp:       s,
 			Call:        o.call(s.Now),
@@ -70,7 +82,6 @@
 			Incarnation: o.Incarnation,
 		}
 	})
-	return in
 }
 
 // leave ends the attempt's connection; the run goes on.
@@ -159,13 +170,13 @@
 	}
 	select {
 	case <-in.followed:
-		if err := in.sendReply(); err != nil {
-			return err
-		}
 	case <-in.answered:
 	case <-in.gone:
 		return errLeft
 	}
+	if err := in.sendReply(); err != nil {
+		return err
+	}
 	select {
 	case <-in.answered:
 	case <-in.gone:
@@ -187,7 +198,12 @@
 
 // sendReply sends the followed run's reply, as far as it comes.
 func (in *inbound) sendReply() error {
+	in.mu.Lock()
 	source := in.source
+	in.mu.Unlock()
+	if source == nil {
+		return nil
+	}
 	select {
 	case <-source.headed:
 	case <-in.answered:
@@ -225,6 +241,9 @@
 	defer in.leave()
 	for {
 		f, err := in.channel.receive()
+		if errors.Is(err, io.EOF) {
+			in.delivered()
+		}
 		if err != nil {
 			return
 		}
@@ -234,6 +253,17 @@
 	}
 }
 
+// delivered lets a reply go that its sender has whole, unless a caller may
+// ask for it by key.
+func (in *inbound) delivered() {
+	in.mu.Lock()
+	whole := in.result != nil && in.result.Completed() && in.source == in.host
+	in.mu.Unlock()
+	if whole && in.opening.Key == "" {
+		in.host.forget()
+	}
+}
+
 func (in *inbound) take(f frame) error {
 	in.mu.Lock()
 	source := in.source
@@ -252,7 +282,11 @@
 	return nil
 }
 
+// cancelled steps that the attempt is wanted no more.
 func (in *inbound) cancelled() {
+	if in.host.relayed() {
+		in.host.stop()
+	}
 	in.forwarder.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
 		return waxwingseam.AttemptCancelled{
 			Stamp:   s,
@@ -260,4 +294,9 @@
 			Attempt: in.opening.Attempt,
 		}
 	})
+	in.answer(waxwingseam.Result{
+		Outcome: waxwingseam.OutcomeMayHaveRun,
+		Reason:  waxwingseam.ReasonCancelled,
+		Reached: true,
+	})
 }
--- a/outcome.go
+++ b/outcome.go
@@ -50,4 +50,6 @@
 	ReasonCancelled        Reason = "cancelled"
 	ReasonDigestMismatch   Reason = "digest-mismatch"
 	ReasonReplyNotKept     Reason = "reply-not-kept"
+	ReasonBodyTaken        Reason = "body-taken"
+	ReasonKeyUnproven      Reason = "key-unproven"
 )
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -26,18 +26,26 @@
 type Config struct {
 	// Rules are the grounds against a retry; DefaultRules when unset.
 	Rules []PrioritizedRule
+	// Splitter splits an allowance between an attempt and its sender; Along
+	// when unset.
+	Splitter Splitter
 }
 
 type retrier struct {
-	rules   []PrioritizedRule
-	budgets map[waxwingseam.ServiceName]*budget
+	splitter Splitter
+	rules    []PrioritizedRule
+	budgets  map[waxwingseam.ServiceName]*budget
 }
 
 // New returns a retrier with full budgets.
 func New(config Config) waxwingseam.Retrier {
 	r := &retrier{
-		rules:   config.Rules,
-		budgets: map[waxwingseam.ServiceName]*budget{},
+		splitter: config.Splitter,
+		rules:    config.Rules,
+		budgets:  map[waxwingseam.ServiceName]*budget{},
+	}
+	if r.splitter == nil {
+		r.splitter = Along{}
 	}
 	if r.rules == nil {
 		r.rules = DefaultRules()
@@ -51,7 +59,7 @@
 
 // Split implements waxwingseam.Retrier.
 func (r *retrier) Split(in waxwingseam.Allowance) waxwingseam.Allowance {
-	return in - in/2
+	return min(r.splitter.Split(in), in)
 }
 
 // Decide implements waxwingseam.Retrier.
@@ -65,19 +73,13 @@
 	if !c.Now.Add(delay).Before(q.Call.Deadline) {
 		return waxwingseam.RetryAnswer{}
 	}
+	r.budget(q.Call.Service).spend()
 	return waxwingseam.RetryAnswer{Retry: true, Delay: delay}
 }
 
-// Sent implements waxwingseam.Retrier.
-func (r *retrier) Sent(service waxwingseam.ServiceName, retry bool) {
-	if retry {
-		r.budget(service).spend()
-	}
-}
-
 // Succeeded implements waxwingseam.Retrier.
-func (r *retrier) Succeeded(service waxwingseam.ServiceName) {
-	r.budget(service).earn()
+func (r *retrier) Succeeded(service waxwingseam.ServiceName, limit waxwingseam.RetryLimit) {
+	r.budget(service).earn(limit.BudgetPercent)
 }
 
 func (r *retrier) budget(service waxwingseam.ServiceName) *budget {
