--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -23,6 +23,8 @@
 	MaxBody = 8 << 20
 	// requestTimeout bounds the time for one request.
 	requestTimeout = 10 * time.Second
+	// readWait bounds the time that a reading request waits for a quorum.
+	readWait = 3 * time.Second
 	// statusWait bounds the time that status waits for a quorum.
 	statusWait = time.Second
 	// maxRequests bounds the requests that are served at once.
@@ -116,7 +118,9 @@
 // current makes sure that the replica's state is up to date; false when the
 // request was refused.
 func (a *administrator) current(w http.ResponseWriter, r *http.Request) bool {
-	err := a.config.Log.ReadIndex(r.Context())
+	ctx, cancel := context.WithTimeout(r.Context(), readWait)
+	defer cancel()
+	err := a.config.Log.ReadIndex(ctx)
 	if err == nil {
 		return true
 	}
--- a/assembler/process.go
+++ b/assembler/process.go
@@ -110,6 +110,8 @@
 	server, err := messenger.Listen(ctx, messenger.ServerConfig{
 		Address: p.settings.Process.PeerAddress,
 		TLS:     p.protection.peer,
+		// A certificate's role bounds the methods that its holder may call.
+		Authorize: authenticator.Authorize,
 	})
 	p.messenger = server
 	p.dialer = messenger.Dialer{TLS: p.protection.client}
--- a/authenticator/authenticator_test.go
+++ b/authenticator/authenticator_test.go
@@ -92,7 +92,8 @@
 	defer func() { _ = listener.Close() }()
 	done := make(chan error, 1)
 	go func() { done <- greet(t, listener, server) }()
-	raw, err := net.Dial("tcp", listener.Addr().String())
+	var dialer net.Dialer
+	raw, err := dialer.DialContext(t.Context(), "tcp", listener.Addr().String())
 	qt.Assert(t, err, qt.IsNil)
 	conn := tls.Client(raw, client)
 	_, atClient = conn.Read(make([]byte, 1))
@@ -160,7 +161,7 @@
 	later := time.Now().Add(time.Hour)
 	folders := []string{t.TempDir(), t.TempDir()}
 	ids := []Identity{{RoleControl, "r1"}, {RoleNode, "fees-1"}}
-	var sides []*certificates
+	sides := make([]*certificates, 0, len(folders))
 	for i, folder := range folders {
 		sides = append(sides, open(t, first.issue(t, folder, ids[i], later, first)).(*certificates))
 	}
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -57,8 +57,10 @@
 type replica struct {
 	config  Config
 	address netip.AddrPort
-	client  operator.Client
-	stop    func()
+	// operators is the address of the operator API.
+	operators string
+	client    operator.Client
+	stop      func()
 }
 
 // listen opens a drpc server on loopback.
@@ -88,10 +90,11 @@
 	stop := sync.OnceFunc(func() { cancel(); group.Wait() })
 	t.Cleanup(stop)
 	return &replica{
-		config:  config,
-		address: config.Address,
-		client:  operator.New(operator.Config{Control: operators.Addr().String(), Name: "dina"}),
-		stop:    stop,
+		config:    config,
+		address:   config.Address,
+		operators: operators.Addr().String(),
+		client:    operator.New(operator.Config{Control: operators.Addr().String(), Name: "dina"}),
+		stop:      stop,
 	}
 }
 
