--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -96,6 +96,7 @@
 		waxwingseam.KindWitnessAsked,
 		waxwingseam.KindWitnessAnswered,
 		waxwingseam.KindTimerFired,
+		waxwingseam.KindFoundingGranted,
 		waxwingseam.KindServersLearned,
 		waxwingseam.KindSetAdopted,
 		waxwingseam.KindDrainAsked,
@@ -120,6 +121,8 @@
 		a.fire(c, v.Timer)
 	case waxwingseam.ServersLearned:
 		a.learn(c, v)
+	case waxwingseam.FoundingGranted:
+		a.found(c)
 	case waxwingseam.DrainAsked:
 		a.drain(c, v.Undo)
 	case waxwingseam.AttemptCancelled:
--- a/arbiter/claiming.go
+++ b/arbiter/claiming.go
@@ -40,7 +40,6 @@
 type use struct {
 	claim waxwingseam.Claim
 	open  int
-	ran   bool
 }
 
 func keyOf(call waxwingseam.Call) waxwingseam.CallersKey {
@@ -324,9 +323,7 @@
 	for _, e := range slices.Clone(c.Effects()) {
 		switch v := e.(type) {
 		case waxwingseam.Run:
-			if u, ok := a.uses[keyOf(v.Call)]; ok {
-				u.ran = true
-			}
+			a.claims.markRan(keyOf(v.Call))
 		case waxwingseam.AnswerAttempt:
 			a.closeUse(c, attemptKey{v.ID, v.Attempt}, v.Result.Outcome != waxwingseam.OutcomeDidNotRun)
 		}
@@ -340,13 +337,15 @@
 		return
 	}
 	delete(a.open, key)
-	u.ran = u.ran || ran
+	if ran {
+		a.claims.markRan(u.claim.Key)
+	}
 	u.open--
 	if u.open > 0 {
 		return
 	}
 	delete(a.uses, u.claim.Key)
-	if !u.ran {
+	if a.claims.unused(u.claim.Key) {
 		a.release(c, u.claim)
 	}
 }
--- a/arbiter/claims.go
+++ b/arbiter/claims.go
@@ -10,6 +10,8 @@
 type claim struct {
 	waxwingseam.Claim
 	made time.Time
+	// ran is set once a call ran under it here, or may have.
+	ran bool
 }
 
 // claims are the recorded claims, in the order in which they came.
@@ -53,6 +55,19 @@
 	return c.Claim, true
 }
 
+// markRan keeps a claim from being released.
+func (s *claims) markRan(key waxwingseam.CallersKey) {
+	if c, ok := s.byKey[key]; ok {
+		c.ran = true
+	}
+}
+
+// unused reports whether nothing ran under a claim.
+func (s *claims) unused(key waxwingseam.CallersKey) bool {
+	c, ok := s.byKey[key]
+	return ok && !c.ran
+}
+
 // release drops a claim; another one on the same key stays.
 func (s *claims) release(c waxwingseam.Claim) {
 	standing, ok := s.byKey[c.Key]
--- a/arbiter/joining.go
+++ b/arbiter/joining.go
@@ -29,16 +29,15 @@
 	}
 }
 
-// join asks all other nodes of the service for their claims, or founds the
-// view where there is none.
+// join asks all other nodes of the service for their claims. Where there is no
+// view, the node asks to found it.
 func (a *arbiter) join(c *waxwingseam.Context) {
-	if a.founds(c) {
-		a.view.add(a.self(c))
+	if a.aged(c) && a.view.has(a.self(c)) {
 		a.joined(c)
 		return
 	}
-	if a.aged(c) && a.view.has(a.self(c)) {
-		a.joined(c)
+	if a.mayFound(c) {
+		a.proposeFounding(c)
 		return
 	}
 	for _, peer := range a.sortedPeers() {
@@ -48,17 +47,13 @@
 	}
 }
 
-// founds reports whether the node is to found the view: the service is too
-// young for keys of an earlier time, no node has a view, and none that comes
-// before this one in the order of names may found it.
-func (a *arbiter) founds(c *waxwingseam.Context) bool {
+// mayFound reports whether the node is the one to found the view: no node has
+// one, and none comes before this one in the order of names.
+func (a *arbiter) mayFound(c *waxwingseam.Context) bool {
 	j := a.joining
 	if !j.learned || c.Now.Sub(j.since) < a.config.Settle || len(a.view.members) > 0 {
 		return false
 	}
-	if service, ok := c.Set.Service(c.Self.Service); !ok || a.old(c, service) {
-		return false
-	}
 	for name := range a.peers {
 		if !j.strangers[name] || name < c.Self.Name {
 			return false
@@ -67,10 +62,26 @@
 	return true
 }
 
-// old reports whether keys may have been used before any node of the service
-// that lives now was started.
-func (a *arbiter) old(c *waxwingseam.Context, service waxwingseam.Service) bool {
-	return !service.Founded.IsZero() && c.Now.Sub(service.Founded) >= a.config.KeyLife && !a.aged(c)
+// proposeFounding founds the view where all keys of an earlier time have
+// ended, and else asks whether there was none.
+func (a *arbiter) proposeFounding(c *waxwingseam.Context) {
+	if a.aged(c) {
+		a.found(c)
+		return
+	}
+	c.Emit(waxwingseam.AskFounding{
+		Service: c.Self.Service,
+		Life:    a.self(c),
+	})
+}
+
+// found makes the node the first member of the view.
+func (a *arbiter) found(c *waxwingseam.Context) {
+	if a.joining == nil || len(a.view.members) > 0 {
+		return
+	}
+	a.view.add(a.self(c))
+	a.joined(c)
 }
 
 // aged reports whether the node has granted nothing for so long that it can
--- a/arbitration.go
+++ b/arbitration.go
@@ -11,6 +11,8 @@
 	KindAskWitness      Kind = "ask-witness"
 	KindAnswerWitness   Kind = "answer-witness"
 	KindDecideKey       Kind = "decide-key"
+	KindAskFounding     Kind = "ask-founding"
+	KindFoundingGranted Kind = "founding-granted"
 )
 
 // CallersKey is a caller's idempotency key within its request class.
@@ -149,6 +151,18 @@
 	Answer WitnessAnswer
 }
 
+// AskFounding asks whether the node may found the view of its service. It is
+// granted to one life only, once in the time of the service.
+type AskFounding struct {
+	Service ServiceName
+	Life    Life
+}
+
+// FoundingGranted says that the node may found the view of its service.
+type FoundingGranted struct {
+	Stamp
+}
+
 // KeyVerdict says what happens to an attempt with a caller's key.
 type KeyVerdict uint8
 
@@ -179,6 +193,12 @@
 // Kind implements Event.
 func (WitnessAnswered) Kind() Kind { return KindWitnessAnswered }
 
+// Kind implements Event.
+func (FoundingGranted) Kind() Kind { return KindFoundingGranted }
+
+// Kind implements Effect.
+func (AskFounding) Kind() Kind { return KindAskFounding }
+
 // Kind implements Effect.
 func (AskWitness) Kind() Kind { return KindAskWitness }
 
--- a/forwarder/failure_test.go
+++ b/forwarder/failure_test.go
@@ -16,6 +16,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/forwarder"
 )
 
@@ -364,3 +365,46 @@
 	time.Sleep(time.Millisecond)
 	return s.Reader.Read(p)
 }
+
+// TestDrain drains a server under calls: those in flight end, new ones go to
+// the other server, and once the drain is undone it works again.
+func TestDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		front := w.newNode(nodeConfig{})
+		var nodes []*node
+		var backends []*backend
+		for _, name := range []waxwingseam.ServerName{"fees-1", "fees-2"} {
+			b := w.newBackend(func(rw http.ResponseWriter, r *http.Request) {
+				time.Sleep(time.Second)
+				echo(rw, r)
+			})
+			backends = append(backends, b)
+			nodes = append(nodes, w.newNode(nodeConfig{service: "fees", name: name, backend: b.address}))
+		}
+		front.learn(nodes...)
+		calls := func(n int) {
+			var all sync.WaitGroup
+			for range n {
+				all.Go(func() {
+					got := front.call(request{path: "/fees/lots", name: "x"})
+					qt.Check(t, got.said(), qt.Equals, "completed")
+				})
+			}
+			all.Wait()
+		}
+		time.AfterFunc(500*time.Millisecond, func() {
+			nodes[0].drain(false)
+			nodes[0].drain(false)
+		})
+		calls(20)
+		before := backends[0].ran()
+		qt.Assert(t, before > 0, qt.IsTrue)
+		calls(20)
+		qt.Assert(t, backends[0].ran(), qt.Equals, before)
+		nodes[0].drain(true)
+		front.learn(nodes[0])
+		calls(20)
+		qt.Assert(t, backends[0].ran() > before, qt.IsTrue)
+	})
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -70,7 +70,11 @@
 	// Arbitrated is set where an arbiter decides on the calls with a caller's
 	// key that may not be repeated.
 	Arbitrated bool
-	Logger     *slog.Logger
+	// Founding asks control whether a life may found the view of its service,
+	// which is granted once. Unset, it is always granted: then a key may run
+	// again where all nodes of a service are lost at once.
+	Founding func(ctx context.Context, e waxwingseam.AskFounding) bool
+	Logger   *slog.Logger
 	// MaxBody is the longest request body in bytes.
 	MaxBody int64
 }
@@ -167,6 +171,7 @@
 		waxwingseam.KindDecideKey,
 		waxwingseam.KindAskWitness,
 		waxwingseam.KindAnswerWitness,
+		waxwingseam.KindAskFounding,
 	}
 }
 
@@ -201,6 +206,8 @@
 		go f.askWitness(v)
 	case waxwingseam.AnswerWitness:
 		f.answerWitness(v)
+	case waxwingseam.AskFounding:
+		go f.askFounding(v)
 	}
 }
 
--- a/forwarder/key.go
+++ b/forwarder/key.go
@@ -123,3 +123,15 @@
 		answer <- e.Answer
 	}
 }
+
+// askFounding carries out an AskFounding.
+func (f *Forwarder) askFounding(e waxwingseam.AskFounding) {
+	ctx, cancel := context.WithTimeout(context.Background(), witnessPatience)
+	defer cancel()
+	if ask := f.config.Founding; ask != nil && !ask(ctx, e) {
+		return
+	}
+	f.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
+		return waxwingseam.FoundingGranted{Stamp: s}
+	})
+}
--- a/object.go
+++ b/object.go
@@ -23,8 +23,6 @@
 	Connections int
 	// SubsetSize is how many backend servers one node balances over; 0 for all.
 	SubsetSize int
-	// Founded is when control first accepted the service; zero while unknown.
-	Founded time.Time
 }
 
 // BackendServer is an object that bounds one announced backend server.
--- a/recorder/catalog.go
+++ b/recorder/catalog.go
@@ -39,5 +39,6 @@
 		waxwingseam.KeyArrived{},
 		waxwingseam.WitnessAsked{},
 		waxwingseam.WitnessAnswered{},
+		waxwingseam.FoundingGranted{},
 	)
 }
