--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/limiter"
 )
 
 const (
@@ -20,7 +21,7 @@
 type Config struct {
 	// Limiter sets how many calls run at once.
 	Limiter waxwingseam.Limiter
-	// Roots sets how many of them are roots.
+	// Roots sets how many of them are roots; unset for no bound of its own.
 	Roots waxwingseam.Limiter
 }
 
@@ -37,6 +38,9 @@
 
 // New returns an admitter without slots; Configure sets them.
 func New(config Config) waxwingseam.Admitter {
+	if config.Roots == nil {
+		config.Roots = limiter.NewFixed()
+	}
 	return &admitter{
 		limiter: config.Limiter,
 		roots:   config.Roots,
@@ -56,6 +60,8 @@
 // Offer implements waxwingseam.Admitter.
 func (a *admitter) Offer(c *waxwingseam.Context, t waxwingseam.Ticket) []waxwingseam.Admission {
 	a.now = c.Now
+	_, depth := level(&t)
+	a.reserve.arrived(depth)
 	if c.Now.Add(a.limiter.ServiceTime()).After(t.Deadline) {
 		return []waxwingseam.Admission{a.refuse(t, waxwingseam.ReasonDeadline)}
 	}
@@ -96,11 +102,23 @@
 // is not for it.
 func (a *admitter) full(t *waxwingseam.Ticket) bool {
 	if t.Depth == 0 {
-		return a.queue.roots >= t.Waiting
+		return a.queue.roots >= a.places(t)
 	}
 	return a.queue.len()-a.queue.roots >= deepQueueFactor*a.slots
 }
 
+// places returns how many roots may wait: no more than start within the
+// ticket's wait, by Little's law, so that a root which could not start in time
+// is refused at once.
+func (a *admitter) places(t *waxwingseam.Ticket) int {
+	usual := a.roots.ServiceTime()
+	if usual <= t.Wait/time.Duration(max(t.Waiting, 1)) {
+		return t.Waiting
+	}
+	inTime := time.Duration(a.roots.Limit()) * t.Wait / usual
+	return min(max(int(inTime), 1), t.Waiting)
+}
+
 // until returns when a waiting ticket is refused: a root after its class's
 // wait, every call once it could not finish by its deadline.
 func (a *admitter) until(t *waxwingseam.Ticket) time.Time {
--- a/assembler/workers.go
+++ b/assembler/workers.go
@@ -5,6 +5,7 @@
 import (
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/admitter"
+	"waxwingseam.example/waxwingseam/arbiter"
 	"waxwingseam.example/waxwingseam/balancer"
 	"waxwingseam.example/waxwingseam/classifier"
 	"waxwingseam.example/waxwingseam/deduplicator"
@@ -16,26 +17,32 @@
 	"waxwingseam.example/waxwingseam/tracker"
 )
 
-// The priorities of a node's workers. The dispatcher follows up the runs that
-// the receiver cancels in the same event, so it stands after it.
-const (
-	priorityReceiver   = 100
-	priorityDispatcher = 200
-)
+// priorityDispatcher is the dispatcher's place among the workers. It follows
+// up the runs that the receiver cancels in the same event, so it stands after
+// it, and after the arbiter.
+const priorityDispatcher = 2 * receiver.Priority
 
 // Workers returns the default workers of a node.
 func Workers(self waxwingseam.Server) []waxwingseam.Prioritized {
 	runs := tracker.New(tracker.Config{})
+	records := deduplicator.New(deduplicator.Config{})
 	return []waxwingseam.Prioritized{
 		{
-			Priority: priorityReceiver,
+			Priority: receiver.Priority,
 			Worker: receiver.New(receiver.Config{
-				Admitter:     admitter.New(admitter.Config{Limiter: limiter.NewAIMD()}),
-				Deduplicator: deduplicator.New(deduplicator.Config{}),
+				Admitter: admitter.New(admitter.Config{
+					Limiter: limiter.NewFixed(),
+					Roots:   limiter.NewQueueDelay(),
+				}),
+				Deduplicator: records,
 				Drainer:      drainer.New(),
 				Tracker:      runs,
 			}),
 		},
+		{
+			Priority: arbiter.Priority,
+			Worker:   arbiter.New(arbiter.Config{Deduplicator: records}),
+		},
 		{
 			Priority: priorityDispatcher,
 			Worker: dispatcher.New(dispatcher.Config{
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -67,6 +67,9 @@
 	// Connections bounds the connections to the backend server.
 	Connections int
 	Self        waxwingseam.Server
+	// NewTrace returns the trace of a root whose caller sent none; unset for
+	// no traces.
+	NewTrace func(waxwingseam.RootID) waxwingseam.TraceContext
 	// Arbitrated is set where an arbiter decides on the calls with a caller's
 	// key that may not be repeated.
 	Arbitrated bool
