--- a/demonstrator/report.go
+++ b/demonstrator/report.go
@@ -4,10 +4,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/imitator"
 )
@@ -160,7 +164,7 @@
 			if !done[v.Tag] {
 				wasted++
 			}
-			if v.Method == "POST" {
+			if v.Method == http.MethodPost {
 				doubled[runKey{s.service.Name, v.Tag}]++
 			}
 		}
@@ -180,36 +184,52 @@
 	tag     string
 }
 
-// Print writes reports side by side as a table.
+// column is one row of the first table: a name and its value in each report.
+type column struct {
+	name  string
+	value func(r Report) string
+}
+
+// columns lists the rows of the first table.
+var columns = []column{
+	{"layer", Report.layerText},
+	{"goodput in the surge, % of saturation", func(r Report) string { return percent(r.Goodput) }},
+	{"recovery after the surge", Report.recoveryText},
+	{"callers' tries per request", func(r Report) string { return fmt.Sprintf("%.2f", r.TriesPerRequest) }},
+	{"runs at backend servers per request", func(r Report) string { return fmt.Sprintf("%.2f", r.RunsPerRequest) }},
+	{"not-repeatable requests run twice", func(r Report) string { return fmt.Sprint(r.Doubled) }},
+	{"runs for requests that failed, %", func(r Report) string { return percent(r.Wasted) }},
+	{"broken promises found by the audit", Report.auditText},
+}
+
+// Print writes reports side by side as two tables.
 func Print(w io.Writer, reports []Report) error {
-	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	rows := []struct {
-		name  string
-		value func(r Report) string
-	}{
-		{"layer", func(r Report) string { return map[bool]string{true: "on", false: "off"}[r.On] }},
-		{"goodput in the surge, % of saturation", func(r Report) string { return percent(r.Goodput) }},
-		{"recovery after the surge", Report.recoveryText},
-		{"callers' tries per request", func(r Report) string { return fmt.Sprintf("%.2f", r.TriesPerRequest) }},
-		{"runs at backend servers per request", func(r Report) string { return fmt.Sprintf("%.2f", r.RunsPerRequest) }},
-		{"not-repeatable requests run twice", func(r Report) string { return fmt.Sprint(r.Doubled) }},
-		{"runs for requests that failed, %", func(r Report) string { return percent(r.Wasted) }},
-		{"broken promises found by the audit", Report.auditText},
-	}
-	for _, row := range rows {
-		fmt.Fprint(t, row.name)
+	var b strings.Builder
+	for _, c := range columns {
+		b.WriteString(c.name)
 		for _, r := range reports {
-			fmt.Fprint(t, "\t", row.value(r))
+			b.WriteString("\t" + c.value(r))
 		}
-		fmt.Fprintln(t)
+		b.WriteString("\n")
 	}
-	fmt.Fprintln(t, "\nrequests begun in the surge\tlayer\toffered\tcompleted\tdid-not-run\tmay-have-run\tother")
+	b.WriteString("\nrequests begun in the surge\tlayer\toffered\tcompleted\tdid-not-run\tmay-have-run\tother\n")
 	for _, r := range reports {
 		for _, k := range r.Kinds {
-			fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\n", k.Name, map[bool]string{true: "on", false: "off"}[r.On], k.Offered, k.Completed, k.DidNotRun, k.MayHaveRun, k.Other)
+			fmt.Fprintf(&b, "%s\t%s\t%d\t%d\t%d\t%d\t%d\n", k.Name, r.layerText(), k.Offered, k.Completed, k.DidNotRun, k.MayHaveRun, k.Other)
 		}
 	}
-	return t.Flush()
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	if _, err := io.WriteString(t, b.String()); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(t.Flush())
+}
+
+func (r Report) layerText() string {
+	if r.On {
+		return "on"
+	}
+	return "off"
 }
 
 func (r Report) recoveryText() string {
--- a/meter/export_test.go
+++ b/meter/export_test.go
@@ -8,9 +8,10 @@
 
 // Names lists the names of the project's own metrics.
 func (m *Meter) Names() []string {
-	var names []string
 	own := append([]prometheus.Collector{m.revision}, m.calls.collectors()...)
-	for _, c := range append(own, m.runs.collectors()...) {
+	own = append(own, m.runs.collectors()...)
+	names := make([]string, 0, len(own))
+	for _, c := range own {
 		descriptions := make(chan *prometheus.Desc, 1)
 		c.Describe(descriptions)
 		names = append(names, fullName((<-descriptions).String()))
