launcher, timekeeper: what a node hop adds to a call, in one run

Cause: the target of 1.2 ms at p99 needs a figure from one run. Change: fleets of stand-ins and real processes move to a package of their own; vegeta loads a stand-in straight and through two nodes, with HDR histograms.

--- /dev/null
+++ b/cmd/overhead/main.go
@@ -0,0 +1,37 @@
+// Command overhead measures what the system adds to a call on this machine.
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"waxwingseam.example/waxwingseam/timekeeper"
+)
+
+type command struct {
+	Rate        int           `default:"135" help:"Calls a second."`
+	Length      time.Duration `default:"10s" help:"Time of each of the two loads."`
+	ServiceTime time.Duration `default:"1ms" help:"Mean work of the stand-in."`
+}
+
+// Run measures and prints.
+func (c *command) Run() error {
+	samples, err := timekeeper.Run(context.Background(), timekeeper.Config{
+		Rate:        c.Rate,
+		Length:      c.Length,
+		ServiceTime: c.ServiceTime,
+	})
+	if err != nil {
+		return err
+	}
+	return timekeeper.Print(os.Stdout, samples)
+}
+
+func main() {
+	var c command
+	k := kong.Parse(&c, kong.Description("Measures what the system adds to a call: a stand-in called straight, and through two nodes, on loopback."))
+	k.FatalIfErrorf(k.Run())
+}
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -15,6 +15,7 @@
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/auditor"
 	"waxwingseam.example/waxwingseam/imitator"
+	"waxwingseam.example/waxwingseam/launcher"
 )
 
 // Config describes a demonstration.
@@ -51,32 +52,35 @@
 	defer func() { _ = os.RemoveAll(folder) }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	f, err := startFleet(ctx, config.Deployment, folder, on)
+	f, err := launcher.Start(ctx, launcher.Config{
+		Objects:  config.Deployment.Objects,
+		Services: config.Deployment.Services,
+		Folder:   folder,
+		On:       on,
+		Record:   on,
+	})
 	if err != nil {
 		return Report{}, err
 	}
-	l := newLoad(f, newSchedule(config.Length, config.Surge, config.Deployment.Saturation()), on, config.Seed)
+	l := newLoad(f, config.Deployment, newSchedule(config.Length, config.Surge, config.Deployment.Saturation()), on, config.Seed)
 	l.run(ctx, func(at time.Duration) { config.Progress(on, at) })
 	report := newReport(f, l, on)
 	if on {
-		report.Audit, err = f.audit(l)
+		report.Audit, err = audit(f, l)
 	}
 	cancel()
-	_ = f.group.Wait()
+	_ = f.Wait()
 	return report, err
 }
 
 // audit checks the promises against the nodes' event logs and the stand-ins'
 // own lists of runs.
-func (f *fleet) audit(l *load) (findings, err error) {
+func audit(f *launcher.Fleet, l *load) (findings, err error) {
 	input := auditor.Input{Answers: l.answers}
-	for n, s := range f.standIns {
-		if err := s.events.Flush(); err != nil {
-			return nil, err
-		}
-		data, err := os.ReadFile(f.logs[n])
+	for _, s := range f.StandIns {
+		data, err := s.Log()
 		if err != nil {
-			return nil, trace.ConvertSystemError(err)
+			return nil, err
 		}
 		input.Logs = append(input.Logs, io.Reader(bytes.NewReader(data)))
 		input.Runs = append(input.Runs, runsOf(s)...)
@@ -84,7 +88,7 @@
 	return auditor.Audit(input), nil
 }
 
-func runsOf(s *standIn) []auditor.Run {
+func runsOf(s *launcher.StandIn) []auditor.Run {
 	var runs []auditor.Run
 	for _, v := range s.Ledger().Runs() {
 		call, err := waxwingseam.ParseCallID(v.Context)
@@ -92,7 +96,7 @@
 			continue
 		}
 		runs = append(runs, auditor.Run{
-			Server:      s.name,
+			Server:      s.Name,
 			Call:        call,
 			Began:       v.Began,
 			Interrupted: v.State == imitator.RunInterrupted,
--- a/demonstrator/deployment.go
+++ b/demonstrator/deployment.go
@@ -9,6 +9,7 @@
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/examples"
 	"waxwingseam.example/waxwingseam/imitator"
+	"waxwingseam.example/waxwingseam/launcher"
 )
 
 // Deployment is a set of services with the requests that callers make.
@@ -16,20 +17,10 @@
 	Name string
 	// Objects is the set of objects in INI.
 	Objects  []byte
-	Services []Service
+	Services []launcher.Service
 	Requests []Request
 }
 
-// Service describes the stand-ins of one service.
-type Service struct {
-	Name    waxwingseam.ServiceName
-	Servers int
-	Slots   int
-	// ServiceTime is the mean work of one request.
-	ServiceTime time.Duration
-	Routes      []imitator.Route
-}
-
 // Request is one kind of request that callers make.
 type Request struct {
 	Name    string
@@ -77,7 +68,7 @@
 	return Deployment{
 		Name:    "van-dalen",
 		Objects: examples.VanDalen,
-		Services: []Service{
+		Services: services([]launcher.Service{
 			{Name: "lot-desk", Servers: 3, Slots: 60, Routes: []imitator.Route{
 				{Prefix: "/registrations", Children: []imitator.Child{mark}},
 				{Prefix: "/lots", Children: []imitator.Child{fee}},
@@ -88,7 +79,7 @@
 			}},
 			{Name: "assay-images", Servers: 4, Slots: 50},
 			{Name: "fees", Servers: 3, Slots: 15},
-		},
+		}),
 		Requests: []Request{
 			{Name: "lot-registration", Service: "lot-desk", Method: http.MethodPost, Path: "/registrations", Percent: 20, Once: true, Patience: 3 * time.Second},
 			{Name: "photo-upload", Service: "assay-images", Method: http.MethodPut, Path: "/photos/1", Percent: 15, Body: photoSize, Patience: 3 * time.Second},
@@ -106,7 +97,7 @@
 	return Deployment{
 		Name:    "jnina",
 		Objects: examples.Jnina,
-		Services: []Service{
+		Services: services([]launcher.Service{
 			{Name: "job-board", Servers: 4, Slots: 130, Routes: []imitator.Route{
 				{Prefix: "/jobs", Children: []imitator.Child{roster}},
 				{Prefix: "/checks", Children: []imitator.Child{place}},
@@ -116,7 +107,7 @@
 			}},
 			{Name: "paperwork", Servers: 3, Slots: 170},
 			{Name: "rosters", Servers: 3, Slots: 30},
-		},
+		}),
 		Requests: []Request{
 			{Name: "placement", Service: "placements", Method: http.MethodPost, Path: "/placements", Percent: 20, Once: true, Patience: 3 * time.Second},
 			{Name: "document-upload", Service: "paperwork", Method: http.MethodPut, Path: "/documents/1", Percent: 10, Body: photoSize, Patience: 3 * time.Second},
@@ -126,6 +117,14 @@
 	}
 }
 
+// services gives all services the same service time.
+func services(list []launcher.Service) []launcher.Service {
+	for i := range list {
+		list[i].ServiceTime = serviceTime
+	}
+	return list
+}
+
 // Saturation returns the most requests a second that the deployment completes
 // in its mix: the service with the least room decides.
 func (d Deployment) Saturation() float64 {
--- a/demonstrator/load.go
+++ b/demonstrator/load.go
@@ -17,6 +17,7 @@
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/auditor"
 	"waxwingseam.example/waxwingseam/imitator"
+	"waxwingseam.example/waxwingseam/launcher"
 )
 
 const (
@@ -89,20 +90,20 @@
 
 // newLoad returns the load on a fleet. With the layer on a request may enter
 // at any node, else it goes to a stand-in of its service.
-func newLoad(f *fleet, s schedule, on bool, seed uint64) *load {
+func newLoad(f *launcher.Fleet, d Deployment, s schedule, on bool, seed uint64) *load {
 	l := &load{
-		deployment: f.deployment,
+		deployment: d,
 		schedule:   s,
 		targets:    map[waxwingseam.ServiceName][]netip.AddrPort{},
 		entry:      on,
 		client:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}},
 		random:     rand.New(rand.NewPCG(seed, seed)),
 	}
-	for _, v := range f.standIns {
-		for _, service := range f.deployment.Services {
+	for _, v := range f.StandIns {
+		for _, service := range d.Services {
 			if on {
-				l.targets[service.Name] = append(l.targets[service.Name], v.entry)
-			} else if service.Name == v.service.Name {
+				l.targets[service.Name] = append(l.targets[service.Name], v.Entry)
+			} else if service.Name == v.Service.Name {
 				l.targets[service.Name] = append(l.targets[service.Name], v.Address())
 			}
 		}
--- a/demonstrator/report.go
+++ b/demonstrator/report.go
@@ -14,6 +14,7 @@
 
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/imitator"
+	"waxwingseam.example/waxwingseam/launcher"
 )
 
 const (
@@ -73,16 +74,16 @@
 }
 
 // newReport counts what the callers and the stand-ins saw.
-func newReport(f *fleet, l *load, on bool) Report {
+func newReport(f *launcher.Fleet, l *load, on bool) Report {
 	r := Report{
 		On:         on,
-		Deployment: f.deployment.Name,
+		Deployment: l.deployment.Name,
 		Completed:  make([]int, l.schedule.length/bucket),
 	}
 	offered := make([]int, len(r.Completed))
 	done := map[string]bool{}
 	tries := 0
-	for _, k := range f.deployment.Requests {
+	for _, k := range l.deployment.Requests {
 		r.Kinds = append(r.Kinds, KindReport{Name: k.Name})
 	}
 	for _, o := range l.outcomes {
@@ -155,17 +156,17 @@
 }
 
 // measureRuns counts the stand-ins' own lists of runs.
-func (r *Report) measureRuns(f *fleet, done map[string]bool) {
+func (r *Report) measureRuns(f *launcher.Fleet, done map[string]bool) {
 	runs, wasted := 0, 0
 	doubled := map[runKey]int{}
-	for _, s := range f.standIns {
+	for _, s := range f.StandIns {
 		for _, v := range s.Ledger().Runs() {
 			runs++
 			if !done[v.Tag] {
 				wasted++
 			}
 			if v.Method == http.MethodPost {
-				doubled[runKey{s.service.Name, v.Tag}]++
+				doubled[runKey{s.Service.Name, v.Tag}]++
 			}
 		}
 	}
--- a/demonstrator/fleet.go
+++ b/launcher/fleet.go
@@ -1,4 +1,7 @@
-package demonstrator
+// Package launcher starts whole deployments on loopback in one process:
+// stand-ins for the backend servers, and with the layer on, a node beside each
+// and a control replica, all of real code.
+package launcher
 
 import (
 	"context"
@@ -30,51 +33,87 @@
 const (
 	// directRetries is how often stand-ins repeat a failed direct call.
 	directRetries = 3
+	// dataCentres is how many data centres the hosts are spread over.
+	dataCentres = 3
 	// startTimeout bounds the start of all processes.
 	startTimeout = 20 * time.Second
 	// startPoll is the time between two looks at the start.
 	startPoll = 50 * time.Millisecond
 )
 
-// fleet is a deployment that runs: its stand-ins, and with the layer on, a
+// Service describes the stand-ins of one service.
+type Service struct {
+	Name    waxwingseam.ServiceName
+	Servers int
+	Slots   int
+	// ServiceTime is the mean work of one request.
+	ServiceTime time.Duration
+	Routes      []imitator.Route
+}
+
+// Config describes a fleet.
+type Config struct {
+	// Objects is the set of objects in INI.
+	Objects  []byte
+	Services []Service
+	// Folder holds the files of the processes.
+	Folder string
+	// On is set to start the layer; without it the stand-ins call one another.
+	On bool
+	// Record is set to keep the nodes' event logs.
+	Record bool
+}
+
+// Fleet is a deployment that runs: its stand-ins, and with the layer on, a
 // node beside each and a control replica.
-type fleet struct {
-	deployment Deployment
-	folder     string
-	control    netip.AddrPort
-	operators  netip.AddrPort
-	group      *errgroup.Group
-	standIns   []*standIn
-	logs       []string
+type Fleet struct {
+	// StandIns lists the stand-ins in the order of their services.
+	StandIns []*StandIn
+
+	config    Config
+	control   netip.AddrPort
+	operators netip.AddrPort
+	group     *errgroup.Group
 }
 
-// standIn is one stand-in with the addresses of the node beside it.
-type standIn struct {
+// StandIn is one stand-in with the addresses of the node beside it.
+type StandIn struct {
 	*imitator.Imitator
-	service  Service
-	name     waxwingseam.ServerName
+	Service Service
+	Name    waxwingseam.ServerName
+	// Entry is the node's address for callers.
+	Entry netip.AddrPort
+
 	peer     netip.AddrPort
-	entry    netip.AddrPort
 	outbound netip.AddrPort
 	events   *recorder.Recorder
+	log      string
 }
 
-// startFleet starts the stand-ins, and the system's processes with the layer
-// on, until the context ends.
-func startFleet(ctx context.Context, d Deployment, folder string, on bool) (*fleet, error) {
+// Log returns the events that the node beside the stand-in recorded so far.
+func (s *StandIn) Log() ([]byte, error) {
+	if err := s.events.Flush(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	data, err := os.ReadFile(s.log)
+	return data, trace.ConvertSystemError(err)
+}
+
+// Start starts a fleet, which runs until the context ends.
+func Start(ctx context.Context, config Config) (*Fleet, error) {
 	group, ctx := errgroup.WithContext(ctx)
-	f := &fleet{deployment: d, folder: folder, group: group}
-	if err := f.startStandIns(ctx, on); err != nil {
+	f := &Fleet{config: config, group: group}
+	if err := f.startStandIns(ctx); err != nil {
 		return nil, err
 	}
-	if !on {
+	if !config.On {
 		f.connectDirectly()
 		return f, nil
 	}
 	if err := f.startControl(ctx); err != nil {
 		return nil, err
 	}
-	for n, s := range f.standIns {
+	for n, s := range f.StandIns {
 		if err := f.startNode(ctx, n, s); err != nil {
 			return nil, err
 		}
@@ -82,40 +121,45 @@
 	return f, f.configure(ctx)
 }
 
-func (f *fleet) startStandIns(ctx context.Context, on bool) error {
-	for _, service := range f.deployment.Services {
+// Wait returns once all processes have ended.
+func (f *Fleet) Wait() error {
+	return trace.Wrap(f.group.Wait())
+}
+
+func (f *Fleet) startStandIns(ctx context.Context) error {
+	for _, service := range f.config.Services {
 		for n := range service.Servers {
-			s, err := newStandIn(ctx, service, n+1, on)
+			s, err := newStandIn(ctx, service, n+1, f.config.On)
 			if err != nil {
 				return err
 			}
-			f.standIns = append(f.standIns, s)
+			f.StandIns = append(f.StandIns, s)
 			f.group.Go(func() error { return s.Serve(ctx) })
 		}
 	}
 	return nil
 }
 
-func newStandIn(ctx context.Context, service Service, number int, on bool) (*standIn, error) {
-	s := &standIn{
-		service: service,
-		name:    waxwingseam.ServerName(fmt.Sprintf("%s-%d", service.Name, number)),
+func newStandIn(ctx context.Context, service Service, number int, on bool) (*StandIn, error) {
+	s := &StandIn{
+		Service: service,
+		Name:    waxwingseam.ServerName(fmt.Sprintf("%s-%d", service.Name, number)),
 	}
 	if on {
 		addresses, err := freeAddresses(ctx, 3)
 		if err != nil {
 			return nil, err
 		}
-		s.peer, s.entry, s.outbound = addresses[0], addresses[1], addresses[2]
+		s.peer, s.Entry, s.outbound = addresses[0], addresses[1], addresses[2]
 	}
 	var err error
 	s.Imitator, err = imitator.Listen(ctx, imitator.Config{
-		Name:        s.name,
+		Name:        s.Name,
 		Service:     service.Name,
 		Address:     netip.MustParseAddrPort("127.0.0.1:0"),
 		Outbound:    s.outbound,
 		Slots:       service.Slots,
-		ServiceTime: serviceTime,
+		ServiceTime: service.ServiceTime,
 		Routes:      service.Routes,
 		Retries:     directRetries,
 		Seed:        uint64(number),
@@ -124,24 +168,24 @@
 }
 
 // connectDirectly lets the stand-ins call one another without the layer.
-func (f *fleet) connectDirectly() {
-	peers := make([]imitator.Peer, 0, len(f.standIns))
-	for _, s := range f.standIns {
-		peers = append(peers, imitator.Peer{Service: s.service.Name, Address: s.Address()})
+func (f *Fleet) connectDirectly() {
+	peers := make([]imitator.Peer, 0, len(f.StandIns))
+	for _, s := range f.StandIns {
+		peers = append(peers, imitator.Peer{Service: s.Service.Name, Address: s.Address()})
 	}
-	for _, s := range f.standIns {
+	for _, s := range f.StandIns {
 		s.SetDirect(peers)
 	}
 }
 
 // startControl initializes and starts the only control replica.
-func (f *fleet) startControl(ctx context.Context) error {
+func (f *Fleet) startControl(ctx context.Context) error {
 	addresses, err := freeAddresses(ctx, 2)
 	if err != nil {
 		return err
 	}
 	f.control, f.operators = addresses[0], addresses[1]
-	data := filepath.Join(f.folder, "control")
+	data := filepath.Join(f.config.Folder, "control")
 	if _, err := proposer.Initialize(proposer.Config{DataFolder: data, Self: "r1", Address: f.control}); err != nil {
 		return trace.Wrap(err)
 	}
@@ -160,33 +204,44 @@
 	})
 }
 
-// startNode starts the node beside a stand-in, which records its events.
-func (f *fleet) startNode(ctx context.Context, number int, s *standIn) error {
-	path := filepath.Join(f.folder, string(s.name)+".events")
-	file, err := os.Create(path)
+// startNode starts the node beside a stand-in.
+func (f *Fleet) startNode(ctx context.Context, number int, s *StandIn) error {
+	observers, err := f.record(ctx, s)
 	if err != nil {
-		return trace.ConvertSystemError(err)
+		return err
 	}
-	context.AfterFunc(ctx, func() { _ = file.Close() })
-	f.logs = append(f.logs, path)
-	s.events = recorder.New(recorder.Config{Writer: file, Process: string(s.name)})
 	return f.startProcess(ctx, loader.Settings{
 		Process: loader.Process{
-			DataCentre:       waxwingseam.DataCentre(fmt.Sprintf("dc-%d", number%3+1)),
+			DataCentre:       waxwingseam.DataCentre(fmt.Sprintf("dc-%d", number%dataCentres+1)),
 			PeerAddress:      s.peer,
 			ControlAddresses: []netip.AddrPort{f.control},
 		},
 		Node: &loader.Node{
-			ServerName:      s.name,
-			Service:         s.service.Name,
-			EntryAddress:    s.entry,
+			ServerName:      s.Name,
+			Service:         s.Service.Name,
+			EntryAddress:    s.Entry,
 			OutboundAddress: s.outbound,
 			BackendAddress:  s.Address(),
 		},
-	}, s.events)
+	}, observers...)
+}
+
+// record lets a node's events be recorded, where the configuration says so.
+func (f *Fleet) record(ctx context.Context, s *StandIn) ([]runner.Observer, error) {
+	if !f.config.Record {
+		return nil, nil
+	}
+	s.log = filepath.Join(f.config.Folder, string(s.Name)+".events")
+	file, err := os.Create(s.log)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	context.AfterFunc(ctx, func() { _ = file.Close() })
+	s.events = recorder.New(recorder.Config{Writer: file, Process: string(s.Name)})
+	return []runner.Observer{s.events}, nil
 }
 
-func (f *fleet) startProcess(ctx context.Context, settings loader.Settings, observers ...runner.Observer) error {
+func (f *Fleet) startProcess(ctx context.Context, settings loader.Settings, observers ...runner.Observer) error {
 	process, err := assembler.NewProcess(ctx, assembler.ProcessConfig{
 		Settings:  settings,
 		Logger:    logger.New(logger.Config{Writer: io.Discard}),
@@ -201,13 +256,13 @@
 
 // configure publishes the deployment's objects, and returns once all nodes
 // have announced themselves and hold the set.
-func (f *fleet) configure(ctx context.Context) error {
+func (f *Fleet) configure(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	client := operator.New(operator.Config{Control: f.operators.String(), Name: "demonstrator"})
+	client := operator.New(operator.Config{Control: f.operators.String(), Name: "launcher"})
 	submission := administrator.Submission{
 		ID:    waxwingseam.SubmissionID(uuid.NewString()),
-		Files: []checker.File{{Name: f.deployment.Name + ".ini", Data: f.deployment.Objects}},
+		Files: []checker.File{{Name: "objects.ini", Data: f.config.Objects}},
 	}
 	if err := poll(ctx, func() bool {
 		_, err := client.Submit(ctx, submission)
@@ -222,12 +277,12 @@
 }
 
 // informed reports whether every node is announced and at the newest revision.
-func (f *fleet) informed(status administrator.StatusAnswer) bool {
+func (f *Fleet) informed(status administrator.StatusAnswer) bool {
 	newest := 0
 	for _, n := range status.Nodes {
 		newest += n.Newest
 	}
-	return status.Revision > 0 && newest >= len(f.standIns) && len(status.Servers) == len(f.standIns)
+	return status.Revision > 0 && newest >= len(f.StandIns) && len(status.Servers) == len(f.StandIns)
 }
 
 // poll calls done until it reports true or the context ends.
--- /dev/null
+++ b/timekeeper/timekeeper.go
@@ -0,0 +1,136 @@
+// Package timekeeper measures what the system adds to a call: the same load on
+// a stand-in directly, and through two nodes, in one run.
+package timekeeper
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/gravitational/trace"
+	vegeta "github.com/tsenart/vegeta/v12/lib"
+
+	"waxwingseam.example/waxwingseam/launcher"
+)
+
+const (
+	// longestLatency is the largest latency that the histograms hold.
+	longestLatency = 10 * time.Second
+	// significantFigures is the precision of the histograms.
+	significantFigures = 3
+	// warmUp is the time of load before each measurement.
+	warmUp = time.Second
+)
+
+// objects is a set with one service and one class.
+const objects = `
+[service echo]
+slots = 200
+connections = 400
+[retry-limit none]
+allowance = 0
+[wait-limit usual]
+wait = 250ms
+waiting = 100
+[request-class echoes]
+service = echo
+path = /{rest...}
+importance = 5
+repeat = idempotent
+deadline = 5s
+retry-limit = none
+wait-limit = usual
+`
+
+// Config describes a measurement.
+type Config struct {
+	// Rate is the calls a second.
+	Rate int
+	// Length is the time of each of the two loads.
+	Length time.Duration
+	// ServiceTime is the stand-in's mean work.
+	ServiceTime time.Duration
+}
+
+// Sample is the latencies of one load.
+type Sample struct {
+	Name    string
+	Latency *hdrhistogram.Histogram
+	Failed  int
+}
+
+// Run loads a stand-in directly, then through its node and another one.
+func Run(ctx context.Context, config Config) ([]Sample, error) {
+	folder, err := os.MkdirTemp("", "waxwingseam-overhead-")
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	ctx, cancel := context.WithCancel(ctx)
+	fleet, err := launcher.Start(ctx, launcher.Config{
+		Objects:  []byte(objects),
+		Services: []launcher.Service{{Name: "echo", Servers: 2, Slots: 200, ServiceTime: config.ServiceTime}},
+		Folder:   folder,
+		On:       true,
+	})
+	if err != nil {
+		cancel()
+		return nil, trace.Wrap(err)
+	}
+	first := fleet.StandIns[0]
+	samples := []Sample{
+		config.load("straight to the stand-in", "http://"+first.Address().String()+"/a"),
+		config.load("through the nodes", "http://"+first.Entry.String()+"/echo/a"),
+	}
+	cancel()
+	return samples, trace.Wrap(fleet.Wait())
+}
+
+// load sends requests at a constant rate and keeps their latencies.
+func (c Config) load(name, url string) Sample {
+	sample := Sample{
+		Name:    name,
+		Latency: hdrhistogram.New(1, longestLatency.Nanoseconds(), significantFigures),
+	}
+	target := vegeta.NewStaticTargeter(vegeta.Target{Method: "GET", URL: url})
+	rate := vegeta.Rate{Freq: c.Rate, Per: time.Second}
+	for range vegeta.NewAttacker().Attack(target, rate, warmUp, "warm-up") {
+		continue
+	}
+	for r := range vegeta.NewAttacker().Attack(target, rate, c.Length, name) {
+		if r.Error != "" {
+			sample.Failed++
+			continue
+		}
+		_ = sample.Latency.RecordValue(r.Latency.Nanoseconds())
+	}
+	return sample
+}
+
+// Print writes the samples and what the second adds to the first.
+func Print(w io.Writer, samples []Sample) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	text := "path\tcalls\tfailed\tp50\tp99\tp99.9\n"
+	for _, s := range samples {
+		text += fmt.Sprintf("%s\t%d\t%d\t%v\t%v\t%v\n", s.Name, s.Latency.TotalCount(), s.Failed, s.quantile(50), s.quantile(99), s.quantile(99.9))
+	}
+	a, b := samples[0], samples[1]
+	text += fmt.Sprintf("added\t\t\t%v\t%v\t%v\n", b.quantile(50)-a.quantile(50), b.quantile(99)-a.quantile(99), b.quantile(99.9)-a.quantile(99.9))
+	text += fmt.Sprintf("ratio\t\t\t%.2f\t%.2f\t%.2f\n", ratio(a, b, 50), ratio(a, b, 99), ratio(a, b, 99.9))
+	if _, err := io.WriteString(t, text); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(t.Flush())
+}
+
+func (s Sample) quantile(percent float64) time.Duration {
+	return time.Duration(s.Latency.ValueAtQuantile(percent)).Round(time.Microsecond)
+}
+
+func ratio(a, b Sample, percent float64) float64 {
+	return float64(b.Latency.ValueAtQuantile(percent)) / float64(max(a.Latency.ValueAtQuantile(percent), 1))
+}
