experimenter: calls of a restarted node end at their callers

Cause: roots that had entered at a restarted node stayed open for good. Change: a restart ends its node's calls; callers see failed connections. Measured (go test ./experimenter -run TestBounds): open calls after half of an entry service restarts: 0.

--- a/experimenter/node.go
+++ b/experimenter/node.go
@@ -237,6 +237,7 @@
 	n.Server.Since = w.agenda.now
 	n.start()
 	n.adopt()
+	w.dropCalls(n)
 	for _, key := range sortedKeys(open) {
 		sender := open[key].sender
 		w.agenda.after(n.delay(sender), func() {
--- a/experimenter/report.go
+++ b/experimenter/report.go
@@ -56,7 +56,7 @@
 		Failures:   t.failures,
 		Inversions: t.inversions,
 		Overtaken:  t.overtaken,
-		Open:       len(w.calls),
+		Open:       w.openCalls(),
 	}
 	on := (w.config.Until - w.config.Before).Seconds()
 	for _, n := range t.served {
