proposer: a delivery names its ends once

Cause: each heartbeat carried both storages twice. Change: messages leave From and To out on the wire; a delivery has them. Root: the CBOR form of ReplicaMessage.

--- a/proposer/arrival.go
+++ b/proposer/arrival.go
@@ -24,9 +24,7 @@
 	}
 	p.links.learn(d.From)
 	for _, m := range d.Messages {
-		if m.From != d.From.Storage {
-			return nil, trace.BadParameter("a message of %s came from %s", m.From, d.From.Storage)
-		}
+		m.From, m.To = d.From.Storage, d.To
 		arrived := p.step(ctx, func(s waxwingseam.Stamp) waxwingseam.Event {
 			return waxwingseam.ReplicaMessageArrived{Stamp: s, Message: m}
 		})
--- a/proposer/method.go
+++ b/proposer/method.go
@@ -47,7 +47,8 @@
 	Reason waxwingseam.ReplicaReason `cbor:"3,keyasint,omitempty"`
 }
 
-// Delivery carries messages from one replica to another.
+// Delivery carries messages from one replica to another, which it names once
+// for all of them.
 type Delivery struct {
 	Cluster  waxwingseam.ClusterID        `cbor:"1,keyasint"`
 	From     waxwingseam.Member           `cbor:"2,keyasint"`
--- a/replicamessage.go
+++ b/replicamessage.go
@@ -2,8 +2,10 @@
 
 // ReplicaMessage is a message between two replicas; one of its bodies is set.
 type ReplicaMessage struct {
-	From StorageID `cbor:"1,keyasint"`
-	To   StorageID `cbor:"2,keyasint"`
+	// From and To are left out on the wire, where they go once with many
+	// messages.
+	From StorageID `cbor:"-"`
+	To   StorageID `cbor:"-"`
 	// Term is the sender's present term.
 	Term          Term           `cbor:"3,keyasint"`
 	VoteRequest   *VoteRequest   `cbor:"4,keyasint,omitempty"`
