--- a/controller/cluster_test.go
+++ b/controller/cluster_test.go
@@ -17,7 +17,7 @@
 )
 
 // restart starts a stopped replica on its data folder and address.
-func (r *replica) restart(t *testing.T) *replica {
+func (r *replica) restart(t testing.TB) *replica {
 	r.stop()
 	config := r.config
 	config.Server = listen(t, r.address)
@@ -26,7 +26,7 @@
 
 // submit submits until an answer is had, as an operator does whose answers
 // get lost; the replicas are asked in turn.
-func submit(t *testing.T, s administrator.Submission, replicas ...*replica) (historian.Answer, administrator.Reason) {
+func submit(t testing.TB, s administrator.Submission, replicas ...*replica) (historian.Answer, administrator.Reason) {
 	t.Helper()
 	for end := time.Now().Add(waitLimit); time.Now().Before(end); {
 		for _, r := range replicas {
@@ -45,10 +45,10 @@
 }
 
 // slots returns the Van Dalen set with other slots for the fees.
-func slots(t *testing.T, n int) administrator.Submission {
+func slots(t testing.TB, n int) administrator.Submission {
 	file := example(t, "van-dalen")
 	file.Data = []byte(strings.Replace(string(file.Data), "slots = 15", fmt.Sprintf("slots = %d", n), 1))
-	return submission(fmt.Sprintf("slots-%d", n), 0, file)
+	return submission(fmt.Sprintf("slots-%d", n), file)
 }
 
 // voters counts the voters that a replica knows of.
@@ -63,7 +63,7 @@
 }
 
 // leaderOf waits until all replicas vote, and returns which one leads.
-func leaderOf(t *testing.T, replicas []*replica) int {
+func leaderOf(t testing.TB, replicas []*replica) int {
 	t.Helper()
 	for end := time.Now().Add(waitLimit); time.Now().Before(end); {
 		for i, r := range replicas {
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -41,7 +41,7 @@
 }
 
 // await waits for a condition that news bring about.
-func (n news) await(t *testing.T, what string, condition func() bool) {
+func (n news) await(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	limit := time.After(waitLimit)
 	for !condition() {
@@ -64,7 +64,7 @@
 }
 
 // listen opens a drpc server on loopback.
-func listen(t *testing.T, address netip.AddrPort) *messenger.Server {
+func listen(t testing.TB, address netip.AddrPort) *messenger.Server {
 	server, err := messenger.Listen(t.Context(), messenger.ServerConfig{Address: address})
 	qt.Assert(t, err, qt.IsNil)
 	return server
@@ -74,7 +74,7 @@
 
 // start runs a control replica on loopback until the test ends or it is
 // stopped.
-func start(t *testing.T, config Config) *replica {
+func start(t testing.TB, config Config) *replica {
 	var lc net.ListenConfig
 	operators, err := lc.Listen(t.Context(), "tcp", loopback.String())
 	qt.Assert(t, err, qt.IsNil)
@@ -99,7 +99,7 @@
 }
 
 // cluster starts control replicas that form one cluster.
-func cluster(t *testing.T, n int) []*replica {
+func cluster(t testing.TB, n int) []*replica {
 	servers := make([]*messenger.Server, n)
 	addresses := make([]netip.AddrPort, n)
 	for i := range servers {
@@ -124,7 +124,7 @@
 }
 
 // initialize creates a cluster with one voter.
-func initialize(t *testing.T, config Config) {
+func initialize(t testing.TB, config Config) {
 	_, err := proposer.Initialize(proposer.Config{
 		DataFolder: config.DataFolder,
 		Self:       config.Replica,
@@ -186,7 +186,7 @@
 }
 
 // join starts a node of the service fees that watches control replicas.
-func join(t *testing.T, name waxwingseam.ServerName, control ...netip.AddrPort) *node {
+func join(t testing.TB, name waxwingseam.ServerName, control ...netip.AddrPort) *node {
 	server := listen(t, loopback)
 	n := &node{address: server.Address(), news: make(news, 1), servers: map[waxwingseam.ServerName]waxwingseam.Server{}}
 	n.subscriber = subscriber.New(subscriber.Config{
@@ -207,24 +207,24 @@
 }
 
 // example returns the example set of a deployment.
-func example(t *testing.T, deployment string) checker.File {
+func example(t testing.TB, deployment string) checker.File {
 	data, err := os.ReadFile("../examples/" + deployment + "/objects.ini")
 	qt.Assert(t, err, qt.IsNil)
 	return checker.File{Name: "objects.ini", Data: data}
 }
 
-func submission(id string, base waxwingseam.Revision, file checker.File) administrator.Submission {
+// submission submits a file as the first revision.
+func submission(id string, file checker.File) administrator.Submission {
 	return administrator.Submission{
-		ID:           waxwingseam.SubmissionID(id),
-		BaseRevision: base,
-		Files:        []checker.File{file},
+		ID:    waxwingseam.SubmissionID(id),
+		Files: []checker.File{file},
 	}
 }
 
 func TestChangeReachesNodes(t *testing.T) {
 	control := cluster(t, 1)[0]
 	nodes := []*node{join(t, "fees-1", control.address), join(t, "fees-2", control.address)}
-	answer, err := control.client.Submit(t.Context(), submission("first", 0, example(t, "van-dalen")))
+	answer, err := control.client.Submit(t.Context(), submission("first", example(t, "van-dalen")))
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, answer, qt.DeepEquals, historian.Answer{Verdict: historian.VerdictAccepted, Revision: 1})
 	for _, n := range nodes {
--- a/controller/refusal_test.go
+++ b/controller/refusal_test.go
@@ -38,7 +38,7 @@
 		return operator.New(operator.Config{Control: control.operators, Token: token})
 	}
 	alice := client("a")
-	good := submission("first", 0, example(t, "jnina"))
+	good := submission("first", example(t, "jnina"))
 	_, err := alice.Submit(t.Context(), good)
 	qt.Assert(t, err, qt.IsNil)
 
@@ -89,7 +89,7 @@
 	control := cluster(t, 1)[0]
 	n := join(t, "fees-1", control.address)
 	n.news.await(t, "itself known", func() bool { _, ok := n.server("fees-1"); return ok })
-	_, _ = submit(t, submission("first", 0, example(t, "van-dalen")), control)
+	_, _ = submit(t, submission("first", example(t, "van-dalen")), control)
 	drain := administrator.DrainRequest{ID: "drain", BackendServer: "fees-1"}
 	_, err := control.client.Drain(t.Context(), drain)
 	_, reason := reasonOf(err)
--- a/controller/silence_test.go
+++ b/controller/silence_test.go
@@ -16,10 +16,11 @@
 type relay struct {
 	listener net.Listener
 	silent   atomic.Bool
-	accepted atomic.Int32
+	// bytes counts what was passed on, both ways.
+	bytes atomic.Int64
 }
 
-func newRelay(t *testing.T, to netip.AddrPort) *relay {
+func newRelay(t testing.TB, to netip.AddrPort) *relay {
 	var lc net.ListenConfig
 	listener, err := lc.Listen(t.Context(), "tcp", loopback.String())
 	qt.Assert(t, err, qt.IsNil)
@@ -33,13 +34,12 @@
 	return netip.MustParseAddrPort(r.listener.Addr().String())
 }
 
-func (r *relay) serve(t *testing.T, to netip.AddrPort) {
+func (r *relay) serve(t testing.TB, to netip.AddrPort) {
 	for {
 		near, err := r.listener.Accept()
 		if err != nil {
 			return
 		}
-		r.accepted.Add(1)
 		var dialer net.Dialer
 		far, err := dialer.DialContext(t.Context(), "tcp", to.String())
 		if err != nil {
@@ -64,6 +64,7 @@
 			_ = to.Close()
 			return
 		}
+		r.bytes.Add(int64(n))
 		if _, err := to.Write(buffer[:n]); err != nil {
 			return
 		}
