--- a/forwarder/bench_test.go
+++ b/forwarder/bench_test.go
@@ -186,7 +186,7 @@
 	runs := tracker.New(tracker.Config{})
 	return reducer.New(reducer.Config{Self: self, Workers: []waxwingseam.Prioritized{
 		{Priority: receiver.Priority, Worker: receiver.New(receiver.Config{
-			Admitter:     admitter.New(admitter.Config{Limiter: limiter.NewFixed()}),
+			Admitter:     admitter.New(admitter.Config{Limiter: limiter.NewFixed(), Roots: limiter.NewFixed()}),
 			Deduplicator: deduplicator.New(deduplicator.Config{}),
 			Drainer:      drainer.New(),
 			Tracker:      runs,
