--- a/auditor/sim_test.go
+++ b/auditor/sim_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"waxwingseam.example/waxwingseam"
@@ -331,12 +332,30 @@
 		return
 	}
 	effects := l.reducer.Reduce(e)
-	l.recorder.Observe(e, effects)
+	if telling(e, effects) {
+		l.recorder.Observe(e, effects)
+	}
 	for _, x := range effects {
 		l.execute(x)
 	}
 }
 
+// telling reports whether the auditor learns anything from an event; the
+// others are left out of the logs, for the time that writing them takes.
+func telling(e waxwingseam.Event, effects []waxwingseam.Effect) bool {
+	switch e.(type) {
+	case waxwingseam.CallArrived, waxwingseam.DrainAsked, waxwingseam.SetAdopted:
+		return true
+	}
+	return slices.ContainsFunc(effects, func(x waxwingseam.Effect) bool {
+		switch x.(type) {
+		case waxwingseam.Dispatch, waxwingseam.Reply, waxwingseam.CancelRun:
+			return true
+		}
+		return false
+	})
+}
+
 func (l *life) execute(x waxwingseam.Effect) {
 	h := l.host.h
 	switch v := x.(type) {
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -67,6 +67,7 @@
 	}
 	if ok && s.Incarnation == t.server.Incarnation && s.Service == t.server.Service {
 		t.server = s
+		t.load.Leaving = false
 		t.pool.stale = true
 		return
 	}
--- /dev/null
+++ b/forwarder/key_test.go
@@ -0,0 +1,194 @@
+package forwarder_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// ledgers are two senders and three servers of one not-repeatable service,
+// whose runs take a second.
+type ledgers struct {
+	*world
+	fronts, backs []*node
+	backends      []*backend
+}
+
+func newLedgers(t testing.TB) *ledgers {
+	l := &ledgers{world: newWorld(t)}
+	for _, name := range []waxwingseam.ServerName{"ledger-1", "ledger-2", "ledger-3"} {
+		b := l.newBackend(func(rw http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			time.Sleep(time.Second)
+			_, _ = rw.Write(body)
+		})
+		l.backends = append(l.backends, b)
+		l.backs = append(l.backs, l.newNode(nodeConfig{service: "ledger", name: name, backend: b.address}))
+	}
+	l.fronts = []*node{l.newNode(nodeConfig{}), l.newNode(nodeConfig{})}
+	for _, n := range append(l.fronts, l.backs...) {
+		n.learn(l.backs...)
+	}
+	time.Sleep(5 * time.Second)
+	return l
+}
+
+func (l *ledgers) runs() int {
+	n := 0
+	for _, b := range l.backends {
+		n += b.ran()
+	}
+	return n
+}
+
+// holder returns the node whose backend server ran the call.
+func (l *ledgers) holder() *node {
+	for i, b := range l.backends {
+		if b.ran() > 0 {
+			return l.backs[i]
+		}
+	}
+	return nil
+}
+
+// others returns the servers but one.
+func (l *ledgers) others(n *node) []*node {
+	var out []*node
+	for _, o := range l.backs {
+		if o != n {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// registration is a call with a key.
+func registration() request {
+	return request{name: "x", key: "lot-7", body: strings.NewReader("lot 7")}
+}
+
+// TestKeyedResends sends one key again through the other sender: while the run
+// goes on and after it, with a view that lacks the server that holds the key,
+// with that server leaving, and with it lost.
+func TestKeyedResends(t *testing.T) {
+	blind := func(l *ledgers) {
+		name := l.holder().self.Name
+		l.fronts[1].step(func(s waxwingseam.Stamp) waxwingseam.Event {
+			return waxwingseam.ServersLearned{Stamp: s, Gone: []waxwingseam.ServerName{name}}
+		})
+	}
+	for _, v := range []struct {
+		name   string
+		resend time.Duration
+		before func(l *ledgers)
+		want   string
+	}{
+		{"while it runs", 500 * time.Millisecond, func(*ledgers) {}, "completed"},
+		{"after it", 3 * time.Second, func(*ledgers) {}, "completed"},
+		{"while it runs, views differ", 500 * time.Millisecond, blind, "completed"},
+		{"after it, views differ", 3 * time.Second, blind, "completed"},
+		{"while it runs, its server leaves", 500 * time.Millisecond, func(l *ledgers) {
+			l.holder().drain(false)
+			blind(l)
+		}, "completed"},
+		{"after it, its server is lost", 3 * time.Second, func(l *ledgers) {
+			l.holder().kill()
+			blind(l)
+		}, "may-have-run:connection-failed"},
+		{"after it, its server is lost and known to be", 3 * time.Second, func(l *ledgers) {
+			lost := l.holder()
+			lost.kill()
+			for _, n := range append(l.others(lost), l.fronts[1]) {
+				n.step(func(s waxwingseam.Stamp) waxwingseam.Event {
+					return waxwingseam.ServersLearned{Stamp: s, Gone: []waxwingseam.ServerName{lost.self.Name}}
+				})
+			}
+		}, "may-have-run:key-conflict"},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newLedgers(t)
+				first := make(chan answer, 1)
+				go func() { first <- l.fronts[0].call(registration()) }()
+				time.Sleep(v.resend)
+				v.before(l)
+				got := l.fronts[1].call(registration())
+				qt.Assert(t, got.said(), qt.Equals, v.want)
+				if v.want == "completed" {
+					qt.Assert(t, got.body, qt.Equals, "lot 7")
+				}
+				qt.Assert(t, (<-first).said(), qt.Equals, "completed")
+				qt.Assert(t, l.runs(), qt.Equals, 1)
+			})
+		})
+	}
+}
+
+// TestSenderLost loses the sending node after its dispatch: a resend through
+// another node gets the one run's reply.
+func TestSenderLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLedgers(t)
+		go l.fronts[0].call(registration())
+		time.Sleep(500 * time.Millisecond)
+		holder := l.holder()
+		l.net.set(holder.self.Node, vanishing)
+		got := l.fronts[1].call(registration())
+		qt.Assert(t, got.said(), qt.Equals, "completed")
+		qt.Assert(t, got.body, qt.Equals, "lot 7")
+		qt.Assert(t, l.runs(), qt.Equals, 1)
+	})
+}
+
+// TestNewServerRanksFirst adds a server that ranks first for a key which ran
+// before: it takes the claims over and passes the resend on.
+func TestNewServerRanksFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLedgers(t)
+		qt.Assert(t, l.fronts[0].call(registration()).said(), qt.Equals, "completed")
+		b := l.newBackend(echo)
+		l.backends = append(l.backends, b)
+		newcomer := l.newNode(nodeConfig{service: "ledger", name: "ledger-4", backend: b.address})
+		newcomer.learn(l.backs...)
+		for _, n := range l.backs {
+			n.learn(newcomer)
+		}
+		l.fronts[1].step(func(s waxwingseam.Stamp) waxwingseam.Event {
+			return waxwingseam.ServersLearned{
+				Stamp: s, Servers: []waxwingseam.Server{newcomer.self},
+				Gone: []waxwingseam.ServerName{"ledger-1", "ledger-2", "ledger-3"},
+			}
+		})
+		for range 3 {
+			got := l.fronts[1].call(registration())
+			qt.Assert(t, got.said(), qt.Equals, "completed")
+			qt.Assert(t, got.body, qt.Equals, "lot 7")
+		}
+		qt.Assert(t, l.runs(), qt.Equals, 1)
+	})
+}
+
+// TestNoQuorum cuts two of three servers off: a key that no quorum can clear
+// does not run.
+func TestNoQuorum(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLedgers(t)
+		l.backs[0].kill()
+		l.backs[1].kill()
+		l.fronts[1].step(func(s waxwingseam.Stamp) waxwingseam.Event {
+			return waxwingseam.ServersLearned{Stamp: s, Gone: []waxwingseam.ServerName{"ledger-1", "ledger-2"}}
+		})
+		got := l.fronts[1].call(registration())
+		qt.Assert(t, got.said(), qt.Equals, "may-have-run:key-unproven")
+		qt.Assert(t, l.runs(), qt.Equals, 0)
+		got = l.fronts[1].call(request{name: "y"})
+		qt.Assert(t, got.said(), qt.Equals, "completed")
+	})
+}
