balancer: what was slow or refusing is tried again

Change: means fade with time; a server's latency fades toward that of all servers; 5% always stay near; the share shrinks by 15% a step once near calls are no slower, and holds in between. TestServerComesBack fails before (share 0.00 and 0.55) and passes after.

--- a/balancer/fleet_bounds_test.go
+++ b/balancer/fleet_bounds_test.go
@@ -1,6 +1,7 @@
 package balancer_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -36,19 +37,33 @@
 	}
 }
 
-// TestServerComesBack checks that a server that fails no more has its share of
-// the calls again within 2 s.
+// TestServerComesBack checks that a server that did badly has its share of the
+// calls again within 2 s of its recovery, also the only one near its callers.
 func TestServerComesBack(t *testing.T) {
-	f := newFleet(6, 6, 6)
-	rate := 0.6 * f.capacity()
-	f.machines[0].failing = true
-	f.run(rate, 10*time.Second, same)
-	f.machines[0].failing = false
-	f.run(rate, 2*time.Second, same)
-	f.reset()
-	f.run(rate, time.Second, same)
-	share := float64(f.machines[0].served) / (rate / 6)
-	qt.Assert(t, share > 0.8 && share < 1.2, qt.IsTrue, qt.Commentf("share %.2f", share))
+	for _, v := range []struct {
+		name string
+		ill  func(m *machine)
+		well func(m *machine)
+	}{
+		{"failed", func(m *machine) { m.failing = true }, func(m *machine) { m.failing = false }},
+		{"was slow", func(m *machine) { m.slow = 10 }, func(m *machine) { m.slow = 1 }},
+		{"refused", func(m *machine) { m.slots = 1 }, func(m *machine) { m.slots = 6 }},
+	} {
+		for _, machines := range []int{3, 6} {
+			t.Run(fmt.Sprintf("%s, one of %d", v.name, machines), func(t *testing.T) {
+				f := newFleet(6, machines, 6)
+				rate := 0.6 * f.capacity()
+				v.ill(f.machines[0])
+				f.run(rate, 10*time.Second, same)
+				v.well(f.machines[0])
+				f.run(rate, 2*time.Second, same)
+				f.reset()
+				f.run(rate, time.Second, same)
+				share := float64(f.machines[0].served*machines) / rate
+				qt.Assert(t, share > 0.8 && share < 1.2, qt.IsTrue, qt.Commentf("share %.2f", share))
+			})
+		}
+	}
 }
 
 // TestAllFail checks that ejections stop at a third of the servers.
--- a/balancer/pool.go
+++ b/balancer/pool.go
@@ -20,6 +20,8 @@
 	ejected int
 	// usual is the mean of the limits reported lately.
 	usual float64
+	// latency is the usual time of a completed call at any server, in seconds.
+	latency average
 
 	spill    spill
 	throttle throttle
@@ -117,9 +119,9 @@
 	}
 	p.judge(c, t, f)
 	if t.near {
-		p.spill.near.observe(f)
+		p.spill.near.observe(c.Now, f)
 	} else {
-		p.spill.far.observe(f)
+		p.spill.far.observe(c.Now, f)
 	}
 }
 
--- a/balancer/spill.go
+++ b/balancer/spill.go
@@ -10,41 +10,36 @@
 const (
 	// spillPeriod is the time between two steps of the spilled share.
 	spillPeriod = 100 * time.Millisecond
-	// spillMin is the share that always leaves the data centre, so that the
-	// servers elsewhere are known; spillUp and spillDown are the steps.
+	// spillMin is the share that always leaves the data centre, spillMax the most
+	// that does, so that the servers of both sides are known; spillUp and
+	// spillKeep are the steps.
 	spillMin  = 0.02
+	spillMax  = 0.95
 	spillUp   = 0.05
-	spillDown = 0.02
+	spillKeep = 0.85
 	// spillLatency is how many times longer near calls take before they spill.
 	spillLatency = 1.25
+	// holdLatency is the ratio below which the share shrinks.
+	holdLatency = 1.1
 	// spillRefusals is by how much more of the near calls are refused.
 	spillRefusals = 0.02
-	// sideGain is the weight of one more end in what is known of a side.
-	sideGain = 0.05
 )
 
 // side is what the calls within the data centre, or those out of it, came to.
 type side struct {
-	latency  float64
-	refusals float64
-	known    bool
+	latency  average
+	refusals average
 }
 
-func (s *side) observe(f waxwingseam.Feedback) {
+func (s *side) observe(now time.Time, f waxwingseam.Feedback) {
 	refused := 0.0
 	if refusedForLoad(f.Result) {
 		refused = 1
 	}
-	s.refusals += sideGain * (refused - s.refusals)
-	if !succeeded(f.Result) {
-		return
-	}
-	elapsed := f.Elapsed.Seconds()
-	if !s.known {
-		s.latency = elapsed
+	s.refusals.add(now, refused)
+	if succeeded(f.Result) {
+		s.latency.add(now, f.Elapsed.Seconds())
 	}
-	s.known = true
-	s.latency += sideGain * (elapsed - s.latency)
 }
 
 // spill keeps the share of calls that leave the data centre. It moves in small
@@ -61,13 +56,21 @@
 		return
 	}
 	s.next = now.Add(spillPeriod)
-	slower := s.far.known && s.near.latency > spillLatency*s.far.latency
-	refused := s.near.refusals > s.far.refusals+spillRefusals
-	if slower || refused {
-		s.share = min(s.share+spillUp, 1)
-		return
+	refused := s.near.refusals.value > s.far.refusals.value+spillRefusals
+	switch {
+	case refused || s.ratio() > spillLatency:
+		s.share = min(s.share+spillUp, spillMax)
+	case s.ratio() < holdLatency:
+		s.share = max(s.share*spillKeep, spillMin)
+	}
+}
+
+// ratio is how many times longer near calls take than far ones.
+func (s *spill) ratio() float64 {
+	if !s.far.latency.known() {
+		return 0
 	}
-	s.share = max(s.share-spillDown, spillMin)
+	return s.near.latency.value / s.far.latency.value
 }
 
 // out reports whether a call is to leave the data centre.
--- a/balancer/target.go
+++ b/balancer/target.go
@@ -1,7 +1,6 @@
 package balancer
 
 import (
-	"math"
 	"time"
 
 	"waxwingseam.example/waxwingseam"
@@ -18,8 +17,6 @@
 	thresholdTurns       = 2
 	minThresholdLifetime = 10 * time.Millisecond
 	maxThresholdLifetime = 300 * time.Millisecond
-	// latencyMemory is the time in which an old latency fades.
-	latencyMemory = time.Second
 	// failureStatus is the least HTTP status that counts as a failure.
 	failureStatus = 500
 	// fullWeight is the usual weight of a server's object, in hundredths.
@@ -42,9 +39,8 @@
 	loadAt   time.Time
 	inFlight int
 	// latency is the usual time of a completed call, in seconds.
-	latency   float64
-	latencyAt time.Time
-	health    health
+	latency average
+	health  health
 }
 
 func newTarget(c *waxwingseam.Context, p *pool, s waxwingseam.Server) *target {
@@ -83,19 +79,10 @@
 }
 
 func (t *target) observeLatency(c *waxwingseam.Context, elapsed time.Duration) {
-	keep := math.Exp(-c.Now.Sub(t.latencyAt).Seconds() / latencyMemory.Seconds())
-	// A burst of answers at one moment still moves the mean.
-	keep = min(keep, latencyKeep)
-	if t.latencyAt.IsZero() {
-		keep = 0
-	}
-	t.latency = keep*t.latency + (1-keep)*elapsed.Seconds()
-	t.latencyAt = c.Now
+	t.latency.add(c.Now, elapsed.Seconds())
+	t.pool.latency.add(c.Now, elapsed.Seconds())
 }
 
-// latencyKeep is the most that one answer leaves of the mean before it.
-const latencyKeep = 0.95
-
 // leaving reports whether no new work may go to the server.
 func (t *target) leaving() bool {
 	return t.drained || t.server.Leaving || t.load.Leaving
@@ -135,7 +122,14 @@
 // calls ahead of a new one take. What the server reports of others' calls is
 // left out: it is old when it arrives, and those who follow it herd.
 func (t *target) cost(c *waxwingseam.Context) float64 {
-	return float64(t.inFlight+1) / t.limit(c.Now) * (t.latency + minLatency)
+	return float64(t.inFlight+1) / t.limit(c.Now) * (t.usualLatency(c) + minLatency)
+}
+
+// usualLatency fades from the server's own to that of all servers while it
+// does not answer, so that one that was slow is tried again.
+func (t *target) usualLatency(c *waxwingseam.Context) float64 {
+	keep := t.latency.fade(c.Now)
+	return keep*t.latency.value + (1-keep)*t.pool.latency.value
 }
 
 // minLatency stands in for the latency of a server that has not answered yet,
