--- a/balancer/average.go
+++ b/balancer/average.go
@@ -18,20 +18,16 @@
 	at    time.Time
 }
 
-func (a *average) known() bool {
-	return !a.at.IsZero()
-}
-
 func (a *average) add(now time.Time, value float64) {
 	keep := 0.0
-	if a.known() {
-		keep = min(a.fade(now), averageKeep)
+	if !a.at.IsZero() {
+		keep = min(fade(now.Sub(a.at)), averageKeep)
 	}
 	a.value = keep*a.value + (1-keep)*value
 	a.at = now
 }
 
-// fade is how much of the mean is left after the time without a value.
-func (a *average) fade(now time.Time) float64 {
-	return math.Exp(-now.Sub(a.at).Seconds() / averageMemory.Seconds())
+// fade is how much of a value is left after a time without a newer one.
+func fade(age time.Duration) float64 {
+	return math.Exp(-age.Seconds() / averageMemory.Seconds())
 }
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -102,7 +102,7 @@
 	if q.Pinned != "" {
 		return b.choosePinned(p, q)
 	}
-	if len(p.near)+len(p.far) == 0 {
+	if len(p.members) == 0 {
 		return waxwingseam.Choice{Refused: true, Reason: waxwingseam.ReasonNoServer}
 	}
 	if !p.admits(c, q) {
@@ -148,14 +148,12 @@
 // Overloaded implements waxwingseam.Balancer.
 func (b *balancer) Overloaded(c *waxwingseam.Context, service waxwingseam.ServiceName) bool {
 	p := b.fresh(service)
-	for _, list := range [][]*target{p.near, p.far} {
-		for _, t := range list {
-			if !t.shedding(c) {
-				return false
-			}
+	for _, t := range p.members {
+		if !t.shedding(c) {
+			return false
 		}
 	}
-	return len(p.near)+len(p.far) > 0
+	return len(p.members) > 0
 }
 
 // Server implements waxwingseam.Balancer.
--- a/balancer/health.go
+++ b/balancer/health.go
@@ -94,7 +94,7 @@
 
 // outlier reports whether a server fails far more than the others do.
 func (p *pool) outlier(t *target) bool {
-	others := len(p.near) + len(p.far) - 1
+	others := len(p.members) - 1
 	if others < 1 || t.health.ends < minEnds || p.ejected >= p.ejectable() {
 		return false
 	}
@@ -104,7 +104,7 @@
 
 // ejectable is how many servers may be ejected at once.
 func (p *pool) ejectable() int {
-	return max((len(p.near)+len(p.far))/ejectableDivisor, 1)
+	return max(len(p.members)/ejectableDivisor, 1)
 }
 
 func (p *pool) eject(c *waxwingseam.Context, t *target) {
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -30,26 +30,15 @@
 	random  *rand.Rand
 }
 
-// choose prefers the own data centre, but for the share that spills.
+// choose returns the better of a server in the own data centre and one of all.
+// Where they are no different, the near one answers sooner and is chosen.
 func (s *selection) choose(p *pool) *target {
-	first, second := p.near, p.far
-	if p.spill.out(s.context, s.random.Float64()) {
-		first, second = second, first
-	}
-	if t := s.two(first); t != nil {
-		return t
-	}
-	return s.two(second)
-}
-
-// two returns the better of two random servers that pass; nil without one.
-func (s *selection) two(list []*target) *target {
-	first := s.one(list, nil)
+	first := s.one(p.near, nil)
+	second := s.one(p.members, first)
 	if first == nil {
-		return nil
+		first = s.one(p.members, second)
 	}
-	second := s.one(list, first)
-	if second != nil && second.cost(s.context) < first.cost(s.context) {
+	if first == nil || second != nil && second.cost(s.context) < first.cost(s.context) {
 		return second
 	}
 	return first
--- a/balancer/pool.go
+++ b/balancer/pool.go
@@ -10,10 +10,10 @@
 // pool is the servers of one service.
 type pool struct {
 	all []*target
-	// near and far are the subset that the node calls: servers in its own data
-	// centre and others. Both are made anew when stale.
-	near, far []*target
-	stale     bool
+	// members are the subset that the node calls, near those of them in its own
+	// data centre. Both are made anew when stale.
+	near, members []*target
+	stale         bool
 	// failing is the sum of the servers' failure shares, ejected the count of
 	// those that are ejected.
 	failing float64
@@ -23,7 +23,6 @@
 	// latency is the usual time of a completed call at any server, in seconds.
 	latency average
 
-	spill    spill
 	throttle throttle
 	classes  map[waxwingseam.ClassName]*throttle
 }
@@ -56,17 +55,16 @@
 			t.drained = v.Drained
 			t.weight = weightOf(v)
 		}
-		t.near = t.server.DataCentre == config.DataCentre
 		switch {
 		case t.leaving():
-		case t.near:
+		case t.server.DataCentre == config.DataCentre:
 			near = append(near, t)
 		default:
 			far = append(far, t)
 		}
 	}
 	p.near = subset(config.Self, near, size)
-	p.far = subset(config.Self, far, size)
+	p.members = slices.Concat(p.near, subset(config.Self, far, size))
 }
 
 func weightOf(v waxwingseam.BackendServer) float64 {
@@ -118,11 +116,6 @@
 		p.class(f.Class).accepted(c.Now)
 	}
 	p.judge(c, t, f)
-	if t.near {
-		p.spill.near.observe(c.Now, f)
-	} else {
-		p.spill.far.observe(c.Now, f)
-	}
 }
 
 const (
--- a/balancer/target.go
+++ b/balancer/target.go
@@ -32,8 +32,6 @@
 	// weight is that of the server's object; drained keeps new work away.
 	weight  float64
 	drained bool
-	// near is set for a server in the node's own data centre.
-	near bool
 
 	load     waxwingseam.Load
 	loadAt   time.Time
@@ -109,12 +107,11 @@
 	return coldWeight + (1-coldWeight)*max(age.Seconds(), 0)/warmUp.Seconds()
 }
 
-// limit is the calls that the server runs at once, scaled by its weight.
+// limit is the calls that the server runs at once, scaled by its weight. It
+// fades from what the server reported to the usual one while it does not answer.
 func (t *target) limit(now time.Time) float64 {
-	limit := float64(t.load.Limit)
-	if limit == 0 {
-		limit = t.pool.usual
-	}
+	keep := fade(now.Sub(t.loadAt))
+	limit := keep*float64(t.load.Limit) + (1-keep)*t.pool.usual
 	return max(limit*t.weight*t.warmth(now), 1)
 }
 
@@ -128,7 +125,7 @@
 // usualLatency fades from the server's own to that of all servers while it
 // does not answer, so that one that was slow is tried again.
 func (t *target) usualLatency(c *waxwingseam.Context) float64 {
-	keep := t.latency.fade(c.Now)
+	keep := fade(c.Now.Sub(t.latency.at))
 	return keep*t.latency.value + (1-keep)*t.pool.latency.value
 }
 
