assembler: revisions noticed in replies; entry points for callers

Cause: a node cut off from control had no way to hear of a newer revision, and callers no list of nodes. Change: answers carry the revision in force, a higher one is fetched from the node that answered; GET /v1/entry-points lists known nodes, leaving ones last. Conclusion: the subscriber's peer fetch now has its trigger.

--- a/assembler/process.go
+++ b/assembler/process.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/go-chi/chi/v5"
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
 
@@ -50,6 +51,8 @@
 	node       *Node
 	subscriber subscriber.Subscriber
 	interests  *interests
+	noticer    *noticer
+	entries    *entryPoints
 	controller controller.Controller
 }
 
@@ -173,6 +176,8 @@
 		Since:       time.Now(),
 	}
 	p.interests = newInterests()
+	p.noticer = newNoticer()
+	p.entries = newEntryPoints()
 	node, err := NewNode(NodeConfig{
 		Self:      self,
 		Backend:   settings.BackendAddress,
@@ -198,6 +203,7 @@
 		Seed:     newSeed(),
 	})
 	p.interests.subscriber = p.subscriber
+	p.noticer.subscriber = p.subscriber
 	node.Runner.Attach(announcer{p.subscriber})
 	return p.messenger.Register(p.subscriber, subscriber.Description)
 }
@@ -212,7 +218,7 @@
 
 // observers lists who sees the events and effects of the node's reducer.
 func (p *Process) observers() []runner.Observer {
-	observers := []runner.Observer{p.meter, p.interests}
+	observers := []runner.Observer{p.meter, p.interests, p.noticer, p.entries}
 	if p.tracer != nil {
 		observers = append(observers, p.tracer)
 	}
@@ -282,7 +288,11 @@
 
 func (p *Process) serveNode(ctx context.Context, group *errgroup.Group) error {
 	f := p.node.Forwarder
-	if err := serveHTTP(ctx, group, p.settings.Node.EntryAddress, p.interests.Hold(f.Entry())); err != nil {
+	entry := chi.NewRouter()
+	entry.Get("/v1/entry-points", p.entries.ServeHTTP)
+	entry.NotFound(p.interests.Hold(f.Entry()).ServeHTTP)
+	entry.MethodNotAllowed(p.interests.Hold(f.Entry()).ServeHTTP)
+	if err := serveHTTP(ctx, group, p.settings.Node.EntryAddress, entry); err != nil {
 		return err
 	}
 	return serveHTTP(ctx, group, p.settings.Node.OutboundAddress, p.interests.Hold(f.Outbound()))
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -305,6 +305,7 @@
 	result.Reached = true
 	result.Load = r.admitter.Load()
 	result.Load.Leaving = r.drainer.Leaving() || r.settings.drained
+	result.Load.Revision = c.Set.Revision
 	c.Emit(waxwingseam.AnswerAttempt{ID: w.id, Attempt: w.attempt, Result: result})
 }
 
--- a/server.go
+++ b/server.go
@@ -41,4 +41,6 @@
 	ServiceTime time.Duration `cbor:"6,keyasint"`
 	// Leaving is set once the backend server takes no new work.
 	Leaving bool `cbor:"7,keyasint"`
+	// Revision is the node's configuration in force.
+	Revision Revision `cbor:"15,keyasint,omitempty"`
 }
