--- /dev/null
+++ b/cmd/estimate/main.go
@@ -0,0 +1,36 @@
+// Command estimate works out the table of docs/CAPACITY.md from the slopes.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam/estimator"
+)
+
+type command struct {
+	Slopes string `default:"docs/capacity/slopes.ini" type:"path" help:"File of measured slopes."`
+}
+
+// Run prints the table.
+func (c *command) Run() error {
+	data, err := os.ReadFile(c.Slopes)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	slopes, err := estimator.ReadSlopes(c.Slopes, data)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Print(estimator.Markdown(estimator.Estimate(estimator.DefaultPlan(), slopes)))
+	return trace.Wrap(err)
+}
+
+func main() {
+	var c command
+	k := kong.Parse(&c, kong.Description("Works out the table of docs/CAPACITY.md from the measured slopes."))
+	k.FatalIfErrorf(k.Run())
+}
--- /dev/null
+++ b/estimator/node.go
@@ -0,0 +1,40 @@
+package estimator
+
+// nodeRows are what the control of one node needs.
+func nodeRows(p Plan, s *Slopes) []Row {
+	heartbeats := s.get("heartbeat-payload-bytes-a-second") + s.get("heartbeat-messages-a-second")*s.get("packet-header-bytes")
+	changes := p.changesSecond() * (s.get("change-bytes") + s.get("packet-header-bytes"))
+	seen := p.serverChangesSecond() * p.CalledServices / p.Services
+	servers := seen * (s.get("server-change-bytes") + s.get("packet-header-bytes"))
+	processor := s.get("heartbeat-processor-microseconds-a-second") + p.changesSecond()*s.get("change-processor-microseconds")
+	known := p.CalledServices * p.serversAService()
+	return []Row{
+		{
+			Role: RoleNode, What: "control traffic", Unit: "KB/s",
+			Value:     (heartbeats + changes + servers) / kilobyte,
+			Bound:     p.BytesSecond / kilobyte,
+			Formula:   "heartbeat payload + messages × packet header; changes/s × (change + header); server changes seen/s × (server change + header)",
+			Mechanism: "one watch connection to a control replica (subscriber, publisher): steps, not whole sets; servers of called services alone",
+		},
+		{
+			Role: RoleNode, What: "processor time for control", Unit: "% of a core",
+			Value:     processor * microsecond * whole,
+			Bound:     p.CorePercent,
+			Formula:   "heartbeat time + changes/s × time of a change (both ends of the connection)",
+			Mechanism: "subscriber; checker brings a digest forward by the step",
+		},
+		{
+			Role: RoleNode, What: "memory", Unit: "MB",
+			Value:     (s.get("node-base-memory-bytes") + s.get("set-memory-bytes") + known*s.get("known-server-bytes") + s.get("kept-replies-bytes") + p.CallsSecond/p.Nodes*s.get("record-life-seconds")*s.get("record-bytes")) / megabyte,
+			Bound:     p.MemoryBytes / megabyte,
+			Formula:   "base + set + known servers × bytes + bound on kept replies + calls/s × life of a record × bytes of a record",
+			Mechanism: "deduplicator bounds records and replies; balancer keeps the servers of called services",
+		},
+		{
+			Role: RoleNode, What: "start without a set", Unit: "KB",
+			Value:     (s.get("join-bytes") + known*s.get("server-change-bytes")) / kilobyte,
+			Formula:   "packed set + known servers × server change",
+			Mechanism: "publisher sends one packed set, then steps",
+		},
+	}
+}
