replicator: heartbeats every four ticks

Cause: heartbeats are nearly all that an idle replica sends; four of them fit into the shortest election timeout as well as eight did.

--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -10,7 +10,7 @@
 
 // The defaults of a Config.
 const (
-	DefaultHeartbeatTicks  = 2
+	DefaultHeartbeatTicks  = 4
 	DefaultElectionTicks   = 16
 	DefaultSnapshotEntries = 1024
 	DefaultSnapshotBytes   = 32 << 20
