replicator: learners that lack nothing share every second heartbeat

Cause: with 11 learners the leader's heartbeats go mostly to replicas on which no quorum depends. Change: two rounds share one heartbeat to a learner that holds the whole log.

--- a/replicator/election.go
+++ b/replicator/election.go
@@ -34,7 +34,7 @@
 	}
 	r.beat++
 	if r.beat >= r.config.HeartbeatTicks {
-		r.heartbeat()
+		r.beatMembers()
 	}
 }
 
--- a/replicator/failure_test.go
+++ b/replicator/failure_test.go
@@ -272,3 +272,24 @@
 		qt.Assert(t, c.settle() <= 12, qt.IsTrue)
 	}
 }
+
+// TestLearnersAreHeardFromHalfAsOften counts the appends of an idle leader.
+func TestLearnersAreHeardFromHalfAsOften(t *testing.T) {
+	c := steady(t, noFlaw)
+	learner := &site{member: c.format("d")}
+	learner.member.Candidate = false
+	c.sites = append(c.sites, learner)
+	c.start(learner)
+	c.change(c.leader(), waxwingseam.MembershipChange{Kind: waxwingseam.ChangeAddLearner, Member: learner.member})
+	c.run(c.election)
+	appends := map[waxwingseam.StorageID]int{}
+	for range 8 {
+		c.tick()
+		for _, m := range c.wire {
+			appends[m.To]++
+		}
+		c.settle()
+	}
+	qt.Assert(t, appends[c.sites[1].member.Storage], qt.Equals, 8)
+	qt.Assert(t, appends[learner.member.Storage], qt.Equals, 4)
+}
--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -71,6 +71,22 @@
 	}
 }
 
+// beatLearnersEvery is how many rounds of heartbeats share one to the learners
+// that lack nothing, since no quorum depends on them.
+const beatLearnersEvery = 2
+
+// beatMembers starts a round as a leader's time goes on.
+func (r *replicator) beatMembers() {
+	r.beat = 0
+	r.round++
+	r.others(func(m waxwingseam.Member) {
+		rests := !m.Voter && r.progress[m.Storage].match == r.log.last().Index
+		if !rests || r.round%beatLearnersEvery == 0 {
+			r.sendAppend(m)
+		}
+	})
+}
+
 // heartbeat starts a round and sends to all members.
 func (r *replicator) heartbeat() {
 	r.beat = 0
