proposer: reestablish a cluster from one data folder

Cause: after the loss of a quorum nothing could bring the objects back. Change: Reestablish gives a surviving folder a new cluster identity and makes its replica the only member; the others of the old cluster are refused and join anew when emptied. Status says no-quorum while no leader is known, and the last reason while joining; a change of leadership is logged. Log messages no longer repeat the prefix that the logger of the part adds.

--- /dev/null
+++ b/proposer/founding.go
@@ -0,0 +1,95 @@
+package proposer
+
+import (
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/journaler"
+)
+
+// Initialize creates a cluster's identity, once, in an empty data folder; the
+// replica is its first voter.
+func Initialize(config Config) (waxwingseam.ClusterID, error) {
+	disk, err := config.openDisk()
+	if err != nil {
+		return "", err
+	}
+	identity := waxwingseam.ReplicaIdentity{
+		Cluster: newClusterID(),
+		Replica: config.Self,
+		Storage: newStorageID(),
+	}
+	err = journaler.Format(disk, identity, bootstrap(config, identity))
+	return identity.Cluster, trace.NewAggregate(err, disk.Close())
+}
+
+// bootstrap is what the log of a new cluster begins with.
+func bootstrap(config Config, identity waxwingseam.ReplicaIdentity) waxwingseam.PersistReplica {
+	first := waxwingseam.LogPosition{Index: 1, Term: 1}
+	return waxwingseam.PersistReplica{
+		State:   waxwingseam.ReplicaState{Term: first.Term},
+		Entries: []waxwingseam.LogEntry{founder(config, identity, first)},
+	}
+}
+
+// founder is an entry that makes a replica the only member.
+func founder(config Config, identity waxwingseam.ReplicaIdentity, at waxwingseam.LogPosition) waxwingseam.LogEntry {
+	membership := waxwingseam.Membership{}.With(waxwingseam.Member{
+		Replica: config.Self,
+		Storage: identity.Storage,
+		Address: config.Address,
+		Voter:   true,
+	})
+	return waxwingseam.LogEntry{
+		Index:      at.Index,
+		Term:       at.Term,
+		Kind:       waxwingseam.EntryMembership,
+		Membership: &membership,
+	}
+}
+
+func newStorageID() waxwingseam.StorageID {
+	return waxwingseam.StorageID(uuid.NewString())
+}
+
+func newClusterID() waxwingseam.ClusterID {
+	return waxwingseam.ClusterID(uuid.NewString())
+}
+
+// Reestablish makes a new cluster of one replica's data folder, after a quorum
+// of its cluster is lost for good. All that the folder holds comes into force,
+// also entries that were never accepted; entries that only the lost replicas
+// held are gone. Replicas of the old cluster are refused by the new one. It may
+// be repeated after a failure.
+func Reestablish(config Config) (waxwingseam.ClusterID, error) {
+	disk, err := config.openDisk()
+	if err != nil {
+		return "", err
+	}
+	journal, recovery, err := journaler.Open(disk)
+	if err != nil {
+		return "", trace.NewAggregate(err, disk.Close())
+	}
+	identity := journal.Identity()
+	identity.Cluster = newClusterID()
+	err = reestablish(config, disk, journal, recovery, identity)
+	return identity.Cluster, trace.NewAggregate(err, journal.Close())
+}
+
+// reestablish changes the identity before the members, so that a failure in
+// between leaves a replica that can't win an election in either cluster.
+func reestablish(config Config, disk waxwingseam.Disk, journal waxwingseam.Journal, recovery waxwingseam.Recovery, identity waxwingseam.ReplicaIdentity) error {
+	if identity.Replica != config.Self {
+		return trace.BadParameter("the data folder is that of replica %q, not of %q", identity.Replica, config.Self)
+	}
+	if err := journaler.Identify(disk, identity); err != nil {
+		return err
+	}
+	last := recovery.Base.Index + waxwingseam.LogIndex(len(recovery.Entries))
+	term := recovery.State.Term + 1
+	return journal.Persist(waxwingseam.PersistReplica{
+		State:   waxwingseam.ReplicaState{Term: term},
+		Entries: []waxwingseam.LogEntry{founder(config, identity, waxwingseam.LogPosition{Index: last + 1, Term: term})},
+	})
+}
--- a/proposer/join.go
+++ b/proposer/join.go
@@ -51,9 +51,10 @@
 			if a.Reason == "" {
 				return a.Cluster, nil
 			}
+			p.refuse(a.Reason)
 			if a.Reason != last {
 				last = a.Reason
-				p.config.Logger.Warn("control: not joined yet", "address", address, "reason", a.Reason)
+				p.config.Logger.Warn("not joined yet", "address", address, "reason", a.Reason)
 			}
 		}
 		select {
--- a/proposer/link.go
+++ b/proposer/link.go
@@ -228,7 +228,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if reason != k.refused && reason != "" {
-		k.links.config.Logger.Warn("control: replica refuses messages",
+		k.links.config.Logger.Warn("replica refuses messages",
 			"storage", k.storage, "address", k.address, "reason", reason)
 	}
 	k.refused = reason
@@ -266,7 +266,7 @@
 	for offset := 0; ; offset += partBytes {
 		part := k.part(term, s, offset)
 		if err := k.sendPart(conn, part); err != nil {
-			k.links.config.Logger.Warn("control: snapshot not sent", "storage", k.storage, "error", err)
+			k.links.config.Logger.Warn("snapshot not sent", "storage", k.storage, "error", err)
 			return
 		}
 		if offset+partBytes >= len(s.Data) {
--- a/proposer/loop.go
+++ b/proposer/loop.go
@@ -52,7 +52,7 @@
 			batch = append(batch, b)
 		}
 		if err := p.process(p.drain(batch)); err != nil {
-			p.config.Logger.Error("control: replica stopped", "error", err)
+			p.config.Logger.Error("replica stopped", "error", err)
 			return err
 		}
 		p.publish()
@@ -271,7 +271,7 @@
 	if !v.Restore {
 		return nil
 	}
-	p.config.Logger.Info("control: snapshot installed", "index", v.Snapshot.Index)
+	p.config.Logger.Info("snapshot installed", "index", v.Snapshot.Index)
 	return trace.Wrap(p.config.Applier.Restore(v.Snapshot.Data), "restoring a leader's snapshot")
 }
 
@@ -286,7 +286,7 @@
 }
 
 func (p *proposer) adopt(m waxwingseam.Membership) {
-	p.config.Logger.Info("control: members changed", "members", len(m.Members), "voters", m.Voters())
+	p.config.Logger.Info("members changed", "members", len(m.Members), "voters", m.Voters())
 	for _, v := range m.Members {
 		p.links.learn(v)
 	}
--- a/proposer/proposer.go
+++ b/proposer/proposer.go
@@ -11,7 +11,6 @@
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 
 	"waxwingseam.example/waxwingseam"
@@ -109,45 +108,6 @@
 // inboxSize bounds the events that wait; those who bring more are held up.
 const inboxSize = 1024
 
-// Initialize creates a cluster's identity, once, in an empty data folder; the
-// replica is its first voter.
-func Initialize(config Config) (waxwingseam.ClusterID, error) {
-	disk, err := config.openDisk()
-	if err != nil {
-		return "", err
-	}
-	identity := waxwingseam.ReplicaIdentity{
-		Cluster: waxwingseam.ClusterID(uuid.NewString()),
-		Replica: config.Self,
-		Storage: newStorageID(),
-	}
-	err = journaler.Format(disk, identity, bootstrap(config, identity))
-	return identity.Cluster, trace.NewAggregate(err, disk.Close())
-}
-
-// bootstrap is the first entry of a cluster's log: its only member.
-func bootstrap(config Config, identity waxwingseam.ReplicaIdentity) waxwingseam.PersistReplica {
-	membership := waxwingseam.Membership{}.With(waxwingseam.Member{
-		Replica: config.Self,
-		Storage: identity.Storage,
-		Address: config.Address,
-		Voter:   true,
-	})
-	return waxwingseam.PersistReplica{
-		State: waxwingseam.ReplicaState{Term: 1},
-		Entries: []waxwingseam.LogEntry{{
-			Index:      1,
-			Term:       1,
-			Kind:       waxwingseam.EntryMembership,
-			Membership: &membership,
-		}},
-	}
-}
-
-func newStorageID() waxwingseam.StorageID {
-	return waxwingseam.StorageID(uuid.NewString())
-}
-
 func (c Config) openDisk() (waxwingseam.Disk, error) {
 	if c.Disk != nil {
 		return c.Disk, nil
@@ -219,7 +179,7 @@
 	for _, m := range p.status.Members {
 		p.links.learn(m.Member)
 	}
-	p.config.Logger.Info("control: replica opened",
+	p.config.Logger.Info("replica opened",
 		"cluster", identity.Cluster, "storage", identity.Storage,
 		"snapshot", recovery.Snapshot.Index, "entries", len(recovery.Entries))
 	return nil
@@ -253,13 +213,27 @@
 // publish makes the reducer's status visible and wakes those who wait for it.
 func (p *proposer) publish() {
 	status := p.reducer.Status()
+	if status.Leader == "" {
+		status.Refused = waxwingseam.ReasonNoQuorum
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if status.Leader != p.status.Leader || status.Term != p.status.Term {
+		p.config.Logger.Info("leadership changed",
+			"role", status.Role, "term", status.Term, "leader", status.Leader)
+	}
 	p.status = status
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
 
+// refuse makes visible why the replica takes no part.
+func (p *proposer) refuse(reason waxwingseam.ReplicaReason) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.status.Refused = reason
+}
+
 // watch returns the status and a channel that is closed when it changes.
 func (p *proposer) watch() (waxwingseam.ReplicaStatus, <-chan struct{}) {
 	p.mu.Lock()
--- a/proposer/proposer_test.go
+++ b/proposer/proposer_test.go
@@ -290,6 +290,34 @@
 	qt.Assert(t, waxwingseam.ReplicaReasonOf(err), qt.Equals, waxwingseam.ReasonCommandTooLarge)
 }
 
+// TestReestablishAfterLossOfQuorum goes on with the last of three data folders.
+func TestReestablishAfterLossOfQuorum(t *testing.T) {
+	t.Parallel()
+	folder := t.TempDir()
+	replicas := trio(t, folder)
+	replicas[0].propose(t, 1, 5)
+	for _, r := range replicas {
+		qt.Assert(t, r.ReadIndex(t.Context()), qt.IsNil)
+	}
+	for _, r := range replicas {
+		qt.Assert(t, r.kill(), qt.IsNil)
+	}
+	last := replicas[2].config
+	last.Disk = nil
+	qt.Assert(t, os.RemoveAll(replicas[0].config.DataFolder), qt.IsNil)
+	cluster, err := Reestablish(last)
+	qt.Assert(t, err, qt.IsNil)
+	c := start(t, folder, "c", last.Address, replicas[1].config.Address)
+	c.propose(t, 6, 7)
+	qt.Assert(t, c.Status().Cluster, qt.Equals, cluster)
+	old := start(t, folder, "b", replicas[1].config.Address, last.Address)
+	qt.Assert(t, old.ended(), qt.ErrorMatches, "(?s).*belongs to cluster.*")
+	a := start(t, folder, "a", replicas[0].config.Address, last.Address)
+	a.await(t, voters(2))
+	qt.Assert(t, a.ReadIndex(t.Context()), qt.IsNil)
+	qt.Assert(t, a.ledger.String(), qt.Equals, "c1 c2 c3 c4 c5 c6 c7")
+}
+
 // TestStrangersAreRefused starts replicas that are not the cluster's own.
 func TestStrangersAreRefused(t *testing.T) {
 	t.Parallel()
@@ -345,7 +373,8 @@
 	left := replicas[2]
 	qt.Assert(t, replicas[0].kill(), qt.IsNil)
 	qt.Assert(t, replicas[1].kill(), qt.IsNil)
-	left.await(t, func(s waxwingseam.ReplicaStatus) bool { return s.Leader == "" })
+	status := left.await(t, func(s waxwingseam.ReplicaStatus) bool { return s.Leader == "" })
+	qt.Assert(t, status.Refused, qt.Equals, waxwingseam.ReasonNoQuorum)
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
 	qt.Assert(t, waxwingseam.ReplicaReasonOf(left.ReadIndex(ctx)), qt.Equals, waxwingseam.ReasonNoQuorum)
