--- a/assembler/interests.go
+++ b/assembler/interests.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"time"
@@ -51,6 +52,8 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	switch v := e.(type) {
+	case waxwingseam.AttemptArrived:
+		i.subscriber.Notice(v.Call.Revision, netip.AddrPort{})
 	case waxwingseam.SetAdopted:
 		i.set = v.Set
 	case waxwingseam.ServersLearned:
--- a/controller/bench_test.go
+++ b/controller/bench_test.go
@@ -13,6 +13,7 @@
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/administrator"
 	"waxwingseam.example/waxwingseam/checker"
+	"waxwingseam.example/waxwingseam/publisher"
 )
 
 // fleet is a control replica with nodes behind a relay that counts bytes.
@@ -33,9 +34,23 @@
 		f.nodes = append(f.nodes, join(b, waxwingseam.ServerName(fmt.Sprintf("fees-%d", i)), f.relay.address()))
 	}
 	f.inForce(b)
+	if nodes > 0 {
+		time.Sleep(settled)
+	}
 	return f
 }
 
+// settled is the time after which the replicas have listed all servers.
+const settled = publisher.SettleTime + 2*time.Second
+
+// heap returns the bytes in use on the heap.
+func heap() float64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
 // apply submits the set with a number of objects, one of which has a weight.
 func (f *fleet) apply(b *testing.B, objects, weight int) {
 	var text strings.Builder
@@ -76,7 +91,6 @@
 	for _, nodes := range []int{50, 200, 800} {
 		b.Run(fmt.Sprintf("nodes=%d", nodes), func(b *testing.B) {
 			f := newFleet(b, 1, nodes, 100)
-			time.Sleep(7 * time.Second)
 			bytes, used := f.relay.bytes.Load(), processorTime()
 			seconds := 0
 			for b.Loop() {
@@ -128,6 +142,13 @@
 				n.stop()
 			}
 			b.ReportMetric(float64(f.relay.bytes.Load()-before)/float64(joined), "bytes/join")
+			const kept = 10
+			used := heap()
+			for i := range kept {
+				n := join(b, waxwingseam.ServerName(fmt.Sprintf("kept-%d", i)), f.relay.address())
+				n.news.await(b, "newest revision in force", func() bool { return n.revision() == f.base })
+			}
+			b.ReportMetric((heap()-used)/kept/1024, "heap-KiB/node")
 		})
 	}
 }
--- a/controller/cluster_test.go
+++ b/controller/cluster_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -156,3 +157,23 @@
 	held := fresh.subscriber.Status()
 	qt.Assert(t, held.Revision, qt.Equals, waxwingseam.Revision(1))
 }
+
+// TestNoticedRevision cuts a node off from control: it takes a revision over
+// from another node, of which it was told that it holds a higher one.
+func TestNoticedRevision(t *testing.T) {
+	control := cluster(t, 1)[0]
+	between := newRelay(t, control.address)
+	behind := join(t, "fees-1", between.address())
+	ahead := join(t, "fees-2", control.address)
+	_, _ = submit(t, slots(t, 20), control)
+	behind.news.await(t, "revision 1 in force", func() bool { return behind.revision() == 1 })
+	behind.news.await(t, "the other node known", func() bool { _, ok := behind.server("fees-2"); return ok })
+	between.silent.Store(true)
+	s := slots(t, 30)
+	s.BaseRevision = 1
+	_, _ = submit(t, s, control)
+	ahead.news.await(t, "revision 2 in force", func() bool { return ahead.revision() == 2 })
+	qt.Assert(t, behind.revision(), qt.Equals, waxwingseam.Revision(1))
+	behind.subscriber.Notice(2, netip.AddrPort{})
+	behind.news.await(t, "revision 2 taken over", func() bool { return behind.revision() == 2 })
+}
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -14,6 +14,7 @@
 
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/historian"
+	"waxwingseam.example/waxwingseam/registrar"
 )
 
 const (
@@ -191,8 +192,12 @@
 	return time.Since(p.started) >= SettleTime
 }
 
-// knowsAll reports whether the other replicas' nodes are known as well.
+// knowsAll reports whether the other replicas' nodes are known as well. A
+// replica that is out of reach for long is waited for no more.
 func (p *publisher) knowsAll() bool {
+	if time.Since(p.started) >= registrar.OrphanTime {
+		return true
+	}
 	return p.knowsOwn() && len(p.heard) >= p.config.Peers
 }
 
--- a/subscriber/peer.go
+++ b/subscriber/peer.go
@@ -69,6 +69,9 @@
 
 // Notice implements Subscriber.
 func (s *subscriber) Notice(revision waxwingseam.Revision, node netip.AddrPort) {
+	if uint64(revision) <= s.newest.Load() {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if revision <= s.held.Revision || revision <= s.noticed.revision {
@@ -122,13 +125,14 @@
 	return s.pick()
 }
 
-// pick returns the node that was noticed, and others for a node without a set.
+// pick returns the node that was noticed, and others where it is not known or
+// the node has no set.
 func (s *subscriber) pick() []netip.AddrPort {
 	var nodes []netip.AddrPort
-	if s.noticed.revision > s.held.Revision {
+	if s.noticed.revision > s.held.Revision && s.noticed.node.IsValid() {
 		nodes = append(nodes, s.noticed.node)
 	}
-	if s.held.Revision > 0 {
+	if s.held.Revision > 0 && len(nodes) > 0 {
 		return nodes
 	}
 	for _, a := range s.servers {
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"waxwingseam.example/waxwingseam"
@@ -55,7 +56,8 @@
 	// Interest adds a service whose servers the node wants to know.
 	Interest(service waxwingseam.ServiceName)
 	// Notice says that another node holds a revision; a higher one is fetched
-	// from there when control does not bring it.
+	// from there when control does not bring it. Without an address, some of
+	// the known nodes are asked.
 	Notice(revision waxwingseam.Revision, node netip.AddrPort)
 	// Held answers another node with the set that this one holds.
 	Held(ctx context.Context, q *HeldQuery) (*HeldAnswer, error)
@@ -76,6 +78,9 @@
 	config Config
 	woken  chan struct{}
 
+	// newest is the revision held, for Notice, which each call makes.
+	newest atomic.Uint64
+
 	// adopting orders the revisions on their way to the reducer.
 	adopting sync.Mutex
 
@@ -190,6 +195,7 @@
 	higher := set.Revision > s.held.Revision
 	if higher {
 		s.held, s.digest = set, digest
+		s.newest.Store(uint64(set.Revision))
 		s.changed.held = true
 	}
 	s.mu.Unlock()
