--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -102,10 +102,10 @@
 	for _, v := range []struct{ name, before, after, want string }{
 		{"nothing", deskText, deskText, ""},
 		{"one drained", deskText, deskText + fmt.Sprintf(drainText, 1), ""},
-		{"all drained", deskText, deskText + both, ":0: [service desk] is left without a backend server that takes calls"},
+		{"all drained", deskText, deskText + both, "warning: [service desk] is left without a backend server that takes calls"},
 		{"were drained before", deskText + both, deskText + both, ""},
-		{"service removed", deskText, "", ":0: [service desk] is removed while 2 backend servers announce it"},
-		{"object removed", deskText + fmt.Sprintf(drainText, 1), deskText, ":0: [backend-server desk-1] is removed while it is announced"},
+		{"service removed", deskText, "", "warning: [service desk] is removed while 2 backend servers announce it"},
+		{"object removed", deskText + fmt.Sprintf(drainText, 1), deskText, "warning: [backend-server desk-1] is removed while it is announced"},
 		{"object of none removed", deskText + fmt.Sprintf(drainText, 3), deskText, ""},
 	} {
 		t.Run(v.name, func(t *testing.T) {
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -248,3 +248,21 @@
 	qt.Assert(t, status.Servers, qt.HasLen, 2)
 	qt.Assert(t, status.Servers[0].State, qt.Equals, "leaving")
 }
+
+// TestLastWord checks that a node which stops right after it announced that it
+// leaves has told so.
+func TestLastWord(t *testing.T) {
+	control := cluster(t, 1)[0]
+	stays, leaves := join(t, "fees-1", control.address), join(t, "fees-2", control.address)
+	stays.news.await(t, "the other node known", func() bool { _, ok := stays.server("fees-2"); return ok })
+	self, _ := stays.server("fees-2")
+	self.Leaving = true
+	leaves.subscriber.Announce(self)
+	leaves.stop()
+	stays.news.await(t, "leaving known", func() bool {
+		s, ok := stays.server("fees-2")
+		return s.Leaving || !ok
+	})
+	s, _ := stays.server("fees-2")
+	qt.Assert(t, s.Leaving, qt.IsTrue)
+}
--- a/finding.go
+++ b/finding.go
@@ -18,10 +18,15 @@
 	Text    string `json:"text"`
 }
 
-// String returns the finding on one line, its place first.
+// String returns the finding on one line, its place first where it has one.
 func (f Finding) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s:%d: ", f.File, f.Line)
+	if f.File != "" {
+		fmt.Fprintf(&b, "%s:%d: ", f.File, f.Line)
+	}
+	if f.Warning {
+		b.WriteString("warning: ")
+	}
 	if f.Section != "" {
 		fmt.Fprintf(&b, "[%s] ", f.Section)
 	}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -83,9 +84,9 @@
 	}
 	for _, id := range a.Differing {
 		text += "\nchanged since the base: " + id.String()
-	}
-	for _, id := range a.Clashing {
-		text += "\nchanged by this submission as well: " + id.String()
+		if slices.Contains(a.Clashing, id) {
+			text += ", and by this submission"
+		}
 	}
 	return text
 }
@@ -190,12 +191,12 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return nil, trace.ConnectionProblem(err, "%s", c.config.Control)
+		return nil, trace.ConnectionProblem(err, "%s: %v", c.config.Control, err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
 	if err != nil {
-		return nil, trace.ConnectionProblem(err, "%s", c.config.Control)
+		return nil, trace.ConnectionProblem(err, "%s: %v", c.config.Control, err)
 	}
 	if response.StatusCode == http.StatusOK {
 		return data, nil
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -20,6 +20,8 @@
 const (
 	// dialTimeout bounds the time to open a connection.
 	dialTimeout = 500 * time.Millisecond
+	// farewellTimeout bounds the wait for a last report to be read.
+	farewellTimeout = 300 * time.Millisecond
 	// healthyAfter is how long a connection must last for the next attempt to
 	// follow at once.
 	healthyAfter = 2 * time.Second
--- a/subscriber/watch.go
+++ b/subscriber/watch.go
@@ -18,8 +18,6 @@
 // watch keeps one connection to a control replica until it fails or goes
 // silent.
 func (s *subscriber) watch(ctx context.Context, address netip.AddrPort) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	dialing, done := context.WithTimeout(ctx, dialTimeout)
 	conn, err := s.config.Dialer.Dial(dialing, address)
 	done()
@@ -29,7 +27,10 @@
 	defer func() { _ = conn.Close() }()
 	silence := time.AfterFunc(publisher.SilentAfter, func() { _ = conn.Close() })
 	defer silence.Stop()
-	stream, err := conn.NewStream(ctx, publisher.WatchMethod, messenger.Encoding)
+	// The connection outlasts the context for a last report.
+	streaming, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	stream, err := conn.NewStream(streaming, publisher.WatchMethod, messenger.Encoding)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -68,7 +69,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return s.farewell(stream, failed)
 		case err := <-failed:
 			return err
 		case <-s.woken:
@@ -77,6 +78,23 @@
 	}
 }
 
+// farewell sends what the replica has not been told yet, and waits until it
+// has been read.
+func (s *subscriber) farewell(stream drpc.Stream, failed <-chan error) error {
+	report := s.report()
+	if err := stream.MsgSend(&report, messenger.Encoding); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := stream.CloseSend(); err != nil {
+		return trace.Wrap(err)
+	}
+	select {
+	case <-failed:
+	case <-time.After(farewellTimeout):
+	}
+	return context.Canceled
+}
+
 // report takes what the replica has not been told yet.
 func (s *subscriber) report() publisher.Report {
 	s.mu.Lock()
