--- a/subscriber/watch.go
+++ b/subscriber/watch.go
@@ -89,10 +89,11 @@
 		return trace.Wrap(err)
 	}
 	select {
-	case <-failed:
+	case err := <-failed:
+		return err
 	case <-time.After(farewellTimeout):
+		return context.DeadlineExceeded
 	}
-	return context.Canceled
 }
 
 // report takes what the replica has not been told yet.
