--- a/auditor/sim_test.go
+++ b/auditor/sim_test.go
@@ -357,7 +357,6 @@
 }
 
 func (l *life) execute(x waxwingseam.Effect) {
-	h := l.host.h
 	switch v := x.(type) {
 	case waxwingseam.ArmTimer:
 		l.arm(v)
@@ -376,6 +375,14 @@
 		l.fence(v)
 	case waxwingseam.Reply:
 		l.reply(v)
+	default:
+		l.executeReceiving(x)
+	}
+}
+
+func (l *life) executeReceiving(x waxwingseam.Effect) {
+	h := l.host.h
+	switch v := x.(type) {
 	case waxwingseam.Run:
 		l.begin(v)
 	case waxwingseam.CancelRun:
--- a/forwarder/failure_test.go
+++ b/forwarder/failure_test.go
@@ -372,15 +372,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t)
 		front := w.newNode(nodeConfig{})
-		var nodes []*node
-		var backends []*backend
-		for _, name := range []waxwingseam.ServerName{"fees-1", "fees-2"} {
+		nodes := make([]*node, 2)
+		backends := make([]*backend, 2)
+		for i, name := range []waxwingseam.ServerName{"fees-1", "fees-2"} {
 			b := w.newBackend(func(rw http.ResponseWriter, r *http.Request) {
 				time.Sleep(time.Second)
 				echo(rw, r)
 			})
-			backends = append(backends, b)
-			nodes = append(nodes, w.newNode(nodeConfig{service: "fees", name: name, backend: b.address}))
+			backends[i] = b
+			nodes[i] = w.newNode(nodeConfig{service: "fees", name: name, backend: b.address})
 		}
 		front.learn(nodes...)
 		calls := func(n int) {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -96,6 +97,8 @@
 	fences    map[waxwingseam.CallID][]chan waxwingseam.AnswerFence
 	witnesses map[uint64]chan waxwingseam.WitnessAnswer
 	asked     uint64
+	// asking counts the messages to witnesses that have no answer yet.
+	asking atomic.Int64
 }
 
 // New returns a forwarder without calls.
@@ -144,8 +147,9 @@
 	return f.gauge.held.Load(), f.gauge.peak.Load()
 }
 
-// Busy returns how many calls the forwarder carries, as their sender and for
-// its own backend server.
+// Busy returns how many calls the forwarder carries: as their sender, and for
+// its own backend server, the ends of their replies and the messages to
+// witnesses included. A node may leave once both are 0.
 func (f *Forwarder) Busy() (sending, running int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -154,7 +158,7 @@
 			running++
 		}
 	}
-	return len(f.exchanges), running
+	return len(f.exchanges) + int(f.asking.Load()), max(running, len(f.inbounds))
 }
 
 // Kinds lists the kinds of effects that the forwarder carries out.
@@ -191,6 +195,14 @@
 		go f.fence(v)
 	case waxwingseam.Resume:
 		f.resume(v)
+	default:
+		f.executeReceiving(e)
+	}
+}
+
+// executeReceiving carries out an effect of the receiving side.
+func (f *Forwarder) executeReceiving(e waxwingseam.Effect) {
+	switch v := e.(type) {
 	case waxwingseam.Run:
 		f.run(v)
 	case waxwingseam.CancelRun:
@@ -203,9 +215,18 @@
 		f.answerFence(v)
 	case waxwingseam.ForgetRun:
 		f.forgetRun(v)
+	default:
+		f.executeKey(e)
+	}
+}
+
+// executeKey carries out an effect about a caller's key.
+func (f *Forwarder) executeKey(e waxwingseam.Effect) {
+	switch v := e.(type) {
 	case waxwingseam.DecideKey:
 		f.decideKey(v)
 	case waxwingseam.AskWitness:
+		f.asking.Add(1)
 		go f.askWitness(v)
 	case waxwingseam.AnswerWitness:
 		f.answerWitness(v)
--- a/forwarder/key.go
+++ b/forwarder/key.go
@@ -56,6 +56,7 @@
 
 // askWitness carries out an AskWitness.
 func (f *Forwarder) askWitness(e waxwingseam.AskWitness) {
+	defer f.asking.Add(-1)
 	answer := &waxwingseam.WitnessAnswer{}
 	err := f.invoke(e.To, methodAsk, &e.Message, answer, witnessPatience)
 	f.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
