--- a/auditor/auditor_test.go
+++ b/auditor/auditor_test.go
@@ -46,6 +46,10 @@
 	for range f.drains {
 		h.after(time.Duration(h.random.IntN(12_000))*time.Millisecond, h.servers()[h.random.IntN(3)].leave)
 	}
+	for range f.partitions {
+		o := h.hosts[h.random.IntN(5)]
+		h.after(time.Duration(h.random.IntN(12_000))*time.Millisecond, func() { h.part(o) })
+	}
 	h.run(54 * time.Second)
 	return h
 }
@@ -72,13 +76,14 @@
 	told := map[waxwingseam.Outcome]int{}
 	rapid.Check(t, func(r *rapid.T) {
 		f := faults{
-			lose:      rapid.IntRange(0, 20).Draw(r, "lose"),
-			delay:     rapid.IntRange(0, 10).Draw(r, "delay"),
-			duplicate: rapid.IntRange(0, 10).Draw(r, "duplicate"),
-			cross:     rapid.IntRange(0, 5).Draw(r, "cross"),
-			restarts:  rapid.IntRange(0, 4).Draw(r, "restarts"),
-			drains:    rapid.IntRange(0, 3).Draw(r, "drains"),
-			partial:   rapid.IntRange(0, 50).Draw(r, "partial"),
+			lose:       rapid.IntRange(0, 20).Draw(r, "lose"),
+			delay:      rapid.IntRange(0, 10).Draw(r, "delay"),
+			duplicate:  rapid.IntRange(0, 10).Draw(r, "duplicate"),
+			cross:      rapid.IntRange(0, 5).Draw(r, "cross"),
+			restarts:   rapid.IntRange(0, 4).Draw(r, "restarts"),
+			drains:     rapid.IntRange(0, 3).Draw(r, "drains"),
+			partitions: rapid.IntRange(0, 3).Draw(r, "partitions"),
+			partial:    rapid.IntRange(0, 50).Draw(r, "partial"),
 		}
 		h := play(rapid.Uint64().Draw(r, "seed"), f)
 		if err := h.audit(); err != nil {
--- a/auditor/sim_test.go
+++ b/auditor/sim_test.go
@@ -32,7 +32,7 @@
 // that a test switches off.
 type faults struct {
 	lose, delay, duplicate, cross int
-	restarts, drains              int
+	restarts, drains, partitions  int
 	// partial is the chance that a node learns late of a change of servers.
 	partial int
 
@@ -80,8 +80,9 @@
 
 // host is one host over all lives of its node.
 type host struct {
-	h    *history
-	name waxwingseam.ServerName
+	h      *history
+	name   waxwingseam.ServerName
+	parted bool
 	*life
 }
 
@@ -165,8 +166,18 @@
 	return d
 }
 
-// send delivers a message, perhaps never, late or twice.
-func (h *history) send(deliver func()) {
+// part cuts a host off from all others for a while.
+func (h *history) part(o *host) {
+	o.parted = true
+	h.after(time.Duration(1000+h.random.IntN(20_000))*time.Millisecond, func() { o.parted = false })
+}
+
+// send delivers a message from one host to another, perhaps never, late or
+// twice.
+func (h *history) send(from, to *host, deliver func()) {
+	if from.parted || to.parted {
+		return
+	}
 	if !h.chance(h.lose) {
 		h.after(h.transit(), deliver)
 	}
@@ -483,7 +494,7 @@
 	c := &connection{call: call}
 	o.open[number] = c
 	c.answer = func(r waxwingseam.Result, tag uint64) {
-		h.send(func() {
+		h.send(to.host, l.host, func() {
 			if c.left {
 				return
 			}
@@ -501,7 +512,7 @@
 	if resumed {
 		meant = o.lives[number]
 	}
-	h.send(func() { to.receive(c, number, meant, false) })
+	h.send(l.host, to.host, func() { to.receive(c, number, meant, false) })
 	h.silence(l, c, call.ID, number, to)
 	return true
 }
@@ -512,7 +523,7 @@
 		key := attempt{id, number}
 		switch {
 		case c.left:
-		case to.alive && to.inbound[key] == c:
+		case to.alive && to.inbound[key] == c && !l.host.parted && !to.host.parted:
 			h.silence(l, c, id, number, to)
 		default:
 			c.left = true
@@ -564,14 +575,14 @@
 	}
 	relay := &connection{call: c.call}
 	relay.answer = func(r waxwingseam.Result, tag uint64) {
-		h.send(func() {
+		h.send(to.host, l.host, func() {
 			if !relay.left {
 				relay.left = true
 				l.answerTagged(v.ID, v.Attempt, r, tag)
 			}
 		})
 	}
-	h.send(func() { to.receive(relay, v.Attempt, 0, true) })
+	h.send(l.host, to.host, func() { to.receive(relay, v.Attempt, 0, true) })
 	var watch func()
 	watch = func() {
 		switch {
@@ -651,7 +662,7 @@
 	for _, s := range h.servers() {
 		to := s.life
 		if to.inbound[attempt{v.ID, v.Attempt}] == c {
-			h.send(func() {
+			h.send(l.host, to.host, func() {
 				to.step(waxwingseam.AttemptCancelled{Stamp: h.stamp(), ID: v.ID, Attempt: v.Attempt})
 				delete(to.inbound, attempt{v.ID, v.Attempt})
 			})
@@ -674,7 +685,7 @@
 	if to == nil {
 		return
 	}
-	h.send(func() {
+	h.send(l.host, to.host, func() {
 		if !to.alive {
 			return
 		}
@@ -691,7 +702,7 @@
 				}
 			}
 		}
-		h.send(func() { tell(reply) })
+		h.send(to.host, l.host, func() { tell(reply) })
 	})
 }
 
@@ -713,7 +724,7 @@
 	if h.noHandover && m.Request == waxwingseam.RequestHandover {
 		m.Claims = nil
 	}
-	h.send(func() {
+	h.send(l.host, to.host, func() {
 		if !to.alive {
 			return
 		}
@@ -722,7 +733,7 @@
 			if h.noHandover && m.Request == waxwingseam.RequestJoin {
 				a.Claims = nil
 			}
-			h.send(func() { tell(true, a) })
+			h.send(to.host, l.host, func() { tell(true, a) })
 		}
 		to.step(waxwingseam.WitnessAsked{Stamp: h.stamp(), Number: to.asked, Message: m})
 	})
