--- a/demonstrator/load.go
+++ b/demonstrator/load.go
@@ -28,6 +28,8 @@
 	quietLoad = 0.7
 	// tick is how often new requests are started.
 	tick = 5 * time.Millisecond
+	// distance is the time from a caller to a node, one way.
+	distance = 8 * time.Millisecond
 	// idleConnections bounds the callers' idle connections to one address.
 	idleConnections = 512
 )
@@ -199,7 +201,9 @@
 	if p.request.Once {
 		request.Header.Set("Idempotency-Key", fmt.Sprintf("%q", p.tag))
 	}
+	time.Sleep(distance)
 	response, err := l.client.Do(request)
+	defer time.Sleep(distance)
 	if err != nil {
 		p.answer = "no answer in time"
 		return false
