--- a/assembler/chain_test.go
+++ b/assembler/chain_test.go
@@ -117,12 +117,13 @@
 	return h
 }
 
-// newChain starts three hops that know each other and the objects.
-func newChain(ctx context.Context, t *testing.T, observers ...runner.Observer) []*hop {
+// newChain starts three hops that know each other and the objects. Each is
+// observed by what observe makes for it.
+func newChain(ctx context.Context, t *testing.T, observe func() []runner.Observer) []*hop {
 	hops := []*hop{
-		newHop(ctx, t, "front", observers, imitator.Child{Service: "middle", Path: "/a"}),
-		newHop(ctx, t, "middle", observers, imitator.Child{Service: "back", Path: "/b"}),
-		newHop(ctx, t, "back", observers),
+		newHop(ctx, t, "front", observe(), imitator.Child{Service: "middle", Path: "/a"}),
+		newHop(ctx, t, "middle", observe(), imitator.Child{Service: "back", Path: "/b"}),
+		newHop(ctx, t, "back", observe()),
 	}
 	set, findings := checker.Parse(checker.File{Name: "chain.ini", Data: []byte(chainObjects)})
 	qt.Assert(t, findings.OrNil(), qt.IsNil)
@@ -148,7 +149,7 @@
 func TestChainOfThreeHops(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	hops := newChain(ctx, t)
+	hops := newChain(ctx, t, func() []runner.Observer { return nil })
 	const calls = 20
 	for n := range calls {
 		tag := fmt.Sprintf("tag-%d", n)
