limiter: roots in flight against what the ended runs hold, slow start

Cause: when a deep service slowed, runs that ended first were those that went first, and told of no queue for 3 s; at a node's start the limit stood at all slots. Change: what is in flight, compared with rate times time without queues, counts as queue from 1.8 on; the limit starts at a quarter of the slots and doubles until something waits; a change waits for 10 runs.

--- /dev/null
+++ b/experimenter/main_test.go
@@ -0,0 +1,15 @@
+package experimenter
+
+import (
+	"os"
+	"runtime/debug"
+	"testing"
+)
+
+// gcPercent trades memory for the time of the many short-lived events.
+const gcPercent = 400
+
+func TestMain(m *testing.M) {
+	debug.SetGCPercent(gcPercent)
+	os.Exit(m.Run())
+}
--- a/experimenter/saturation.go
+++ b/experimenter/saturation.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	saturationWarmUp = time.Second
+	saturationWarmUp = 2 * time.Second
 	// saturationLength is the least time over which saturation is measured,
 	// saturationRoots the least number of roots.
 	saturationLength = 2 * time.Second
--- a/limiter/queuedelay.go
+++ b/limiter/queuedelay.go
@@ -10,13 +10,25 @@
 	// delayTarget is the share of queue time in the time without queues that is
 	// left alone.
 	delayTarget = 0.3
+	// delayBacklog is the ratio of what is in flight to what would be without
+	// queues that is taken for queues, whatever the ended runs tell: they may be
+	// those that went first.
+	delayBacklog = 1.8
 	// delayWindow is the least time between two changes of the limit.
 	delayWindow = 50 * time.Millisecond
+	// delayRuns is how many runs a change waits for, delayPatience the most
+	// times of a run that it does so.
+	delayRuns     = 10
+	delayPatience = 3
 	// delayRoom is the limit, as a multiple of what is in use, while nearly
 	// nothing waits.
 	delayRoom = 1.25
-	// delayFloorParts is the part of the slots that the limit keeps where
-	// little is in use.
+	// delayFirstRoom is the same until something waits, or the limit is not
+	// reached, for the first time.
+	delayFirstRoom = 2.0
+	// delayStartParts is the part of the slots that the limit starts from,
+	// delayFloorParts that which it keeps where little is in use.
+	delayStartParts = 4
 	delayFloorParts = 8
 )
 
@@ -28,23 +40,31 @@
 type queueDelay struct {
 	slots   int
 	limit   float64
+	room    float64
 	usual   average
 	started time.Time
 	elapsed time.Duration
 	waited  time.Duration
 	count   int
 	peak    int
+	flights int
 }
 
 // NewQueueDelay returns a limiter that follows the time in queues.
 func NewQueueDelay() waxwingseam.Limiter {
-	return &queueDelay{slots: 1, limit: 1}
+	return &queueDelay{slots: 1, limit: 1, room: delayFirstRoom}
 }
 
 // Configure implements waxwingseam.Limiter.
 func (l *queueDelay) Configure(slots int) {
 	l.slots = max(slots, 1)
-	l.limit = float64(l.slots)
+	l.limit = max(float64(l.slots)/delayStartParts, 1)
+	l.room = delayFirstRoom
+}
+
+// floor is the limit where little is in use.
+func (l *queueDelay) floor() float64 {
+	return max(float64(l.slots)/delayFloorParts, 1)
 }
 
 // Limit implements waxwingseam.Limiter.
@@ -64,29 +84,41 @@
 	l.waited += min(s.Waited, s.Elapsed)
 	l.count++
 	l.peak = max(l.peak, s.InFlight)
+	l.flights += s.InFlight
 	if l.started.IsZero() {
 		l.started = s.Now
 	}
-	if passed := s.Now.Sub(l.started); passed >= max(delayWindow, l.elapsed/time.Duration(l.count)) {
+	if passed := s.Now.Sub(l.started); l.due(passed) {
 		l.adapt(passed)
 		l.started = s.Now
 	}
 }
 
-// adapt changes the limit once in the time of a run, when the last change has
-// shown its effect.
+// due reports whether the last change has shown its effect, on enough runs
+// where these come in time.
+func (l *queueDelay) due(passed time.Duration) bool {
+	usual := max(delayWindow, l.elapsed/time.Duration(l.count))
+	return passed >= usual && (l.count >= delayRuns || passed >= delayPatience*usual)
+}
+
+// adapt changes the limit by the runs that ended in a time.
 func (l *queueDelay) adapt(passed time.Duration) {
 	free := float64(l.elapsed - l.waited)
 	inUse := free / float64(passed)
 	share := float64(l.waited) / max(free, 1)
+	backlog := float64(l.flights) / float64(l.count) / max(inUse, 1)
+	if share > delayTarget/2 || l.peak < l.Limit() {
+		l.room = delayRoom
+	}
 	switch {
-	case share > delayTarget:
+	case share > delayTarget || backlog > delayBacklog:
 		l.limit = min(l.limit, inUse*(1+delayTarget))
 	case share < delayTarget/2:
-		l.limit = max(float64(l.peak)*delayRoom, float64(l.slots)/delayFloorParts)
+		l.limit = max(float64(l.peak)*l.room, l.floor())
 	default:
 		l.limit++
 	}
 	l.limit = min(max(l.limit, 1), float64(l.slots))
-	l.elapsed, l.waited, l.count, l.peak = 0, 0, 0, 0
+	l.elapsed, l.waited, l.count = 0, 0, 0
+	l.peak, l.flights = 0, 0
 }
