--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"waxwingseam.example/waxwingseam"
@@ -19,6 +20,8 @@
 const (
 	// dialTimeout bounds the time to open a connection.
 	dialTimeout = 500 * time.Millisecond
+	// farewellTimeout bounds the wait for a last report to be read.
+	farewellTimeout = 300 * time.Millisecond
 	// healthyAfter is how long a connection must last for the next attempt to
 	// follow at once.
 	healthyAfter = 2 * time.Second
@@ -55,7 +58,8 @@
 	// Interest adds a service whose servers the node wants to know.
 	Interest(service waxwingseam.ServiceName)
 	// Notice says that another node holds a revision; a higher one is fetched
-	// from there when control does not bring it.
+	// from there when control does not bring it. Without an address, some of
+	// the known nodes are asked.
 	Notice(revision waxwingseam.Revision, node netip.AddrPort)
 	// Held answers another node with the set that this one holds.
 	Held(ctx context.Context, q *HeldQuery) (*HeldAnswer, error)
@@ -76,6 +80,9 @@
 	config Config
 	woken  chan struct{}
 
+	// newest is the revision held, for Notice, which each call makes.
+	newest atomic.Uint64
+
 	// adopting orders the revisions on their way to the reducer.
 	adopting sync.Mutex
 
@@ -190,6 +197,7 @@
 	higher := set.Revision > s.held.Revision
 	if higher {
 		s.held, s.digest = set, digest
+		s.newest.Store(uint64(set.Revision))
 		s.changed.held = true
 	}
 	s.mu.Unlock()
