--- a/experimenter/layer.go
+++ b/experimenter/layer.go
@@ -81,6 +81,13 @@
 	}}
 }
 
+// AdmissionAlone is the project's admission below the baselines' sender.
+func AdmissionAlone() Layer {
+	return Layer{Name: "admission, plain sender", New: func(self waxwingseam.Server) waxwingseam.Reducer {
+		return assemble(self, newAdmitter(), 0)
+	}}
+}
+
 // FirstVersion is the policy that the project started from.
 func FirstVersion() Layer {
 	return Variant("waxwingseam, first version", newFirstAdmitter)
@@ -90,6 +97,7 @@
 func Layers() []Layer {
 	return []Layer{
 		Waxwingseam(),
+		AdmissionAlone(),
 		FirstVersion(),
 		NoLayer(),
 		FixedLimit(),
