--- a/controller/cluster_test.go
+++ b/controller/cluster_test.go
@@ -63,13 +63,25 @@
 	return n
 }
 
-// leaderOf waits until all replicas vote, and returns which one leads.
+// configured counts the replicas that are to vote.
+func configured(replicas []*replica) int {
+	n := 0
+	for _, r := range replicas {
+		if r.config.Voter {
+			n++
+		}
+	}
+	return n
+}
+
+// leaderOf waits until all replicas that are to vote do, and returns which one
+// leads.
 func leaderOf(t testing.TB, replicas []*replica) int {
 	t.Helper()
 	for end := time.Now().Add(waitLimit); time.Now().Before(end); {
 		for i, r := range replicas {
 			status, err := r.client.Status(t.Context())
-			if err == nil && status.Current && status.Log.Role == waxwingseam.RoleLeader && voters(status.Log) == len(replicas) {
+			if err == nil && status.Current && status.Log.Role == waxwingseam.RoleLeader && voters(status.Log) == configured(replicas) {
 				return i
 			}
 		}
@@ -79,11 +91,11 @@
 }
 
 // TestOperatorsRace has two operators submit on one base at two replicas at
-// once, round after round.
+// once, round after round, before a node beside a replica that does not vote.
 func TestOperatorsRace(t *testing.T) {
-	replicas := cluster(t, 3)
+	replicas := clusterWith(t, 3, 1)
 	leaderOf(t, replicas)
-	n := join(t, "fees-1", replicas[2].address)
+	n := join(t, "fees-1", replicas[3].address)
 	for base := range waxwingseam.Revision(5) {
 		var answers [2]historian.Answer
 		var group sync.WaitGroup
@@ -143,6 +155,7 @@
 	old := join(t, "fees-1", replicas[0].address)
 	_, _ = submit(t, slots(t, 20), replicas...)
 	old.news.await(t, "revision 1 in force", func() bool { return old.revision() == 1 })
+	old.news.await(t, "itself known", func() bool { _, ok := old.server("fees-1"); return ok })
 	replicas[1].stop()
 	replicas[2].stop()
 	status, err := replicas[0].client.Status(t.Context())
@@ -156,6 +169,11 @@
 	fresh.news.await(t, "revision 1 taken over", func() bool { return fresh.revision() == 1 })
 	held := fresh.subscriber.Status()
 	qt.Assert(t, held.Revision, qt.Equals, waxwingseam.Revision(1))
+
+	replicas[0].stop()
+	_, known := fresh.server("fees-1")
+	qt.Assert(t, known, qt.IsTrue)
+	qt.Assert(t, fresh.revision(), qt.Equals, waxwingseam.Revision(1))
 }
 
 // TestNoticedRevision cuts a node off from control: it takes a revision over
@@ -177,3 +195,34 @@
 	behind.subscriber.Notice(2, netip.AddrPort{})
 	behind.news.await(t, "revision 2 taken over", func() bool { return behind.revision() == 2 })
 }
+
+// TestStartBesideLaggingReplica starts a node beside a replica that missed the
+// last revision and is alone: the node must not be given the one before.
+func TestStartBesideLaggingReplica(t *testing.T) {
+	replicas := cluster(t, 3)
+	leaderOf(t, replicas)
+	n := join(t, "fees-1", replicas[2].address)
+	first := slots(t, 20)
+	_, _ = submit(t, first, replicas...)
+	n.news.await(t, "revision 1 in force", func() bool { return n.revision() == 1 })
+	n.stop()
+	replicas[2].stop()
+	s := slots(t, 30)
+	s.BaseRevision = 1
+	_, _ = submit(t, s, replicas[:2]...)
+	replicas[0].stop()
+	replicas[1].stop()
+
+	replicas[2] = replicas[2].restart(t)
+	again := join(t, "fees-1", replicas[2].address)
+	again.news.await(t, "itself known", func() bool { _, ok := again.server("fees-1"); return ok })
+	for range 3 {
+		status, err := replicas[2].client.Status(t.Context())
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, status.Current, qt.IsFalse)
+		qt.Assert(t, again.revision(), qt.Equals, waxwingseam.Revision(0))
+	}
+	replicas[0] = replicas[0].restart(t)
+	again.news.await(t, "revision 2 in force", func() bool { return again.revision() == 2 })
+	qt.Assert(t, again.revisions, qt.DeepEquals, []waxwingseam.Revision{2})
+}
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -98,8 +98,14 @@
 	}
 }
 
-// cluster starts control replicas that form one cluster.
+// cluster starts control replicas that form one cluster, all of them voters.
 func cluster(t testing.TB, n int) []*replica {
+	return clusterWith(t, n, 0)
+}
+
+// clusterWith starts voters and replicas that do not vote.
+func clusterWith(t testing.TB, voters, learners int) []*replica {
+	n := voters + learners
 	servers := make([]*messenger.Server, n)
 	addresses := make([]netip.AddrPort, n)
 	for i := range servers {
@@ -113,7 +119,7 @@
 			Control:    addresses,
 			Server:     servers[i],
 			DataFolder: t.TempDir(),
-			Voter:      true,
+			Voter:      i < voters,
 		}
 		if i == 0 {
 			initialize(t, config)
--- /dev/null
+++ b/publisher/publisher_test.go
@@ -0,0 +1,153 @@
+package publisher_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/historian"
+	"waxwingseam.example/waxwingseam/messenger"
+	"waxwingseam.example/waxwingseam/publisher"
+	"waxwingseam.example/waxwingseam/subscriber"
+)
+
+var (
+	quiet    = slog.New(slog.DiscardHandler)
+	loopback = netip.MustParseAddrPort("127.0.0.1:0")
+)
+
+// waitLimit ends a test whose condition never comes true.
+const waitLimit = 20 * time.Second
+
+// confirmer stands for a replicated log whose quorum comes and goes.
+type confirmer struct {
+	asked chan struct{}
+
+	mu     sync.Mutex
+	quorum bool
+}
+
+// ReadIndex implements publisher.Confirmer.
+func (c *confirmer) ReadIndex(context.Context) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case c.asked <- struct{}{}:
+	default:
+	}
+	if c.quorum {
+		return nil
+	}
+	return errors.New("no quorum")
+}
+
+func (c *confirmer) setQuorum() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.quorum = true
+}
+
+// accept makes a revision in which a service has some slots.
+func accept(t *testing.T, h historian.Historian, id string, base waxwingseam.Revision) {
+	c := historian.Command{Submission: waxwingseam.SubmissionID(id), Base: base}
+	c.Change.Put.Services = []waxwingseam.Service{{Name: "fees", Slots: 1 + int(base), Connections: 9}}
+	data, err := historian.Encode(c)
+	qt.Assert(t, err, qt.IsNil)
+	h.Apply(0, data)
+}
+
+// watch runs a node that notes the revisions it is given.
+func watch(t *testing.T, control netip.AddrPort) <-chan waxwingseam.Revision {
+	revisions := make(chan waxwingseam.Revision, 1024)
+	s := subscriber.New(subscriber.Config{
+		Control: []netip.AddrPort{control},
+		Logger:  quiet,
+		Step: func(build func(waxwingseam.Stamp) waxwingseam.Event) {
+			if v, ok := build(waxwingseam.Stamp{}).(waxwingseam.SetAdopted); ok {
+				revisions <- v.Set.Revision
+			}
+		},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	group.Go(func() { _ = s.Run(ctx) })
+	t.Cleanup(func() { cancel(); group.Wait() })
+	return revisions
+}
+
+func next[T any](t *testing.T, c <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(waitLimit):
+		t.Fatal("nothing came")
+	}
+	panic("unreachable")
+}
+
+// serve runs a publisher on loopback over a historian.
+func serve(t *testing.T, quorum *confirmer) (historian.Historian, netip.AddrPort) {
+	var p publisher.Publisher
+	h := historian.New(historian.Config{Published: func(u historian.Update) { p.Publish(u) }})
+	p = publisher.New(publisher.Config{
+		Historian: h,
+		Confirmer: quorum,
+		Step:      func(func(waxwingseam.Stamp) waxwingseam.Event) {},
+		Logger:    quiet,
+	})
+	server, err := messenger.Listen(t.Context(), messenger.ServerConfig{Address: loopback})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, server.Register(p, publisher.Description), qt.IsNil)
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	group.Go(func() { _ = server.Serve(ctx) })
+	group.Go(func() { _ = p.Serve(ctx) })
+	t.Cleanup(func() { cancel(); group.Wait() })
+	return h, server.Address()
+}
+
+// TestUnconfirmedSet has a node start beside a replica that lags: it is not
+// given the replica's old set, but the one that a quorum confirms later.
+func TestUnconfirmedSet(t *testing.T) {
+	quorum := &confirmer{asked: make(chan struct{}, 1)}
+	h, address := serve(t, quorum)
+	accept(t, h, "first", 0)
+	revisions := watch(t, address)
+	for range 3 {
+		next(t, quorum.asked)
+	}
+	qt.Assert(t, revisions, qt.HasLen, 0)
+	accept(t, h, "second", 1)
+	quorum.setQuorum()
+	qt.Assert(t, next(t, revisions), qt.Equals, waxwingseam.Revision(2))
+}
+
+// TestStepsAndSets has a node follow steps, and a whole set where more
+// revisions are missing than there are steps kept.
+func TestStepsAndSets(t *testing.T) {
+	quorum := &confirmer{asked: make(chan struct{}, 1)}
+	quorum.setQuorum()
+	h, address := serve(t, quorum)
+	accept(t, h, "0", 0)
+	first := watch(t, address)
+	qt.Assert(t, next(t, first), qt.Equals, waxwingseam.Revision(1))
+	const last = 600
+	for base := range waxwingseam.Revision(last) {
+		accept(t, h, "s"+string(rune('a'+base%26))+string(rune('0'+base/26)), base)
+	}
+	var before waxwingseam.Revision
+	for before < last {
+		r := next(t, first)
+		qt.Assert(t, r > before, qt.IsTrue)
+		before = r
+	}
+	qt.Assert(t, next(t, watch(t, address)), qt.Equals, waxwingseam.Revision(last))
+}
