--- a/controller/bench_test.go
+++ b/controller/bench_test.go
@@ -176,3 +176,28 @@
 		})
 	}
 }
+
+// BenchmarkJoinTogether measures the start of all nodes of one service at
+// once, until each knows all of them.
+func BenchmarkJoinTogether(b *testing.B) {
+	const nodes = 400
+	f := newFleet(b, 1, 0, 10)
+	before, rounds, used := f.relay.bytes.Load(), 0, processorTime()
+	for b.Loop() {
+		rounds++
+		f.nodes = nil
+		for i := range nodes {
+			f.nodes = append(f.nodes, join(b, waxwingseam.ServerName(fmt.Sprintf("fees-%d-%d", rounds, i)), f.relay.address()))
+		}
+		f.inForce(b)
+		for _, n := range f.nodes {
+			n.news.await(b, "all servers known", func() bool { return n.knows(nodes) })
+		}
+		for _, n := range f.nodes {
+			n.stop()
+		}
+	}
+	share := float64(nodes * rounds)
+	b.ReportMetric(float64(f.relay.bytes.Load()-before)/share, "bytes/node")
+	b.ReportMetric(float64((processorTime()-used).Microseconds())/share, "cpu-µs/node")
+}
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -191,6 +191,13 @@
 	return s, ok
 }
 
+// knows reports whether the node knows at least a number of servers.
+func (n *node) knows(servers int) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.servers) >= servers
+}
+
 // join starts a node of the service fees that watches control replicas.
 func join(t testing.TB, name waxwingseam.ServerName, control ...netip.AddrPort) *node {
 	server := listen(t, loopback)
