forwarder: a short call is one frame each way

Cause: a short call took six writes between the nodes and four timers. Change: a short body goes with the opening, a short reply with the result; one timer an end; the node's life goes with each of its frames.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -145,13 +145,17 @@
 	if err != nil {
 		return waxwingseam.Result{}, trace.Wrap(err)
 	}
-	c := newChannel(stream, a.given.Load, func() { _ = conn.Transport().Close() })
+	c := newChannel(stream, 0, a.given.Load, func() { _ = conn.Transport().Close() })
 	defer c.stop()
 	a.use(c)
-	if err := c.send(frame{Kind: frameOpen, Open: a.opening(resumed)}); err != nil {
+	first := a.first(resumed)
+	if err := c.send(first); err != nil {
 		return waxwingseam.Result{}, err
 	}
-	stopBody := a.sendBody(c)
+	stopBody := func() {}
+	if !first.Whole {
+		stopBody = a.sendBody(c)
+	}
 	result, err := a.listen(c)
 	stopBody()
 	if err != nil {
@@ -160,6 +164,20 @@
 	return result, trace.Wrap(stream.Close())
 }
 
+// first returns the frame that opens the attempt, with a short body in it.
+func (a *attempt) first(resumed bool) frame {
+	f := frame{
+		Kind: frameOpen,
+		Open: a.opening(resumed),
+	}
+	if data, ok := a.exchange.body.small(); ok {
+		f.Whole = true
+		f.Data = data
+		f.Length, f.Digest = a.exchange.whole()
+	}
+	return f
+}
+
 // sendBody sends the request body meanwhile, until the returned function is
 // called.
 func (a *attempt) sendBody(c *channel) (stop func()) {
@@ -214,12 +232,12 @@
 			return waxwingseam.Result{}, err
 		}
 		a.exchange.body.release(f.Taken)
-		if f.Kind == frameResult && f.Result != nil {
-			return a.verify(*f.Result), nil
-		}
 		if err := a.take(f); err != nil {
 			return waxwingseam.Result{}, err
 		}
+		if f.Kind == frameResult && f.Result != nil {
+			return a.verify(*f.Result), nil
+		}
 	}
 }
 
@@ -234,7 +252,7 @@
 	}
 	cancelled := a.cancelled
 	a.mu.Unlock()
-	if f.Kind != frameData || cancelled {
+	if len(f.Data) == 0 || cancelled {
 		return nil
 	}
 	data, err := unseen(f, a.reply.length())
--- a/forwarder/buffer.go
+++ b/forwarder/buffer.go
@@ -169,6 +169,27 @@
 	}
 }
 
+// small returns a body that has ended and is held whole, where it is no longer
+// than a chunk.
+func (b *buffer) small() ([]byte, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.ended || b.base > 0 || len(b.data) > chunkSize {
+		return nil, false
+	}
+	return b.data[:len(b.data):len(b.data)], true
+}
+
+// waitSmall blocks until the body has ended or failed, is longer than a chunk,
+// or stop is true.
+func (b *buffer) waitSmall(stop func() bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for !b.ended && b.err == nil && b.base+int64(len(b.data)) <= chunkSize && !stop() {
+		b.changed.Wait()
+	}
+}
+
 // freed returns the offset before which bytes may be dropped.
 func (b *buffer) freed() int64 {
 	b.mu.Lock()
--- a/forwarder/channel.go
+++ b/forwarder/channel.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 	"storj.io/drpc"
 
+	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/messenger"
 )
 
@@ -33,23 +34,25 @@
 	silent  atomic.Bool
 	closed  atomic.Bool
 
-	mu     sync.Mutex
-	beat   *time.Timer
-	watch  *time.Timer
+	// life is this end's incarnation; 0 for a sender.
+	life   waxwingseam.Incarnation
 	origin time.Time
+
+	mu    sync.Mutex
+	timer *time.Timer
 }
 
-func newChannel(stream drpc.Stream, taken func() int64, leave func()) *channel {
+func newChannel(stream drpc.Stream, life waxwingseam.Incarnation, taken func() int64, leave func()) *channel {
 	c := &channel{
 		stream: stream,
+		life:   life,
 		taken:  taken,
 		leave:  leave,
 		origin: time.Now(),
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.beat = time.AfterFunc(heartbeatInterval, c.keepAlive)
-	c.watch = time.AfterFunc(silenceLimit, c.listen)
+	c.timer = time.AfterFunc(heartbeatInterval, c.look)
 	return c
 }
 
@@ -58,38 +61,32 @@
 	return time.Since(c.origin)
 }
 
-// keepAlive sends a sign of life when no other frame went out.
-func (c *channel) keepAlive() {
-	if c.closed.Load() {
-		return
-	}
-	wait := time.Duration(c.spoke.Load()) + heartbeatInterval - c.elapsed()
-	if wait <= 0 {
-		_ = c.send(frame{Kind: frameAlive})
-		wait = heartbeatInterval
-	}
-	c.again(c.beat, wait)
-}
-
-// listen leaves the connection when the other end was silent for too long.
-func (c *channel) listen() {
+// look sends a sign of life when no other frame went out, and leaves the
+// connection when the other end was silent for too long.
+func (c *channel) look() {
 	if c.closed.Load() {
 		return
 	}
-	wait := time.Duration(c.heard.Load()) + silenceLimit - c.elapsed()
-	if wait <= 0 {
+	now := c.elapsed()
+	silence := time.Duration(c.heard.Load()) + silenceLimit - now
+	if silence <= 0 {
 		c.silent.Store(true)
 		c.leave()
 		return
 	}
-	c.again(c.watch, wait)
+	beat := time.Duration(c.spoke.Load()) + heartbeatInterval - now
+	if beat <= 0 {
+		beat = heartbeatInterval
+		go func() { _ = c.send(frame{Kind: frameAlive}) }()
+	}
+	c.again(min(beat, silence))
 }
 
-func (c *channel) again(t *time.Timer, wait time.Duration) {
+func (c *channel) again(wait time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.closed.Load() {
-		t.Reset(wait)
+		c.timer.Reset(wait)
 	}
 }
 
@@ -98,6 +95,7 @@
 	c.sending.Lock()
 	defer c.sending.Unlock()
 	f.Taken = c.taken()
+	f.Incarnation = c.life
 	c.spoke.Store(int64(c.elapsed()))
 	return trace.Wrap(c.stream.MsgSend(&f, messenger.Encoding))
 }
@@ -120,11 +118,10 @@
 	}
 }
 
-// stop ends the timers.
+// stop ends the timer.
 func (c *channel) stop() {
 	c.closed.Store(true)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.beat.Stop()
-	c.watch.Stop()
+	c.timer.Stop()
 }
--- a/forwarder/frame.go
+++ b/forwarder/frame.go
@@ -42,7 +42,9 @@
 	Digest uint64 `cbor:"8,keyasint,omitempty"`
 	// Result is set in frameResult.
 	Result *waxwingseam.Result `cbor:"9,keyasint,omitempty"`
-	// Incarnation is the receiving node's life, in its first frame.
+	// Whole is set where Data is the whole request body, in frameOpen.
+	Whole bool `cbor:"11,keyasint,omitempty"`
+	// Incarnation is the receiving node's life.
 	Incarnation waxwingseam.Incarnation `cbor:"10,keyasint,omitempty"`
 }
 
--- a/forwarder/hosted.go
+++ b/forwarder/hosted.go
@@ -119,6 +119,23 @@
 	return h.body.add(data)
 }
 
+// takeWhole takes in a body that came in one piece, unless it is here already.
+func (h *hosted) takeWhole(f frame) {
+	if h.takeData(f) == nil {
+		h.takeEnd(f)
+	}
+}
+
+// begun reports whether the beginning of the reply is known.
+func (h *hosted) begun() bool {
+	select {
+	case <-h.headed:
+		return h.head != nil
+	default:
+		return false
+	}
+}
+
 // takeEnd ends the request body, whole or failed.
 func (h *hosted) takeEnd(f frame) {
 	h.mu.Lock()
--- a/forwarder/inbound.go
+++ b/forwarder/inbound.go
@@ -49,7 +49,8 @@
 
 // admit enters an attempt, in place of the same one over an older connection,
 // and steps its arrival.
-func (f *Forwarder) admit(stream drpc.Stream, o *opening) *inbound {
+func (f *Forwarder) admit(stream drpc.Stream, first frame) *inbound {
+	o := first.Open
 	in := &inbound{
 		forwarder: f,
 		opening:   o,
@@ -58,7 +59,10 @@
 		gone:      make(chan struct{}),
 	}
 	in.host = f.hostOf(o)
-	in.channel = newChannel(stream, in.host.taken.Load, in.leave)
+	if first.Whole {
+		in.host.takeWhole(first)
+	}
+	in.channel = newChannel(stream, f.config.Self.Incarnation, in.host.taken.Load, in.leave)
 	in.host.attach(in)
 	f.mu.Lock()
 	f.inbounds[in.key()] = in
@@ -165,16 +169,14 @@
 // serve sends the reply and the result, while it takes frames in.
 func (in *inbound) serve() error {
 	go in.listen()
-	if err := in.channel.send(in.life()); err != nil {
-		return err
-	}
 	select {
 	case <-in.followed:
 	case <-in.answered:
 	case <-in.gone:
 		return errLeft
 	}
-	if err := in.sendReply(); err != nil {
+	last := frame{Kind: frameResult}
+	if err := in.sendReply(&last); err != nil {
 		return err
 	}
 	select {
@@ -182,38 +184,32 @@
 	case <-in.gone:
 		return errLeft
 	}
-	return in.channel.send(frame{
-		Kind:   frameResult,
-		Result: in.result,
-	})
+	last.Result = in.result
+	return in.channel.send(last)
 }
 
-// life is a frame that names the node's incarnation.
-func (in *inbound) life() frame {
-	return frame{
-		Kind:        frameAlive,
-		Incarnation: in.forwarder.config.Self.Incarnation,
-	}
+// halted reports whether the reply is wanted no more.
+func (in *inbound) halted() bool {
+	return in.left.Load() || in.refused()
 }
 
-// sendReply sends the followed run's reply, as far as it comes.
-func (in *inbound) sendReply() error {
+// sendReply sends the followed run's reply, as far as it comes. A short one
+// goes into the last frame.
+func (in *inbound) sendReply(last *frame) error {
 	in.mu.Lock()
 	source := in.source
 	in.mu.Unlock()
 	if source == nil {
 		return nil
 	}
-	select {
-	case <-source.headed:
-	case <-in.answered:
-		if in.refused() {
-			return nil
-		}
-	case <-in.gone:
-		return errLeft
+	source.reply.waitSmall(in.halted)
+	if in.halted() || !source.begun() {
+		return nil
 	}
-	if source.head == nil {
+	if data, ok := source.reply.small(); ok && in.opening.Offset <= int64(len(data)) {
+		last.Head = source.head
+		last.Offset = in.opening.Offset
+		last.Data = data[in.opening.Offset:]
 		return nil
 	}
 	if err := in.channel.send(frame{Kind: frameHead, Head: source.head}); err != nil {
@@ -223,9 +219,7 @@
 }
 
 func (in *inbound) sendReplyBody(source *hosted) error {
-	p := newPump(in.channel, source.reply, func() bool {
-		return in.left.Load() || in.refused()
-	})
+	p := newPump(in.channel, source.reply, in.halted)
 	err := p.send(in.opening.Offset)
 	switch {
 	case errors.Is(err, errTrimmed):
--- a/forwarder/node.go
+++ b/forwarder/node.go
@@ -69,7 +69,7 @@
 	if err := first.checkOpen(); err != nil {
 		return err
 	}
-	in := n.forwarder.admit(stream, first.Open)
+	in := n.forwarder.admit(stream, first)
 	defer in.close()
 	return in.serve()
 }
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		return waxwingseam.Result{}, trace.Wrap(err)
 	}
-	c := newChannel(stream, h.reply.freed, func() { _ = conn.Transport().Close() })
+	c := newChannel(stream, 0, h.reply.freed, func() { _ = conn.Transport().Close() })
 	defer c.stop()
 	opening := *in.opening
 	opening.Relayed = true
@@ -140,26 +140,27 @@
 		}
 		h.taken.Store(max(h.taken.Load(), f.Taken))
 		h.body.release(f.Taken)
-		switch f.Kind {
-		case frameHead:
-			h.relayHead(f.Head)
-		case frameData:
-			data, err := unseen(f, h.reply.length())
-			if err != nil {
-				return waxwingseam.Result{}, err
-			}
-			if err := h.reply.add(data); err != nil {
-				return waxwingseam.Result{}, err
-			}
-		case frameResult:
-			if f.Result == nil {
-				return waxwingseam.Result{}, trace.BadParameter("a result frame without a result")
-			}
+		h.relayHead(f.Head)
+		if err := h.relayData(f); err != nil {
+			return waxwingseam.Result{}, err
+		}
+		if f.Kind == frameResult && f.Result != nil {
 			return *f.Result, nil
 		}
 	}
 }
 
+func (h *hosted) relayData(f frame) error {
+	if len(f.Data) == 0 {
+		return nil
+	}
+	data, err := unseen(f, h.reply.length())
+	if err != nil {
+		return err
+	}
+	return h.reply.add(data)
+}
+
 func (h *hosted) relayHead(head *heading) {
 	if head != nil && h.head == nil {
 		h.head = head
