--- a/arbiter/arbiter_test.go
+++ b/arbiter/arbiter_test.go
@@ -43,7 +43,7 @@
 }
 
 // start begins a life of a node and tells all of it.
-func (g *group) start(name waxwingseam.ServerName, incarnation waxwingseam.Incarnation) *node {
+func (g *group) start(name waxwingseam.ServerName, incarnation waxwingseam.Incarnation) {
 	n := &node{g: g, up: true, self: waxwingseam.Server{Name: name, Service: "ledger", Incarnation: incarnation}}
 	n.reducer = reducer.New(reducer.Config{Self: n.self, Workers: []waxwingseam.Prioritized{{Worker: arbiter.New(arbiter.Config{
 		Deduplicator: deduplicator.New(deduplicator.Config{}), KeyLife: keyLife, MaxClaims: 1000,
@@ -56,7 +56,6 @@
 		n.step(waxwingseam.ServersLearned{Stamp: g.stamp(), Servers: []waxwingseam.Server{o.self}})
 		o.step(waxwingseam.ServersLearned{Stamp: g.stamp(), Servers: []waxwingseam.Server{n.self}})
 	}
-	return n
 }
 
 // lose ends a node and tells the others.
@@ -82,7 +81,7 @@
 }
 
 func (g *group) names() []waxwingseam.ServerName {
-	var out []waxwingseam.ServerName
+	out := make([]waxwingseam.ServerName, 0, len(g.nodes))
 	for name := range g.nodes {
 		out = append(out, name)
 	}
--- a/forwarder/bench_test.go
+++ b/forwarder/bench_test.go
@@ -52,6 +52,7 @@
 			Repeat: repeat, Deadline: 20 * time.Second, RetryLimit: "retries", WaitLimit: "waits",
 		})
 	}
+	set.Services = append(set.Services, waxwingseam.Service{Name: "photos", Slots: 1, Connections: 1})
 	return set
 }
 
@@ -59,6 +60,8 @@
 type world struct {
 	t   testing.TB
 	net *network
+	// maxBody is the longest request body; 0 for the default.
+	maxBody int64
 }
 
 // newWorld returns a world whose goroutines have the time to end.
@@ -146,7 +149,7 @@
 	r := runner.New(runner.Config{Reducer: newReducer(n.self), Seed: 1, Observers: config.observers})
 	n.step = r.Step
 	n.Forwarder = forwarder.New(forwarder.Config{
-		Step: r.Step, Self: n.self, Dialer: w.net, Backend: config.backend, BackendDialer: w.net, Arbitrated: true,
+		Step: r.Step, Self: n.self, Dialer: w.net, Backend: config.backend, BackendDialer: w.net, Arbitrated: true, MaxBody: w.maxBody,
 	})
 	r.Attach(n.Forwarder)
 	qt.Assert(w.t, n.Register(registry{mux}), qt.IsNil)
@@ -245,7 +248,12 @@
 	return n.callIn(context.Background(), r)
 }
 
-func (n *node) callIn(ctx context.Context, r request) (a answer) {
+func (n *node) callIn(ctx context.Context, r request) answer {
+	return n.serve(r.build(ctx))
+}
+
+// serve hands one request to the node's entry.
+func (n *node) serve(r *http.Request) (a answer) {
 	w := httptest.NewRecorder()
 	defer func() {
 		if recover() != nil {
@@ -256,7 +264,7 @@
 			_ = json.Unmarshal(w.Body.Bytes(), &a.problem)
 		}
 	}()
-	n.Entry().ServeHTTP(w, r.build(ctx))
+	n.Entry().ServeHTTP(w, r)
 	return a
 }
 
--- /dev/null
+++ b/forwarder/input_test.go
@@ -0,0 +1,98 @@
+package forwarder_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"waxwingseam.example/waxwingseam/forwarder"
+)
+
+// TestBadInput sends what no call can be made of: each gets a problem that says
+// so, nothing runs, and the next call works.
+func TestBadInput(t *testing.T) {
+	forged := strings.Repeat("ab", 16)
+	for _, v := range []struct {
+		name   string
+		r      request
+		status int
+		said   string
+	}{
+		{"no service", request{path: "/"}, 404, "did-not-run:unknown-service"},
+		{"unknown service", request{path: "/bench/1"}, 404, "did-not-run:unknown-service"},
+		{"unknown class", request{path: "/photos/1"}, 404, "did-not-run:unknown-class"},
+		{"timeout in words", request{header: map[string]string{forwarder.HeaderTimeout: "soon"}}, 400, "did-not-run:bad-request"},
+		{"timeout of nothing", request{header: map[string]string{forwarder.HeaderTimeout: "0"}}, 400, "did-not-run:bad-request"},
+		{"timeout below nothing", request{header: map[string]string{forwarder.HeaderTimeout: "-1"}}, 400, "did-not-run:bad-request"},
+		{"timeout without end", request{header: map[string]string{forwarder.HeaderTimeout: "+Inf"}}, 400, "did-not-run:bad-request"},
+		{"timeout of no number", request{header: map[string]string{forwarder.HeaderTimeout: "NaN"}}, 400, "did-not-run:bad-request"},
+		{"timeout of a year", request{header: map[string]string{forwarder.HeaderTimeout: "31536000"}}, 400, "did-not-run:bad-request"},
+		{"empty key", request{header: map[string]string{forwarder.HeaderKey: `""`}}, 400, "did-not-run:bad-request"},
+		{"long key", request{key: strings.Repeat("k", 256)}, 400, "did-not-run:bad-request"},
+		{"key with control characters", request{key: "a\x01b"}, 400, "did-not-run:bad-request"},
+		{"short context", request{header: map[string]string{forwarder.HeaderContext: "abc"}}, 400, "did-not-run:bad-request"},
+		{"context of no hexadecimal", request{header: map[string]string{forwarder.HeaderContext: strings.Repeat("x", 32)}}, 400, "did-not-run:bad-request"},
+		{"forged context", request{header: map[string]string{forwarder.HeaderContext: forged}}, 400, "did-not-run:unknown-context"},
+		{"body declared too long", request{body: strings.NewReader(strings.Repeat("b", 1<<20+1))}, 413, "did-not-run:too-large"},
+		{"body too long", request{body: io.LimitReader(zeros{}, 1<<20+1)}, 413, "may-have-run:too-large"},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				w.maxBody = 1 << 20
+				front, _, b := w.pair(echo)
+				got := front.call(v.r)
+				qt.Assert(t, got.said(), qt.Equals, v.said)
+				qt.Assert(t, got.status, qt.Equals, v.status)
+				qt.Assert(t, got.problem.Status, qt.Equals, v.status)
+				qt.Assert(t, got.problem.Title, qt.Not(qt.Equals), "")
+				qt.Assert(t, front.call(request{name: "x"}).said(), qt.Equals, "completed")
+				qt.Assert(t, b.ran(), qt.Equals, 1)
+			})
+		})
+	}
+}
+
+// TestRepeatedHeader gives a header twice.
+func TestRepeatedHeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		front, _, _ := newWorld(t).pair(echo)
+		r := request{key: "a"}.build(context.Background())
+		r.Header.Add(forwarder.HeaderKey, "b")
+		qt.Assert(t, front.serve(r).said(), qt.Equals, "did-not-run:bad-request")
+	})
+}
+
+// TestHeaders checks which headers go on, and that the backend server's own
+// context header is not the caller's.
+func TestHeaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const parent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+		var seen http.Header
+		front, back, _ := newWorld(t).pair(func(w http.ResponseWriter, r *http.Request) {
+			seen = r.Header.Clone()
+			w.Header().Set(forwarder.HeaderOutcome, "did-not-run")
+			w.Header().Set("Lot", "7")
+			w.WriteHeader(http.StatusTeapot)
+		})
+		back.learn(back)
+		time.Sleep(5 * time.Second)
+		got := front.call(request{key: `"lot-7"`, header: map[string]string{
+			"Traceparent": parent, "Connection": "Hop", "Hop": "one", "Staff": "yes",
+		}})
+		qt.Assert(t, got.status, qt.Equals, http.StatusTeapot)
+		qt.Assert(t, got.said(), qt.Equals, "completed")
+		qt.Assert(t, got.header.Get("Lot"), qt.Equals, "7")
+		qt.Assert(t, seen.Get("Traceparent")[:35], qt.Equals, parent[:35])
+		qt.Assert(t, seen.Get("Idempotency-Key"), qt.Equals, `"lot-7"`)
+		qt.Assert(t, seen.Get("Staff"), qt.Equals, "yes")
+		qt.Assert(t, seen.Get("Hop"), qt.Equals, "")
+		qt.Assert(t, seen.Get(forwarder.HeaderContext), qt.HasLen, 32)
+	})
+}
