--- a/cmd/waxwingseam/main.go
+++ b/cmd/waxwingseam/main.go
@@ -32,6 +32,7 @@
 	Drain      drainCommand      `cmd:"" help:"Take a backend server out of service."`
 	Initialize initializeCommand `cmd:"" help:"Create the identity of a new cluster, once."`
 	Demo       demoCommand       `cmd:"" help:"Show a deployment under a surge, without the layer and with it."`
+	Completion completionCommand `cmd:"" help:"Print a completion script for bash."`
 	Version    versionCommand    `cmd:"" help:"Print the version."`
 }
 
