balancer: any 5xx counts as the server's failure; scenarios of the sending half

Change: all 5xx count toward ejection, which compares servers, so what comes from below ejects none; both thresholds 50%.

--- a/balancer/health.go
+++ b/balancer/health.go
@@ -12,9 +12,9 @@
 	// minEnds is how many ends must be known before a server is judged.
 	minEnds = 5
 	// ejectShare is the failure share from which a server may be ejected.
-	ejectShare = 0.4
+	ejectShare = 0.5
 	// ejectMargin is by how much it must exceed that of the other servers.
-	ejectMargin = 0.3
+	ejectMargin = 0.5
 	// firstEjection is the time of a first ejection, doubled for each that
 	// follows up to maxEjection.
 	firstEjection = 500 * time.Millisecond
@@ -121,10 +121,11 @@
 }
 
 // failure reports whether an end shows a failing server; known is unset where
-// it shows nothing of the server.
+// it shows nothing of the server. A failure that comes from further down shows at
+// all servers alike, and ejects none.
 func failure(r waxwingseam.Result) (failed, known bool) {
 	if r.Completed() {
-		return r.Status >= failureStatus && !refusedBelow(r.Status), true
+		return r.Status >= failureStatus, true
 	}
 	switch r.Reason {
 	case waxwingseam.ReasonConnectionFailed, waxwingseam.ReasonConnectionSilent, waxwingseam.ReasonServerFailed,
--- a/experimenter/scenario.go
+++ b/experimenter/scenario.go
@@ -40,6 +40,9 @@
 		{Name: "slow-service", Cases: slowCases},
 		{Name: "cold-start", Cases: coldCases},
 		{Name: "mixed-classes", Cases: mixedCases},
+		{Name: "misleading-servers", Cases: misleadCases},
+		{Name: "fan-out", Cases: fanCases},
+		{Name: "callers-leave", Cases: leaveCases},
 	}
 }
 
