--- a/demonstrator/load.go
+++ b/demonstrator/load.go
@@ -30,8 +30,11 @@
 	tick = 5 * time.Millisecond
 	// distance is the time from a caller to a node, one way.
 	distance = 8 * time.Millisecond
-	// idleConnections bounds the callers' idle connections to one address.
-	idleConnections = 512
+	// idleConnections bounds the idle connections of one client to one address.
+	idleConnections = 64
+	// clients is how many HTTP clients share the load, so that their locks do
+	// not become the bottleneck.
+	clients = 64
 )
 
 // schedule says how the load changes over a demonstration.
@@ -80,10 +83,10 @@
 	schedule   schedule
 	targets    map[waxwingseam.ServiceName][]netip.AddrPort
 	// entry is set when the path names the service.
-	entry  bool
-	client *http.Client
-	random *rand.Rand
-	start  time.Time
+	entry   bool
+	clients []*http.Client
+	random  *rand.Rand
+	start   time.Time
 
 	mu       sync.Mutex
 	outcomes []outcome
@@ -98,7 +101,7 @@
 		schedule:   s,
 		targets:    map[waxwingseam.ServiceName][]netip.AddrPort{},
 		entry:      on,
-		client:     &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}},
+		clients:    newClients(),
 		random:     rand.New(rand.NewPCG(seed, seed)),
 	}
 	for _, v := range f.StandIns {
@@ -113,6 +116,14 @@
 	return l
 }
 
+func newClients() []*http.Client {
+	list := make([]*http.Client, clients)
+	for n := range list {
+		list[n] = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConnections}}
+	}
+	return list
+}
+
 // run makes requests until the schedule or the context ends, and returns when
 // all have been answered.
 func (l *load) run(ctx context.Context, progress func(at time.Duration)) {
@@ -139,12 +150,15 @@
 	}
 	wait.Wait()
 	progress(l.schedule.length)
-	l.client.CloseIdleConnections()
+	for _, c := range l.clients {
+		c.CloseIdleConnections()
+	}
 }
 
 // prepared is one request before its first try.
 type prepared struct {
 	outcome
+	client  *http.Client
 	request Request
 	targets []netip.AddrPort
 	body    []byte
@@ -156,6 +170,7 @@
 	request := l.deployment.Requests[kind]
 	p := prepared{
 		outcome: outcome{kind: kind, tag: "request-" + strconv.Itoa(number), began: at},
+		client:  l.clients[number%clients],
 		request: request,
 		body:    bytes.Repeat([]byte{byte(number)}, request.Body),
 	}
@@ -202,7 +217,7 @@
 		request.Header.Set("Idempotency-Key", fmt.Sprintf("%q", p.tag))
 	}
 	time.Sleep(distance)
-	response, err := l.client.Do(request)
+	response, err := p.client.Do(request)
 	defer time.Sleep(distance)
 	if err != nil {
 		p.answer = "no answer in time"
--- a/launcher/fleet.go
+++ b/launcher/fleet.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -118,7 +117,19 @@
 			return nil, err
 		}
 	}
-	return f, f.configure(ctx)
+	if err := f.configure(ctx); err != nil {
+		return nil, f.failure(ctx, err)
+	}
+	return f, nil
+}
+
+// failure returns the error of the process that failed, where one did, for it
+// ended the context.
+func (f *Fleet) failure(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return trace.NewAggregate(f.group.Wait(), err)
+	}
+	return err
 }
 
 // Wait returns once all processes have ended.
@@ -296,18 +307,3 @@
 	}
 	return nil
 }
-
-// freeAddresses returns loopback addresses that nothing listens on now.
-func freeAddresses(ctx context.Context, count int) ([]netip.AddrPort, error) {
-	var addresses []netip.AddrPort
-	for range count {
-		var lc net.ListenConfig
-		listener, err := lc.Listen(ctx, "tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, trace.ConvertSystemError(err)
-		}
-		defer func() { _ = listener.Close() }()
-		addresses = append(addresses, netip.MustParseAddrPort(listener.Addr().String()))
-	}
-	return addresses, nil
-}
