replicator: two ways to lose the quorum by a membership change, mended

Cause: histories with random membership changes and batches of events showed two logs without a quorum for good. (1) A leader that had appended its own removal and was cut off held the longest log, and did not campaign since it was no member any more. (2) A voter was removed while another's disk was lost. Change: a replica campaigns also where it votes in the last committed membership (section 4.2.2 of Ongaro's thesis); a change is refused as quorum-at-risk where too few of the voters left have answered in this term and lately. A term that was kept with each request and never differed goes.

--- a/replication.go
+++ b/replication.go
@@ -223,6 +223,8 @@
 	ReasonChangePending ReplicaReason = "change-pending"
 	// ReasonBadChange: the membership change is not possible.
 	ReasonBadChange ReplicaReason = "bad-change"
+	// ReasonQuorumAtRisk: too few of the voters left have answered lately.
+	ReasonQuorumAtRisk ReplicaReason = "quorum-at-risk"
 	// ReasonLearnerBehind: the learner lacks committed entries.
 	ReasonLearnerBehind ReplicaReason = "learner-behind"
 	// ReasonReplicaInUse: a live replica has the name.
--- a/replicator/cluster_test.go
+++ b/replicator/cluster_test.go
@@ -41,6 +41,8 @@
 	sites     []*site
 	wire      []waxwingseam.ReplicaMessage
 	snapshots []waxwingseam.SnapshotArrived
+	// lost tells which messages the wire loses; nil for none.
+	lost func(m waxwingseam.ReplicaMessage) bool
 	// side tells the two halves of a partition apart.
 	side map[waxwingseam.StorageID]bool
 
@@ -142,10 +144,20 @@
 	return waxwingseam.Stamp{Random: uint64(c.draw(1 << 16))}
 }
 
-// reduce hands an event to a site and carries the effects out, as the proposer
-// does. A positive fuse crashes the site after that many effects.
+// reduce hands an event to a site and carries the effects out.
 func (c *cluster) reduce(s *site, e waxwingseam.Event, fuse int) {
-	effects := c.ordered(s.replica.Reduce(e))
+	c.reduceAll(s, []waxwingseam.Event{e}, fuse)
+}
+
+// reduceAll hands a batch of events to a site before it carries any effects
+// out, as the proposer does. A positive fuse crashes the site after that many
+// effects.
+func (c *cluster) reduceAll(s *site, events []waxwingseam.Event, fuse int) {
+	var effects []waxwingseam.Effect
+	for _, e := range events {
+		effects = append(effects, s.replica.Reduce(e)...)
+	}
+	effects = c.ordered(effects)
 	persisted := false
 	for _, effect := range effects {
 		fuse--
@@ -280,11 +292,30 @@
 	m := c.wire[i]
 	c.wire = slices.Delete(c.wire, i, i+1)
 	to := c.site(m.To)
-	if to != nil && c.side[m.From] == c.side[m.To] {
+	if to != nil && c.passes(m) {
 		c.reduce(to, waxwingseam.ReplicaMessageArrived{Stamp: c.stamp(), Message: m}, fuse)
 	}
 }
 
+// passes reports whether no partition or loss is in a message's way.
+func (c *cluster) passes(m waxwingseam.ReplicaMessage) bool {
+	return c.side[m.From] == c.side[m.To] && (c.lost == nil || !c.lost(m))
+}
+
+// batch takes up to n messages for a site off the wire, behind a command.
+func (c *cluster) batch(s *site, n int) []waxwingseam.Event {
+	c.lastID++
+	events := []waxwingseam.Event{waxwingseam.CommandProposed{Stamp: c.stamp(), ID: c.lastID, Command: fmt.Appendf(nil, "command-%d", c.lastID)}}
+	c.wire = slices.DeleteFunc(c.wire, func(m waxwingseam.ReplicaMessage) bool {
+		taken := m.To == s.member.Storage && len(events) <= n
+		if taken && c.passes(m) {
+			events = append(events, waxwingseam.ReplicaMessageArrived{Stamp: c.stamp(), Message: m})
+		}
+		return taken
+	})
+	return events
+}
+
 // deliverSnapshot hands the oldest snapshot over.
 func (c *cluster) deliverSnapshot() {
 	e := c.snapshots[0]
--- a/replicator/election.go
+++ b/replicator/election.go
@@ -18,11 +18,18 @@
 		return
 	}
 	r.leader = ""
-	if r.members.latest().Votes(r.self) {
+	if r.mayLead() {
 		r.campaign(waxwingseam.RolePreCandidate, false)
 	}
 }
 
+// mayLead reports whether the replica votes, or did in the last membership
+// that is committed: a leader that has appended its own removal may be the
+// only one whose log the others can accept.
+func (r *replicator) mayLead() bool {
+	return r.members.latest().Votes(r.self) || r.members.at(r.commit).Votes(r.self)
+}
+
 func (r *replicator) tickLeader() {
 	for _, p := range r.progress {
 		p.tick(r.config.ElectionTicks)
@@ -98,8 +105,8 @@
 // dropRequests ends the local requests that this replica can't answer for.
 func (r *replicator) dropRequests() {
 	for i := r.commit + 1; len(r.requests) > 0 && i <= r.log.last().Index; i++ {
-		if q, ok := r.requests[i]; ok {
-			r.refuse(q.id, waxwingseam.ReasonOutcomeUnknown)
+		if id, ok := r.requests[i]; ok {
+			r.refuse(id, waxwingseam.ReasonOutcomeUnknown)
 			delete(r.requests, i)
 		}
 	}
--- a/replicator/failure_test.go
+++ b/replicator/failure_test.go
@@ -21,7 +21,12 @@
 
 // members returns the membership as the leader has it.
 func (c *cluster) members() waxwingseam.Membership {
-	return c.leader().replica.(*replicator).members.latest()
+	return c.leader().members()
+}
+
+// members returns the membership in force at a site.
+func (s *site) members() waxwingseam.Membership {
+	return s.replica.(*replicator).members.latest()
 }
 
 // accept proposes n commands at the leader and waits for them.
@@ -137,6 +142,11 @@
 	lost := c.change(old, remove)
 	c.run(6 * c.election)
 	qt.Assert(t, c.refused[lost], qt.Equals, waxwingseam.ReasonOutcomeUnknown)
+	c.accept(t, 1)
+	c.heal()
+	c.run(2 * c.election)
+	qt.Assert(t, sameMembers(old.members(), c.members()), qt.IsTrue)
+	c.cut(old)
 	joining := &site{member: c.format("d")}
 	c.sites = append(c.sites, joining)
 	c.start(joining)
@@ -181,6 +191,17 @@
 	qt.Assert(t, c.accepted[first], qt.Not(qt.Equals), waxwingseam.LogIndex(0))
 }
 
+// TestRemovalThatRisksTheQuorum removes one voter while another's disk is lost.
+func TestRemovalThatRisksTheQuorum(t *testing.T) {
+	c := steady(t, noFlaw)
+	c.empty(c.sites[2])
+	c.run(c.election + 1)
+	id := c.change(c.leader(), waxwingseam.MembershipChange{Kind: waxwingseam.ChangeRemove, Member: c.sites[1].member})
+	qt.Assert(t, c.refused[id], qt.Equals, waxwingseam.ReasonQuorumAtRisk)
+	c.accept(t, 1)
+	c.check(t)
+}
+
 func TestRemovedLeaderStepsDown(t *testing.T) {
 	c := steady(t, noFlaw)
 	old := c.sites[0]
@@ -192,6 +213,24 @@
 	c.check(t)
 }
 
+// TestLeaderCutOffWhileItRemovesItself has the removal at the leader alone,
+// whose log no other can then outdo.
+func TestLeaderCutOffWhileItRemovesItself(t *testing.T) {
+	c := steady(t, noFlaw)
+	leader, left, gone := c.sites[0], c.sites[1], c.sites[2]
+	c.change(leader, waxwingseam.MembershipChange{Kind: waxwingseam.ChangeRemove, Member: gone.member})
+	c.run(1)
+	c.cut(left)
+	c.change(leader, waxwingseam.MembershipChange{Kind: waxwingseam.ChangeRemove, Member: leader.member})
+	c.run(2 * c.election)
+	c.heal()
+	c.run(10 * c.election)
+	qt.Assert(t, c.leader(), qt.Equals, left)
+	qt.Assert(t, c.members().Members, qt.HasLen, 1)
+	c.accept(t, 1)
+	c.check(t)
+}
+
 func TestLaggingReplicaTakesSnapshot(t *testing.T) {
 	c := steady(t, noFlaw)
 	c.cut(c.sites[2])
@@ -228,6 +267,19 @@
 	qt.Assert(t, c.leader().replica.Status().Term, qt.Equals, term)
 }
 
+// TestDeafReplicaLeavesTheLeaderAlone has a replica that hears no leader while
+// the others hear it ask for votes.
+func TestDeafReplicaLeavesTheLeaderAlone(t *testing.T) {
+	c := steady(t, noFlaw)
+	term := c.leader().replica.Status().Term
+	deaf := c.sites[2].member.Storage
+	c.lost = func(m waxwingseam.ReplicaMessage) bool { return m.To == deaf && m.AppendRequest != nil }
+	c.run(20 * c.election)
+	qt.Assert(t, c.leader(), qt.Equals, c.sites[0])
+	qt.Assert(t, c.leader().replica.Status().Term, qt.Equals, term)
+	c.check(t)
+}
+
 // TestClockJumpsChangeNothing reduces the same ticks under clocks that jump.
 func TestClockJumpsChangeNothing(t *testing.T) {
 	c := steady(t, noFlaw)
--- a/replicator/handover.go
+++ b/replicator/handover.go
@@ -45,7 +45,7 @@
 
 // takeOver starts an election at the leader's own wish.
 func (r *replicator) takeOver(from waxwingseam.StorageID) {
-	if from == r.leader && r.members.latest().Votes(r.self) {
+	if from == r.leader && r.mayLead() {
 		r.campaign(waxwingseam.RoleCandidate, true)
 	}
 }
--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -88,8 +88,12 @@
 		r.refuse(e.ID, waxwingseam.ReasonChangePending)
 		return
 	}
+	if !r.servable(*next) {
+		r.refuse(e.ID, waxwingseam.ReasonQuorumAtRisk)
+		return
+	}
 	i := r.appendMembership(*next)
-	r.requests[i] = request{id: e.ID, term: r.state.Term}
+	r.requests[i] = e.ID
 }
 
 func (r *replicator) appendMembership(m waxwingseam.Membership) waxwingseam.LogIndex {
@@ -106,6 +110,21 @@
 	return !ok || term != r.state.Term || r.members.changed() > r.commit
 }
 
+// servable reports whether enough voters of a membership have answered lately
+// to accept anything under it. Without that, a removal while another voter's
+// disk is lost would leave the log without a quorum for good.
+func (r *replicator) servable(m waxwingseam.Membership) bool {
+	n := 0
+	for _, v := range m.Members {
+		p := r.progress[v.Storage]
+		answers := p != nil && p.round > 0 && p.silent <= r.config.ElectionTicks
+		if v.Voter && (v.Storage == r.self || answers) {
+			n++
+		}
+	}
+	return n >= m.Quorum()
+}
+
 // changed returns the membership after a change; nil when it alters nothing.
 func (r *replicator) changed(c waxwingseam.MembershipChange) (*waxwingseam.Membership, waxwingseam.ReplicaReason) {
 	switch c.Kind {
@@ -200,7 +219,7 @@
 		return
 	}
 	next, reason := r.withVoter(id)
-	if next != nil && reason == "" {
+	if next != nil && reason == "" && r.servable(*next) {
 		r.appendMembership(*next)
 	}
 }
--- a/replicator/property_test.go
+++ b/replicator/property_test.go
@@ -41,6 +41,9 @@
 	{4, up(func(c *cluster, s *site) { c.read(s) })},
 	{2, up(func(c *cluster, s *site) { c.reduce(s, waxwingseam.ReplicaTicked{Stamp: c.stamp()}, 1+c.draw(4)) })},
 	{2, wired(func(c *cluster, i int) { c.deliver(i, 2+c.draw(3)) })},
+	{6, up(func(c *cluster, s *site) { c.reduceAll(s, c.batch(s, 1+c.draw(6)), 0) })},
+	{2, up(func(c *cluster, s *site) { c.reduceAll(s, c.batch(s, 1+c.draw(6)), 1+c.draw(12)) })},
+	{1, up(func(c *cluster, s *site) { c.change(s, c.randomChange()) })},
 	{5, func(c *cluster, s *site) {
 		if s.down {
 			c.start(s)
@@ -88,14 +91,18 @@
 }
 
 // replace empties a site's disk, where the cluster promises to outlive that:
-// all the others run, and vote or are no voters.
+// no other change is under way, the voters left are a quorum, all the others
+// run and vote.
 func (c *cluster) replace(s *site) {
 	leader := c.leader()
-	if leader == nil || leader == s {
+	if leader == nil || leader == s || leader.replica.(*replicator).changePending() {
 		return
 	}
-	status := leader.replica.Status()
-	for _, m := range status.Members {
+	members := leader.members()
+	if members.Votes(s.member.Storage) && members.Voters() < 3 {
+		return
+	}
+	for _, m := range members.Members {
 		other := c.site(m.Storage)
 		if m.Storage != s.member.Storage && (other == nil || !m.Voter) {
 			return
@@ -108,6 +115,15 @@
 	}
 }
 
+// randomChange removes a member, or takes one in again.
+func (c *cluster) randomChange() waxwingseam.MembershipChange {
+	kinds := []waxwingseam.ChangeKind{waxwingseam.ChangeRemove, waxwingseam.ChangeAddLearner, waxwingseam.ChangePromote}
+	return waxwingseam.MembershipChange{
+		Kind:   kinds[c.draw(len(kinds))],
+		Member: c.sites[c.draw(len(c.sites))].member,
+	}
+}
+
 // recovered heals all faults and reports whether the replicas agree again.
 func recovered(c *cluster) bool {
 	c.heal()
@@ -136,6 +152,9 @@
 		if s == nil {
 			continue
 		}
+		if !sameMembers(s.members(), c.leader().members()) {
+			return false
+		}
 		if got := s.replica.Status(); got.Commit != want.Last || got.Term != want.Term {
 			return false
 		}
@@ -184,10 +203,10 @@
 		flaw flaw
 		seed uint64
 	}{
-		{forgetsVotes, 114},
-		{acksUnsynced, 45},
-		{keepsIdentity, 14},
-		{forgesRounds, 208},
+		{forgetsVotes, 0},
+		{acksUnsynced, 1},
+		{keepsIdentity, 33},
+		{forgesRounds, 473},
 	} {
 		t.Run(string(v.flaw), func(t *testing.T) {
 			var violation error
--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -282,15 +282,9 @@
 }
 
 func (r *replicator) apply(e waxwingseam.LogEntry) {
-	effect := waxwingseam.ApplyEntry{Entry: e}
-	if q, ok := r.requests[e.Index]; ok {
-		delete(r.requests, e.Index)
-		if q.term == e.Term {
-			effect.Request = q.id
-		}
-	}
+	r.emit(waxwingseam.ApplyEntry{Entry: e, Request: r.requests[e.Index]})
+	delete(r.requests, e.Index)
 	r.appliedBytes += len(e.Command)
-	r.emit(effect)
 }
 
 // propose appends a command to the leader's log.
@@ -300,7 +294,7 @@
 		return
 	}
 	i := r.append(waxwingseam.LogEntry{Kind: waxwingseam.EntryCommand, Command: e.Command})
-	r.requests[i] = request{id: e.ID, term: r.state.Term}
+	r.requests[i] = e.ID
 	r.broadcast()
 }
 
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -84,7 +84,8 @@
 
 	votes    map[waxwingseam.StorageID]bool
 	progress map[waxwingseam.StorageID]*progress
-	requests map[waxwingseam.LogIndex]request
+	// requests are the local requests whose entries are in a leader's log.
+	requests map[waxwingseam.LogIndex]waxwingseam.RequestID
 	reads    []read
 	round    uint64
 	handover handover
@@ -94,12 +95,6 @@
 	output output
 }
 
-// request is a local request whose entry is in the leader's log.
-type request struct {
-	id   waxwingseam.RequestID
-	term waxwingseam.Term
-}
-
 // output collects the effects of one event.
 type output struct {
 	random   uint64
@@ -122,7 +117,7 @@
 		commit:   recovery.Snapshot.Index,
 		applied:  recovery.Snapshot.Index,
 		snapshot: recovery.Snapshot.LogPosition,
-		requests: map[waxwingseam.LogIndex]request{},
+		requests: map[waxwingseam.LogIndex]waxwingseam.RequestID{},
 	}
 	r.output.durable = r.state
 	r.persisted = r.log.last().Index
