--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -98,8 +98,14 @@
 	}
 }
 
-// cluster starts control replicas that form one cluster.
+// cluster starts control replicas that form one cluster, all of them voters.
 func cluster(t testing.TB, n int) []*replica {
+	return clusterWith(t, n, 0)
+}
+
+// clusterWith starts voters and replicas that do not vote.
+func clusterWith(t testing.TB, voters, learners int) []*replica {
+	n := voters + learners
 	servers := make([]*messenger.Server, n)
 	addresses := make([]netip.AddrPort, n)
 	for i := range servers {
@@ -113,7 +119,7 @@
 			Control:    addresses,
 			Server:     servers[i],
 			DataFolder: t.TempDir(),
-			Voter:      true,
+			Voter:      i < voters,
 		}
 		if i == 0 {
 			initialize(t, config)
@@ -185,6 +191,13 @@
 	return s, ok
 }
 
+// knows reports whether the node knows at least a number of servers.
+func (n *node) knows(servers int) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.servers) >= servers
+}
+
 // join starts a node of the service fees that watches control replicas.
 func join(t testing.TB, name waxwingseam.ServerName, control ...netip.AddrPort) *node {
 	server := listen(t, loopback)
@@ -248,3 +261,21 @@
 	qt.Assert(t, status.Servers, qt.HasLen, 2)
 	qt.Assert(t, status.Servers[0].State, qt.Equals, "leaving")
 }
+
+// TestLastWord checks that a node which stops right after it announced that it
+// leaves has told so.
+func TestLastWord(t *testing.T) {
+	control := cluster(t, 1)[0]
+	stays, leaves := join(t, "fees-1", control.address), join(t, "fees-2", control.address)
+	stays.news.await(t, "the other node known", func() bool { _, ok := stays.server("fees-2"); return ok })
+	self, _ := stays.server("fees-2")
+	self.Leaving = true
+	leaves.subscriber.Announce(self)
+	leaves.stop()
+	stays.news.await(t, "leaving known", func() bool {
+		s, ok := stays.server("fees-2")
+		return s.Leaving || !ok
+	})
+	s, _ := stays.server("fees-2")
+	qt.Assert(t, s.Leaving, qt.IsTrue)
+}
