--- a/controller/exchange.go
+++ b/controller/exchange.go
@@ -85,7 +85,7 @@
 		return trace.Wrap(err)
 	}
 	defer func() { _ = conn.Close() }()
-	silence := time.AfterFunc(publisher.SilentAfter, func() { _ = conn.Close() })
+	silence := publisher.NewSilence(func() { _ = conn.Close() })
 	defer silence.Stop()
 	stream, err := conn.NewStream(ctx, publisher.WatchMethod, messenger.Encoding)
 	if err != nil {
@@ -116,13 +116,13 @@
 }
 
 // read takes in pushes.
-func (x *exchange) read(stream drpc.Stream, silence *time.Timer) error {
+func (x *exchange) read(stream drpc.Stream, silence *publisher.Silence) error {
 	for {
 		var p publisher.Push
 		if err := stream.MsgRecv(&p, messenger.Encoding); err != nil {
 			return trace.Wrap(err)
 		}
-		silence.Reset(publisher.SilentAfter)
+		silence.Heard()
 		x.take(&p)
 	}
 }
--- a/publisher/session.go
+++ b/publisher/session.go
@@ -66,7 +66,7 @@
 		dirty:     map[waxwingseam.ServerName]waxwingseam.Announcement{},
 	}
 	var first Report
-	silence := time.AfterFunc(SilentAfter, func() { hangUp(stream) })
+	silence := NewSilence(func() { hangUp(stream) })
 	defer silence.Stop()
 	if err := stream.MsgRecv(&first, messenger.Encoding); err != nil {
 		return trace.Wrap(err)
@@ -120,14 +120,14 @@
 }
 
 // read takes in the watcher's reports until the stream ends.
-func (s *session) read(stream drpc.Stream, silence *time.Timer) {
+func (s *session) read(stream drpc.Stream, silence *Silence) {
 	for {
 		var r Report
 		if err := stream.MsgRecv(&r, messenger.Encoding); err != nil {
 			s.ended <- err
 			return
 		}
-		silence.Reset(SilentAfter)
+		silence.Heard()
 		s.publisher.receive(s, r)
 	}
 }
--- a/subscriber/watch.go
+++ b/subscriber/watch.go
@@ -25,7 +25,7 @@
 		return trace.Wrap(err)
 	}
 	defer func() { _ = conn.Close() }()
-	silence := time.AfterFunc(publisher.SilentAfter, func() { _ = conn.Close() })
+	silence := publisher.NewSilence(func() { _ = conn.Close() })
 	defer silence.Stop()
 	// The connection outlasts the context for a last report.
 	streaming, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -117,13 +117,13 @@
 }
 
 // read takes in pushes until the stream ends.
-func (s *subscriber) read(stream drpc.Stream, silence *time.Timer) error {
+func (s *subscriber) read(stream drpc.Stream, silence *publisher.Silence) error {
 	for {
 		var p publisher.Push
 		if err := stream.MsgRecv(&p, messenger.Encoding); err != nil {
 			return trace.Wrap(err)
 		}
-		silence.Reset(publisher.SilentAfter)
+		silence.Heard()
 		if err := s.take(&p); err != nil {
 			return err
 		}
