--- a/administrator/reading.go
+++ b/administrator/reading.go
@@ -162,11 +162,12 @@
 		Digest:   formatDigest(digest),
 		Log:      a.config.Cluster.Replica(),
 		Nodes:    a.config.Cluster.Holdings(),
-		Servers:  serverStatuses(head, a.config.Cluster.Registrations()),
+		Servers:  ServerStatuses(head, a.config.Cluster.Registrations()),
 	})
 }
 
-func serverStatuses(set *waxwingseam.Set, registrations []waxwingseam.Registration) []ServerStatus {
+// ServerStatuses describes the announced backend servers under a set.
+func ServerStatuses(set *waxwingseam.Set, registrations []waxwingseam.Registration) []ServerStatus {
 	list := make([]ServerStatus, 0, len(registrations))
 	for _, v := range registrations {
 		list = append(list, serverStatus(set, v))
--- a/assembler/process.go
+++ b/assembler/process.go
@@ -157,8 +157,11 @@
 		Logger:        p.logger.Part,
 		Seed:          newSeed(),
 	})
+	if err != nil {
+		return err
+	}
 	p.controller = c
-	return err
+	return p.meter.Registry().Register(c)
 }
 
 func (p *Process) openNode(context.Context) error {
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
@@ -70,8 +71,9 @@
 	Seed uint64
 }
 
-// Controller runs the control role.
+// Controller runs the control role. It collects its own metrics.
 type Controller interface {
+	prometheus.Collector
 	// Serve runs the role until the context ends.
 	Serve(ctx context.Context) error
 }
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -7,11 +7,14 @@
 	"net"
 	"net/netip"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/administrator"
@@ -55,8 +58,10 @@
 
 // replica is a control replica under test.
 type replica struct {
-	config  Config
-	address netip.AddrPort
+	config Config
+	// collector gives the replica's metrics.
+	collector prometheus.Collector
+	address   netip.AddrPort
 	// operators is the address of the operator API.
 	operators string
 	client    operator.Client
@@ -91,6 +96,7 @@
 	t.Cleanup(stop)
 	return &replica{
 		config:    config,
+		collector: c,
 		address:   config.Address,
 		operators: operators.Addr().String(),
 		client:    operator.New(operator.Config{Control: operators.Addr().String(), Name: "dina"}),
@@ -260,6 +266,17 @@
 	qt.Assert(t, status.Nodes[0].Nodes, qt.Equals, 2)
 	qt.Assert(t, status.Servers, qt.HasLen, 2)
 	qt.Assert(t, status.Servers[0].State, qt.Equals, "leaving")
+	metrics := `# HELP waxwingseam_control_backend_servers Announced backend servers known, by state.
+# TYPE waxwingseam_control_backend_servers gauge
+waxwingseam_control_backend_servers{state="leaving"} 1
+waxwingseam_control_backend_servers{state="present"} 1
+# HELP waxwingseam_control_nodes Nodes that watch the replica.
+# TYPE waxwingseam_control_nodes gauge
+waxwingseam_control_nodes 2
+`
+	err = testutil.CollectAndCompare(control.collector, strings.NewReader(metrics),
+		"waxwingseam_control_backend_servers", "waxwingseam_control_nodes")
+	qt.Assert(t, err, qt.IsNil)
 }
 
 // TestLastWord checks that a node which stops right after it announced that it
