forwarder: silent connections to the backend server are left

Cause: a call on a connection to the backend server that something between had lost track of waited for its deadline. TCP_USER_TIMEOUT was weighed and left: it also ends connections to a slow reader. Tests: refused, failed write, silent after the write.

--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -9,7 +9,9 @@
 	"net/http/httptrace"
 	"net/url"
 	"strings"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,6 +22,9 @@
 const (
 	// backendIdle is how long a connection to the backend server may lie idle.
 	backendIdle = time.Second
+	// backendProbe is the time between two probes of a connection on which the
+	// backend server sends nothing; the kernel takes whole seconds.
+	backendProbe = time.Second
 	// maxHeaderBytes bounds the headers of a request or a reply.
 	maxHeaderBytes = 64 << 10
 )
@@ -42,10 +47,40 @@
 	}
 }
 
+// newBackendDialer returns the dialer for the backend server. Its probes find
+// connections that go silent while the backend server works.
+func newBackendDialer() BackendDialer {
+	return &net.Dialer{
+		Timeout: dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     backendProbe,
+			Interval: backendProbe,
+			Count:    1,
+		},
+	}
+}
+
 // countedConn counts the writes that were tried.
 type countedConn struct {
 	net.Conn
 	writes atomic.Int64
+	// suspected is set once the other end was found silent.
+	suspected atomic.Bool
+	// silent is set once the connection was left for silence.
+	silent atomic.Bool
+}
+
+// leaveIfSilent closes the connection where the other end is found twice to
+// acknowledge nothing. Once is not enough: what was written just now after a
+// pause is not acknowledged yet.
+func (c *countedConn) leaveIfSilent() {
+	suspected := unacknowledged(c.Conn) >= silenceLimit-2*heartbeatInterval
+	if suspected && c.suspected.Load() {
+		c.silent.Store(true)
+		_ = c.Close()
+	}
+	c.suspected.Store(suspected)
 }
 
 // Write implements net.Conn.
@@ -57,7 +92,7 @@
 // witness remembers the connection of one request, to tell whether anything
 // was written of it.
 type witness struct {
-	conn   *countedConn
+	conn   atomic.Pointer[countedConn]
 	writes int64
 }
 
@@ -66,8 +101,8 @@
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if conn, ok := info.Conn.(*countedConn); ok {
-				w.conn = conn
 				w.writes = conn.writes.Load()
+				w.conn.Store(conn)
 			}
 		},
 	})
@@ -75,7 +110,40 @@
 
 // written reports whether a part of the request may have been written.
 func (w *witness) written() bool {
-	return w.conn != nil && w.conn.writes.Load() != w.writes
+	conn := w.conn.Load()
+	return conn != nil && conn.writes.Load() != w.writes
+}
+
+// silent reports whether an error or the watch shows the connection as silent.
+func (w *witness) silent(err error) bool {
+	conn := w.conn.Load()
+	return errors.Is(err, syscall.ETIMEDOUT) || conn != nil && conn.silent.Load()
+}
+
+// guard looks at the connection now and then until the returned function is
+// called.
+func (w *witness) guard() (stop func()) {
+	var timer *time.Timer
+	var mu sync.Mutex
+	ended := false
+	mu.Lock()
+	defer mu.Unlock()
+	timer = time.AfterFunc(heartbeatInterval, func() {
+		if conn := w.conn.Load(); conn != nil {
+			conn.leaveIfSilent()
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		if !ended {
+			timer.Reset(heartbeatInterval)
+		}
+	})
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		ended = true
+		timer.Stop()
+	}
 }
 
 // execute runs the call at the backend server.
@@ -115,17 +183,18 @@
 // exchange sends the request and takes the whole reply in.
 func (h *hosted) exchange(ctx context.Context, call waxwingseam.Call) waxwingseam.Result {
 	w := &witness{}
+	defer w.guard()()
 	request := h.request(w.watch(ctx), call)
 	response, err := h.forwarder.backend.RoundTrip(request)
 	if err != nil {
-		return h.failed(ctx, w)
+		return h.failed(ctx, w, err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	h.begin(response)
 	digest := xxhash.New()
 	length, err := io.Copy(io.MultiWriter(h.reply, digest), response.Body)
 	if err != nil {
-		return h.failed(ctx, w)
+		return h.failed(ctx, w, err)
 	}
 	return waxwingseam.Result{
 		Outcome: waxwingseam.OutcomeCompleted,
@@ -147,7 +216,7 @@
 }
 
 // failed is the result of a run without a whole reply.
-func (h *hosted) failed(ctx context.Context, w *witness) waxwingseam.Result {
+func (h *hosted) failed(ctx context.Context, w *witness, err error) waxwingseam.Result {
 	result := waxwingseam.Result{
 		Outcome: waxwingseam.OutcomeMayHaveRun,
 		Reason:  waxwingseam.ReasonServerFailed,
@@ -158,6 +227,9 @@
 		result.Reason = waxwingseam.ReasonDeadline
 	case ctx.Err() != nil:
 		result.Reason = waxwingseam.ReasonCancelled
+	case w.silent(err):
+		result.Reason = waxwingseam.ReasonConnectionSilent
+		h.forwarder.backend.CloseIdleConnections()
 	}
 	if !w.written() {
 		result.Outcome = waxwingseam.OutcomeDidNotRun
--- /dev/null
+++ b/forwarder/dialer_linux.go
@@ -0,0 +1,32 @@
+package forwarder
+
+import (
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// unacknowledged returns for how long the other end of a connection has
+// acknowledged nothing although data is due; 0 where none is, or where that
+// can't be known. A slow reader acknowledges the probes of its closed window,
+// so that it is not taken for a silent one.
+func unacknowledged(conn net.Conn) time.Duration {
+	raw, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	var info *unix.TCPInfo
+	err = control.Control(func(fd uintptr) {
+		info, _ = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if err != nil || info == nil || info.Unacked == 0 {
+		return 0
+	}
+	return time.Duration(info.Last_ack_recv) * time.Millisecond
+}
--- /dev/null
+++ b/forwarder/dialer_other.go
@@ -0,0 +1,13 @@
+//go:build !linux
+
+package forwarder
+
+import (
+	"net"
+	"time"
+)
+
+// unacknowledged returns 0: it is known on Linux only.
+func unacknowledged(net.Conn) time.Duration {
+	return 0
+}
--- a/forwarder/failure_test.go
+++ b/forwarder/failure_test.go
@@ -408,3 +408,33 @@
 		qt.Assert(t, backends[0].ran() > before, qt.IsTrue)
 	})
 }
+
+// TestBackendConnection breaks the connections to the backend server: only a
+// call of which nothing was tried to be written has not run.
+func TestBackendConnection(t *testing.T) {
+	for _, v := range []struct {
+		name  string
+		fails string
+		gone  bool
+		want  string
+	}{
+		{"refused", "", true, "did-not-run:connection-failed"},
+		{"fails at the first write", "write", false, "may-have-run:server-failed"},
+		{"silent once the request is written", "silent", false, "may-have-run:connection-silent"},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t)
+				front, _, b := w.pair(echo)
+				w.net.fails[b.address] = v.fails
+				if v.gone {
+					w.net.kill(b.address)
+				}
+				start := time.Now()
+				got := front.call(request{body: strings.NewReader("lot")})
+				qt.Assert(t, got.said(), qt.Equals, v.want)
+				qt.Assert(t, time.Since(start) <= silenceTarget, qt.IsTrue)
+			})
+		})
+	}
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -63,7 +63,7 @@
 	Dialer Dialer
 	// Backend is the node's own backend server; invalid without one.
 	Backend netip.AddrPort
-	// BackendDialer is a net.Dialer when unset.
+	// BackendDialer is a net.Dialer with a limit of silence when unset.
 	BackendDialer BackendDialer
 	// Connections bounds the connections to the backend server.
 	Connections int
@@ -110,7 +110,7 @@
 		config.Connections = defaultConnections
 	}
 	if config.BackendDialer == nil {
-		config.BackendDialer = &net.Dialer{Timeout: dialTimeout}
+		config.BackendDialer = newBackendDialer()
 	}
 	if config.Logger == nil {
 		config.Logger = slog.New(slog.DiscardHandler)
--- a/forwarder/network_test.go
+++ b/forwarder/network_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"sync"
 	"syscall"
+	"time"
 
 	"storj.io/drpc/drpcconn"
 )
@@ -108,9 +109,25 @@
 type end struct {
 	net.Conn
 	out *wire
+	// fails names the way in which the dialled end fails; empty for none.
+	fails string
 }
 
-func (e *end) Write(p []byte) (int, error) { return e.out.push(p) }
+func (e *end) Write(p []byte) (int, error) {
+	if e.fails == "write" {
+		return 0, syscall.EPIPE
+	}
+	return e.out.push(p)
+}
+
+// Read fails as a connection does that the kernel has given up.
+func (e *end) Read(p []byte) (int, error) {
+	if e.fails == "silent" {
+		time.Sleep(700 * time.Millisecond)
+		return 0, &net.OpError{Op: "read", Err: syscall.ETIMEDOUT}
+	}
+	return e.Conn.Read(p)
+}
 
 func (e *end) Close() error {
 	e.out.close()
@@ -143,6 +160,8 @@
 	dials   map[netip.AddrPort]int
 	// cut is how many bytes the next connection delivers in each direction.
 	cut map[netip.AddrPort][2]int
+	// fails names how the connections to an address fail.
+	fails map[netip.AddrPort]string
 }
 
 func newNetwork() *network {
@@ -150,6 +169,7 @@
 		servers: map[netip.AddrPort]func(net.Conn){},
 		dials:   map[netip.AddrPort]int{},
 		cut:     map[netip.AddrPort][2]int{},
+		fails:   map[netip.AddrPort]string{},
 	}
 }
 
@@ -221,7 +241,7 @@
 	from, dialed := newWire(cut[1])
 	l := &link{
 		to:     address,
-		dialed: &end{Conn: dialed, out: to},
+		dialed: &end{Conn: dialed, out: to, fails: n.fails[address]},
 		served: &end{Conn: served, out: from},
 	}
 	n.links = append(n.links, l)
