--- a/deduplicator/deduplicator.go
+++ b/deduplicator/deduplicator.go
@@ -200,7 +200,7 @@
 
 // Start implements waxwingseam.Deduplicator.
 func (d *deduplicator) Start(_ *waxwingseam.Context, id waxwingseam.CallID) {
-	if r, ok := d.records[id]; ok {
+	if r, ok := d.records[id]; ok && r.standing == waxwingseam.StandingWaiting {
 		r.standing = waxwingseam.StandingRunning
 	}
 }
--- a/forwarder/failure_test.go
+++ b/forwarder/failure_test.go
@@ -61,7 +61,8 @@
 				qt.Assert(t, len(got.body), qt.Equals, 400_000)
 				qt.Assert(t, b.ran(), qt.Equals, 1)
 				qt.Assert(t, w.net.dialed(back.self.Node), qt.Equals, 2)
-				qt.Assert(t, time.Since(start) <= 2*time.Second+silenceTarget, qt.IsTrue, qt.Commentf("%v", time.Since(start)))
+				t.Logf("%v over the usual time", time.Since(start)-2*time.Second)
+				qt.Assert(t, time.Since(start) <= 2*time.Second+silenceTarget, qt.IsTrue)
 			})
 		})
 	}
@@ -398,6 +399,8 @@
 			nodes[0].drain(false)
 		})
 		calls(20)
+		_, running := nodes[0].Busy()
+		qt.Assert(t, running, qt.Equals, 0)
 		before := backends[0].ran()
 		qt.Assert(t, before > 0, qt.IsTrue)
 		calls(20)
