launcher: graceful shutdown and a killed node under load, with the audit

Cause: that a shutdown interrupts nothing, and that a kill leaves honest answers, was shown only part by part.

--- a/launcher/fleet.go
+++ b/launcher/fleet.go
@@ -87,6 +87,18 @@
 	outbound netip.AddrPort
 	events   *recorder.Recorder
 	log      string
+	stop     context.CancelFunc
+	abort    context.CancelFunc
+}
+
+// Stop shuts the node down gracefully, as SIGTERM does.
+func (s *StandIn) Stop() {
+	s.stop()
+}
+
+// Kill ends the node at once.
+func (s *StandIn) Kill() {
+	s.abort()
 }
 
 // Log returns the events that the node beside the stand-in recorded so far.
@@ -200,7 +212,7 @@
 	if _, err := proposer.Initialize(proposer.Config{DataFolder: data, Self: "r1", Address: f.control}); err != nil {
 		return trace.Wrap(err)
 	}
-	return f.startProcess(ctx, loader.Settings{
+	return f.startProcess(ctx, ctx, loader.Settings{
 		Process: loader.Process{
 			DataCentre:       "dc-1",
 			PeerAddress:      f.control,
@@ -221,7 +233,10 @@
 	if err != nil {
 		return err
 	}
-	return f.startProcess(ctx, loader.Settings{
+	abort, kill := context.WithCancel(ctx)
+	stop, drain := context.WithCancel(abort)
+	s.abort, s.stop = kill, drain
+	return f.startProcess(stop, abort, loader.Settings{
 		Process: loader.Process{
 			DataCentre:       waxwingseam.DataCentre(fmt.Sprintf("dc-%d", number%dataCentres+1)),
 			PeerAddress:      s.peer,
@@ -252,8 +267,8 @@
 	return []runner.Observer{s.events}, nil
 }
 
-func (f *Fleet) startProcess(ctx context.Context, settings loader.Settings, observers ...runner.Observer) error {
-	process, err := assembler.NewProcess(ctx, assembler.ProcessConfig{
+func (f *Fleet) startProcess(stop, abort context.Context, settings loader.Settings, observers ...runner.Observer) error {
+	process, err := assembler.NewProcess(abort, assembler.ProcessConfig{
 		Settings:  settings,
 		Logger:    logger.New(logger.Config{Writer: io.Discard}),
 		Observers: observers,
@@ -261,7 +276,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	f.group.Go(func() error { return process.Serve(ctx, ctx) })
+	f.group.Go(func() error { return process.Serve(stop, abort) })
 	return nil
 }
 
