--- a/limiter/queuedelay.go
+++ b/limiter/queuedelay.go
@@ -9,7 +9,7 @@
 const (
 	// delayTarget is the share of queue time in the time without queues that is
 	// left alone.
-	delayTarget = 0.3
+	delayTarget = 0.6
 	// delayBacklog is the ratio of what is in flight to what would be without
 	// queues that is taken for queues, whatever the ended runs tell: they may be
 	// those that went first.
@@ -18,7 +18,7 @@
 	delayWindow = 50 * time.Millisecond
 	// delayRuns is how many runs a change waits for, delayPatience the most
 	// times of a run that it does so.
-	delayRuns     = 10
+	delayRuns     = 20
 	delayPatience = 3
 	// delayRoom is the limit, as a multiple of what is in use, while nearly
 	// nothing waits.
@@ -95,10 +95,13 @@
 }
 
 // due reports whether the last change has shown its effect, on enough runs
-// where these come in time.
+// where these come in time and the limit is not in its first rise.
 func (l *queueDelay) due(passed time.Duration) bool {
 	usual := max(delayWindow, l.elapsed/time.Duration(l.count))
-	return passed >= usual && (l.count >= delayRuns || passed >= delayPatience*usual)
+	if passed < usual {
+		return false
+	}
+	return l.room == delayFirstRoom || l.count >= delayRuns || passed >= delayPatience*usual
 }
 
 // adapt changes the limit by the runs that ended in a time.
