--- a/limiter/aimd.go
+++ b/limiter/aimd.go
@@ -7,8 +7,6 @@
 )
 
 const (
-	// serviceTimeParts weighs one run in the usual time of a run.
-	serviceTimeParts = 32
 	// latencyTolerance is how far above the usual a window's mean may lie, in percent.
 	latencyTolerance = 200
 	// window is the time between two changes of the limit.
@@ -59,7 +57,7 @@
 	if s.Failed {
 		return
 	}
-	l.usual.add(s.Elapsed, serviceTimeParts)
+	l.usual.add(s.Elapsed)
 	l.sum += s.Elapsed
 	l.count++
 	l.peak = max(l.peak, s.InFlight)
--- a/limiter/fixed.go
+++ b/limiter/fixed.go
@@ -35,6 +35,6 @@
 // Observe implements waxwingseam.Limiter.
 func (l *fixed) Observe(s waxwingseam.Sample) {
 	if !s.Failed {
-		l.usual.add(s.Elapsed, serviceTimeParts)
+		l.usual.add(s.Elapsed)
 	}
 }
--- a/limiter/gradient.go
+++ b/limiter/gradient.go
@@ -59,7 +59,7 @@
 	if s.Failed {
 		return
 	}
-	l.usual.add(s.Elapsed, serviceTimeParts)
+	l.usual.add(s.Elapsed)
 	l.sum += s.Elapsed
 	l.count++
 	l.peak = max(l.peak, s.InFlight)
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -9,11 +9,14 @@
 	value time.Duration
 }
 
-// add takes in a duration with the weight of one part in parts.
-func (a *average) add(d time.Duration, parts int) {
+// serviceTimeParts weighs one more duration in an average.
+const serviceTimeParts = 32
+
+// add takes in a duration.
+func (a *average) add(d time.Duration) {
 	if a.value == 0 {
 		a.value = d
 		return
 	}
-	a.value += (d - a.value) / time.Duration(parts)
+	a.value += (d - a.value) / serviceTimeParts
 }
--- a/limiter/queuedelay.go
+++ b/limiter/queuedelay.go
@@ -79,7 +79,7 @@
 
 // Observe implements waxwingseam.Limiter.
 func (l *queueDelay) Observe(s waxwingseam.Sample) {
-	l.usual.add(s.Elapsed, serviceTimeParts)
+	l.usual.add(s.Elapsed)
 	l.elapsed += s.Elapsed
 	l.waited += min(s.Waited, s.Elapsed)
 	l.count++
