replicator: a restarted leader may campaign to finish its own removal

Its trace: a leader is cut off while it removes itself and restarts; it no longer knows what is committed, so by the commit index it was no voter, while its log was the longest. Change: a replica campaigns if it votes in any membership from the last known committed one on. The test has the restart too.

--- a/replicator/election.go
+++ b/replicator/election.go
@@ -23,11 +23,16 @@
 	}
 }
 
-// mayLead reports whether the replica votes, or did in the last membership
-// that is committed: a leader that has appended its own removal may be the
-// only one whose log the others can accept.
+// mayLead reports whether the replica votes in a membership that may be the
+// last committed one, or a later one: a leader that has appended its own removal
+// may be the only one whose log the others can accept.
 func (r *replicator) mayLead() bool {
-	return r.members.latest().Votes(r.self) || r.members.at(r.commit).Votes(r.self)
+	for _, m := range r.members.since(r.commit) {
+		if m.Votes(r.self) {
+			return true
+		}
+	}
+	return false
 }
 
 func (r *replicator) tickLeader() {
--- a/replicator/failure_test.go
+++ b/replicator/failure_test.go
@@ -215,20 +215,27 @@
 
 // TestLeaderCutOffWhileItRemovesItself has the removal at the leader alone,
 // whose log no other can then outdo.
+// A restart makes it forget what is committed.
 func TestLeaderCutOffWhileItRemovesItself(t *testing.T) {
-	c := steady(t, noFlaw)
-	leader, left, gone := c.sites[0], c.sites[1], c.sites[2]
-	c.change(leader, waxwingseam.MembershipChange{Kind: waxwingseam.ChangeRemove, Member: gone.member})
-	c.run(1)
-	c.cut(left)
-	c.change(leader, waxwingseam.MembershipChange{Kind: waxwingseam.ChangeRemove, Member: leader.member})
-	c.run(2 * c.election)
-	c.heal()
-	c.run(10 * c.election)
-	qt.Assert(t, c.leader(), qt.Equals, left)
-	qt.Assert(t, c.members().Members, qt.HasLen, 1)
-	c.accept(t, 1)
-	c.check(t)
+	for _, restart := range []bool{false, true} {
+		c := steady(t, noFlaw)
+		leader, left, gone := c.sites[0], c.sites[1], c.sites[2]
+		c.change(leader, waxwingseam.MembershipChange{Kind: waxwingseam.ChangeRemove, Member: gone.member})
+		c.run(1)
+		c.cut(left)
+		c.change(leader, waxwingseam.MembershipChange{Kind: waxwingseam.ChangeRemove, Member: leader.member})
+		c.run(2 * c.election)
+		if restart {
+			c.crash(leader)
+			c.start(leader)
+		}
+		c.heal()
+		c.run(10 * c.election)
+		qt.Assert(t, c.leader(), qt.Equals, left)
+		qt.Assert(t, c.members().Members, qt.HasLen, 1)
+		c.accept(t, 1)
+		c.check(t)
+	}
 }
 
 func TestLaggingReplicaTakesSnapshot(t *testing.T) {
--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -55,11 +55,21 @@
 
 // at returns the membership that was in force at an index.
 func (l *membershipLog) at(i waxwingseam.LogIndex) waxwingseam.Membership {
+	return l.since(i)[0]
+}
+
+// since returns the membership that was in force at an index, and all later
+// ones.
+func (l *membershipLog) since(i waxwingseam.LogIndex) []waxwingseam.Membership {
 	n := len(l.versions) - 1
 	for n > 0 && l.versions[n].index > i {
 		n--
 	}
-	return l.versions[n].membership
+	out := make([]waxwingseam.Membership, 0, len(l.versions)-n)
+	for _, v := range l.versions[n:] {
+		out = append(out, v.membership)
+	}
+	return out
 }
 
 // compact forgets the memberships that a later one up to an index replaced.
--- a/replicator/property_test.go
+++ b/replicator/property_test.go
@@ -91,15 +91,15 @@
 }
 
 // replace empties a site's disk, where the cluster promises to outlive that:
-// no other change is under way, the voters left are a quorum, all the others
-// run and vote.
+// no other change is under way, all the others run and vote, and the voters
+// left are a quorum, also where the site is about to be promoted.
 func (c *cluster) replace(s *site) {
 	leader := c.leader()
 	if leader == nil || leader == s || leader.replica.(*replicator).changePending() {
 		return
 	}
 	members := leader.members()
-	if members.Votes(s.member.Storage) && members.Voters() < 3 {
+	if members.Voters() < 3 {
 		return
 	}
 	for _, m := range members.Members {
