--- /dev/null
+++ b/journaler/file.go
@@ -0,0 +1,59 @@
+package journaler
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// writeFile makes a file durable in one step under its own name.
+func writeFile(disk waxwingseam.Disk, name string, data []byte) error {
+	temporary := name + temporarySuffix
+	file, err := disk.Create(temporary)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	if err := fill(file, data); err != nil {
+		return trace.Wrap(err, "%s", name)
+	}
+	if err := disk.Rename(temporary, name); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	return trace.ConvertSystemError(disk.Sync())
+}
+
+func fill(file waxwingseam.DiskFile, data []byte) error {
+	if _, err := file.Write(data); err != nil {
+		return trace.NewAggregate(err, file.Close())
+	}
+	if err := file.Sync(); err != nil {
+		return trace.NewAggregate(err, file.Close())
+	}
+	return trace.ConvertSystemError(file.Close())
+}
+
+// readOne reads a file that holds one whole record.
+func readOne(disk waxwingseam.Disk, name string, v any) error {
+	data, err := disk.ReadFile(name)
+	if err != nil {
+		return trace.Wrap(trace.ConvertSystemError(err), "%s", name)
+	}
+	r := &recordReader{name: name, data: data}
+	if err := r.next(v); err != nil {
+		return err
+	}
+	if r.offset < len(data) {
+		return trace.BadParameter("%s: more than one record", r.place())
+	}
+	return nil
+}
+
+// record encodes a value as one record.
+func record(v any) ([]byte, error) {
+	payload, err := cbor.Marshal(v)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return seal(payload), nil
+}
