--- a/proposer/benchmark_test.go
+++ b/proposer/benchmark_test.go
@@ -137,15 +137,19 @@
 			fill(b, r, history)
 			_ = r.kill()
 			opened, current := newLatencies(), newLatencies()
+			var heap float64
 			b.ResetTimer()
 			for range b.N {
+				before := heapKB()
 				begin := time.Now()
 				r = restarted(b, folder)
 				opened.since(begin)
 				qt.Assert(b, r.ReadIndex(b.Context()), qt.IsNil)
 				current.since(begin)
+				heap = heapKB() - before
 				_ = r.kill()
 			}
+			b.ReportMetric(heap, "heap-KB")
 			b.ReportMetric(float64(opened.histogram.Max())/1000, "opened-max-ms")
 			b.ReportMetric(float64(current.histogram.Max())/1000, "current-max-ms")
 			b.ReportMetric(float64(folderBytes(b, folder)), "disk-bytes")
@@ -168,7 +172,7 @@
 	for range 64 {
 		wait.Go(func() {
 			for next.Add(1) <= int64(n) {
-				_, err := r.Propose(b.Context(), bytes.Repeat([]byte("x"), 256))
+				_, err := r.Propose(b.Context(), bytes.Repeat([]byte("x"), 4<<10))
 				qt.Check(b, err, qt.IsNil)
 			}
 		})
@@ -305,16 +309,21 @@
 				time.Sleep(time.Second)
 			}
 			seconds := b.Elapsed().Seconds()
-			var memory runtime.MemStats
-			runtime.GC()
-			runtime.ReadMemStats(&memory)
 			b.ReportMetric(float64(bytes.Load())/seconds/float64(max(n-1, 1)), "bytes/link/s")
 			b.ReportMetric((processorTime()-used).Seconds()/seconds/float64(n)*100, "%core/replica")
-			b.ReportMetric(float64(memory.HeapAlloc)/float64(n)/1024, "heap-KB/replica")
+			b.ReportMetric(heapKB()/float64(n), "heap-KB/replica")
 		})
 	}
 }
 
+// heapKB returns what is live on the heap.
+func heapKB() float64 {
+	var memory runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&memory)
+	return float64(memory.HeapAlloc) / 1024
+}
+
 func processorTime() time.Duration {
 	var usage syscall.Rusage
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
