--- a/authenticator/guard.go
+++ b/authenticator/guard.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"time"
+	"unicode"
 
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/scanner"
@@ -32,6 +33,8 @@
 const unproved = "unproved:"
 
 const (
+	// maxNameLength bounds a name that nothing proves, in bytes.
+	maxNameLength = 64
 	// ratePerSecond and rateBurst bound the requests of one operator.
 	ratePerSecond = 20
 	rateBurst     = 100
@@ -183,7 +186,7 @@
 			g.config.Refuse(w, http.StatusUnauthorized, "unknown-operator", "a listed token or certificate is needed")
 			return
 		}
-		if !g.allow(operator.Name) {
+		if !g.allow(g.account(operator)) {
 			w.Header().Set("Retry-After", "1")
 			g.config.Refuse(w, http.StatusTooManyRequests, "rate-limit", "too many requests of one operator")
 			return
@@ -194,7 +197,7 @@
 
 func (g *guard) identify(r *http.Request) (Operator, bool) {
 	if g.config.OperatorsFile == "" {
-		return Operator{Name: unproved + r.Header.Get(OperatorHeader), Right: RightWrite}, true
+		return Operator{Name: unproved + plainName(r.Header.Get(OperatorHeader)), Right: RightWrite}, true
 	}
 	if name, ok := certified(r); ok {
 		return g.find(func(o listed) bool { return o.Name == name })
@@ -209,6 +212,17 @@
 	})
 }
 
+// plainName returns the part of a claimed name that may stand in the history.
+func plainName(name string) string {
+	plain := strings.Map(func(r rune) rune {
+		if unicode.IsLetter(r) || unicode.IsDigit(r) || strings.ContainsRune("._-@", r) {
+			return r
+		}
+		return -1
+	}, name)
+	return plain[:min(len(plain), maxNameLength)]
+}
+
 // certified returns the operator's name in a verified client certificate.
 func certified(r *http.Request) (string, bool) {
 	if r.TLS == nil || len(r.TLS.VerifiedChains) == 0 {
@@ -240,6 +254,15 @@
 	}
 }
 
+// account returns whose bucket a request draws on. Names that nothing proves
+// share one.
+func (g *guard) account(o Operator) string {
+	if g.config.OperatorsFile == "" {
+		return unproved
+	}
+	return o.Name
+}
+
 // bucket is a token bucket.
 type bucket struct {
 	tokens float64
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -36,6 +36,8 @@
 	maxOperatorConnections = 64
 	// headerTimeout bounds the time for the header of a request.
 	headerTimeout = 5 * time.Second
+	// readTimeout bounds the time for a whole request.
+	readTimeout = 30 * time.Second
 	// idleTimeout ends connections of operators that ask nothing.
 	idleTimeout = time.Minute
 	// shutdownTimeout bounds the end of the operator API.
@@ -197,6 +199,7 @@
 	server := &http.Server{
 		Handler:           c.handler,
 		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          slog.NewLogLogger(logger.Handler(), slog.LevelInfo),
 	}
