--- a/controller/cluster_test.go
+++ b/controller/cluster_test.go
@@ -93,6 +93,7 @@
 // TestOperatorsRace has two operators submit on one base at two replicas at
 // once, round after round, before a node beside a replica that does not vote.
 func TestOperatorsRace(t *testing.T) {
+	t.Parallel()
 	replicas := clusterWith(t, 3, 1)
 	leaderOf(t, replicas)
 	n := join(t, "fees-1", replicas[3].address)
@@ -118,6 +119,7 @@
 // TestResendDuringLeaderChange stops the leader while a submission is under
 // way, resends it elsewhere, and again once all replicas were restarted.
 func TestResendDuringLeaderChange(t *testing.T) {
+	t.Parallel()
 	replicas := cluster(t, 3)
 	leader := leaderOf(t, replicas)
 	n := join(t, "fees-1", replicas[0].address, replicas[1].address, replicas[2].address)
@@ -150,6 +152,7 @@
 // TestStartWithoutQuorum starts a node beside a replica that is cut off: it
 // gets no set from there, but that of another node.
 func TestStartWithoutQuorum(t *testing.T) {
+	t.Parallel()
 	replicas := cluster(t, 3)
 	leaderOf(t, replicas)
 	old := join(t, "fees-1", replicas[0].address)
@@ -179,6 +182,7 @@
 // TestNoticedRevision cuts a node off from control: it takes a revision over
 // from another node, of which it was told that it holds a higher one.
 func TestNoticedRevision(t *testing.T) {
+	t.Parallel()
 	control := cluster(t, 1)[0]
 	between := newRelay(t, control.address)
 	behind := join(t, "fees-1", between.address())
@@ -199,6 +203,7 @@
 // TestStartBesideLaggingReplica starts a node beside a replica that missed the
 // last revision and is alone: the node must not be given the one before.
 func TestStartBesideLaggingReplica(t *testing.T) {
+	t.Parallel()
 	replicas := cluster(t, 3)
 	leaderOf(t, replicas)
 	n := join(t, "fees-1", replicas[2].address)
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -241,6 +241,7 @@
 }
 
 func TestChangeReachesNodes(t *testing.T) {
+	t.Parallel()
 	control := cluster(t, 1)[0]
 	nodes := []*node{join(t, "fees-1", control.address), join(t, "fees-2", control.address)}
 	answer, err := control.client.Submit(t.Context(), submission("first", example(t, "van-dalen")))
@@ -282,6 +283,7 @@
 // TestLastWord checks that a node which stops right after it announced that it
 // leaves has told so.
 func TestLastWord(t *testing.T) {
+	t.Parallel()
 	control := cluster(t, 1)[0]
 	stays, leaves := join(t, "fees-1", control.address), join(t, "fees-2", control.address)
 	stays.news.await(t, "the other node known", func() bool { _, ok := stays.server("fees-2"); return ok })
--- a/controller/refusal_test.go
+++ b/controller/refusal_test.go
@@ -27,6 +27,7 @@
 
 // TestRefusals makes requests that must be refused, each for its own reason.
 func TestRefusals(t *testing.T) {
+	t.Parallel()
 	file := filepath.Join(t.TempDir(), "operators.ini")
 	operators := fmt.Sprintf("[operator alice]\nrights = write\ntoken-digest = %s\n[operator bob]\nrights = read\ntoken-digest = %s\n",
 		authenticator.Digest("a"), authenticator.Digest("b"))
@@ -86,6 +87,7 @@
 // TestWarnings drains a service's only server, which needs a second word, and
 // undoes it.
 func TestWarnings(t *testing.T) {
+	t.Parallel()
 	control := cluster(t, 1)[0]
 	n := join(t, "fees-1", control.address)
 	n.news.await(t, "itself known", func() bool { _, ok := n.server("fees-1"); return ok })
--- a/controller/silence_test.go
+++ b/controller/silence_test.go
@@ -74,6 +74,7 @@
 // TestSilentConnection cuts a node off from its replica in silence: it leaves
 // for another one, and the change reaches it there.
 func TestSilentConnection(t *testing.T) {
+	t.Parallel()
 	control := cluster(t, 1)[0]
 	between := newRelay(t, control.address)
 	n := join(t, "fees-1", between.address(), control.address)
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -64,11 +64,12 @@
 }
 
 // watch runs a node that notes the revisions it is given.
-func watch(t *testing.T, control netip.AddrPort) <-chan waxwingseam.Revision {
+func watch(t *testing.T, control ...netip.AddrPort) <-chan waxwingseam.Revision {
 	revisions := make(chan waxwingseam.Revision, 1024)
 	s := subscriber.New(subscriber.Config{
-		Control: []netip.AddrPort{control},
-		Logger:  quiet,
+		Control:     control,
+		ReturnAfter: time.Millisecond,
+		Logger:      quiet,
 		Step: func(build func(waxwingseam.Stamp) waxwingseam.Event) {
 			if v, ok := build(waxwingseam.Stamp{}).(waxwingseam.SetAdopted); ok {
 				revisions <- v.Set.Revision
@@ -94,7 +95,7 @@
 }
 
 // serve runs a publisher on loopback over a historian.
-func serve(t *testing.T, quorum *confirmer) (historian.Historian, netip.AddrPort) {
+func serve(t *testing.T, quorum *confirmer, at netip.AddrPort) (historian.Historian, netip.AddrPort) {
 	var p publisher.Publisher
 	h := historian.New(historian.Config{Published: func(u historian.Update) { p.Publish(u) }})
 	p = publisher.New(publisher.Config{
@@ -103,7 +104,7 @@
 		Step:      func(func(waxwingseam.Stamp) waxwingseam.Event) {},
 		Logger:    quiet,
 	})
-	server, err := messenger.Listen(t.Context(), messenger.ServerConfig{Address: loopback})
+	server, err := messenger.Listen(t.Context(), messenger.ServerConfig{Address: at})
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, server.Register(p, publisher.Description), qt.IsNil)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -118,7 +119,7 @@
 // given the replica's old set, but the one that a quorum confirms later.
 func TestUnconfirmedSet(t *testing.T) {
 	quorum := &confirmer{asked: make(chan struct{}, 1)}
-	h, address := serve(t, quorum)
+	h, address := serve(t, quorum, loopback)
 	accept(t, h, "first", 0)
 	revisions := watch(t, address)
 	for range 3 {
@@ -135,7 +136,7 @@
 func TestStepsAndSets(t *testing.T) {
 	quorum := &confirmer{asked: make(chan struct{}, 1)}
 	quorum.setQuorum()
-	h, address := serve(t, quorum)
+	h, address := serve(t, quorum, loopback)
 	accept(t, h, "0", 0)
 	first := watch(t, address)
 	qt.Assert(t, next(t, first), qt.Equals, waxwingseam.Revision(1))
@@ -151,3 +152,24 @@
 	}
 	qt.Assert(t, next(t, watch(t, address)), qt.Equals, waxwingseam.Revision(last))
 }
+
+// TestReturn has a node watch another replica while its preferred one is away,
+// and return to that once it is back.
+func TestReturn(t *testing.T) {
+	quorum := &confirmer{asked: make(chan struct{}, 1)}
+	quorum.setQuorum()
+	free, err := messenger.Listen(t.Context(), messenger.ServerConfig{Address: loopback})
+	qt.Assert(t, err, qt.IsNil)
+	preferred := free.Address()
+	ended, end := context.WithCancel(t.Context())
+	end()
+	_ = free.Serve(ended)
+	h, other := serve(t, quorum, loopback)
+	accept(t, h, "first", 0)
+	revisions := watch(t, preferred, other)
+	qt.Assert(t, next(t, revisions), qt.Equals, waxwingseam.Revision(1))
+	h, _ = serve(t, quorum, preferred)
+	accept(t, h, "first", 0)
+	accept(t, h, "second", 1)
+	qt.Assert(t, next(t, revisions), qt.Equals, waxwingseam.Revision(2))
+}
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
@@ -25,11 +26,17 @@
 	// healthyAfter is how long a connection must last for the next attempt to
 	// follow at once.
 	healthyAfter = 2 * time.Second
+	// returnAfter is the mean time before a node tries its preferred replica
+	// again, spread so that nodes do not return together.
+	returnAfter = 5 * time.Minute
 	// minBackoff and maxBackoff bound the time before another attempt.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = time.Second
 )
 
+// errReturn ends a connection for one to the preferred replica.
+var errReturn = errors.New("tries the preferred replica again")
+
 // Config holds the parts of a subscriber.
 type Config struct {
 	// Control lists the addresses of control replicas, the preferred first.
@@ -45,6 +52,9 @@
 	// Step feeds the node's reducer.
 	Step   func(build func(waxwingseam.Stamp) waxwingseam.Event)
 	Logger *slog.Logger
+	// ReturnAfter is the mean time after which a node that watches another
+	// replica than the preferred one tries that again; 0 for the default.
+	ReturnAfter time.Duration
 	// Seed starts the random source of delays and choices.
 	Seed uint64
 }
@@ -108,6 +118,9 @@
 
 // New returns a subscriber that holds no set.
 func New(config Config) Subscriber {
+	if config.ReturnAfter == 0 {
+		config.ReturnAfter = returnAfter
+	}
 	return &subscriber{
 		config:       config,
 		woken:        make(chan struct{}, 1),
@@ -163,10 +176,8 @@
 	backoff := minBackoff
 	for i := 0; ctx.Err() == nil; i++ {
 		started := time.Now()
-		if len(s.config.Control) > 0 {
-			address := s.config.Control[i%len(s.config.Control)]
-			err := s.watch(ctx, address)
-			s.config.Logger.Info("left a control replica", "address", address, "cause", err)
+		if s.visit(ctx, i) {
+			i = -1
 		}
 		if time.Since(started) > healthyAfter {
 			backoff = minBackoff
@@ -178,14 +189,31 @@
 	return nil
 }
 
+// visit watches one of the control replicas, the preferred one for 0, and
+// reports whether the preferred one is to be tried next.
+func (s *subscriber) visit(ctx context.Context, i int) bool {
+	if len(s.config.Control) == 0 {
+		return false
+	}
+	i %= len(s.config.Control)
+	address := s.config.Control[i]
+	err := s.watch(ctx, address, i > 0)
+	s.config.Logger.Info("left a control replica", "address", address, "cause", err)
+	return errors.Is(err, errReturn)
+}
+
+// around returns a time between half a mean and one and a half.
+func (s *subscriber) around(mean time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return mean/2 + time.Duration(s.random.Int64N(int64(mean)))
+}
+
 // pause waits for a random time around a mean.
 func (s *subscriber) pause(ctx context.Context, mean time.Duration) {
-	s.mu.Lock()
-	delay := mean/2 + time.Duration(s.random.Int64N(int64(mean)))
-	s.mu.Unlock()
 	select {
 	case <-ctx.Done():
-	case <-time.After(delay):
+	case <-time.After(s.around(mean)):
 	}
 }
 
--- a/subscriber/watch.go
+++ b/subscriber/watch.go
@@ -16,8 +16,8 @@
 )
 
 // watch keeps one connection to a control replica until it fails or goes
-// silent.
-func (s *subscriber) watch(ctx context.Context, address netip.AddrPort) error {
+// silent; away is set for another replica than the preferred one.
+func (s *subscriber) watch(ctx context.Context, address netip.AddrPort, away bool) error {
 	dialing, done := context.WithTimeout(ctx, dialTimeout)
 	conn, err := s.config.Dialer.Dial(dialing, address)
 	done()
@@ -38,7 +38,13 @@
 	defer s.end()
 	failed := make(chan error, 1)
 	go func() { failed <- s.read(stream, silence) }()
-	return s.write(ctx, stream, failed)
+	var homeward <-chan time.Time
+	if away {
+		timer := time.NewTimer(s.around(s.config.ReturnAfter))
+		defer timer.Stop()
+		homeward = timer.C
+	}
+	return s.write(ctx, stream, failed, homeward)
 }
 
 // begin marks all as untold to the replica. The announcement gets a new
@@ -59,7 +65,7 @@
 }
 
 // write sends reports, at least as often as heartbeats are due.
-func (s *subscriber) write(ctx context.Context, stream drpc.Stream, failed <-chan error) error {
+func (s *subscriber) write(ctx context.Context, stream drpc.Stream, failed <-chan error, homeward <-chan time.Time) error {
 	heartbeat := time.NewTicker(publisher.HeartbeatEvery)
 	defer heartbeat.Stop()
 	for {
@@ -72,6 +78,8 @@
 			return s.farewell(stream, failed)
 		case err := <-failed:
 			return err
+		case <-homeward:
+			return errReturn
 		case <-s.woken:
 		case <-heartbeat.C:
 		}
