publisher, subscriber: nodes leave a replica that cannot confirm its state

Cause: a replica cut off in silence from the others, but not from its nodes, kept them on an old revision for as long as that lasted.

--- a/publisher/message.go
+++ b/publisher/message.go
@@ -68,7 +68,7 @@
 	// Holding sums up the watchers, for other control replicas.
 	Holding *Holding `cbor:"6,keyasint,omitempty"`
 	// Unconfirmed is set while the replica cannot tell whether its set is the
-	// newest, and so keeps it from a node that has none.
+	// newest. A node that has none does not get it then.
 	Unconfirmed bool `cbor:"7,keyasint,omitempty"`
 }
 
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -28,7 +28,8 @@
 
 // confirmer stands for a replicated log whose quorum comes and goes.
 type confirmer struct {
-	asked chan struct{}
+	// heard is signalled for each report of a node at the replica.
+	heard chan struct{}
 
 	mu     sync.Mutex
 	quorum bool
@@ -38,20 +39,24 @@
 func (c *confirmer) ReadIndex(context.Context) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	select {
-	case c.asked <- struct{}{}:
-	default:
-	}
 	if c.quorum {
 		return nil
 	}
 	return errors.New("no quorum")
 }
 
-func (c *confirmer) setQuorum() {
+// step takes the place of the registrar's reducer.
+func (c *confirmer) step(func(waxwingseam.Stamp) waxwingseam.Event) {
+	select {
+	case c.heard <- struct{}{}:
+	default:
+	}
+}
+
+func (c *confirmer) setQuorum(quorum bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.quorum = true
+	c.quorum = quorum
 }
 
 // accept makes a revision in which a service has some slots.
@@ -68,6 +73,7 @@
 	revisions := make(chan waxwingseam.Revision, 1024)
 	s := subscriber.New(subscriber.Config{
 		Control:     control,
+		Self:        waxwingseam.Server{Name: "fees-1", Service: "fees"},
 		ReturnAfter: time.Millisecond,
 		Logger:      quiet,
 		Step: func(build func(waxwingseam.Stamp) waxwingseam.Event) {
@@ -101,7 +107,7 @@
 	p = publisher.New(publisher.Config{
 		Historian: h,
 		Confirmer: quorum,
-		Step:      func(func(waxwingseam.Stamp) waxwingseam.Event) {},
+		Step:      quorum.step,
 		Logger:    quiet,
 	})
 	server, err := messenger.Listen(t.Context(), messenger.ServerConfig{Address: at})
@@ -118,24 +124,24 @@
 // TestUnconfirmedSet has a node start beside a replica that lags: it is not
 // given the replica's old set, but the one that a quorum confirms later.
 func TestUnconfirmedSet(t *testing.T) {
-	quorum := &confirmer{asked: make(chan struct{}, 1)}
+	quorum := &confirmer{heard: make(chan struct{}, 1)}
 	h, address := serve(t, quorum, loopback)
 	accept(t, h, "first", 0)
 	revisions := watch(t, address)
-	for range 3 {
-		next(t, quorum.asked)
+	for range 5 {
+		next(t, quorum.heard)
 	}
 	qt.Assert(t, revisions, qt.HasLen, 0)
 	accept(t, h, "second", 1)
-	quorum.setQuorum()
+	quorum.setQuorum(true)
 	qt.Assert(t, next(t, revisions), qt.Equals, waxwingseam.Revision(2))
 }
 
 // TestStepsAndSets has a node follow steps, and a whole set where more
 // revisions are missing than there are steps kept.
 func TestStepsAndSets(t *testing.T) {
-	quorum := &confirmer{asked: make(chan struct{}, 1)}
-	quorum.setQuorum()
+	quorum := &confirmer{heard: make(chan struct{}, 1)}
+	quorum.setQuorum(true)
 	h, address := serve(t, quorum, loopback)
 	accept(t, h, "0", 0)
 	first := watch(t, address)
@@ -156,8 +162,8 @@
 // TestReturn has a node watch another replica while its preferred one is away,
 // and return to that once it is back.
 func TestReturn(t *testing.T) {
-	quorum := &confirmer{asked: make(chan struct{}, 1)}
-	quorum.setQuorum()
+	quorum := &confirmer{heard: make(chan struct{}, 1)}
+	quorum.setQuorum(true)
 	free, err := messenger.Listen(t.Context(), messenger.ServerConfig{Address: loopback})
 	qt.Assert(t, err, qt.IsNil)
 	preferred := free.Address()
@@ -173,3 +179,20 @@
 	accept(t, h, "second", 1)
 	qt.Assert(t, next(t, revisions), qt.Equals, waxwingseam.Revision(2))
 }
+
+// TestLeavesCutOffReplica has a node watch a replica that loses its quorum in
+// silence: the node leaves it for another one, which has a newer revision.
+func TestLeavesCutOffReplica(t *testing.T) {
+	cutOff, whole := &confirmer{heard: make(chan struct{}, 1)}, &confirmer{heard: make(chan struct{}, 1)}
+	cutOff.setQuorum(true)
+	whole.setQuorum(true)
+	h, preferred := serve(t, cutOff, loopback)
+	accept(t, h, "first", 0)
+	h, other := serve(t, whole, loopback)
+	accept(t, h, "first", 0)
+	revisions := watch(t, preferred, other)
+	qt.Assert(t, next(t, revisions), qt.Equals, waxwingseam.Revision(1))
+	accept(t, h, "second", 1)
+	cutOff.setQuorum(false)
+	qt.Assert(t, next(t, revisions), qt.Equals, waxwingseam.Revision(2))
+}
--- a/publisher/session.go
+++ b/publisher/session.go
@@ -236,6 +236,7 @@
 		return push, false, err
 	}
 	p.addServers(s, &push)
+	push.Unconfirmed = push.Unconfirmed || !p.confirmed.current()
 	empty = len(push.Steps)+len(push.Set)+len(push.Present)+len(push.Gone) == 0 && !push.Whole
 	return push, empty, nil
 }
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -29,11 +29,19 @@
 	// returnAfter is the mean time before a node tries its preferred replica
 	// again, spread so that nodes do not return together.
 	returnAfter = 5 * time.Minute
+	// doubtfulPushes is how many pushes in a row may be unconfirmed before a
+	// node leaves the replica for another one.
+	doubtfulPushes = 2
+	// patientPushes is that number once all replicas were found unconfirmed.
+	patientPushes = 20
 	// minBackoff and maxBackoff bound the time before another attempt.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = time.Second
 )
 
+// errUnconfirmed ends a connection to a replica that lags or is cut off.
+var errUnconfirmed = errors.New("replica cannot confirm its state")
+
 // errReturn ends a connection for one to the preferred replica.
 var errReturn = errors.New("tries the preferred replica again")
 
@@ -105,10 +113,19 @@
 	servers      map[waxwingseam.ServerName]waxwingseam.Announcement
 	control      netip.AddrPort
 	noticed      notice
+	doubt        doubt
 	// changed tells the writer what to report.
 	changed changes
 }
 
+// doubt counts what speaks against the replica watched.
+type doubt struct {
+	// pushes counts the unconfirmed pushes in a row over this connection.
+	pushes int
+	// replicas counts the replicas left for that since one was confirmed.
+	replicas int
+}
+
 // changes marks what the present replica has not been told yet.
 type changes struct {
 	announcement bool
--- a/subscriber/watch.go
+++ b/subscriber/watch.go
@@ -54,6 +54,7 @@
 	defer s.mu.Unlock()
 	s.control = address
 	s.announcement.Sequence++
+	s.doubt.pushes = 0
 	s.changed = changes{announcement: true, interest: true, held: true}
 	s.wake()
 }
@@ -155,7 +156,28 @@
 	if len(p.Present)+len(p.Gone) > 0 || p.Whole {
 		s.learn(p)
 	}
-	return nil
+	return s.weigh(p.Unconfirmed)
+}
+
+// weigh fails once the replica watched has not confirmed its state for too
+// long, while there are others that may.
+func (s *subscriber) weigh(unconfirmed bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !unconfirmed {
+		s.doubt = doubt{}
+		return nil
+	}
+	s.doubt.pushes++
+	limit := doubtfulPushes
+	if s.doubt.replicas >= len(s.config.Control) {
+		limit = patientPushes
+	}
+	if len(s.config.Control) == 1 || s.doubt.pushes < limit {
+		return nil
+	}
+	s.doubt.replicas++
+	return errUnconfirmed
 }
 
 // advance applies steps to the set held.
