--- /dev/null
+++ b/assembler/known_bench_test.go
@@ -0,0 +1,42 @@
+package assembler_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/assembler"
+	"waxwingseam.example/waxwingseam/reducer"
+)
+
+// BenchmarkKnownServers reports the memory of a node's reducer for each known
+// backend server.
+func BenchmarkKnownServers(b *testing.B) {
+	const servers = 2000
+	for b.Loop() {
+		before := heap()
+		r := reducer.New(reducer.Config{Workers: assembler.Workers(waxwingseam.Server{Name: "self"})})
+		list := make([]waxwingseam.Server, servers)
+		for n := range list {
+			list[n] = waxwingseam.Server{
+				Name:        waxwingseam.ServerName(fmt.Sprintf("server-%d", n)),
+				Service:     waxwingseam.ServiceName(fmt.Sprintf("service-%d", n%10)),
+				DataCentre:  "dc-1",
+				Incarnation: 1,
+			}
+		}
+		r.Reduce(waxwingseam.ServersLearned{Stamp: waxwingseam.Stamp{Now: time.Unix(1, 0)}, Servers: list})
+		b.ReportMetric(float64(heap()-before)/servers, "bytes/server")
+		runtime.KeepAlive(r)
+	}
+}
+
+// heap returns the bytes in use after a collection.
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
