--- a/controller/controller.go
+++ b/controller/controller.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
@@ -35,6 +36,8 @@
 	maxOperatorConnections = 64
 	// headerTimeout bounds the time for the header of a request.
 	headerTimeout = 5 * time.Second
+	// readTimeout bounds the time for a whole request.
+	readTimeout = 30 * time.Second
 	// idleTimeout ends connections of operators that ask nothing.
 	idleTimeout = time.Minute
 	// shutdownTimeout bounds the end of the operator API.
@@ -70,8 +73,9 @@
 	Seed uint64
 }
 
-// Controller runs the control role.
+// Controller runs the control role. It collects its own metrics.
 type Controller interface {
+	prometheus.Collector
 	// Serve runs the role until the context ends.
 	Serve(ctx context.Context) error
 }
@@ -195,6 +199,7 @@
 	server := &http.Server{
 		Handler:           c.handler,
 		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          slog.NewLogLogger(logger.Handler(), slog.LevelInfo),
 	}
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -7,11 +7,14 @@
 	"net"
 	"net/netip"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/administrator"
@@ -55,8 +58,10 @@
 
 // replica is a control replica under test.
 type replica struct {
-	config  Config
-	address netip.AddrPort
+	config Config
+	// collector gives the replica's metrics.
+	collector prometheus.Collector
+	address   netip.AddrPort
 	// operators is the address of the operator API.
 	operators string
 	client    operator.Client
@@ -91,6 +96,7 @@
 	t.Cleanup(stop)
 	return &replica{
 		config:    config,
+		collector: c,
 		address:   config.Address,
 		operators: operators.Addr().String(),
 		client:    operator.New(operator.Config{Control: operators.Addr().String(), Name: "dina"}),
@@ -235,6 +241,7 @@
 }
 
 func TestChangeReachesNodes(t *testing.T) {
+	t.Parallel()
 	control := cluster(t, 1)[0]
 	nodes := []*node{join(t, "fees-1", control.address), join(t, "fees-2", control.address)}
 	answer, err := control.client.Submit(t.Context(), submission("first", example(t, "van-dalen")))
@@ -260,11 +267,23 @@
 	qt.Assert(t, status.Nodes[0].Nodes, qt.Equals, 2)
 	qt.Assert(t, status.Servers, qt.HasLen, 2)
 	qt.Assert(t, status.Servers[0].State, qt.Equals, "leaving")
+	metrics := `# HELP waxwingseam_control_backend_servers Announced backend servers known, by state.
+# TYPE waxwingseam_control_backend_servers gauge
+waxwingseam_control_backend_servers{state="leaving"} 1
+waxwingseam_control_backend_servers{state="present"} 1
+# HELP waxwingseam_control_nodes Nodes that watch the replica.
+# TYPE waxwingseam_control_nodes gauge
+waxwingseam_control_nodes 2
+`
+	err = testutil.CollectAndCompare(control.collector, strings.NewReader(metrics),
+		"waxwingseam_control_backend_servers", "waxwingseam_control_nodes")
+	qt.Assert(t, err, qt.IsNil)
 }
 
 // TestLastWord checks that a node which stops right after it announced that it
 // leaves has told so.
 func TestLastWord(t *testing.T) {
+	t.Parallel()
 	control := cluster(t, 1)[0]
 	stays, leaves := join(t, "fees-1", control.address), join(t, "fees-2", control.address)
 	stays.news.await(t, "the other node known", func() bool { _, ok := stays.server("fees-2"); return ok })
--- a/launcher/fleet.go
+++ b/launcher/fleet.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -88,6 +87,18 @@
 	outbound netip.AddrPort
 	events   *recorder.Recorder
 	log      string
+	stop     context.CancelFunc
+	abort    context.CancelFunc
+}
+
+// Stop shuts the node down gracefully, as SIGTERM does.
+func (s *StandIn) Stop() {
+	s.stop()
+}
+
+// Kill ends the node at once.
+func (s *StandIn) Kill() {
+	s.abort()
 }
 
 // Log returns the events that the node beside the stand-in recorded so far.
@@ -118,7 +129,19 @@
 			return nil, err
 		}
 	}
-	return f, f.configure(ctx)
+	if err := f.configure(ctx); err != nil {
+		return nil, f.failure(ctx, err)
+	}
+	return f, nil
+}
+
+// failure returns the error of the process that failed, where one did, for it
+// ended the context.
+func (f *Fleet) failure(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return trace.NewAggregate(f.group.Wait(), err)
+	}
+	return err
 }
 
 // Wait returns once all processes have ended.
@@ -189,7 +212,7 @@
 	if _, err := proposer.Initialize(proposer.Config{DataFolder: data, Self: "r1", Address: f.control}); err != nil {
 		return trace.Wrap(err)
 	}
-	return f.startProcess(ctx, loader.Settings{
+	return f.startProcess(ctx, ctx, loader.Settings{
 		Process: loader.Process{
 			DataCentre:       "dc-1",
 			PeerAddress:      f.control,
@@ -210,7 +233,10 @@
 	if err != nil {
 		return err
 	}
-	return f.startProcess(ctx, loader.Settings{
+	abort, kill := context.WithCancel(ctx)
+	stop, drain := context.WithCancel(abort)
+	s.abort, s.stop = kill, drain
+	return f.startProcess(stop, abort, loader.Settings{
 		Process: loader.Process{
 			DataCentre:       waxwingseam.DataCentre(fmt.Sprintf("dc-%d", number%dataCentres+1)),
 			PeerAddress:      s.peer,
@@ -241,8 +267,8 @@
 	return []runner.Observer{s.events}, nil
 }
 
-func (f *Fleet) startProcess(ctx context.Context, settings loader.Settings, observers ...runner.Observer) error {
-	process, err := assembler.NewProcess(ctx, assembler.ProcessConfig{
+func (f *Fleet) startProcess(stop, abort context.Context, settings loader.Settings, observers ...runner.Observer) error {
+	process, err := assembler.NewProcess(abort, assembler.ProcessConfig{
 		Settings:  settings,
 		Logger:    logger.New(logger.Config{Writer: io.Discard}),
 		Observers: observers,
@@ -250,7 +276,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	f.group.Go(func() error { return process.Serve(ctx, ctx) })
+	f.group.Go(func() error { return process.Serve(stop, abort) })
 	return nil
 }
 
@@ -296,18 +322,3 @@
 	}
 	return nil
 }
-
-// freeAddresses returns loopback addresses that nothing listens on now.
-func freeAddresses(ctx context.Context, count int) ([]netip.AddrPort, error) {
-	var addresses []netip.AddrPort
-	for range count {
-		var lc net.ListenConfig
-		listener, err := lc.Listen(ctx, "tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, trace.ConvertSystemError(err)
-		}
-		defer func() { _ = listener.Close() }()
-		addresses = append(addresses, netip.MustParseAddrPort(listener.Addr().String()))
-	}
-	return addresses, nil
-}
--- a/subscriber/watch.go
+++ b/subscriber/watch.go
@@ -16,8 +16,8 @@
 )
 
 // watch keeps one connection to a control replica until it fails or goes
-// silent.
-func (s *subscriber) watch(ctx context.Context, address netip.AddrPort) error {
+// silent; away is set for another replica than the preferred one.
+func (s *subscriber) watch(ctx context.Context, address netip.AddrPort, away bool) error {
 	dialing, done := context.WithTimeout(ctx, dialTimeout)
 	conn, err := s.config.Dialer.Dial(dialing, address)
 	done()
@@ -25,7 +25,7 @@
 		return trace.Wrap(err)
 	}
 	defer func() { _ = conn.Close() }()
-	silence := time.AfterFunc(publisher.SilentAfter, func() { _ = conn.Close() })
+	silence := publisher.NewSilence(func() { _ = conn.Close() })
 	defer silence.Stop()
 	// The connection outlasts the context for a last report.
 	streaming, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -38,7 +38,13 @@
 	defer s.end()
 	failed := make(chan error, 1)
 	go func() { failed <- s.read(stream, silence) }()
-	return s.write(ctx, stream, failed)
+	var homeward <-chan time.Time
+	if away {
+		timer := time.NewTimer(s.around(s.config.ReturnAfter))
+		defer timer.Stop()
+		homeward = timer.C
+	}
+	return s.write(ctx, stream, failed, homeward)
 }
 
 // begin marks all as untold to the replica. The announcement gets a new
@@ -48,6 +54,7 @@
 	defer s.mu.Unlock()
 	s.control = address
 	s.announcement.Sequence++
+	s.doubt.pushes = 0
 	s.changed = changes{announcement: true, interest: true, held: true}
 	s.wake()
 }
@@ -59,7 +66,7 @@
 }
 
 // write sends reports, at least as often as heartbeats are due.
-func (s *subscriber) write(ctx context.Context, stream drpc.Stream, failed <-chan error) error {
+func (s *subscriber) write(ctx context.Context, stream drpc.Stream, failed <-chan error, homeward <-chan time.Time) error {
 	heartbeat := time.NewTicker(publisher.HeartbeatEvery)
 	defer heartbeat.Stop()
 	for {
@@ -72,6 +79,8 @@
 			return s.farewell(stream, failed)
 		case err := <-failed:
 			return err
+		case <-homeward:
+			return errReturn
 		case <-s.woken:
 		case <-heartbeat.C:
 		}
@@ -117,13 +126,13 @@
 }
 
 // read takes in pushes until the stream ends.
-func (s *subscriber) read(stream drpc.Stream, silence *time.Timer) error {
+func (s *subscriber) read(stream drpc.Stream, silence *publisher.Silence) error {
 	for {
 		var p publisher.Push
 		if err := stream.MsgRecv(&p, messenger.Encoding); err != nil {
 			return trace.Wrap(err)
 		}
-		silence.Reset(publisher.SilentAfter)
+		silence.Heard()
 		if err := s.take(&p); err != nil {
 			return err
 		}
@@ -147,7 +156,28 @@
 	if len(p.Present)+len(p.Gone) > 0 || p.Whole {
 		s.learn(p)
 	}
-	return nil
+	return s.weigh(p.Unconfirmed)
+}
+
+// weigh fails once the replica watched has not confirmed its state for too
+// long, while there are others that may.
+func (s *subscriber) weigh(unconfirmed bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !unconfirmed {
+		s.doubt = doubt{}
+		return nil
+	}
+	s.doubt.pushes++
+	limit := doubtfulPushes
+	if s.doubt.replicas >= len(s.config.Control) {
+		limit = patientPushes
+	}
+	if len(s.config.Control) == 1 || s.doubt.pushes < limit {
+		return nil
+	}
+	s.doubt.replicas++
+	return errUnconfirmed
 }
 
 // advance applies steps to the set held.
