dispatcher: a call refused at its arrival arms no timer

Cause: an early refusal armed and stopped the deadline's timer: 11 allocations. Change: the timer is armed with the first attempt.

--- a/dispatcher/arrival.go
+++ b/dispatcher/arrival.go
@@ -21,7 +21,6 @@
 		d.finish(c, f, waxwingseam.Result{Reason: waxwingseam.ReasonDeadline})
 		return
 	}
-	c.Emit(waxwingseam.ArmTimer{Timer: deadlineTimer(e.ID), At: f.call.Deadline})
 	d.send(c, f)
 }
 
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -21,6 +21,9 @@
 	share := min(d.Retrier.Split(f.pot.Left), f.pot.Left)
 	f.pot.Left -= share
 	number := waxwingseam.Attempt(len(f.attempts) + 1)
+	if number == 1 {
+		c.Emit(waxwingseam.ArmTimer{Timer: deadlineTimer(f.call.ID), At: f.call.Deadline})
+	}
 	f.tried = append(f.tried, choice.Server.Name)
 	f.attempts = append(f.attempts, attempt{
 		number: number,
@@ -106,7 +109,9 @@
 // reply answers a call and forgets it.
 func (d *dispatcher) reply(c *waxwingseam.Context, f *flight, result waxwingseam.Result) {
 	id := f.call.ID
-	c.Emit(waxwingseam.StopTimer{Timer: deadlineTimer(id)})
+	if len(f.attempts) > 0 {
+		c.Emit(waxwingseam.StopTimer{Timer: deadlineTimer(id)})
+	}
 	if f.backingOff {
 		c.Emit(waxwingseam.StopTimer{Timer: retryTimer(id)})
 	}
