founder: control grants the founding of a service's view once

Change: the founding is a command of the replicated log, granted to one life of one server for each service; nodes ask control before they found. Conclusion: at most once holds over the loss of a whole service, at the price of may-have-run for the life of a key.

--- a/assembler/node.go
+++ b/assembler/node.go
@@ -30,8 +30,11 @@
 	Connections int
 	Messenger   *messenger.Server
 	Dialer      messenger.Dialer
-	Logger      *logger.Logger
-	Observers   []runner.Observer
+	// Founding asks control whether a life may found the view of its service;
+	// unset where every life may.
+	Founding  func(ctx context.Context, e waxwingseam.AskFounding) bool
+	Logger    *logger.Logger
+	Observers []runner.Observer
 	// NewTrace returns the trace of a root whose caller sent none; unset for
 	// no traces.
 	NewTrace func(waxwingseam.RootID) waxwingseam.TraceContext
@@ -89,6 +92,7 @@
 		Self:        config.Self,
 		NewTrace:    config.NewTrace,
 		Arbitrated:  true,
+		Founding:    config.Founding,
 		Logger:      config.Logger.Part("node"),
 	})
 	n.Runner.Attach(n.Forwarder)
--- a/assembler/process.go
+++ b/assembler/process.go
@@ -17,6 +17,7 @@
 	"waxwingseam.example/waxwingseam/authenticator"
 	"waxwingseam.example/waxwingseam/controller"
 	"waxwingseam.example/waxwingseam/forwarder"
+	"waxwingseam.example/waxwingseam/founder"
 	"waxwingseam.example/waxwingseam/loader"
 	"waxwingseam.example/waxwingseam/logger"
 	"waxwingseam.example/waxwingseam/messenger"
@@ -188,6 +189,10 @@
 		Dialer:    p.dialer,
 		Logger:    p.logger,
 		NewTrace:  p.newTrace,
+		Founding: founder.Client{
+			Control: p.settings.Process.ControlAddresses,
+			Dialer:  p.dialer,
+		}.Ask,
 		Observers: p.observers(),
 		Seed:      newSeed(),
 	})
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -22,6 +22,7 @@
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/administrator"
 	"waxwingseam.example/waxwingseam/authenticator"
+	"waxwingseam.example/waxwingseam/founder"
 	"waxwingseam.example/waxwingseam/historian"
 	"waxwingseam.example/waxwingseam/messenger"
 	"waxwingseam.example/waxwingseam/proposer"
@@ -119,7 +120,11 @@
 	if err := c.openAPI(); err != nil {
 		return nil, err
 	}
-	return c, trace.Wrap(config.Server.Register(c.publisher, publisher.Description))
+	if err := config.Server.Register(c.publisher, publisher.Description); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	grants := founder.New(founder.Config{Log: c.log, Logger: config.Logger("founder")})
+	return c, trace.Wrap(config.Server.Register(grants, founder.Description))
 }
 
 // openLog opens the replica on its data folder.
--- a/historian/command.go
+++ b/historian/command.go
@@ -24,6 +24,8 @@
 	Change checker.Change `cbor:"6,keyasint"`
 	// Drain is set in place of a change to drain one backend server.
 	Drain *Drain `cbor:"7,keyasint,omitempty"`
+	// Founding is set in place of a submission.
+	Founding *Founding `cbor:"8,keyasint,omitempty"`
 }
 
 // Drain marks a backend server as drained, or takes the mark off, in the set
--- a/historian/historian.go
+++ b/historian/historian.go
@@ -82,6 +82,8 @@
 	Answers []answered `cbor:"5,keyasint"`
 	// Clock is the latest time of a command.
 	Clock time.Time `cbor:"6,keyasint"`
+	// Foundings has one entry for each service whose view was founded.
+	Foundings []Founding `cbor:"7,keyasint,omitempty"`
 }
 
 type historian struct {
@@ -118,7 +120,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if err := cbor.Unmarshal(command, &c); err == nil {
-		answer = h.decide(c)
+		answer = h.answer(c)
 	}
 	data, err := cbor.Marshal(answer)
 	if err != nil {
@@ -127,6 +129,14 @@
 	return data
 }
 
+// answer decides on a command by what it holds.
+func (h *historian) answer(c Command) Answer {
+	if c.Founding != nil {
+		return h.found(*c.Founding)
+	}
+	return h.decide(c)
+}
+
 func (h *historian) decide(c Command) Answer {
 	if a, ok := h.answered(c.Submission, c.Content); ok {
 		return a
