--- a/authenticator/authenticator_test.go
+++ b/authenticator/authenticator_test.go
@@ -145,6 +145,20 @@
 	}
 }
 
+// TestOperatorHandshake has an operator with a certificate, and one without,
+// reach the operator API.
+func TestOperatorHandshake(t *testing.T) {
+	good, later := newAuthority(t), time.Now().Add(time.Hour)
+	server := open(t, good.issue(t, t.TempDir(), Identity{RoleControl, "r1"}, later, good))
+	with := good.issue(t, t.TempDir(), Identity{RoleOperator, "alice"}, later, good)
+	without := CertificateConfig{AuthorityFile: with.AuthorityFile, Logger: quiet}
+	for _, config := range []CertificateConfig{with, without} {
+		atServer, atClient := shake(t, server.OptionalServer(), open(t, config).Client(RoleControl))
+		qt.Assert(t, atServer, qt.IsNil)
+		qt.Assert(t, atClient, qt.IsNil)
+	}
+}
+
 func matches(t *testing.T, err error, pattern string) {
 	t.Helper()
 	if pattern == "" {
--- a/authenticator/certificates.go
+++ b/authenticator/certificates.go
@@ -17,6 +17,7 @@
 
 // CertificateConfig names the files of a process's certificate.
 type CertificateConfig struct {
+	// CertificateFile and KeyFile are empty for a client without a certificate.
 	CertificateFile string
 	KeyFile         string
 	// AuthorityFile holds the certificates that peers are checked against.
@@ -65,7 +66,7 @@
 }
 
 func (c *certificates) load() (material, error) {
-	certificate, err := tls.LoadX509KeyPair(c.config.CertificateFile, c.config.KeyFile)
+	certificate, err := c.loadPair()
 	if err != nil {
 		return material{}, trace.Wrap(err, "certificate %s", c.config.CertificateFile)
 	}
@@ -80,6 +81,14 @@
 	return material{certificate: certificate, authorities: authorities}, nil
 }
 
+// loadPair loads the certificate; an empty one where there is none.
+func (c *certificates) loadPair() (tls.Certificate, error) {
+	if c.config.CertificateFile == "" {
+		return tls.Certificate{}, nil
+	}
+	return tls.LoadX509KeyPair(c.config.CertificateFile, c.config.KeyFile)
+}
+
 // stat returns when each file was modified.
 func (c *certificates) stat() [3]time.Time {
 	var times [3]time.Time
