--- a/operator/operator.go
+++ b/operator/operator.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -215,7 +216,8 @@
 func refusalOf(status int, data []byte) error {
 	r := &Refusal{}
 	if err := json.Unmarshal(data, &r.Problem); err != nil {
-		r.Detail = string(data)
+		r.Reason, r.Title = administrator.ReasonBadRequest, http.StatusText(status)
+		r.Detail = strings.TrimSpace(string(data))
 	}
 	r.Status = status
 	if status >= http.StatusInternalServerError {
