forwarder: time for a founding over regions

Cause: 250 ms, shared by up to three replicas, is less than a commit over regions takes; the founding would never be granted there.

--- a/forwarder/key.go
+++ b/forwarder/key.go
@@ -13,6 +13,10 @@
 // witnessPatience is how long a witness's answer is waited for.
 const witnessPatience = 250 * time.Millisecond
 
+// foundingPatience is how long the answer of control to a founding is waited
+// for, over regions and several replicas.
+const foundingPatience = 3 * time.Second
+
 // arriveWithKey steps the arrival of an attempt with a caller's key.
 func (in *inbound) arriveWithKey() {
 	o := in.opening
@@ -127,7 +131,7 @@
 
 // askFounding carries out an AskFounding.
 func (f *Forwarder) askFounding(e waxwingseam.AskFounding) {
-	ctx, cancel := context.WithTimeout(context.Background(), witnessPatience)
+	ctx, cancel := context.WithTimeout(context.Background(), foundingPatience)
 	defer cancel()
 	if ask := f.config.Founding; ask != nil && !ask(ctx, e) {
 		return
