--- a/estimator/control.go
+++ b/estimator/control.go
@@ -95,9 +95,9 @@
 			Mechanism: "replicator: pre-vote, check-quorum, election timeout",
 		},
 		{
-			Role: RoleVoter, What: "traffic of the leader's heartbeats", Unit: "KB/s",
-			Value:     (p.DataCentres - 1) * s.get("replica-heartbeat-bytes-a-second") / kilobyte,
-			Formula:   "other replicas × heartbeat bytes",
+			Role: RoleVoter, What: "traffic of the leader with the other replicas", Unit: "KB/s",
+			Value:     ((p.DataCentres-1)*s.get("replica-heartbeat-bytes-a-second") + (p.DataCentres-1)*p.changesSecond()*s.get("change-bytes")) / kilobyte,
+			Formula:   "other replicas × (heartbeat bytes + changes/s × bytes of a change)",
 			Mechanism: "replicator",
 		},
 	}
@@ -115,16 +115,16 @@
 		},
 		{
 			Role: RoleWhole, What: "a change in force everywhere", Unit: "s",
-			Value:     s.get("change-in-force-milliseconds")*millisecond + s.get("replication-round-trips")*s.get("region-round-trip-milliseconds")*millisecond,
+			Value:     s.get("change-in-force-milliseconds")*millisecond + p.RoundTrips*p.RegionRoundTripSeconds,
 			Bound:     p.InForceSeconds,
-			Formula:   "measured with 400 nodes at one replica + round trips between regions",
+			Formula:   "measured with 400 nodes at one replica + 3 round trips between regions at an assumed 200 ms",
 			Mechanism: "replicator, then publisher at each replica, in parallel",
 		},
 		{
 			Role: RoleWhole, What: "added to a call, p99", Unit: "ms",
 			Value:     s.get("added-p99-milliseconds"),
 			Bound:     p.NodeAddedSeconds / millisecond,
-			Formula:   "measured at 135 calls/s a node",
+			Formula:   "measured at 135 calls/s",
 			Mechanism: "forwarder, receiver, dispatcher",
 		},
 	}
--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -32,9 +32,9 @@
 
 func TestReadSlopesFindings(t *testing.T) {
 	_, err := estimator.ReadSlopes("s.ini", []byte("[slope a]\nvalue = x\ncommand = c\n[other]\n"))
-	qt.Assert(t, err.Error(), qt.Equals, "s.ini:4: [other] unknown section, want slope\n"+
+	qt.Assert(t, err.Error(), qt.Equals, "s.ini:1: [slope a] page: the key is missing\n"+
 		"s.ini:2: [slope a] value: no number\n"+
-		"s.ini:1: [slope a] page: the key is missing")
+		"s.ini:4: [other] unknown section, want slope")
 }
 
 func TestMarkdownMarksPassedBounds(t *testing.T) {
--- a/estimator/node.go
+++ b/estimator/node.go
@@ -25,10 +25,10 @@
 		},
 		{
 			Role: RoleNode, What: "memory", Unit: "MB",
-			Value:     (s.get("node-base-memory-bytes") + s.get("set-memory-bytes") + known*s.get("known-server-bytes") + s.get("kept-replies-bytes") + p.CallsSecond/p.Nodes*s.get("record-life-seconds")*s.get("record-bytes")) / megabyte,
+			Value:     (s.get("node-base-memory-bytes") + s.get("set-memory-bytes") + known*s.get("known-server-bytes") + s.get("kept-replies-bytes") + s.get("records-bytes-at-135-keyed-calls-a-second") + s.get("claims-bound")*s.get("claim-bytes")) / megabyte,
 			Bound:     p.MemoryBytes / megabyte,
-			Formula:   "base + set + known servers × bytes + bound on kept replies + calls/s × life of a record × bytes of a record",
-			Mechanism: "deduplicator bounds records and replies; balancer keeps the servers of called services",
+			Formula:   "base + set + known servers × bytes + bound on kept replies + records at 135 keyed calls/s + bound on claims × bytes of a claim",
+			Mechanism: "deduplicator bounds records and replies, arbiter bounds claims; balancer keeps the servers of called services",
 		},
 		{
 			Role: RoleNode, What: "start without a set", Unit: "KB",
--- a/estimator/plan.go
+++ b/estimator/plan.go
@@ -15,6 +15,10 @@
 	FailuresDay float64
 	// CalledServices is how many services one node calls.
 	CalledServices float64
+	// RoundTrips is how many round trips between regions lie before a change is
+	// in force; RegionRoundTripSeconds is the time of one, an assumption.
+	RoundTrips             float64
+	RegionRoundTripSeconds float64
 	// HistoryDays is for how long changes are kept.
 	HistoryDays float64
 
@@ -48,16 +52,20 @@
 // DefaultPlan returns the size that the project is designed for.
 func DefaultPlan() Plan {
 	return Plan{
-		Nodes:            6900,
-		Services:         360,
-		CallsSecond:      930000,
-		DataCentres:      16,
-		Voters:           5,
-		ChangesDay:       7400,
-		RestartsDay:      360,
-		FailuresDay:      9,
-		CalledServices:   10,
-		HistoryDays:      30,
+		Nodes:          6900,
+		Services:       360,
+		CallsSecond:    930000,
+		DataCentres:    16,
+		Voters:         5,
+		ChangesDay:     7400,
+		RestartsDay:    360,
+		FailuresDay:    9,
+		CalledServices: 10,
+		RoundTrips:     3,
+		HistoryDays:    30,
+
+		RegionRoundTripSeconds: 0.2,
+
 		InForceSeconds:   6,
 		CorePercent:      3.9,
 		MemoryBytes:      256 * megabyte,
--- a/estimator/slopes.go
+++ b/estimator/slopes.go
@@ -26,6 +26,7 @@
 		}
 		findings = append(findings, s.read(file, name, section)...)
 	}
+	findings.Sort()
 	return s, findings.OrNil()
 }
 
@@ -51,8 +52,8 @@
 	return findings
 }
 
-// get returns a slope; a missing one makes every result that needs it NaN-free
-// but visible in Missing.
+// get returns a slope; one that is not in the file counts as 0 and shows in
+// Missing.
 func (s *Slopes) get(name string) float64 {
 	s.used[name] = true
 	return s.values[name]
