--- a/limiter/queuedelay.go
+++ b/limiter/queuedelay.go
@@ -9,7 +9,7 @@
 const (
 	// delayTarget is the share of queue time in the time without queues that is
 	// left alone.
-	delayTarget = 0.6
+	delayTarget = 0.8
 	// delayBacklog is the ratio of what is in flight to what would be without
 	// queues that is taken for queues, whatever the ended runs tell: they may be
 	// those that went first.
