arbiter: two nodes that join at once do not wait for each other

Cause: each counted the other before it could grant, and needed its claims. Change: a member that joins too and is its node's first life is not waited for.

--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -263,14 +263,13 @@
 		return waxwingseam.WitnessGranted
 	}
 	if !a.ready {
-		return waxwingseam.WitnessUnready
+		return a.serveUnready(c, m)
 	}
 	switch m.Request {
 	case waxwingseam.RequestClaim:
 		return a.serveClaim(c, m)
 	case waxwingseam.RequestJoin:
-		a.view.merge(m.View)
-		a.view.add(m.From)
+		a.count(m)
 	case waxwingseam.RequestHandover:
 		a.recordAll(c, m.Claims)
 	case waxwingseam.RequestLeave:
@@ -283,6 +282,23 @@
 	return waxwingseam.WitnessGranted
 }
 
+// serveUnready answers while the node does not count yet. Another node that
+// joins is counted from now on, so that two which join at once need not wait
+// for each other.
+func (a *arbiter) serveUnready(c *waxwingseam.Context, m waxwingseam.WitnessMessage) waxwingseam.WitnessVerdict {
+	if m.Request != waxwingseam.RequestJoin || a.joining == nil || !a.view.has(a.self(c)) {
+		return waxwingseam.WitnessUnready
+	}
+	a.count(m)
+	return waxwingseam.WitnessJoining
+}
+
+// count takes a joining node into the view.
+func (a *arbiter) count(m waxwingseam.WitnessMessage) {
+	a.view.merge(m.View)
+	a.view.add(m.From)
+}
+
 // serveClaim records a claim while both nodes hold the same view.
 func (a *arbiter) serveClaim(c *waxwingseam.Context, m waxwingseam.WitnessMessage) waxwingseam.WitnessVerdict {
 	if len(m.Claims) != 1 || a.claims.full(m.Claims[0].Key) {
--- a/arbiter/joining.go
+++ b/arbiter/joining.go
@@ -17,6 +17,8 @@
 	pulled map[waxwingseam.Life]bool
 	// replaces is set when an earlier life of the node counts.
 	replaces bool
+	// fresh are the members that join, too, and have granted nothing yet.
+	fresh map[waxwingseam.Life]bool
 	// strangers are the nodes that answered that they have no view.
 	strangers map[waxwingseam.ServerName]bool
 }
@@ -25,6 +27,7 @@
 	return &joining{
 		since:     now,
 		pulled:    map[waxwingseam.Life]bool{},
+		fresh:     map[waxwingseam.Life]bool{},
 		strangers: map[waxwingseam.ServerName]bool{},
 	}
 }
@@ -92,6 +95,14 @@
 
 // joinAnswered takes over a member's claims.
 func (a *arbiter) joinAnswered(c *waxwingseam.Context, e waxwingseam.WitnessAnswered) {
+	if e.Answer.Verdict == waxwingseam.WitnessJoining {
+		a.view.merge(e.Answer.View)
+		if a.joining != nil {
+			a.joining.fresh[e.Answer.From] = true
+			a.joinIfPulled(c)
+		}
+		return
+	}
 	if e.Answer.Verdict != waxwingseam.WitnessGranted {
 		if a.joining != nil {
 			a.joining.strangers[e.To] = true
@@ -109,10 +120,17 @@
 		return
 	}
 	if a.joining != nil {
+		delete(a.joining.fresh, e.Answer.From)
 		a.joining.pulled[e.Answer.From] = true
-		if a.pulledEnough(c) {
-			a.joined(c)
-		}
+		a.joinIfPulled(c)
+	}
+}
+
+// joinIfPulled makes the node a witness once it has the claims of enough
+// members, and of one at least.
+func (a *arbiter) joinIfPulled(c *waxwingseam.Context) {
+	if len(a.joining.pulled) > 0 && a.pulledEnough(c) {
+		a.joined(c)
 	}
 }
 
@@ -129,11 +147,10 @@
 // pulledEnough reports whether the claims of so many members are here that
 // none with a quorum can be missing, and no other node can have joined unseen.
 func (a *arbiter) pulledEnough(c *waxwingseam.Context) bool {
-	before := len(a.view.members)
 	others := 0
 	pulled := 0
 	for _, l := range a.view.members {
-		if l.Name == c.Self.Name {
+		if l.Name == c.Self.Name || a.grantedNothing(l) {
 			continue
 		}
 		others++
@@ -141,12 +158,20 @@
 			pulled++
 		}
 	}
-	if !a.joining.replaces {
-		before = others
+	before := others
+	if a.joining.replaces {
+		before++
 	}
 	return pulled >= min(before/2+1, others)
 }
 
+// grantedNothing reports whether a member joins and is the first life of its node, so
+// that no claim rests on it.
+func (a *arbiter) grantedNothing(l waxwingseam.Life) bool {
+	earlier := func(r waxwingseam.Life) bool { return r.Name == l.Name }
+	return a.joining.fresh[l] && !slices.ContainsFunc(a.view.removed, earlier)
+}
+
 // joined makes the node a witness and goes on with what waited for it.
 func (a *arbiter) joined(c *waxwingseam.Context) {
 	a.joining = nil
--- a/arbitration.go
+++ b/arbitration.go
@@ -98,6 +98,9 @@
 	WitnessStale
 	// WitnessUnready means that the node does not count as a witness now.
 	WitnessUnready
+	// WitnessJoining means that the node counts the asking one from now on, and
+	// has granted nothing itself.
+	WitnessJoining
 )
 
 // WitnessAnswer is a witness's answer to a message.
