--- a/experimenter/deployment.go
+++ b/experimenter/deployment.go
@@ -76,7 +76,7 @@
 			{"rosters", 3, 30, 270, 100 * time.Millisecond},
 		},
 		Mixes: []Mix{
-			{"place-picker", 8, waxwingseam.RepeatNever, 20, 5 * time.Second, 500 * time.Millisecond},
+			{"placement", 8, waxwingseam.RepeatNever, 20, 5 * time.Second, 500 * time.Millisecond},
 			{"upload-contract", 7, waxwingseam.RepeatNever, 20, 5 * time.Second, 500 * time.Millisecond},
 			{"check-roster", 5, waxwingseam.RepeatIdempotent, 30, 3 * time.Second, 250 * time.Millisecond},
 			{"browse-jobs", 2, waxwingseam.RepeatIdempotent, 30, 3 * time.Second, 100 * time.Millisecond},
