balancer: calls that callers gave up count as accepted by the throttle

Cause: a cancelled call counted as sent and neither accepted nor refused, so with 30% of the callers leaving the throttle took a few refusals for an overload and closed (TestLeavingCallersAreNotRefusals fails before at call 43). Change: a cancelled end counts as accepted.

--- a/balancer/pool.go
+++ b/balancer/pool.go
@@ -111,7 +111,8 @@
 	case f.Result.Completed() && refusedBelow(f.Result.Status):
 		p.throttle.accepted(c.Now)
 		p.class(f.Class).rejected(c.Now)
-	case f.Result.Completed():
+	case f.Result.Completed(), f.Result.Reason == waxwingseam.ReasonCancelled:
+		// A call that its caller gave up had not been refused till then.
 		p.throttle.accepted(c.Now)
 		p.class(f.Class).accepted(c.Now)
 	}
--- a/balancer/throttle_test.go
+++ b/balancer/throttle_test.go
@@ -67,3 +67,23 @@
 		qt.Check(t, f.early, qt.Equals, 0)
 	}
 }
+
+// TestLeavingCallersAreNotRefusals checks that calls which their callers gave up
+// do not count against the service.
+func TestLeavingCallersAreNotRefusals(t *testing.T) {
+	b := newBench("desk", servers(3), &waxwingseam.Set{})
+	cancelled := waxwingseam.Result{Outcome: waxwingseam.OutcomeMayHaveRun, Reason: waxwingseam.ReasonCancelled}
+	refused := waxwingseam.Result{Outcome: waxwingseam.OutcomeDidNotRun, Reason: waxwingseam.ReasonOverloaded}
+	for i := range 2000 {
+		result := done
+		switch {
+		case i%20 == 0:
+			result = refused
+		case i%5 < 2:
+			result = cancelled
+		}
+		b.now = b.now.Add(time.Millisecond)
+		choice := b.choose(waxwingseam.Query{Rank: waxwingseam.Rank{Order: uint64(i)}}, result)
+		qt.Assert(t, choice.Refused, qt.IsFalse, qt.Commentf("call %d", i))
+	}
+}
