--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -163,3 +163,15 @@
 	qt.Assert(t, shares[0] < shares[3]*0.8, qt.IsTrue, qt.Commentf("shares %v", shares))
 	qt.Assert(t, shares[3] > 0.9, qt.IsTrue, qt.Commentf("shares %v", shares))
 }
+
+// ExampleNew chooses among two servers of which one is leaving.
+func ExampleNew() {
+	b := balancer.New(balancer.Config{Self: "desk", DataCentre: "dc-1"})
+	c := waxwingseam.NewContext(waxwingseam.Server{})
+	b.Learn(c, []waxwingseam.Server{
+		{Name: "fees-1", Service: "fees", Leaving: true},
+		{Name: "fees-2", Service: "fees"},
+	}, nil)
+	fmt.Println(b.Choose(c, waxwingseam.Query{Service: "fees"}).Server.Name)
+	// Output: fees-2
+}
--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -1,6 +1,7 @@
 package retrier_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -97,3 +98,11 @@
 		}
 	}
 }
+
+// ExampleNew asks for a retry of a call that may run again.
+func ExampleNew() {
+	r := retrier.New(retrier.Config{})
+	answer := r.Decide(context(1), question())
+	fmt.Println(answer.Retry, answer.Delay)
+	// Output: true 0s
+}
--- /dev/null
+++ b/tracker/tracker_test.go
@@ -0,0 +1,37 @@
+package tracker_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/tracker"
+)
+
+func id(n uint64) waxwingseam.CallID { return waxwingseam.NewCallID(0, n) }
+
+// ExampleNew has two child calls draw from their run's allowance.
+func ExampleNew() {
+	runs := tracker.New(tracker.Config{})
+	runs.Begin(waxwingseam.Call{ID: id(1), Allowance: 2})
+	first, second := runs.Open(id(1), id(2)), runs.Open(id(1), id(3))
+	fmt.Println(first.Spend(), second.Spend(), first.Spend(), runs.Unspent(id(1)))
+	// Output: true true false 0
+}
+
+func TestEnd(t *testing.T) {
+	runs := tracker.New(tracker.Config{})
+	runs.Begin(waxwingseam.Call{ID: id(1), Allowance: 2})
+	for n := uint64(2); n < 5; n++ {
+		runs.Open(id(1), id(n))
+	}
+	runs.Close(id(1), id(3))
+	qt.Assert(t, runs.End(id(1)), qt.DeepEquals, []waxwingseam.CallID{id(2), id(4)})
+	_, live := runs.Parent(id(1))
+	qt.Assert(t, live, qt.IsFalse)
+	qt.Assert(t, runs.Open(id(1), id(5)).Spend(), qt.IsFalse)
+	qt.Assert(t, runs.Unspent(id(1)), qt.Equals, waxwingseam.Allowance(0))
+	qt.Assert(t, runs.End(id(1)), qt.HasLen, 0)
+}
