limiter: runs that nobody wants any more tell nothing of a run's time

Cause: TestGoodputWhileCallersLeave: runs cancelled after 8 ms shortened the time between two changes, and the first of them cut the limit to 1 before any run was served. Change: cancelled and failed runs count as time in use, not as a run's time; nothing is changed before the first served run. RunEnd.Failed covers runs that nobody wants any more.

--- a/admission.go
+++ b/admission.go
@@ -42,7 +42,8 @@
 // RunEnd is the end of one run, as the admitter sees it.
 type RunEnd struct {
 	ID CallID
-	// Failed is set when the backend server failed or refused it.
+	// Failed is set when the backend server failed or refused it, or nobody
+	// wanted it any more.
 	Failed bool
 	// Elapsed is the time of the run, Own that part of it in which none of its
 	// further calls was open.
--- a/limiter/queuedelay.go
+++ b/limiter/queuedelay.go
@@ -48,6 +48,10 @@
 	count   int
 	peak    int
 	flights int
+	// served and serves are the time and the count of runs that were served;
+	// others end early and tell nothing of the time of a run.
+	served time.Duration
+	serves int
 }
 
 // NewQueueDelay returns a limiter that follows the time in queues.
@@ -79,12 +83,16 @@
 
 // Observe implements waxwingseam.Limiter.
 func (l *queueDelay) Observe(s waxwingseam.Sample) {
-	l.usual.add(s.Elapsed)
 	l.elapsed += s.Elapsed
 	l.waited += min(s.Waited, s.Elapsed)
 	l.count++
 	l.peak = max(l.peak, s.InFlight)
 	l.flights += s.InFlight
+	if !s.Failed {
+		l.usual.add(s.Elapsed)
+		l.served += s.Elapsed
+		l.serves++
+	}
 	if l.started.IsZero() {
 		l.started = s.Now
 	}
@@ -97,11 +105,14 @@
 // due reports whether the last change has shown its effect, on enough runs
 // where these come in time and the limit is not in its first rise.
 func (l *queueDelay) due(passed time.Duration) bool {
-	usual := max(delayWindow, l.elapsed/time.Duration(l.count))
-	if passed < usual {
+	usual := l.usual.value
+	if l.serves > 0 {
+		usual = l.served / time.Duration(l.serves)
+	}
+	if usual == 0 || passed < max(usual, delayWindow) {
 		return false
 	}
-	return l.room == delayFirstRoom || l.count >= delayRuns || passed >= delayPatience*usual
+	return l.room == delayFirstRoom || l.serves >= delayRuns || passed >= delayPatience*max(usual, delayWindow)
 }
 
 // adapt changes the limit by the runs that ended in a time.
@@ -123,5 +134,6 @@
 	}
 	l.limit = min(max(l.limit, 1), float64(l.slots))
 	l.elapsed, l.waited, l.count = 0, 0, 0
+	l.served, l.serves = 0, 0
 	l.peak, l.flights = 0, 0
 }
--- a/receiver/account.go
+++ b/receiver/account.go
@@ -60,9 +60,10 @@
 			a.below = a.childs
 		}
 	}
+	cancelled := len(live.attempts) == 0
 	return waxwingseam.RunEnd{
 		ID:      e.ID,
-		Failed:  !e.Result.Completed() || e.Result.Status >= failureStatus,
+		Failed:  cancelled || !e.Result.Completed() || e.Result.Status >= failureStatus,
 		Elapsed: e.Elapsed,
 		Own:     max(e.Elapsed-a.childs, 0),
 		Below:   min(a.below, a.childs),
