limiter: the first change waits for the first served run

Cause: cancelled runs opened the first window, in which nothing could have been served yet; the limit fell to 2 at a node's start. Change: runs that fail before the first served one are left out.

--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -56,3 +56,27 @@
 	chain(l, now, 2*time.Second, free, 60)
 	qt.Assert(t, l.Limit() >= 54, qt.IsTrue, qt.Commentf("after: limit %d", l.Limit()))
 }
+
+// TestCancelledRunsTellNothing ends runs early, as for callers that leave, at
+// the start of a node and among served ones.
+func TestCancelledRunsTellNothing(t *testing.T) {
+	l := NewQueueDelay()
+	l.Configure(128)
+	start := l.Limit()
+	left := waxwingseam.Sample{Elapsed: 8 * time.Millisecond, InFlight: start, Failed: true}
+	now := time.Unix(1000, 0)
+	for range 1000 {
+		now = now.Add(time.Millisecond)
+		left.Now = now
+		l.Observe(left)
+	}
+	qt.Assert(t, l.Limit(), qt.Equals, start)
+	free := 400 * time.Millisecond
+	for range 2000 {
+		now = now.Add(free / time.Duration(start))
+		l.Observe(waxwingseam.Sample{Now: now, Elapsed: free, InFlight: start})
+		left.Now = now
+		l.Observe(left)
+		qt.Assert(t, l.Limit() >= start, qt.IsTrue, qt.Commentf("limit %d", l.Limit()))
+	}
+}
--- a/limiter/queuedelay.go
+++ b/limiter/queuedelay.go
@@ -81,8 +81,12 @@
 	return l.usual.value
 }
 
-// Observe implements waxwingseam.Limiter.
+// Observe implements waxwingseam.Limiter. Before the first run is served, what
+// is in flight tells nothing, as others may need as long.
 func (l *queueDelay) Observe(s waxwingseam.Sample) {
+	if s.Failed && l.usual.value == 0 {
+		return
+	}
 	l.elapsed += s.Elapsed
 	l.waited += min(s.Waited, s.Elapsed)
 	l.count++
@@ -109,7 +113,7 @@
 	if l.serves > 0 {
 		usual = l.served / time.Duration(l.serves)
 	}
-	if usual == 0 || passed < max(usual, delayWindow) {
+	if passed < max(usual, delayWindow) {
 		return false
 	}
 	return l.room == delayFirstRoom || l.serves >= delayRuns || passed >= delayPatience*max(usual, delayWindow)
