receiver: refused callers are told to come back apart

Cause: Retry-After was the same for all that were refused at one moment. Change: up to twice the time in which the queue will have run, at random.

--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -239,7 +239,7 @@
 	delete(r.calls, live.header.ID)
 	r.deduplicator.Refuse(c, live.header.ID)
 	result := refused(reason)
-	result.RetryAfter = r.retryAfter()
+	result.RetryAfter = r.retryAfter(c)
 	result.Waited = live.waited
 	result.Unspent = live.header.Allowance
 	r.answerAll(c, live, result)
@@ -317,11 +317,13 @@
 	}
 }
 
-// retryAfter is the time in which what waits now will have run.
-func (r *receiver) retryAfter() time.Duration {
+// retryAfter is the time in which what waits now will have run, up to twice
+// that at random, so that refused callers do not come back together.
+func (r *receiver) retryAfter(c *waxwingseam.Context) time.Duration {
 	load := r.admitter.Load()
 	turns := time.Duration(1 + load.Waiting/max(load.Limit, 1))
-	return max(turns*load.ServiceTime, minRetryAfter)
+	mean := max(turns*load.ServiceTime, minRetryAfter)
+	return mean + time.Duration(c.Random().Int64N(int64(mean)))
 }
 
 func (v *call) has(w waiter) bool {
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -212,3 +212,19 @@
 	b.reduce(waxwingseam.DrainAsked{Stamp: b.stamp(), Undo: true})
 	qt.Assert(t, b.arrive(4, 1), qt.Equals, "run 4.1")
 }
+
+func TestRefusedCallersComeBackApart(t *testing.T) {
+	b := newBench()
+	b.arrive(1, 1)
+	b.arrive(2, 1)
+	seen := map[time.Duration]bool{}
+	for id := range uint64(20) {
+		stamp := waxwingseam.Stamp{Now: b.now, Random: id}
+		e := waxwingseam.AttemptArrived{Stamp: stamp, Call: b.call(10 + id), Attempt: 1}
+		answer := b.reducer.Reduce(e)[0].(waxwingseam.AnswerAttempt)
+		after := answer.Result.RetryAfter
+		qt.Assert(t, after >= minRetryAfter && after < 2*minRetryAfter, qt.IsTrue, qt.Commentf("%v", after))
+		seen[after] = true
+	}
+	qt.Assert(t, len(seen) > 10, qt.IsTrue, qt.Commentf("%d times told", len(seen)))
+}
