--- a/cmd/waxwingseam/completion.go
+++ b/cmd/waxwingseam/completion.go
@@ -19,7 +19,7 @@
 }
 
 func writeCompletion(w io.Writer, model *kong.Application) error {
-	var names []string
+	names := make([]string, 0, len(model.Children))
 	var cases strings.Builder
 	for _, command := range model.Children {
 		names = append(names, command.Name)
