--- a/replicator/failure_test.go
+++ b/replicator/failure_test.go
@@ -275,13 +275,15 @@
 }
 
 // TestDeafReplicaLeavesTheLeaderAlone has a replica that hears no leader while
-// the others hear it ask for votes.
+// the others hear it ask for votes, and then hears again.
 func TestDeafReplicaLeavesTheLeaderAlone(t *testing.T) {
 	c := steady(t, noFlaw)
 	term := c.leader().replica.Status().Term
 	deaf := c.sites[2].member.Storage
 	c.lost = func(m waxwingseam.ReplicaMessage) bool { return m.To == deaf && m.AppendRequest != nil }
 	c.run(20 * c.election)
+	c.lost = nil
+	c.run(4 * c.election)
 	qt.Assert(t, c.leader(), qt.Equals, c.sites[0])
 	qt.Assert(t, c.leader().replica.Status().Term, qt.Equals, term)
 	c.check(t)
--- /dev/null
+++ b/replicator/replica_test.go
@@ -0,0 +1,164 @@
+package replicator
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// lone is one replica whose messages a test writes by hand.
+type lone struct {
+	waxwingseam.Replicator
+}
+
+// newLone returns replica a of some voters, with the learner z, whose log ends
+// with an entry of term 2.
+func newLone(voters ...waxwingseam.StorageID) lone {
+	membership := waxwingseam.Membership{}.With(waxwingseam.Member{Replica: "z", Storage: "z"})
+	for _, v := range voters {
+		membership = membership.With(waxwingseam.Member{Replica: waxwingseam.ReplicaID(v), Storage: v, Voter: true})
+	}
+	return lone{New(Config{
+		Identity: waxwingseam.ReplicaIdentity{Cluster: "k", Replica: "a", Storage: "a"},
+		Recovery: waxwingseam.Recovery{
+			State: waxwingseam.ReplicaState{Term: 3},
+			Entries: []waxwingseam.LogEntry{
+				{Index: 1, Term: 1, Kind: waxwingseam.EntryMembership, Membership: &membership},
+				{Index: 2, Term: 2, Command: []byte("old")},
+			},
+		},
+	})}
+}
+
+// receive hands a message to the replica.
+func (r lone) receive(from waxwingseam.StorageID, term waxwingseam.Term, m waxwingseam.ReplicaMessage) []waxwingseam.Effect {
+	m.From, m.To, m.Term = from, "a", term
+	return r.Reduce(waxwingseam.ReplicaMessageArrived{Message: m})
+}
+
+// vote grants a vote in the election for term 4.
+func (r lone) vote(from waxwingseam.StorageID, trial bool) {
+	reply := &waxwingseam.VoteReply{Trial: trial, Granted: true, Term: 4}
+	r.receive(from, r.Status().Term, waxwingseam.ReplicaMessage{VoteReply: reply})
+}
+
+// follow has the replica hear the leader of term 3.
+func (r lone) follow(leader waxwingseam.StorageID, commit waxwingseam.LogIndex) {
+	r.receive(leader, 3, waxwingseam.ReplicaMessage{AppendRequest: &waxwingseam.AppendRequest{
+		Previous: waxwingseam.LogPosition{Index: 2, Term: 2},
+		Commit:   commit,
+	}})
+}
+
+// persist says that all is durable.
+func (r lone) persist() {
+	s := r.Replicator.(*replicator)
+	r.Reduce(waxwingseam.ReplicaPersisted{State: s.state, Last: s.log.last().Index})
+}
+
+// campaign lets time pass until the replica asks for votes.
+func (r lone) campaign() {
+	for r.Status().Role == waxwingseam.RoleFollower {
+		r.Reduce(waxwingseam.ReplicaTicked{})
+	}
+}
+
+// elect makes the replica the leader of term 4.
+func (r lone) elect(t *testing.T) {
+	t.Helper()
+	r.campaign()
+	r.vote("b", true)
+	r.persist()
+	r.vote("b", false)
+	qt.Assert(t, r.Status().Role, qt.Equals, waxwingseam.RoleLeader)
+	qt.Assert(t, r.Status().Term, qt.Equals, waxwingseam.Term(4))
+}
+
+func (r lone) ack(from waxwingseam.StorageID, match waxwingseam.LogIndex) {
+	r.receive(from, 4, waxwingseam.ReplicaMessage{AppendReply: &waxwingseam.AppendReply{Accepted: true, Match: match, Round: 1}})
+}
+
+// TestEarlierTermsCommitWithTheLeadersOwn is the case of figure 8 in the Raft
+// paper: a majority holds an entry of an earlier term, which may yet go.
+func TestEarlierTermsCommitWithTheLeadersOwn(t *testing.T) {
+	r := newLone("a", "b", "c")
+	r.follow("b", 1)
+	r.elect(t)
+	r.persist()
+	r.ack("b", 2)
+	qt.Assert(t, r.Status().Commit, qt.Equals, waxwingseam.LogIndex(1))
+	r.ack("z", 3)
+	qt.Assert(t, r.Status().Commit, qt.Equals, waxwingseam.LogIndex(1))
+	refused := r.Reduce(waxwingseam.MembershipProposed{ID: 1, Change: waxwingseam.MembershipChange{
+		Kind:   waxwingseam.ChangeRemove,
+		Member: waxwingseam.Member{Storage: "c"},
+	}})
+	qt.Assert(t, refused[0], qt.Equals, waxwingseam.Effect(waxwingseam.RefuseRequest{ID: 1, Reason: waxwingseam.ReasonChangePending}))
+	r.ack("b", 3)
+	qt.Assert(t, r.Status().Commit, qt.Equals, waxwingseam.LogIndex(3))
+}
+
+func TestVotesThatDoNotCount(t *testing.T) {
+	r := newLone("a", "b", "c")
+	r.campaign()
+	r.vote("z", true)
+	r.vote("stranger", true)
+	qt.Assert(t, r.Status().Role, qt.Equals, waxwingseam.RolePreCandidate)
+	r.vote("b", true)
+	r.vote("z", false)
+	r.vote("stranger", false)
+	r.persist()
+	qt.Assert(t, r.Status().Role, qt.Equals, waxwingseam.RoleCandidate)
+}
+
+// TestOwnVoteCountsOnceDurable has a sole voter, which needs no other vote.
+func TestOwnVoteCountsOnceDurable(t *testing.T) {
+	r := newLone("a")
+	r.campaign()
+	qt.Assert(t, r.Status().Role, qt.Equals, waxwingseam.RoleCandidate)
+	r.persist()
+	qt.Assert(t, r.Status().Role, qt.Equals, waxwingseam.RoleLeader)
+	qt.Assert(t, r.Status().Commit, qt.Equals, waxwingseam.LogIndex(0))
+	r.persist()
+	qt.Assert(t, r.Status().Commit, qt.Equals, waxwingseam.LogIndex(3))
+}
+
+func TestLeaseAgainstVotes(t *testing.T) {
+	for _, v := range []struct {
+		name    string
+		request waxwingseam.VoteRequest
+		term    waxwingseam.Term
+		want    waxwingseam.Term
+	}{
+		{"vote", waxwingseam.VoteRequest{}, 4, 3},
+		{"pre-vote", waxwingseam.VoteRequest{Trial: true}, 3, 3},
+		{"vote at the leader's wish", waxwingseam.VoteRequest{Handover: true}, 4, 4},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			r := newLone("a", "b", "c")
+			r.follow("b", 2)
+			v.request.Term = 4
+			v.request.Last = waxwingseam.LogPosition{Index: 2, Term: 2}
+			granted := false
+			for _, e := range r.receive("c", v.term, waxwingseam.ReplicaMessage{VoteRequest: &v.request}) {
+				m, ok := e.(waxwingseam.SendReplicaMessage)
+				granted = granted || ok && m.Message.VoteReply.Granted
+			}
+			qt.Assert(t, granted, qt.Equals, v.want == 4)
+			qt.Assert(t, r.Status().Term, qt.Equals, v.want)
+		})
+	}
+}
+
+func TestOlderSnapshotChangesNothing(t *testing.T) {
+	r := newLone("a", "b", "c")
+	r.follow("b", 2)
+	effects := r.Reduce(waxwingseam.SnapshotArrived{From: "b", Term: 3, Snapshot: waxwingseam.ReplicaSnapshot{
+		LogPosition: waxwingseam.LogPosition{Index: 1, Term: 1},
+	}})
+	qt.Assert(t, effects, qt.HasLen, 1)
+	qt.Assert(t, effects[0].(waxwingseam.SendReplicaMessage).Message.AppendReply.Match, qt.Equals, waxwingseam.LogIndex(2))
+	qt.Assert(t, r.Status().Last, qt.Equals, waxwingseam.LogIndex(2))
+}
