--- a/controller/controller.go
+++ b/controller/controller.go
@@ -22,6 +22,7 @@
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/administrator"
 	"waxwingseam.example/waxwingseam/authenticator"
+	"waxwingseam.example/waxwingseam/founder"
 	"waxwingseam.example/waxwingseam/historian"
 	"waxwingseam.example/waxwingseam/messenger"
 	"waxwingseam.example/waxwingseam/proposer"
@@ -36,6 +37,8 @@
 	maxOperatorConnections = 64
 	// headerTimeout bounds the time for the header of a request.
 	headerTimeout = 5 * time.Second
+	// readTimeout bounds the time for a whole request.
+	readTimeout = 30 * time.Second
 	// idleTimeout ends connections of operators that ask nothing.
 	idleTimeout = time.Minute
 	// shutdownTimeout bounds the end of the operator API.
@@ -117,7 +120,11 @@
 	if err := c.openAPI(); err != nil {
 		return nil, err
 	}
-	return c, trace.Wrap(config.Server.Register(c.publisher, publisher.Description))
+	if err := config.Server.Register(c.publisher, publisher.Description); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	grants := founder.New(founder.Config{Log: c.log, Logger: config.Logger("founder")})
+	return c, trace.Wrap(config.Server.Register(grants, founder.Description))
 }
 
 // openLog opens the replica on its data folder.
@@ -197,6 +204,7 @@
 	server := &http.Server{
 		Handler:           c.handler,
 		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          slog.NewLogLogger(logger.Handler(), slog.LevelInfo),
 	}
