replicator, journaler: malformed entries are refused; a fuzz target for opening

Cause: entries with gaps, or a membership entry without one, from a faulty peer would have broken the reducer. Root: Follows. FuzzOpen runs Open on any log file.

--- a/journaler/journaler_test.go
+++ b/journaler/journaler_test.go
@@ -212,3 +212,28 @@
 	qt.Assert(t, Format(disk, identity, waxwingseam.PersistReplica{}), qt.ErrorMatches, ".*holds a replica already")
 	qt.Assert(t, j.Close(), qt.IsNil)
 }
+
+// FuzzOpen opens folders with any log file, which must end in an error or a
+// recovery that goes on without a gap.
+func FuzzOpen(f *testing.F) {
+	d := newForgetfulDisk()
+	_, err := perform(d)
+	qt.Assert(f, err, qt.IsNil)
+	name := generation(3).logFile()
+	whole := d.names[name].data
+	f.Add(whole)
+	f.Add(whole[:len(whole)-1])
+	f.Add(seal([]byte{0xa0}))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		fuzzed := newForgetfulDisk()
+		for n, v := range d.names {
+			fuzzed.names[n] = &inode{data: v.data}
+		}
+		fuzzed.names[name] = &inode{data: data}
+		_, got, err := Open(fuzzed)
+		if err != nil {
+			return
+		}
+		qt.Assert(t, waxwingseam.Follows(got.Base, got.Entries), qt.IsTrue)
+	})
+}
--- a/replication.go
+++ b/replication.go
@@ -42,6 +42,21 @@
 	Membership *Membership `cbor:"5,keyasint,omitempty"`
 }
 
+// Follows reports whether entries go on from a position without a gap, and each
+// holds what its kind needs.
+func Follows(p LogPosition, entries []LogEntry) bool {
+	for _, e := range entries {
+		if e.Index != p.Index+1 || e.Term < p.Term {
+			return false
+		}
+		if e.Kind == EntryMembership && e.Membership == nil {
+			return false
+		}
+		p = LogPosition{Index: e.Index, Term: e.Term}
+	}
+	return true
+}
+
 // LogPosition is the index of an entry with its term.
 type LogPosition struct {
 	Index LogIndex `cbor:"1,keyasint"`
--- a/replicator/replica_test.go
+++ b/replicator/replica_test.go
@@ -162,3 +162,20 @@
 	qt.Assert(t, effects[0].(waxwingseam.SendReplicaMessage).Message.AppendReply.Match, qt.Equals, waxwingseam.LogIndex(2))
 	qt.Assert(t, r.Status().Last, qt.Equals, waxwingseam.LogIndex(2))
 }
+
+func TestMalformedEntriesAreIgnored(t *testing.T) {
+	for _, entries := range [][]waxwingseam.LogEntry{
+		{{Index: 4, Term: 3}},
+		{{Index: 3, Term: 3}, {Index: 5, Term: 3}},
+		{{Index: 3, Term: 1}},
+		{{Index: 3, Term: 3, Kind: waxwingseam.EntryMembership}},
+	} {
+		r := newLone("a", "b", "c")
+		effects := r.receive("b", 3, waxwingseam.ReplicaMessage{AppendRequest: &waxwingseam.AppendRequest{
+			Previous: waxwingseam.LogPosition{Index: 2, Term: 2},
+			Entries:  entries,
+		}})
+		qt.Assert(t, effects, qt.HasLen, 0)
+		qt.Assert(t, r.Status().Last, qt.Equals, waxwingseam.LogIndex(2))
+	}
+}
--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -10,10 +10,10 @@
 
 // receive handles a message from another replica.
 func (r *replicator) receive(m waxwingseam.ReplicaMessage) {
-	if m.To != r.self {
+	if m.To != r.self || r.ignored(m) {
 		return
 	}
-	if r.ignored(m) {
+	if q := m.AppendRequest; q != nil && !waxwingseam.Follows(q.Previous, q.Entries) {
 		return
 	}
 	if r.trial(m) {
