--- a/journaler/record.go
+++ b/journaler/record.go
@@ -111,16 +111,34 @@
 	return unwritten(rest)
 }
 
-// followed reports whether a whole record starts behind the first byte.
+// batchStart is how the payload of each batch begins: a map of one or two
+// pairs, whose first key is 1 and whose first value is such a map again.
+var batchStart = [...][2]byte{{0xa1, 0xa2}, {1, 1}, {0xa1, 0xa2}, {1, 1}}
+
+// followed reports whether a whole batch starts behind the first byte. Only
+// what begins like a batch is hashed, since else the search would take time by
+// the square of the rest.
 func followed(rest []byte) bool {
-	for i := 1; i+recordHeadSize < len(rest); i++ {
-		if payload, ok := open(rest[i:]); ok && len(payload) > 0 {
+	for i := 1; i+recordHeadSize+len(batchStart) <= len(rest); i++ {
+		if !startsBatch(rest[i+recordHeadSize:]) {
+			continue
+		}
+		if _, ok := open(rest[i:]); ok {
 			return true
 		}
 	}
 	return false
 }
 
+func startsBatch(payload []byte) bool {
+	for i, v := range batchStart {
+		if payload[i] != v[0] && payload[i] != v[1] {
+			return false
+		}
+	}
+	return true
+}
+
 // misstated reports whether the rest would be one whole record if its length
 // were that of the rest.
 func misstated(rest []byte) bool {
