--- a/forwarder/bench_test.go
+++ b/forwarder/bench_test.go
@@ -20,6 +20,7 @@
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/admitter"
 	"waxwingseam.example/waxwingseam/arbiter"
+	"waxwingseam.example/waxwingseam/auditor"
 	"waxwingseam.example/waxwingseam/balancer"
 	"waxwingseam.example/waxwingseam/classifier"
 	"waxwingseam.example/waxwingseam/deduplicator"
@@ -75,6 +76,8 @@
 	address netip.AddrPort
 	mu      sync.Mutex
 	runs    []string
+	// list is what an auditor needs to know of the runs.
+	list []auditor.Run
 }
 
 // newBackend starts a backend server; serve answers after the run is listed
@@ -87,8 +90,14 @@
 	server := &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		b.mu.Lock()
 		b.runs = append(b.runs, r.Header.Get("Name"))
+		n := len(b.list)
+		id, _ := waxwingseam.ParseCallID(r.Header.Get(forwarder.HeaderContext))
+		b.list = append(b.list, auditor.Run{Call: id, Began: time.Now()})
 		b.mu.Unlock()
 		serve(rw, r)
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.list[n].Interrupted = r.Context().Err() != nil
 	})}
 	go func() { _ = server.Serve(l) }()
 	w.t.Cleanup(func() {
--- a/forwarder/key_test.go
+++ b/forwarder/key_test.go
@@ -1,9 +1,12 @@
 package forwarder_test
 
 import (
+	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +14,9 @@
 	qt "github.com/frankban/quicktest"
 
 	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/auditor"
+	"waxwingseam.example/waxwingseam/recorder"
+	"waxwingseam.example/waxwingseam/runner"
 )
 
 // ledgers are two senders and three servers of one not-repeatable service,
@@ -19,6 +25,24 @@
 	*world
 	fronts, backs []*node
 	backends      []*backend
+	logs          []*recording
+}
+
+// recording is the event log of one node.
+type recording struct {
+	*recorder.Recorder
+	log bytes.Buffer
+	of  *node
+}
+
+// newRecorded starts a node whose events are recorded.
+func (l *ledgers) newRecorded(config nodeConfig) *node {
+	r := &recording{}
+	r.Recorder = recorder.New(recorder.Config{Writer: &r.log})
+	config.observers = []runner.Observer{r}
+	r.of = l.newNode(config)
+	l.logs = append(l.logs, r)
+	return r.of
 }
 
 func newLedgers(t testing.TB) *ledgers {
@@ -30,9 +54,11 @@
 			_, _ = rw.Write(body)
 		})
 		l.backends = append(l.backends, b)
-		l.backs = append(l.backs, l.newNode(nodeConfig{service: "ledger", name: name, backend: b.address}))
+		l.backs = append(l.backs, l.newRecorded(nodeConfig{service: "ledger", name: name, backend: b.address}))
+	}
+	for range 2 {
+		l.fronts = append(l.fronts, l.newRecorded(nodeConfig{}))
 	}
-	l.fronts = []*node{l.newNode(nodeConfig{}), l.newNode(nodeConfig{})}
 	for _, n := range append(l.fronts, l.backs...) {
 		n.learn(l.backs...)
 	}
@@ -175,6 +201,61 @@
 	})
 }
 
+// audit checks the logs of all nodes against the backend servers' own lists.
+func (l *ledgers) audit() error {
+	var input auditor.Input
+	for i, b := range l.backends {
+		b.mu.Lock()
+		for _, r := range b.list {
+			r.Server = l.backs[i].self.Name
+			input.Runs = append(input.Runs, r)
+		}
+		b.mu.Unlock()
+	}
+	for _, r := range l.logs {
+		input.Logs = append(input.Logs, bytes.NewReader(r.log.Bytes()))
+	}
+	return auditor.Audit(input)
+}
+
+// TestRecorded records five whole processes under calls, a silent connection, a
+// drain and a loss. Their logs and the backend servers' lists are audited, and
+// replayed: the same events have the same effects.
+func TestRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLedgers(t)
+		var all sync.WaitGroup
+		for n := range 40 {
+			all.Go(func() {
+				time.Sleep(time.Duration(n*97%1500) * time.Millisecond)
+				r := request{path: []string{"/ledger/marks", "/fees/lots"}[n%2], body: strings.NewReader("lot")}
+				if n%3 == 0 {
+					r.key = fmt.Sprint("lot-", n/6)
+				}
+				l.fronts[n%2].call(r)
+			})
+		}
+		time.Sleep(300 * time.Millisecond)
+		l.net.set(l.backs[0].self.Node, vanishing)
+		time.Sleep(300 * time.Millisecond)
+		l.backs[1].drain(false)
+		time.Sleep(300 * time.Millisecond)
+		l.backs[2].kill()
+		all.Wait()
+		for _, r := range l.logs {
+			qt.Assert(t, r.Flush(), qt.IsNil)
+			qt.Assert(t, r.log.Len() > 0, qt.IsTrue)
+		}
+		qt.Assert(t, l.audit(), qt.IsNil)
+		qt.Assert(t, len(l.backends[0].list) > 0, qt.IsTrue)
+		for _, r := range l.logs {
+			findings, err := recorder.Replay(recorder.NewReader(&r.log, recorder.DefaultCatalog()), newReducer(r.of.self))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, findings.OrNil(), qt.IsNil)
+		}
+	})
+}
+
 // TestNoQuorum cuts two of three servers off: a key that no quorum can clear
 // does not run.
 func TestNoQuorum(t *testing.T) {
