arbiter: the router passes over servers that say they leave

Change: the router learns from answers, as the balancer does. After: TestRouter; keys move only to or from the server that changed.

--- a/arbiter/router.go
+++ b/arbiter/router.go
@@ -16,24 +16,57 @@
 // run a call is settled by claims.
 type Router struct {
 	servers map[waxwingseam.ServiceName][]waxwingseam.Server
+	// routed says where the calls under way were sent.
+	routed map[waxwingseam.CallID]waxwingseam.ServerName
+	// leaving holds the servers whose answers said that they leave.
+	leaving map[waxwingseam.ServerName]bool
 }
 
-// NewRouter returns a router that knows no servers. It is a worker, too.
+// maxRouted bounds the calls whose server is remembered; beyond it all are
+// forgotten, which costs a refused attempt at most.
+const maxRouted = 10_000
+
+// NewRouter returns a router that knows no servers. It is a worker, too, and
+// stands before the dispatcher.
 func NewRouter() *Router {
-	return &Router{servers: map[waxwingseam.ServiceName][]waxwingseam.Server{}}
+	return &Router{
+		servers: map[waxwingseam.ServiceName][]waxwingseam.Server{},
+		routed:  map[waxwingseam.CallID]waxwingseam.ServerName{},
+		leaving: map[waxwingseam.ServerName]bool{},
+	}
 }
 
 // Kinds implements waxwingseam.Worker.
 func (r *Router) Kinds() []waxwingseam.Kind {
-	return []waxwingseam.Kind{waxwingseam.KindServersLearned}
+	return []waxwingseam.Kind{
+		waxwingseam.KindServersLearned,
+		waxwingseam.KindAttemptEnded,
+	}
 }
 
 // Reduce implements waxwingseam.Worker.
 func (r *Router) Reduce(_ *waxwingseam.Context, e waxwingseam.Event) {
-	learned, ok := e.(waxwingseam.ServersLearned)
+	switch v := e.(type) {
+	case waxwingseam.ServersLearned:
+		r.learn(v)
+	case waxwingseam.AttemptEnded:
+		r.observe(v)
+	}
+}
+
+// observe notes a server that says with its answer that it leaves.
+func (r *Router) observe(e waxwingseam.AttemptEnded) {
+	name, ok := r.routed[e.ID]
 	if !ok {
 		return
 	}
+	delete(r.routed, e.ID)
+	if e.Result.Reached && e.Result.Load.Leaving {
+		r.leaving[name] = true
+	}
+}
+
+func (r *Router) learn(learned waxwingseam.ServersLearned) {
 	for _, s := range learned.Servers {
 		r.drop(s.Name)
 		r.servers[s.Service] = append(r.servers[s.Service], s)
@@ -44,6 +77,7 @@
 }
 
 func (r *Router) drop(name waxwingseam.ServerName) {
+	delete(r.leaving, name)
 	for service, list := range r.servers {
 		r.servers[service] = slices.DeleteFunc(list, func(s waxwingseam.Server) bool { return s.Name == name })
 	}
@@ -57,7 +91,7 @@
 	}
 	var best uint64
 	for _, s := range r.servers[q.Service] {
-		if s.Leaving || slices.Contains(q.Tried, s.Name) {
+		if s.Leaving || r.leaving[s.Name] || slices.Contains(q.Tried, s.Name) {
 			continue
 		}
 		if w := weight(call, s.Name); q.Pinned == "" || w > best {
@@ -65,6 +99,10 @@
 			q.Pinned = s.Name
 		}
 	}
+	if len(r.routed) >= maxRouted {
+		clear(r.routed)
+	}
+	r.routed[call.ID] = q.Pinned
 }
 
 // weight is a server's rendezvous weight for a call's key.
