--- a/forwarder/key_test.go
+++ b/forwarder/key_test.go
@@ -273,3 +273,52 @@
 		qt.Assert(t, got.said(), qt.Equals, "completed")
 	})
 }
+
+// TestOwnerLost loses one of three servers, unannounced: new keys run at once,
+// those that it would own included.
+func TestOwnerLost(t *testing.T) {
+	for _, lose := range []struct {
+		name string
+		do   func(l *ledgers)
+	}{
+		{"killed", func(l *ledgers) { l.backs[0].kill() }},
+		{"silent", func(l *ledgers) { l.net.set(l.backs[0].self.Node, vanishing) }},
+	} {
+		t.Run(lose.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newLedgers(t)
+				lose.do(l)
+				for n := range 20 {
+					start := time.Now()
+					got := l.fronts[0].call(request{name: "x", key: fmt.Sprint("lot-", n), body: strings.NewReader("lot 7")})
+					qt.Assert(t, got.said(), qt.Equals, "completed")
+					qt.Assert(t, time.Since(start) <= time.Second+silenceTarget, qt.IsTrue)
+				}
+				qt.Assert(t, l.runs(), qt.Equals, 20)
+			})
+		})
+	}
+}
+
+// TestAddedTime measures what the distance between three nodes adds to a call,
+// and to one with a key, which needs one more round trip for its claim.
+func TestAddedTime(t *testing.T) {
+	for _, oneWay := range []time.Duration{500 * time.Microsecond, 1500 * time.Microsecond} {
+		synctest.Test(t, func(t *testing.T) {
+			l := newLedgers(t)
+			l.net.delay = oneWay
+			time.Sleep(5 * time.Second)
+			added := func(key string) time.Duration {
+				r := registration()
+				r.key = key
+				start := time.Now()
+				qt.Assert(t, l.fronts[0].call(r).said(), qt.Equals, "completed")
+				return time.Since(start) - time.Second
+			}
+			plain, keyed := added(""), added("lot-8")
+			t.Logf("%v one way: %v, with a key %v", oneWay, plain, keyed)
+			qt.Assert(t, plain <= 2*oneWay, qt.IsTrue)
+			qt.Assert(t, keyed <= 4*oneWay, qt.IsTrue)
+		})
+	}
+}
--- a/forwarder/network_test.go
+++ b/forwarder/network_test.go
@@ -22,11 +22,19 @@
 	holding
 )
 
+// packet is what one write sends, with the time of its arrival.
+type packet struct {
+	data []byte
+	due  time.Time
+}
+
 // wire is one direction of a fake connection. Writing to it never blocks.
 type wire struct {
+	// delay is the time from one end to the other.
+	delay   time.Duration
 	mu      sync.Mutex
 	changed sync.Cond
-	queue   [][]byte
+	queue   []packet
 	closed  bool
 	mode    mode
 	// left is how many bytes are delivered until the connection breaks; below
@@ -35,9 +43,9 @@
 	out  net.Conn
 }
 
-func newWire(left int) (*wire, net.Conn) {
+func newWire(left int, delay time.Duration) (*wire, net.Conn) {
 	in, out := net.Pipe()
-	w := &wire{out: in, left: left}
+	w := &wire{out: in, left: left, delay: delay}
 	w.changed.L = &w.mu
 	go w.run()
 	return w, out
@@ -49,7 +57,7 @@
 	if w.closed {
 		return 0, net.ErrClosed
 	}
-	w.queue = append(w.queue, append([]byte(nil), p...))
+	w.queue = append(w.queue, packet{append([]byte(nil), p...), time.Now().Add(w.delay)})
 	w.changed.Broadcast()
 	return len(p), nil
 }
@@ -70,21 +78,21 @@
 }
 
 // next waits for something to deliver; false at the end.
-func (w *wire) next() ([]byte, bool) {
+func (w *wire) next() (packet, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for {
 		switch {
 		case w.left == 0 || w.closed && (len(w.queue) == 0 || w.mode == vanishing):
-			return nil, false
+			return packet{}, false
 		case w.mode == vanishing:
 			w.queue = nil
 		case w.mode == passing && len(w.queue) > 0:
 			p := w.queue[0]
 			w.queue = w.queue[1:]
 			if w.left >= 0 {
-				p = p[:min(len(p), w.left)]
-				w.left -= len(p)
+				p.data = p.data[:min(len(p.data), w.left)]
+				w.left -= len(p.data)
 			}
 			return p, true
 		}
@@ -99,7 +107,8 @@
 		if !ok {
 			return
 		}
-		if _, err := w.out.Write(p); err != nil {
+		time.Sleep(time.Until(p.due))
+		if _, err := w.out.Write(p.data); err != nil {
 			return
 		}
 	}
@@ -160,6 +169,8 @@
 	dials   map[netip.AddrPort]int
 	// cut is how many bytes the next connection delivers in each direction.
 	cut map[netip.AddrPort][2]int
+	// delay is the time between two nodes, one way, on later connections.
+	delay time.Duration
 	// fails names how the connections to an address fail.
 	fails map[netip.AddrPort]string
 }
@@ -225,7 +236,7 @@
 	return n.dials[address]
 }
 
-func (n *network) connect(address netip.AddrPort) (net.Conn, error) {
+func (n *network) connect(address netip.AddrPort, delay time.Duration) (net.Conn, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	serve, ok := n.servers[address]
@@ -237,8 +248,8 @@
 		cut = [2]int{-1, -1}
 	}
 	delete(n.cut, address)
-	to, served := newWire(cut[0])
-	from, dialed := newWire(cut[1])
+	to, served := newWire(cut[0], delay)
+	from, dialed := newWire(cut[1], delay)
 	l := &link{
 		to:     address,
 		dialed: &end{Conn: dialed, out: to, fails: n.fails[address]},
@@ -252,7 +263,7 @@
 
 // Dial implements forwarder.Dialer.
 func (n *network) Dial(_ context.Context, address netip.AddrPort) (*drpcconn.Conn, error) {
-	conn, err := n.connect(address)
+	conn, err := n.connect(address, n.delay)
 	if err != nil {
 		return nil, err
 	}
@@ -261,7 +272,7 @@
 
 // DialContext implements forwarder.BackendDialer.
 func (n *network) DialContext(_ context.Context, _, address string) (net.Conn, error) {
-	return n.connect(netip.MustParseAddrPort(address))
+	return n.connect(netip.MustParseAddrPort(address), 0)
 }
 
 // fakeListener hands the connections of an address to an HTTP server.
