dispatcher: did-not-run-only holds for idempotent classes; scanner keeps empty values

Change: the limit is asked too; the INI library is told to keep empty values. Conclusion: stricter findings, honest limits.

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -49,11 +49,18 @@
 		Retrier:    r,
 		Tracker:    n.tracker,
 	})}}})
-	set := &waxwingseam.Set{Revision: 1, RetryLimits: []waxwingseam.RetryLimit{{Name: "limit", Allowance: 2, BudgetPercent: 10}}}
-	for name, repeat := range map[waxwingseam.ServiceName]waxwingseam.Repeat{"ledger": waxwingseam.RepeatNever, "fees": waxwingseam.RepeatIdempotent} {
+	set := &waxwingseam.Set{Revision: 1, RetryLimits: []waxwingseam.RetryLimit{
+		{Name: "limit", Allowance: 2, BudgetPercent: 10},
+		{Name: "careful", Allowance: 2, BudgetPercent: 10, DidNotRunOnly: true},
+	}}
+	for name, repeat := range map[waxwingseam.ServiceName]waxwingseam.Repeat{"ledger": waxwingseam.RepeatNever, "fees": waxwingseam.RepeatIdempotent, "images": waxwingseam.RepeatIdempotent} {
+		limit := "limit"
+		if name == "images" {
+			limit = "careful"
+		}
 		set.Services = append(set.Services, waxwingseam.Service{Name: name})
 		set.RequestClasses = append(set.RequestClasses, waxwingseam.RequestClass{
-			Name: waxwingseam.ClassName(name), Service: name, Repeat: repeat, Deadline: 2 * time.Second, RetryLimit: "limit",
+			Name: waxwingseam.ClassName(name), Service: name, Repeat: repeat, Deadline: 2 * time.Second, RetryLimit: limit,
 		})
 	}
 	n.step(waxwingseam.SetAdopted{Stamp: n.stamp(), Set: set})
@@ -150,12 +157,14 @@
 		{"started, then lost for good", "ledger", []func(*node) string{silent, silent, fenced(true, 7), silent}, "resume | fence | resume | reply:may-have-run:connection-silent"},
 		{"a failed run is not repeated", "ledger", []func(*node) string{end(1, unknown)}, "reply:may-have-run:server-failed"},
 		{"a failed run is repeated", "fees", []func(*node) string{end(1, unknown), end(2, completed)}, "dispatch#2+1 | reply:completed"},
+		{"a failed run is not repeated by a careful limit", "images", []func(*node) string{end(1, unknown)}, "reply:may-have-run:server-failed"},
+		{"a careful limit repeats what is proven", "images", []func(*node) string{end(1, refused), end(2, completed)}, "dispatch#2+1 | reply:completed"},
 		{"may have run stays so", "fees", []func(*node) string{end(1, unknown), end(2, refused), end(3, refused)}, "dispatch#2+1 | dispatch#3+0 | reply:may-have-run:draining"},
 		{"caller leaves", "ledger", []func(*node) string{left, end(1, completed)}, "cancel-attempt reply:may-have-run:cancelled | "},
 		{"deadline passes", "ledger", []func(*node) string{late}, "cancel-attempt reply:may-have-run:deadline"},
 	} {
 		t.Run(v.name, func(t *testing.T) {
-			n := newNode("ledger-1", "ledger-2", "ledger-3", "fees-1", "fees-2", "fees-3")
+			n := newNode("ledger-1", "ledger-2", "ledger-3", "fees-1", "fees-2", "fees-3", "images-1", "images-2")
 			qt.Assert(t, n.call(v.service), qt.Equals, "dispatch#1+2")
 			got := make([]string, len(v.steps))
 			for i, s := range v.steps {
--- a/dispatcher/flight.go
+++ b/dispatcher/flight.go
@@ -67,9 +67,13 @@
 	return waxwingseam.OutcomeDidNotRun
 }
 
-// repeatable reports whether another attempt can do no harm.
+// repeatable reports whether another attempt can do no harm and the retry limit
+// allows it.
 func (f *flight) repeatable() bool {
-	return f.call.Repeat == waxwingseam.RepeatIdempotent || f.outcome() == waxwingseam.OutcomeDidNotRun
+	if f.outcome() == waxwingseam.OutcomeDidNotRun {
+		return true
+	}
+	return f.call.Repeat == waxwingseam.RepeatIdempotent && !f.limit.DidNotRunOnly
 }
 
 func deadlineTimer(id waxwingseam.CallID) waxwingseam.TimerID {
--- a/scanner/scanner.go
+++ b/scanner/scanner.go
@@ -37,6 +37,7 @@
 	AllowShadows:               true,
 	AllowDuplicateShadowValues: true,
 	SkipUnrecognizableLines:    true,
+	PreserveEmptyShadowValues:  true,
 	IgnoreContinuation:         true,
 }
 
--- a/scanner/scanner_test.go
+++ b/scanner/scanner_test.go
@@ -44,3 +44,12 @@
 		}
 	})
 }
+
+func TestScanKeepsEmptyValuesOfRepeatedKeys(t *testing.T) {
+	document, findings := scanner.Scan("set.ini", []byte("[a]\nk =\nk = 2\n"))
+	qt.Assert(t, findings, qt.HasLen, 0)
+	qt.Assert(t, document.Sections[0].Keys, qt.DeepEquals, []scanner.Key{
+		{Name: "k", Value: "", Line: 2},
+		{Name: "k", Value: "2", Line: 3},
+	})
+}
