--- a/experimenter/callers.go
+++ b/experimenter/callers.go
@@ -28,6 +28,8 @@
 	resends int
 	key     string
 	done    bool
+	// left is set once its caller is gone before the answer.
+	left bool
 }
 
 // root is one root of a request.
@@ -148,6 +150,7 @@
 		return
 	}
 	r.left = true
+	r.request.left = true
 	r.call.node.step(waxwingseam.CallerLeft{Stamp: w.stamp(), ID: r.call.id})
 }
 
--- a/experimenter/saturation.go
+++ b/experimenter/saturation.go
@@ -12,6 +12,8 @@
 	// saturationRoots the least number of roots.
 	saturationLength = 2 * time.Second
 	saturationRoots  = 1000
+	// judgedWindows is how many windows follow the usual time after a trigger.
+	judgedWindows = 2
 )
 
 // saturationDemands are the demands at which saturation is looked for, in
@@ -43,9 +45,11 @@
 }
 
 // Prepare measures the saturation of a case, makes it the unit of the case's
-// demand, and returns the saturation while the trigger is on.
+// demand, and returns the saturation while the trigger is on. Where few roots
+// come, the time after the trigger grows so that recovery can be judged.
 func (s *Saturations) Prepare(c *Case) float64 {
 	c.Config.Capacity = s.of(c, c.Config.Deployment)
+	c.Config.Length = max(c.Config.Length, c.Config.Until+afterTime+judgedWindows*c.Config.window())
 	return s.of(c, c.Reduced)
 }
 
