proposer: only a committed membership tells a replica that it was removed

Cause: a leader that had appended a removal and was about to lose it would have told the member to stop for good. Ruled out: any effect on the log; it is the answer alone. Change: the status says whether the membership is committed; until then the answer is change-pending and the replica asks again.

--- a/proposer/join.go
+++ b/proposer/join.go
@@ -161,15 +161,20 @@
 }
 
 // unknown says why a storage that claims to be a member is not known as one,
-// after a confirmed read; empty when it is.
+// after a confirmed read; empty when it is. Only a committed membership proves
+// that it is not.
 func (p *proposer) unknown(ctx context.Context, id waxwingseam.StorageID) waxwingseam.ReplicaReason {
 	if err := p.ReadIndex(ctx); err != nil {
 		return waxwingseam.ReplicaReasonOf(err)
 	}
-	for _, m := range p.Status().Members {
+	status := p.Status()
+	for _, m := range status.Members {
 		if m.Storage == id {
 			return ""
 		}
 	}
+	if !status.Settled {
+		return waxwingseam.ReasonChangePending
+	}
 	return waxwingseam.ReasonRemoved
 }
--- a/replication.go
+++ b/replication.go
@@ -189,17 +189,19 @@
 
 // ReplicaStatus describes a replica at one moment.
 type ReplicaStatus struct {
-	Cluster  ClusterID     `json:"cluster"`
-	Self     Member        `json:"self"`
-	Role     ReplicaRole   `json:"role"`
-	Term     Term          `json:"term"`
-	Leader   StorageID     `json:"leader"`
-	Last     LogIndex      `json:"last"`
-	Commit   LogIndex      `json:"commit"`
-	Applied  LogIndex      `json:"applied"`
-	Snapshot LogIndex      `json:"snapshot"`
-	Members  []PeerStatus  `json:"members"`
-	Refused  ReplicaReason `json:"refused,omitempty"`
+	Cluster  ClusterID    `json:"cluster"`
+	Self     Member       `json:"self"`
+	Role     ReplicaRole  `json:"role"`
+	Term     Term         `json:"term"`
+	Leader   StorageID    `json:"leader"`
+	Last     LogIndex     `json:"last"`
+	Commit   LogIndex     `json:"commit"`
+	Applied  LogIndex     `json:"applied"`
+	Snapshot LogIndex     `json:"snapshot"`
+	Members  []PeerStatus `json:"members"`
+	// Settled is set while the members are those of a committed membership.
+	Settled bool          `json:"settled"`
+	Refused ReplicaReason `json:"refused,omitempty"`
 }
 
 // Voters returns how many members vote.
--- a/replicator/failure_test.go
+++ b/replicator/failure_test.go
@@ -141,11 +141,13 @@
 	remove := waxwingseam.MembershipChange{Kind: waxwingseam.ChangeRemove, Member: c.sites[1].member}
 	lost := c.change(old, remove)
 	c.run(6 * c.election)
+	qt.Assert(t, old.replica.Status().Settled, qt.IsFalse)
 	qt.Assert(t, c.refused[lost], qt.Equals, waxwingseam.ReasonOutcomeUnknown)
 	c.accept(t, 1)
 	c.heal()
 	c.run(2 * c.election)
 	qt.Assert(t, sameMembers(old.members(), c.members()), qt.IsTrue)
+	qt.Assert(t, old.replica.Status().Settled, qt.IsTrue)
 	c.cut(old)
 	joining := &site{member: c.format("d")}
 	c.sites = append(c.sites, joining)
--- a/replicator/status.go
+++ b/replicator/status.go
@@ -21,6 +21,7 @@
 		Commit:   r.commit,
 		Applied:  r.applied,
 		Snapshot: r.snapshot.Index,
+		Settled:  r.members.changed() <= r.commit,
 		Members:  make([]waxwingseam.PeerStatus, 0, len(membership.Members)),
 	}
 	for _, m := range membership.Members {
