--- a/assembler/process.go
+++ b/assembler/process.go
@@ -238,8 +238,8 @@
 func (p *Process) Serve(stop, abort context.Context) error {
 	ctx, cancel := context.WithCancel(abort)
 	defer cancel()
+	hangUp := p.serveMessenger(cancel)
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return p.messenger.Serve(ctx) })
 	if p.controller != nil {
 		group.Go(func() error { return p.controller.Serve(ctx) })
 	}
@@ -257,7 +257,7 @@
 		defer cancel()
 		return p.waitForStop(ctx, stop)
 	})
-	err := group.Wait()
+	err := trace.NewAggregate(group.Wait(), hangUp())
 	p.close()
 	if errors.Is(err, context.Canceled) {
 		return nil
@@ -265,6 +265,22 @@
 	return trace.Wrap(err)
 }
 
+// serveMessenger serves other processes until the returned function is called,
+// so that a replica can still hand over and a node announce that it leaves. A
+// failure ends the process.
+func (p *Process) serveMessenger(fail context.CancelFunc) (hangUp func() error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		ended <- p.messenger.Serve(ctx)
+		fail()
+	}()
+	return func() error {
+		cancel()
+		return <-ended
+	}
+}
+
 // waitForStop returns once the process may leave.
 func (p *Process) waitForStop(ctx, stop context.Context) error {
 	select {
--- a/cmd/waxwingseam/initialize.go
+++ b/cmd/waxwingseam/initialize.go
@@ -10,7 +10,8 @@
 )
 
 type initializeCommand struct {
-	Settings string `required:"" help:"Settings file of the first control replica."`
+	Settings    string `required:"" help:"Settings file of the first control replica."`
+	Reestablish bool   `help:"Make a new cluster of the data folder, after a quorum is lost for good."`
 }
 
 // Run creates the identity of a new cluster in an empty data folder, once.
@@ -22,7 +23,11 @@
 	if settings.Control == nil {
 		return trace.BadParameter("%s has no control section", c.Settings)
 	}
-	cluster, err := proposer.Initialize(proposer.Config{
+	initialize := proposer.Initialize
+	if c.Reestablish {
+		initialize = proposer.Reestablish
+	}
+	cluster, err := initialize(proposer.Config{
 		DataFolder: settings.Control.DataFolder,
 		Self:       settings.Control.Replica,
 		Address:    settings.Process.PeerAddress,
