--- a/forwarder/key_test.go
+++ b/forwarder/key_test.go
@@ -306,7 +306,7 @@
 	for _, oneWay := range []time.Duration{500 * time.Microsecond, 1500 * time.Microsecond} {
 		synctest.Test(t, func(t *testing.T) {
 			l := newLedgers(t)
-			l.net.delay = oneWay
+			l.net.spread(oneWay)
 			time.Sleep(5 * time.Second)
 			added := func(key string) time.Duration {
 				r := registration()
--- a/forwarder/network_test.go
+++ b/forwarder/network_test.go
@@ -230,15 +230,26 @@
 	n.cut[address] = [2]int{to, from}
 }
 
+// spread puts a distance between the nodes, for later connections.
+func (n *network) spread(oneWay time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delay = oneWay
+}
+
 func (n *network) dialed(address netip.AddrPort) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.dials[address]
 }
 
-func (n *network) connect(address netip.AddrPort, delay time.Duration) (net.Conn, error) {
+func (n *network) connect(address netip.AddrPort, far bool) (net.Conn, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	var delay time.Duration
+	if far {
+		delay = n.delay
+	}
 	serve, ok := n.servers[address]
 	if !ok {
 		return nil, syscall.ECONNREFUSED
@@ -263,7 +274,7 @@
 
 // Dial implements forwarder.Dialer.
 func (n *network) Dial(_ context.Context, address netip.AddrPort) (*drpcconn.Conn, error) {
-	conn, err := n.connect(address, n.delay)
+	conn, err := n.connect(address, true)
 	if err != nil {
 		return nil, err
 	}
@@ -272,7 +283,7 @@
 
 // DialContext implements forwarder.BackendDialer.
 func (n *network) DialContext(_ context.Context, _, address string) (net.Conn, error) {
-	return n.connect(netip.MustParseAddrPort(address), 0)
+	return n.connect(netip.MustParseAddrPort(address), false)
 }
 
 // fakeListener hands the connections of an address to an HTTP server.
