--- a/replication.go
+++ b/replication.go
@@ -42,6 +42,21 @@
 	Membership *Membership `cbor:"5,keyasint,omitempty"`
 }
 
+// Follows reports whether entries go on from a position without a gap, and each
+// holds what its kind needs.
+func Follows(p LogPosition, entries []LogEntry) bool {
+	for _, e := range entries {
+		if e.Index != p.Index+1 || e.Term < p.Term {
+			return false
+		}
+		if e.Kind == EntryMembership && e.Membership == nil {
+			return false
+		}
+		p = LogPosition{Index: e.Index, Term: e.Term}
+	}
+	return true
+}
+
 // LogPosition is the index of an entry with its term.
 type LogPosition struct {
 	Index LogIndex `cbor:"1,keyasint"`
@@ -174,17 +189,19 @@
 
 // ReplicaStatus describes a replica at one moment.
 type ReplicaStatus struct {
-	Cluster  ClusterID     `json:"cluster"`
-	Self     Member        `json:"self"`
-	Role     ReplicaRole   `json:"role"`
-	Term     Term          `json:"term"`
-	Leader   StorageID     `json:"leader"`
-	Last     LogIndex      `json:"last"`
-	Commit   LogIndex      `json:"commit"`
-	Applied  LogIndex      `json:"applied"`
-	Snapshot LogIndex      `json:"snapshot"`
-	Members  []PeerStatus  `json:"members"`
-	Refused  ReplicaReason `json:"refused,omitempty"`
+	Cluster  ClusterID    `json:"cluster"`
+	Self     Member       `json:"self"`
+	Role     ReplicaRole  `json:"role"`
+	Term     Term         `json:"term"`
+	Leader   StorageID    `json:"leader"`
+	Last     LogIndex     `json:"last"`
+	Commit   LogIndex     `json:"commit"`
+	Applied  LogIndex     `json:"applied"`
+	Snapshot LogIndex     `json:"snapshot"`
+	Members  []PeerStatus `json:"members"`
+	// Settled is set while the members are those of a committed membership.
+	Settled bool          `json:"settled"`
+	Refused ReplicaReason `json:"refused,omitempty"`
 }
 
 // Voters returns how many members vote.
--- a/replicator/failure_test.go
+++ b/replicator/failure_test.go
@@ -141,11 +141,13 @@
 	remove := waxwingseam.MembershipChange{Kind: waxwingseam.ChangeRemove, Member: c.sites[1].member}
 	lost := c.change(old, remove)
 	c.run(6 * c.election)
+	qt.Assert(t, old.replica.Status().Settled, qt.IsFalse)
 	qt.Assert(t, c.refused[lost], qt.Equals, waxwingseam.ReasonOutcomeUnknown)
 	c.accept(t, 1)
 	c.heal()
 	c.run(2 * c.election)
 	qt.Assert(t, sameMembers(old.members(), c.members()), qt.IsTrue)
+	qt.Assert(t, old.replica.Status().Settled, qt.IsTrue)
 	c.cut(old)
 	joining := &site{member: c.format("d")}
 	c.sites = append(c.sites, joining)
@@ -275,13 +277,15 @@
 }
 
 // TestDeafReplicaLeavesTheLeaderAlone has a replica that hears no leader while
-// the others hear it ask for votes.
+// the others hear it ask for votes, and then hears again.
 func TestDeafReplicaLeavesTheLeaderAlone(t *testing.T) {
 	c := steady(t, noFlaw)
 	term := c.leader().replica.Status().Term
 	deaf := c.sites[2].member.Storage
 	c.lost = func(m waxwingseam.ReplicaMessage) bool { return m.To == deaf && m.AppendRequest != nil }
 	c.run(20 * c.election)
+	c.lost = nil
+	c.run(4 * c.election)
 	qt.Assert(t, c.leader(), qt.Equals, c.sites[0])
 	qt.Assert(t, c.leader().replica.Status().Term, qt.Equals, term)
 	c.check(t)
