admitter: only depths whose roots come back are bounded

A run bounded its depth by that depth's share of past slot time; during a surge important calls came to the small service two hops deep, lookups one hop deep fell to a share of nothing, so they were given one slot of 15, and what they could use kept their share low. Change: the bound keeps roots that come back to a server from waiting on themselves, so it holds only where a root was seen to come back while it ran there, for 30 s. Conclusion: the bound stays for nested chains, and nothing idles elsewhere.

--- a/admission.go
+++ b/admission.go
@@ -4,7 +4,9 @@
 
 // Ticket is a call in front of a backend server, as the admitter sees it.
 type Ticket struct {
-	ID   CallID
+	ID CallID
+	// Root identifies the whole request that the call belongs to.
+	Root RootID
 	Rank Rank
 	// Depth counts the hops above the call; 0 for a root.
 	Depth    uint8
--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -62,6 +62,9 @@
 	a.now = c.Now
 	_, depth := level(&t)
 	a.reserve.arrived(depth)
+	if from, ok := a.runs.above(t.Root, depth); ok {
+		a.reserve.cameBack(c.Now, from, depth)
+	}
 	if c.Now.Add(a.limiter.ServiceTime()).After(t.Deadline) {
 		return []waxwingseam.Admission{a.refuse(t, waxwingseam.ReasonDeadline)}
 	}
@@ -146,7 +149,7 @@
 	runs := 0
 	for d := 0; d <= a.reserve.deepest; d++ {
 		runs += a.runs.byDepth[d]
-		if d >= depth && runs >= a.reserve.bound(limit, d) {
+		if d >= depth && runs >= a.reserve.bound(a.now, limit, d) {
 			return false
 		}
 	}
--- a/admitter/reserve.go
+++ b/admitter/reserve.go
@@ -12,6 +12,9 @@
 	// reserveRuns times the limit is how many runs are seen before the bounds
 	// follow them.
 	reserveRuns = 2
+	// nestedHold is how long depths stay bounded after a root came back to the
+	// server while it ran there.
+	nestedHold = 30 * time.Second
 	// reserveParts is the part of the limit that each deeper depth has until
 	// then.
 	reserveParts = 16
@@ -22,6 +25,10 @@
 // bounded by depth as buffers are by hops in structured buffer pools (Raubold
 // and Haenle, 1976), each depth by its part of the time in which runs hold
 // slots while nothing waits.
+//
+// Only depths whose roots come back to the server while they run there are
+// bounded: where no root does, no run waits on a deeper one here, and a bound
+// would keep slots idle for calls that have gone.
 type reserve struct {
 	// held sums that time by depth, older runs weighing less.
 	held    [depths]time.Duration
@@ -30,6 +37,8 @@
 	seen    [depths]bool
 	runs    int
 	updated time.Time
+	// nested is when a root of each depth last came back at a deeper one.
+	nested [depths]time.Time
 }
 
 // arrived notes a depth in use.
@@ -38,6 +47,18 @@
 	r.deepest = max(r.deepest, depth)
 }
 
+// cameBack notes that a root which runs at one depth has come at a deeper one.
+func (r *reserve) cameBack(now time.Time, from, to int) {
+	for d := from; d < to; d++ {
+		r.nested[d] = now
+	}
+}
+
+// nests reports whether roots of a depth come back.
+func (r *reserve) nests(now time.Time, depth int) bool {
+	return !r.nested[depth].IsZero() && now.Sub(r.nested[depth]) < nestedHold
+}
+
 // finished takes in the end of a run that was served.
 func (r *reserve) finished(now time.Time, depth int, held time.Duration) {
 	r.held[depth] += held
@@ -68,8 +89,8 @@
 
 // bound returns how many runs of a depth and above it may use of a limit: their
 // part, yet one slot less than the next deeper depth.
-func (r *reserve) bound(limit, depth int) int {
-	if depth >= r.deepest {
+func (r *reserve) bound(now time.Time, limit, depth int) int {
+	if depth >= r.deepest || !r.nests(now, depth) {
 		return limit
 	}
 	if r.runs < reserveRuns*limit {
--- a/admitter/runs.go
+++ b/admitter/runs.go
@@ -8,6 +8,7 @@
 
 // run is a call at the backend server.
 type run struct {
+	root   waxwingseam.RootID
 	depth  int
 	waited time.Duration
 }
@@ -16,10 +17,21 @@
 type runs struct {
 	byID    map[waxwingseam.CallID]run
 	byDepth [depths]int
+	// byRoot counts the runs of each root, and keeps its least depth.
+	byRoot map[waxwingseam.RootID]rootRuns
+}
+
+// rootRuns is what runs of one root.
+type rootRuns struct {
+	count      int
+	shallowest int
 }
 
 func newRuns() runs {
-	return runs{byID: map[waxwingseam.CallID]run{}}
+	return runs{
+		byID:   map[waxwingseam.CallID]run{},
+		byRoot: map[waxwingseam.RootID]rootRuns{},
+	}
 }
 
 func (r *runs) len() int {
@@ -29,17 +41,39 @@
 func (r *runs) add(t *waxwingseam.Ticket, waited time.Duration) {
 	_, depth := level(t)
 	r.byID[t.ID] = run{
+		root:   t.Root,
 		depth:  depth,
 		waited: waited,
 	}
 	r.byDepth[depth]++
+	v, ok := r.byRoot[t.Root]
+	if !ok || depth < v.shallowest {
+		v.shallowest = depth
+	}
+	v.count++
+	r.byRoot[t.Root] = v
 }
 
 func (r *runs) remove(id waxwingseam.CallID) (run, bool) {
 	v, ok := r.byID[id]
-	if ok {
-		delete(r.byID, id)
-		r.byDepth[v.depth]--
+	if !ok {
+		return v, false
 	}
-	return v, ok
+	delete(r.byID, id)
+	r.byDepth[v.depth]--
+	left := r.byRoot[v.root]
+	left.count--
+	if left.count > 0 {
+		r.byRoot[v.root] = left
+	} else {
+		delete(r.byRoot, v.root)
+	}
+	return v, true
+}
+
+// above returns the least depth at which a root runs, where it is less than a
+// depth.
+func (r *runs) above(root waxwingseam.RootID, depth int) (int, bool) {
+	v, ok := r.byRoot[root]
+	return v.shallowest, ok && v.shallowest < depth
 }
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -164,6 +164,7 @@
 	limit := r.settings.waits[e.Call.Class]
 	r.apply(c, r.admitter.Offer(c, waxwingseam.Ticket{
 		ID:       e.Call.ID,
+		Root:     e.Call.Root,
 		Rank:     e.Call.Rank,
 		Depth:    e.Call.Depth,
 		Deadline: e.Call.Deadline,
