--- a/assembler/workers.go
+++ b/assembler/workers.go
@@ -22,11 +22,17 @@
 // it, and after the arbiter.
 const priorityDispatcher = 2 * receiver.Priority
 
+// priorityRouter is the place of the router of keyed calls, which learns before
+// the dispatcher asks it.
+const priorityRouter = receiver.Priority / 2
+
 // Workers returns the default workers of a node.
 func Workers(self waxwingseam.Server) []waxwingseam.Prioritized {
 	runs := tracker.New(tracker.Config{})
 	records := deduplicator.New(deduplicator.Config{})
+	keys := arbiter.NewRouter()
 	return []waxwingseam.Prioritized{
+		{Priority: priorityRouter, Worker: keys},
 		{
 			Priority: receiver.Priority,
 			Worker: receiver.New(receiver.Config{
@@ -50,6 +56,7 @@
 				Balancer:   balancer.New(balancer.Config{Self: self.Name, DataCentre: self.DataCentre}),
 				Retrier:    retrier.New(retrier.Config{}),
 				Tracker:    runs,
+				Routers:    []waxwingseam.PrioritizedRouter{{Router: keys}},
 			}),
 		},
 	}
--- a/cmd/overhead/main.go
+++ b/cmd/overhead/main.go
@@ -14,7 +14,7 @@
 type command struct {
 	Rate        int           `default:"135" help:"Calls a second."`
 	Length      time.Duration `default:"10s" help:"Time of each of the two loads."`
-	ServiceTime time.Duration `default:"1ms" help:"Mean work of the stand-in."`
+	ServiceTime time.Duration `default:"0s" help:"Mean work of the stand-in."`
 }
 
 // Run measures and prints.
--- a/demonstrator/deployment.go
+++ b/demonstrator/deployment.go
@@ -69,16 +69,16 @@
 		Name:    "van-dalen",
 		Objects: examples.VanDalen,
 		Services: services([]launcher.Service{
-			{Name: "lot-desk", Servers: 3, Slots: 60, Routes: []imitator.Route{
+			{Name: "lot-desk", Servers: 3, Slots: 60, Connections: 500, Routes: []imitator.Route{
 				{Prefix: "/registrations", Children: []imitator.Child{mark}},
 				{Prefix: "/lots", Children: []imitator.Child{fee}},
 				{Prefix: "/checks", Children: []imitator.Child{check}},
 			}},
-			{Name: "mark-ledger", Servers: 3, Slots: 60, Routes: []imitator.Route{
+			{Name: "mark-ledger", Servers: 3, Slots: 60, Connections: 500, Routes: []imitator.Route{
 				{Prefix: "/marks", Children: []imitator.Child{fee}},
 			}},
-			{Name: "assay-images", Servers: 4, Slots: 50},
-			{Name: "fees", Servers: 3, Slots: 15},
+			{Name: "assay-images", Servers: 4, Slots: 50, Connections: 400},
+			{Name: "fees", Servers: 3, Slots: 15, Connections: 200},
 		}),
 		Requests: []Request{
 			{Name: "lot-registration", Service: "lot-desk", Method: http.MethodPost, Path: "/registrations", Percent: 20, Once: true, Patience: 3 * time.Second},
@@ -98,15 +98,15 @@
 		Name:    "jnina",
 		Objects: examples.Jnina,
 		Services: services([]launcher.Service{
-			{Name: "job-board", Servers: 4, Slots: 130, Routes: []imitator.Route{
+			{Name: "job-board", Servers: 4, Slots: 130, Connections: 850, Routes: []imitator.Route{
 				{Prefix: "/jobs", Children: []imitator.Child{roster}},
 				{Prefix: "/checks", Children: []imitator.Child{place}},
 			}},
-			{Name: "placements", Servers: 3, Slots: 170, Routes: []imitator.Route{
+			{Name: "placements", Servers: 3, Slots: 170, Connections: 1100, Routes: []imitator.Route{
 				{Prefix: "/placements", Children: []imitator.Child{roster}},
 			}},
-			{Name: "paperwork", Servers: 3, Slots: 170},
-			{Name: "rosters", Servers: 3, Slots: 30},
+			{Name: "paperwork", Servers: 3, Slots: 170, Connections: 1100},
+			{Name: "rosters", Servers: 3, Slots: 30, Connections: 270},
 		}),
 		Requests: []Request{
 			{Name: "placement", Service: "placements", Method: http.MethodPost, Path: "/placements", Percent: 20, Once: true, Patience: 3 * time.Second},
--- a/imitator/imitator.go
+++ b/imitator/imitator.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -16,6 +17,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-chi/chi/v5"
 	"github.com/gravitational/trace"
+	"golang.org/x/net/netutil"
 
 	"waxwingseam.example/waxwingseam"
 )
@@ -53,6 +55,8 @@
 	Outbound netip.AddrPort
 	// Slots is how many requests it works on at once; the others wait inside.
 	Slots int
+	// Connections is how many connections it takes at once; 0 for no bound.
+	Connections int
 	// ServiceTime is the mean work of one request, before and after its
 	// child calls taken together.
 	ServiceTime time.Duration
@@ -97,6 +101,9 @@
 	if err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
+	if config.Connections > 0 {
+		listener = netutil.LimitListener(listener, config.Connections)
+	}
 	i := &Imitator{
 		config:   config,
 		listener: listener,
@@ -108,6 +115,7 @@
 	i.server = &http.Server{
 		Handler:           i.routes(),
 		ReadHeaderTimeout: headerTimeout,
+		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
 	}
 	return i, nil
 }
--- a/launcher/fleet.go
+++ b/launcher/fleet.go
@@ -45,6 +45,8 @@
 	Name    waxwingseam.ServiceName
 	Servers int
 	Slots   int
+	// Connections is how many connections one stand-in takes; 0 for no bound.
+	Connections int
 	// ServiceTime is the mean work of one request.
 	ServiceTime time.Duration
 	Routes      []imitator.Route
@@ -182,6 +184,7 @@
 		Address:     netip.MustParseAddrPort("127.0.0.1:0"),
 		Outbound:    s.outbound,
 		Slots:       service.Slots,
+		Connections: service.Connections,
 		ServiceTime: service.ServiceTime,
 		Routes:      service.Routes,
 		Retries:     directRetries,
