balancer: no early refusal of an importance that the service does not refuse

Change: an importance is throttled only where calls of it or above were rejected lately; the servers make room for it at the cost of others anyway.

--- a/balancer/pool.go
+++ b/balancer/pool.go
@@ -107,10 +107,10 @@
 func (p *pool) observe(c *waxwingseam.Context, t *target, f waxwingseam.Feedback) {
 	switch {
 	case refusedForLoad(f.Result):
-		p.throttle.rejected(c.Now)
+		p.throttle.rejected(c.Now, f.Rank.Importance)
 	case f.Result.Completed() && refusedBelow(f.Result.Status):
 		p.throttle.accepted(c.Now)
-		p.class(f.Class).rejected(c.Now)
+		p.class(f.Class).rejected(c.Now, f.Rank.Importance)
 	case f.Result.Completed(), f.Result.Reason == waxwingseam.ReasonCancelled:
 		// A call that its caller gave up had not been refused till then.
 		p.throttle.accepted(c.Now)
--- a/balancer/throttle.go
+++ b/balancer/throttle.go
@@ -33,6 +33,8 @@
 	accepts  float64
 	rejects  float64
 	offering float64
+	// refusals counts the rejections by importance.
+	refusals [importances]float64
 }
 
 func (t *throttle) fade(now time.Time) {
@@ -48,6 +50,7 @@
 	for i := range t.offers {
 		t.offers[i] *= keep
 		t.offering += t.offers[i]
+		t.refusals[i] *= keep
 	}
 }
 
@@ -56,18 +59,33 @@
 	t.accepts++
 }
 
-func (t *throttle) rejected(now time.Time) {
+func (t *throttle) rejected(now time.Time, importance waxwingseam.Importance) {
 	t.fade(now)
 	t.rejects++
+	t.refusals[level(importance)]++
+}
+
+// spared reports whether the service refuses no call of a level or above, so
+// that it makes room for one whatever is offered below.
+func (t *throttle) spared(level int) bool {
+	refusals := 0.0
+	for _, v := range t.refusals[level:] {
+		refusals += v
+	}
+	return refusals < minRejections
+}
+
+func level(importance waxwingseam.Importance) int {
+	return min(int(importance), importances-1)
 }
 
 // offer counts a call and reports whether it may be sent.
 func (t *throttle) offer(now time.Time, r waxwingseam.Rank) bool {
 	t.fade(now)
-	level := min(int(r.Importance), importances-1)
+	level := level(r.Importance)
 	t.offers[level]++
 	t.offering++
-	if t.calm() {
+	if t.calm() || t.spared(level) {
 		return true
 	}
 	room := t.capacity()
--- /dev/null
+++ b/balancer/throttle_spare_test.go
@@ -0,0 +1,37 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// TestThrottleSparesWhatIsNotRefused offers many calls that a service refuses,
+// and a sudden rise of more important ones that it never refused.
+func TestThrottleSparesWhatIsNotRefused(t *testing.T) {
+	var th throttle
+	now := time.Unix(100, 0)
+	low, high := waxwingseam.Rank{Importance: 2}, waxwingseam.Rank{Importance: 9}
+	for range 200 {
+		now = now.Add(time.Millisecond)
+		if th.offer(now, low) {
+			th.rejected(now, low.Importance)
+		}
+	}
+	qt.Assert(t, th.calm(), qt.IsFalse)
+	refused := 0
+	for n := range 100 {
+		high.Order = uint64(n)
+		if !th.offer(now, high) {
+			refused++
+		}
+	}
+	qt.Assert(t, refused, qt.Equals, 0)
+	for range 10 {
+		th.rejected(now, high.Importance)
+	}
+	qt.Assert(t, th.spared(9), qt.IsFalse)
+}
