experimenter: one service at two depths, under a surge

Cause: no scenario had a service that is called at two depths by different roots, so the bound by depth that kept deployments from recovering was not seen. Change: kinds of requests may have plans of their own; the scenario and its test. Conclusion: the failure has its test.

--- a/experimenter/bounds_test.go
+++ b/experimenter/bounds_test.go
@@ -83,6 +83,11 @@
 	bound{Waxwingseam(), surgeCases, surgeTime, true}.run(t, "chain 13")
 }
 
+func TestTwoDepths(t *testing.T) {
+	t.Parallel()
+	bound{Waxwingseam(), depthCases, surgeTime, true}.run(t)
+}
+
 func TestSlowService(t *testing.T) {
 	t.Parallel()
 	bound{Waxwingseam(), slowCases, slowTime, true}.run(t, "slower")
--- a/experimenter/callers.go
+++ b/experimenter/callers.go
@@ -111,10 +111,11 @@
 func (c *callers) send(q *request) {
 	w := c.world
 	mix := &w.config.Deployment.Mixes[q.mix]
-	nodes := w.Service(w.config.Plan.Service)
+	plan := w.config.plan(q.mix)
+	nodes := w.Service(plan.Service)
 	n := nodes[w.random.IntN(len(nodes))]
 	r := &root{callers: c, request: q, mix: mix, sent: w.agenda.now}
-	r.call = w.newCall(r, w.config.Plan, n, nil)
+	r.call = w.newCall(r, plan, n, nil)
 	w.tally.sent(r)
 	w.agenda.after(w.config.Deployment.ClientDelay, func() {
 		if r.call.lost {
@@ -125,7 +126,7 @@
 			Stamp:      w.stamp(),
 			ID:         id,
 			Root:       waxwingseam.RootID(id),
-			Service:    w.config.Plan.Service,
+			Service:    plan.Service,
 			Path:       path(mix.Class),
 			Key:        q.key,
 			Replayable: true,
--- a/experimenter/saturation.go
+++ b/experimenter/saturation.go
@@ -57,9 +57,13 @@
 	config := c.Config
 	config.Deployment = d
 	config.Plan = d.rework(c.Config.Plan)
+	config.Plans = nil
+	for _, plan := range c.Config.Plans {
+		config.Plans = append(config.Plans, d.rework(plan))
+	}
 	config.Capacity = d.Capacity(config.Plan)
 	config.Faults = nil
-	key := fmt.Sprintf("%s %v %d", d.Name, config.Capacity, config.Seed)
+	key := fmt.Sprintf("%s %v %d %d", d.Name, config.Capacity, config.Seed, len(config.Plans))
 	s.mu.Lock()
 	if s.known == nil {
 		s.known = map[string]func() float64{}
--- a/experimenter/scenario.go
+++ b/experimenter/scenario.go
@@ -43,6 +43,7 @@
 		{Name: "misleading-servers", Cases: misleadCases},
 		{Name: "fan-out", Cases: fanCases},
 		{Name: "callers-leave", Cases: leaveCases},
+		{Name: "two-depths", Cases: depthCases},
 	}
 }
 
--- a/experimenter/world.go
+++ b/experimenter/world.go
@@ -46,8 +46,11 @@
 	// as a demand of 1.
 	Plan     *Visit
 	Capacity float64
-	Demand   Demand
-	Faults   []Fault
+	// Plans are those of the kinds of requests, in their order, where they are
+	// not all Plan.
+	Plans  []*Visit
+	Demand Demand
+	Faults []Fault
 	// Before is the end of the quiet time at the start; the trigger is on from
 	// there to Until; Length is the end of the demand.
 	Before time.Duration
@@ -62,6 +65,14 @@
 	Prepare func(n *Node)
 }
 
+// plan returns what a kind of request does.
+func (c *Config) plan(mix int) *Visit {
+	if mix < len(c.Plans) {
+		return c.Plans[mix]
+	}
+	return c.Plan
+}
+
 // World is the state of one run.
 type World struct {
 	config Config
