--- a/balancer/pool.go
+++ b/balancer/pool.go
@@ -28,7 +28,10 @@
 }
 
 func newPool() *pool {
-	return &pool{classes: map[waxwingseam.ClassName]*throttle{}}
+	return &pool{
+		throttle: throttle{pace: servicePace},
+		classes:  map[waxwingseam.ClassName]*throttle{},
+	}
 }
 
 func (p *pool) add(t *target) {
@@ -97,7 +100,7 @@
 func (p *pool) class(name waxwingseam.ClassName) *throttle {
 	v, ok := p.classes[name]
 	if !ok {
-		v = &throttle{}
+		v = &throttle{pace: classPace}
 		p.classes[name] = v
 	}
 	return v
--- a/balancer/throttle.go
+++ b/balancer/throttle.go
@@ -9,18 +9,29 @@
 )
 
 const (
-	// throttleMemory is the time in which a throttle's counts fade.
-	throttleMemory = 250 * time.Millisecond
 	// sendRatio is how many calls go out for each that is accepted.
 	sendRatio = 1.1
 	// calmShare is the share of rejections up to which nothing is refused.
 	calmShare = 0.02
 	// minRejections is the count of rejections below which nothing is refused.
 	minRejections = 2
-	// probesPerSecond go out however many are rejected.
-	probesPerSecond = 10
+	importances   = int(waxwingseam.MaxImportance) + 1
+)
+
+// pace is how fast a throttle forgets and asks again.
+type pace struct {
+	// memory is the time in which the counts fade.
+	memory time.Duration
+	// probes go out each second however many are rejected.
+	probes float64
+}
 
-	importances = int(waxwingseam.MaxImportance) + 1
+var (
+	// servicePace is that of a service's own refusals, which cost it little.
+	servicePace = pace{memory: 250 * time.Millisecond, probes: 10}
+	// classPace is that of refusals further down, where each probe costs the
+	// servers above them a run.
+	classPace = pace{memory: 500 * time.Millisecond, probes: 5}
 )
 
 // throttle refuses calls in place of a service that would refuse them: it lets
@@ -28,6 +39,7 @@
 // throttling after Beyer et al., Site Reliability Engineering, 2016, ch. 21,
 // with ranks in place of chance).
 type throttle struct {
+	pace     pace
 	at       time.Time
 	offers   [importances]float64
 	accepts  float64
@@ -43,7 +55,7 @@
 		return
 	}
 	t.at = now
-	keep := math.Exp(-elapsed.Seconds() / throttleMemory.Seconds())
+	keep := math.Exp(-elapsed.Seconds() / t.pace.memory.Seconds())
 	t.accepts *= keep
 	t.rejects *= keep
 	t.offering = 0
@@ -102,7 +114,7 @@
 
 // capacity is the calls that may be sent within the memory.
 func (t *throttle) capacity() float64 {
-	return sendRatio*t.accepts + probesPerSecond*throttleMemory.Seconds()
+	return sendRatio*t.accepts + t.pace.probes*t.pace.memory.Seconds()
 }
 
 // excess is how many times more calls are offered than may be sent.
--- a/balancer/throttle_spare_test.go
+++ b/balancer/throttle_spare_test.go
@@ -12,7 +12,7 @@
 // TestThrottleSparesWhatIsNotRefused offers many calls that a service refuses,
 // and a sudden rise of more important ones that it never refused.
 func TestThrottleSparesWhatIsNotRefused(t *testing.T) {
-	var th throttle
+	th := throttle{pace: servicePace}
 	now := time.Unix(100, 0)
 	low, high := waxwingseam.Rank{Importance: 2}, waxwingseam.Rank{Importance: 9}
 	for range 200 {
