limiter: one window for the two limiters on latency

Change: a windowed limiter with a rule; behaviour as before but that both limits stay between 1 and the slots in one place. Conclusion: a third rule would cost a function.

--- a/limiter/gradient.go
+++ b/limiter/gradient.go
@@ -23,67 +23,24 @@
 // one, and adds the square root of the limit as room to grow, as in Netflix's
 // concurrency-limits. The usual latency falls at once and drifts up slowly.
 type gradient struct {
-	slots   int
-	limit   float64
-	usual   average
-	base    float64
-	started time.Time
-	sum     time.Duration
-	count   int
-	peak    int
+	base float64
 }
 
 // NewGradient returns a limiter that follows the gradient of latency.
 func NewGradient() waxwingseam.Limiter {
-	return &gradient{slots: 1, limit: 1}
+	return newWindowed(&gradient{})
 }
 
-// Configure implements waxwingseam.Limiter.
-func (l *gradient) Configure(slots int) {
-	l.slots = max(slots, 1)
-	l.limit = float64(l.slots)
-}
-
-// Limit implements waxwingseam.Limiter.
-func (l *gradient) Limit() int {
-	return max(int(l.limit), 1)
-}
-
-// ServiceTime implements waxwingseam.Limiter.
-func (l *gradient) ServiceTime() time.Duration {
-	return l.usual.value
-}
-
-// Observe implements waxwingseam.Limiter.
-func (l *gradient) Observe(s waxwingseam.Sample) {
-	if s.Failed {
-		return
-	}
-	l.usual.add(s.Elapsed)
-	l.sum += s.Elapsed
-	l.count++
-	l.peak = max(l.peak, s.InFlight)
-	if l.started.IsZero() {
-		l.started = s.Now
-	}
-	if s.Now.Sub(l.started) >= window {
-		l.adapt()
-		l.started = s.Now
-	}
-}
-
-func (l *gradient) adapt() {
-	mean := float64(l.sum) / float64(l.count)
-	if l.base == 0 || mean < l.base {
-		l.base = mean
+func (g *gradient) next(l *windowed, mean time.Duration) float64 {
+	latency := float64(mean)
+	if g.base == 0 || latency < g.base {
+		g.base = latency
 	}
-	l.base += (mean - l.base) * gradientDrift
-	ratio := min(max(gradientTolerance*l.base/mean, gradientFloor), 1)
+	g.base += (latency - g.base) * gradientDrift
+	ratio := min(max(gradientTolerance*g.base/latency, gradientFloor), 1)
 	next := l.limit * ratio
-	if l.peak*2 > l.Limit() {
+	if l.used() {
 		next += math.Sqrt(l.limit)
 	}
-	l.limit += (next - l.limit) * gradientSmoothing
-	l.limit = min(max(l.limit, 1), float64(l.slots))
-	l.sum, l.count, l.peak = 0, 0, 0
+	return l.limit + (next-l.limit)*gradientSmoothing
 }
