--- /dev/null
+++ b/assembler/serving.go
@@ -0,0 +1,130 @@
+package assembler
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/gravitational/trace"
+	"golang.org/x/sync/errgroup"
+
+	"waxwingseam.example/waxwingseam/forwarder"
+)
+
+// Serve runs the process. When stop ends, the node drains: it refuses new work
+// and ends its calls. When abort ends, the process leaves at once.
+func (p *Process) Serve(stop, abort context.Context) error {
+	ctx, cancel := context.WithCancel(abort)
+	defer cancel()
+	hangUp := p.serveMessenger(cancel)
+	group, ctx := errgroup.WithContext(ctx)
+	if p.controller != nil {
+		group.Go(func() error { return p.controller.Serve(ctx) })
+	}
+	if p.node != nil {
+		group.Go(func() error { return p.subscriber.Run(ctx) })
+		if err := p.serveNode(ctx, group); err != nil {
+			return err
+		}
+	}
+	if err := p.serveTelemetry(ctx, group); err != nil {
+		return err
+	}
+	p.logger.Part("process").Info("ready", "peer-address", p.messenger.Address())
+	group.Go(func() error {
+		defer cancel()
+		return p.waitForStop(ctx, stop)
+	})
+	err := trace.NewAggregate(group.Wait(), hangUp())
+	p.close()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return trace.Wrap(err)
+}
+
+// serveMessenger serves other processes until the returned function is called,
+// so that a replica can still hand over and a node announce that it leaves. A
+// failure ends the process.
+func (p *Process) serveMessenger(fail context.CancelFunc) (hangUp func() error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		ended <- p.messenger.Serve(ctx)
+		fail()
+	}()
+	return func() error {
+		cancel()
+		return <-ended
+	}
+}
+
+// waitForStop returns once the process may leave.
+func (p *Process) waitForStop(ctx, stop context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-stop.Done():
+	}
+	if p.node == nil {
+		return nil
+	}
+	p.logger.Part("node").Info("draining")
+	if err := p.node.Drain(ctx); err != nil {
+		return err
+	}
+	p.logger.Part("node").Info("drained")
+	return nil
+}
+
+func (p *Process) close() {
+	if p.tracer == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := p.tracer.Close(ctx); err != nil {
+		p.logger.Part("tracer").Warn("last spans are lost", "error", err)
+	}
+}
+
+func (p *Process) serveNode(ctx context.Context, group *errgroup.Group) error {
+	f := p.node.Forwarder
+	entry := chi.NewRouter()
+	entry.Get("/v1/entry-points", p.entries.ServeHTTP)
+	entry.NotFound(p.interests.Hold(f.Entry()).ServeHTTP)
+	entry.MethodNotAllowed(p.interests.Hold(f.Entry()).ServeHTTP)
+	if err := serveHTTP(ctx, group, p.settings.Node.EntryAddress, entry); err != nil {
+		return err
+	}
+	return serveHTTP(ctx, group, p.settings.Node.OutboundAddress, p.interests.Hold(f.Outbound()))
+}
+
+// serveHTTP serves a handler until the context ends.
+func serveHTTP(ctx context.Context, group *errgroup.Group, address netip.AddrPort, handler http.Handler) error {
+	listener, err := listen(ctx, address)
+	if err != nil {
+		return err
+	}
+	server := forwarder.NewServer(handler)
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	group.Go(func() error {
+		if err := server.Serve(listener); ctx.Err() == nil {
+			return trace.Wrap(err)
+		}
+		return nil
+	})
+	return nil
+}
+
+func listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
+	var lc net.ListenConfig
+	listener, err := lc.Listen(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	return listener, nil
+}
