meter: requests that cannot become a call

Cause: malformed requests were answered before the reducer saw them, so no metric counted them. Change: waxwingseam_bad_requests_total by reason. Figures: TestObserveCountsACall reads 1 after one. Conclusion: every refusal at the edge is counted.

--- a/assembler/node.go
+++ b/assembler/node.go
@@ -38,6 +38,9 @@
 	// NewTrace returns the trace of a root whose caller sent none; unset for
 	// no traces.
 	NewTrace func(waxwingseam.RootID) waxwingseam.TraceContext
+	// BadRequest is told of each request that can't become a call; unset for
+	// nobody.
+	BadRequest func(waxwingseam.Reason)
 	// Seed starts the random words of the node's events.
 	Seed uint64
 }
@@ -91,6 +94,7 @@
 		Connections: config.Connections,
 		Self:        config.Self,
 		NewTrace:    config.NewTrace,
+		BadRequest:  config.BadRequest,
 		Arbitrated:  true,
 		Founding:    config.Founding,
 		Logger:      config.Logger.Part("node"),
--- a/assembler/process.go
+++ b/assembler/process.go
@@ -176,12 +176,13 @@
 	p.noticer = newNoticer()
 	p.entries = newEntryPoints()
 	node, err := NewNode(NodeConfig{
-		Self:      self,
-		Backend:   settings.BackendAddress,
-		Messenger: p.messenger,
-		Dialer:    p.dialer,
-		Logger:    p.logger,
-		NewTrace:  p.newTrace,
+		Self:       self,
+		Backend:    settings.BackendAddress,
+		Messenger:  p.messenger,
+		Dialer:     p.dialer,
+		Logger:     p.logger,
+		NewTrace:   p.newTrace,
+		BadRequest: p.meter.BadRequest,
 		Founding: founder.Client{
 			Control: p.settings.Process.ControlAddresses,
 			Dialer:  p.dialer,
--- a/forwarder/entry.go
+++ b/forwarder/entry.go
@@ -58,7 +58,10 @@
 const headerTimeout = 10 * time.Second
 
 // badRequest refuses a request that can't become a call.
-func badRequest(w http.ResponseWriter, reason waxwingseam.Reason, detail string) {
+func (f *Forwarder) badRequest(w http.ResponseWriter, reason waxwingseam.Reason, detail string) {
+	if f.config.BadRequest != nil {
+		f.config.BadRequest(reason)
+	}
 	writeProblem(w, unreached(reason), detail)
 }
 
@@ -66,15 +69,15 @@
 func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrival, target, err := e.parse(r)
 	if err != nil {
-		badRequest(w, waxwingseam.ReasonBadRequest, trace.UserMessage(err))
+		e.forwarder.badRequest(w, waxwingseam.ReasonBadRequest, trace.UserMessage(err))
 		return
 	}
 	if arrival.Service == "" {
-		badRequest(w, waxwingseam.ReasonUnknownService, "the path names no service")
+		e.forwarder.badRequest(w, waxwingseam.ReasonUnknownService, "the path names no service")
 		return
 	}
 	if r.ContentLength > e.forwarder.config.MaxBody {
-		badRequest(w, waxwingseam.ReasonTooLarge, "")
+		e.forwarder.badRequest(w, waxwingseam.ReasonTooLarge, "")
 		return
 	}
 	c := &caller{
@@ -196,7 +199,7 @@
 
 // answerEarlier answers a call whose body did not come whole.
 func (c *caller) answerEarlier() {
-	badRequest(c.writer, waxwingseam.ReasonBadRequest, "the body ended early")
+	c.forwarder.badRequest(c.writer, waxwingseam.ReasonBadRequest, "the body ended early")
 }
 
 // wait waits for the reply's beginning, for the one answer, or for the caller
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -71,6 +71,9 @@
 	// NewTrace returns the trace of a root whose caller sent none; unset for
 	// no traces.
 	NewTrace func(waxwingseam.RootID) waxwingseam.TraceContext
+	// BadRequest is told of each request that can't become a call; unset for
+	// nobody.
+	BadRequest func(waxwingseam.Reason)
 	// Arbitrated is set where an arbiter decides on the calls with a caller's
 	// key that may not be repeated.
 	Arbitrated bool
--- a/meter/calls.go
+++ b/meter/calls.go
@@ -27,6 +27,7 @@
 	allowance *prometheus.CounterVec
 	fences    prometheus.Counter
 	resumes   prometheus.Counter
+	malformed *prometheus.CounterVec
 }
 
 func newCallMetrics() callMetrics {
@@ -39,12 +40,13 @@
 		retries:   newCounter("waxwingseam_retries_total", "Attempts after the first of a call.", labelService),
 		allowance: newCounter("waxwingseam_retry_allowance_sent_total", "Retry allowance that went along with attempts.", labelService),
 		fences:    prometheus.NewCounter(prometheus.CounterOpts{Name: "waxwingseam_fences_total", Help: "Fences asked of receiving nodes."}),
+		malformed: newCounter("waxwingseam_bad_requests_total", "Requests that could not become a call.", labelReason),
 		resumes:   prometheus.NewCounter(prometheus.CounterOpts{Name: "waxwingseam_resumes_total", Help: "Attempts resumed over a fresh connection."}),
 	}
 }
 
 func (m *callMetrics) collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.replies, m.seconds, m.attempts, m.retries, m.allowance, m.fences, m.resumes}
+	return []prometheus.Collector{m.replies, m.seconds, m.attempts, m.retries, m.allowance, m.fences, m.resumes, m.malformed}
 }
 
 func (m *callMetrics) adopt(s *waxwingseam.Set) {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -85,6 +85,12 @@
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{Registry: m.registry})
 }
 
+// BadRequest counts a request that could not become a call. It may be called
+// from any goroutine.
+func (m *Meter) BadRequest(reason waxwingseam.Reason) {
+	m.calls.malformed.WithLabelValues(string(reason)).Inc()
+}
+
 // Observe implements runner.Observer.
 func (m *Meter) Observe(e waxwingseam.Event, effects []waxwingseam.Effect) {
 	if handle, ok := m.handlers[e.Kind()]; ok {
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -29,11 +29,13 @@
 		waxwingseam.TimerFired{Stamp: waxwingseam.Stamp{Now: start.Add(time.Second)}},
 		[]waxwingseam.Effect{waxwingseam.Reply{ID: id, Result: waxwingseam.Result{Outcome: waxwingseam.OutcomeDidNotRun, Reason: waxwingseam.ReasonDeadline}}},
 	)
+	m.BadRequest(waxwingseam.ReasonBadRequest)
 	problems, err := testutil.GatherAndLint(m.Registry())
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, problems, qt.HasLen, 0)
 	got := gather(t, m)
 	qt.Assert(t, got["waxwingseam_calls_total"], qt.Equals, 1.0)
+	qt.Assert(t, got["waxwingseam_bad_requests_total"], qt.Equals, 1.0)
 	qt.Assert(t, got["waxwingseam_attempts_total"], qt.Equals, 2.0)
 	qt.Assert(t, got["waxwingseam_retries_total"], qt.Equals, 1.0)
 	qt.Assert(t, got["waxwingseam_configuration_revision"], qt.Equals, 3.0)
