--- a/cmd/waxwingseam/main_test.go
+++ b/cmd/waxwingseam/main_test.go
@@ -46,3 +46,15 @@
 		qt.Check(t, out.String(), qt.Contains, want)
 	}
 }
+
+// TestEveryCommandShowsAnExample keeps the help texts whole.
+func TestEveryCommandShowsAnExample(t *testing.T) {
+	var c commands
+	parser, err := kong.New(&c)
+	qt.Assert(t, err, qt.IsNil)
+	for _, command := range parser.Model.Children {
+		if len(command.Flags) > 0 || len(command.Positional) > 0 {
+			qt.Check(t, command.Detail, qt.Contains, "waxwingseam "+command.Name)
+		}
+	}
+}
