assembler: first calls of a service wait for its servers, under test

Cause: the hold of first calls was seen only by following the README. Change: a test in virtual time with control answering and gone.

--- /dev/null
+++ b/assembler/interests_test.go
@@ -0,0 +1,62 @@
+package assembler
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/subscriber"
+)
+
+// answering is a subscriber whose control answers an interest after a while.
+type answering struct {
+	subscriber.Subscriber
+	interests *interests
+	after     time.Duration
+	asked     []waxwingseam.ServiceName
+}
+
+func (s *answering) Interest(service waxwingseam.ServiceName) {
+	s.asked = append(s.asked, service)
+	time.AfterFunc(s.after, func() {
+		s.interests.Observe(waxwingseam.ServersLearned{Servers: []waxwingseam.Server{{Service: service}}}, nil)
+	})
+}
+
+// TestFirstCallsWaitForServers sends calls to a service that is not known yet,
+// in virtual time: they wait for the answer of control, but no longer than the
+// bound, and calls after that do not wait.
+func TestFirstCallsWaitForServers(t *testing.T) {
+	for _, v := range []struct {
+		name  string
+		after time.Duration
+		want  time.Duration
+	}{
+		{"control answers", 30 * time.Millisecond, 30 * time.Millisecond},
+		{"control is gone", time.Hour, interestTimeout},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				i := newInterests()
+				s := &answering{interests: i, after: v.after}
+				i.subscriber = s
+				i.Observe(waxwingseam.SetAdopted{Set: &waxwingseam.Set{Services: []waxwingseam.Service{{Name: "fees"}}}}, nil)
+				handler := i.Hold(http.NotFoundHandler())
+				call := func(path string) time.Duration {
+					start := time.Now()
+					handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(t.Context(), http.MethodGet, path, nil))
+					return time.Since(start)
+				}
+				qt.Assert(t, call("/nosuch/1"), qt.Equals, time.Duration(0))
+				qt.Assert(t, call("/fees/1"), qt.Equals, v.want)
+				qt.Assert(t, call("/fees/1"), qt.Equals, time.Duration(0))
+				qt.Assert(t, s.asked, qt.DeepEquals, []waxwingseam.ServiceName{"fees"})
+			})
+		})
+	}
+}
