launcher: one audit for the demonstration and the tests

Cause: both gathered the stand-ins' runs and the event logs for the auditor; entry points turned a bool into a number to compare it. Change: Fleet.Audit; a plain comparison. Conclusion: one place to change.

--- a/assembler/entrypoints.go
+++ b/assembler/entrypoints.go
@@ -1,7 +1,6 @@
 package assembler
 
 import (
-	"cmp"
 	"encoding/json"
 	"maps"
 	"net/http"
@@ -63,17 +62,13 @@
 		})
 	}
 	slices.SortFunc(list, func(a, b EntryPoint) int {
-		if a.Leaving != b.Leaving {
-			return cmp.Compare(asNumber(a.Leaving), asNumber(b.Leaving))
+		if a.Leaving == b.Leaving {
+			return a.Address.Compare(b.Address)
 		}
-		return a.Address.Compare(b.Address)
+		if a.Leaving {
+			return 1
+		}
+		return -1
 	})
 	return list
 }
-
-func asNumber(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -4,17 +4,12 @@
 package demonstrator
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"os"
 	"time"
 
 	"github.com/gravitational/trace"
 
-	"waxwingseam.example/waxwingseam"
-	"waxwingseam.example/waxwingseam/auditor"
-	"waxwingseam.example/waxwingseam/imitator"
 	"waxwingseam.example/waxwingseam/launcher"
 )
 
@@ -66,41 +61,9 @@
 	l.run(ctx, func(at time.Duration) { config.Progress(on, at) })
 	report := newReport(f, l, on)
 	if on {
-		report.Audit, err = audit(f, l)
+		report.Audit, err = f.Audit(l.answers)
 	}
 	cancel()
 	_ = f.Wait()
 	return report, err
 }
-
-// audit checks the promises against the nodes' event logs and the stand-ins'
-// own lists of runs.
-func audit(f *launcher.Fleet, l *load) (findings, err error) {
-	input := auditor.Input{Answers: l.answers}
-	for _, s := range f.StandIns {
-		data, err := s.Log()
-		if err != nil {
-			return nil, err
-		}
-		input.Logs = append(input.Logs, io.Reader(bytes.NewReader(data)))
-		input.Runs = append(input.Runs, runsOf(s)...)
-	}
-	return auditor.Audit(input), nil
-}
-
-func runsOf(s *launcher.StandIn) []auditor.Run {
-	var runs []auditor.Run
-	for _, v := range s.Ledger().Runs() {
-		call, err := waxwingseam.ParseCallID(v.Context)
-		if err != nil {
-			continue
-		}
-		runs = append(runs, auditor.Run{
-			Server:      s.Name,
-			Call:        call,
-			Began:       v.Began,
-			Interrupted: v.State == imitator.RunInterrupted,
-		})
-	}
-	return runs
-}
--- a/launcher/fleet.go
+++ b/launcher/fleet.go
@@ -4,6 +4,7 @@
 package launcher
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -19,6 +20,7 @@
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/administrator"
 	"waxwingseam.example/waxwingseam/assembler"
+	"waxwingseam.example/waxwingseam/auditor"
 	"waxwingseam.example/waxwingseam/checker"
 	"waxwingseam.example/waxwingseam/imitator"
 	"waxwingseam.example/waxwingseam/loader"
@@ -116,6 +118,21 @@
 	return trace.Wrap(f.group.Wait())
 }
 
+// Audit checks the promises against the nodes' event logs, the stand-ins' lists
+// of runs and the answers that callers got. Broken promises are findings.
+func (f *Fleet) Audit(answers []auditor.Answer) (findings, err error) {
+	input := auditor.Input{Answers: answers}
+	for _, s := range f.StandIns {
+		data, err := s.Log()
+		if err != nil {
+			return nil, err
+		}
+		input.Logs = append(input.Logs, bytes.NewReader(data))
+		input.Runs = append(input.Runs, s.runs()...)
+	}
+	return auditor.Audit(input), nil
+}
+
 func (f *Fleet) startStandIns(ctx context.Context) error {
 	for _, service := range f.config.Services {
 		for n := range service.Servers {
--- a/launcher/standin.go
+++ b/launcher/standin.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/auditor"
 	"waxwingseam.example/waxwingseam/imitator"
 	"waxwingseam.example/waxwingseam/recorder"
 )
@@ -29,6 +30,25 @@
 	abort    context.CancelFunc
 }
 
+// runs lists the stand-in's runs as the auditor wants them. One without a call
+// did not come through a node.
+func (s *StandIn) runs() []auditor.Run {
+	var runs []auditor.Run
+	for _, v := range s.Ledger().Runs() {
+		call, err := waxwingseam.ParseCallID(v.Context)
+		if err != nil {
+			continue
+		}
+		runs = append(runs, auditor.Run{
+			Server:      s.Name,
+			Call:        call,
+			Began:       v.Began,
+			Interrupted: v.State == imitator.RunInterrupted,
+		})
+	}
+	return runs
+}
+
 // Stop shuts the node down gracefully, as SIGTERM does.
 func (s *StandIn) Stop() {
 	s.stop()
