meter, tracer: nothing is kept of calls that end without an answer

Cause: found on reading the change once more: a call cancelled in the queue left an entry in the meter and an open span for good, and a fenced or cancelled attempt an open span. Change: both observe the cancellation; the answer ends all attempts' spans. Conclusion: observers hold only what is open.

--- a/meter/meter.go
+++ b/meter/meter.go
@@ -58,10 +58,11 @@
 	m.registry.MustRegister(m.calls.collectors()...)
 	m.registry.MustRegister(m.runs.collectors()...)
 	m.handlers = map[waxwingseam.Kind]func(waxwingseam.Event){
-		waxwingseam.KindCallArrived:    m.calls.arrived,
-		waxwingseam.KindAttemptArrived: m.runs.arrived,
-		waxwingseam.KindRunEnded:       m.runs.ended,
-		waxwingseam.KindSetAdopted:     m.adopted,
+		waxwingseam.KindCallArrived:      m.calls.arrived,
+		waxwingseam.KindAttemptArrived:   m.runs.arrived,
+		waxwingseam.KindRunEnded:         m.runs.ended,
+		waxwingseam.KindAttemptCancelled: m.runs.cancelled,
+		waxwingseam.KindSetAdopted:       m.adopted,
 	}
 	m.effects = map[waxwingseam.Kind]func(time.Time, waxwingseam.Effect){
 		waxwingseam.KindDispatch:      m.calls.dispatched,
--- a/meter/runs.go
+++ b/meter/runs.go
@@ -48,6 +48,13 @@
 	}
 }
 
+// cancelled forgets a call that may have left the queue without an answer.
+func (m *runMetrics) cancelled(e waxwingseam.Event) {
+	if v, ok := e.(waxwingseam.AttemptCancelled); ok {
+		delete(m.waiting, v.ID)
+	}
+}
+
 func (m *runMetrics) ended(e waxwingseam.Event) {
 	if v, ok := e.(waxwingseam.RunEnded); ok {
 		m.seconds.WithLabelValues(v.Result.Outcome.String()).Observe(v.Elapsed.Seconds())
--- a/tracer/spans.go
+++ b/tracer/spans.go
@@ -110,12 +110,23 @@
 	}
 }
 
+// attemptCancelled ends the wait of a call that may have left the queue without
+// an answer.
+func (t *Tracer) attemptCancelled(e waxwingseam.Event) {
+	if v, ok := e.(waxwingseam.AttemptCancelled); ok {
+		t.end(v.Now, spanKey{call: v.ID, stage: stageQueue}, waxwingseam.Result{Reason: waxwingseam.ReasonCancelled})
+	}
+}
+
 func (t *Tracer) replied(now time.Time, e waxwingseam.Effect) {
 	v, ok := e.(waxwingseam.Reply)
 	if !ok {
 		return
 	}
-	t.end(now, spanKey{call: v.ID, attempt: v.Attempt, stage: stageAttempt}, v.Result)
+	// An attempt that was cancelled or fenced has no end of its own.
+	for n := waxwingseam.Attempt(1); n <= v.Attempt; n++ {
+		t.end(now, spanKey{call: v.ID, attempt: n, stage: stageAttempt}, v.Result)
+	}
 	t.end(now, spanKey{call: v.ID, stage: stageEdge}, v.Result)
 }
 
--- a/tracer/tracer.go
+++ b/tracer/tracer.go
@@ -76,10 +76,11 @@
 		open:     map[spanKey]api.Span{},
 	}
 	t.begin = map[waxwingseam.Kind]func(waxwingseam.Event){
-		waxwingseam.KindCallArrived:    t.callArrived,
-		waxwingseam.KindAttemptArrived: t.attemptArrived,
-		waxwingseam.KindAttemptEnded:   t.attemptEnded,
-		waxwingseam.KindRunEnded:       t.runEnded,
+		waxwingseam.KindCallArrived:      t.callArrived,
+		waxwingseam.KindAttemptArrived:   t.attemptArrived,
+		waxwingseam.KindAttemptEnded:     t.attemptEnded,
+		waxwingseam.KindAttemptCancelled: t.attemptCancelled,
+		waxwingseam.KindRunEnded:         t.runEnded,
 	}
 	t.effects = map[waxwingseam.Kind]func(time.Time, waxwingseam.Effect){
 		waxwingseam.KindDispatch:      t.dispatched,
--- a/tracer/tracer_test.go
+++ b/tracer/tracer_test.go
@@ -65,3 +65,24 @@
 	}
 	qt.Assert(t, sampled, qt.Equals, 300)
 }
+
+// TestSpansOfCancelledCallsEnd checks that nothing stays open of a call whose
+// first attempt was fenced, and whose second was cancelled in the queue.
+func TestSpansOfCancelledCallsEnd(t *testing.T) {
+	recorder := tracetest.NewSpanRecorder()
+	tracer := newTracer(sdk.NewTracerProvider(sdk.WithSpanProcessor(recorder), sdk.WithIDGenerator(generator{})))
+	stamp := waxwingseam.Stamp{Now: time.Unix(100, 0)}
+	id := waxwingseam.NewCallID(3, 4)
+	trace := NewTrace(waxwingseam.RootID{9}, wholePercent)
+	call := waxwingseam.Call{ID: id, Trace: trace}
+	tracer.Observe(
+		waxwingseam.CallArrived{Stamp: stamp, ID: id, Root: waxwingseam.RootID{9}, Trace: trace},
+		[]waxwingseam.Effect{waxwingseam.Dispatch{Call: call, Attempt: 1}},
+	)
+	tracer.Observe(waxwingseam.FenceAnswered{Stamp: stamp, ID: id, Attempt: 1}, []waxwingseam.Effect{waxwingseam.Dispatch{Call: call, Attempt: 2}})
+	tracer.Observe(waxwingseam.AttemptArrived{Stamp: stamp, Call: call, Attempt: 2}, nil)
+	tracer.Observe(waxwingseam.CallerLeft{Stamp: stamp, ID: id}, []waxwingseam.Effect{waxwingseam.Reply{ID: id, Attempt: 2}})
+	tracer.Observe(waxwingseam.AttemptCancelled{Stamp: stamp, ID: id, Attempt: 2}, nil)
+	qt.Assert(t, tracer.open, qt.HasLen, 0)
+	qt.Assert(t, recorder.Ended(), qt.HasLen, 4)
+}
