retrier: the retries of all nodes stay within a share of a sliding time

Ruled out: a budget shared by messages (late when it counts), a smaller saved-up budget (one bound for all deployments). A node's retry-window keeps its retries in any such time within its percent of the roots' calls and one. TestWindow goes over 20 seeds, TestWindowFloor fails without the rule.

--- a/assembler/node.go
+++ b/assembler/node.go
@@ -43,6 +43,8 @@
 	BadRequest func(waxwingseam.Reason)
 	// NearFirst keeps calls in the own data centre while there is room.
 	NearFirst bool
+	// RetryWindow is the sliding time of the retry budget; 0 for none.
+	RetryWindow time.Duration
 	// Interface is how callers and the backend server speak.
 	Interface Interface
 	// Seed starts the random words of the node's events.
@@ -96,7 +98,14 @@
 	n := &Node{
 		state: state,
 		Runner: runner.New(runner.Config{
-			Reducer:   reducer.New(reducer.Config{Self: config.Self, Workers: NewWorkers(WorkersConfig{Self: config.Self, NearFirst: config.NearFirst})}),
+			Reducer: reducer.New(reducer.Config{
+				Self: config.Self,
+				Workers: NewWorkers(WorkersConfig{
+					Self:        config.Self,
+					NearFirst:   config.NearFirst,
+					RetryWindow: config.RetryWindow,
+				}),
+			}),
 			Observers: append([]runner.Observer{state}, config.Observers...),
 			Seed:      config.Seed,
 		}),
--- a/assembler/process.go
+++ b/assembler/process.go
@@ -191,15 +191,16 @@
 	p.noticer = newNoticer()
 	p.entries = newEntryPoints()
 	node, err := NewNode(NodeConfig{
-		Self:       self,
-		Backend:    settings.BackendAddress,
-		Messenger:  p.messenger,
-		Dialer:     p.dialer,
-		Logger:     p.logger,
-		NewTrace:   p.newTrace,
-		BadRequest: p.meter.BadRequest,
-		Interface:  p.outside,
-		NearFirst:  settings.NearFirst,
+		Self:        self,
+		Backend:     settings.BackendAddress,
+		Messenger:   p.messenger,
+		Dialer:      p.dialer,
+		Logger:      p.logger,
+		NewTrace:    p.newTrace,
+		BadRequest:  p.meter.BadRequest,
+		Interface:   p.outside,
+		NearFirst:   settings.NearFirst,
+		RetryWindow: settings.RetryWindow,
 		Founding: founder.Client{
 			Control: p.settings.Process.ControlAddresses,
 			Dialer:  p.dialer,
--- a/assembler/workers.go
+++ b/assembler/workers.go
@@ -3,6 +3,8 @@
 package assembler
 
 import (
+	"time"
+
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/admitter"
 	"waxwingseam.example/waxwingseam/arbiter"
@@ -32,6 +34,8 @@
 	Self waxwingseam.Server
 	// NearFirst keeps calls in the own data centre while there is room.
 	NearFirst bool
+	// RetryWindow is the sliding time of the retry budget; 0 for none.
+	RetryWindow time.Duration
 }
 
 // Workers returns the default workers of a node.
@@ -74,7 +78,7 @@
 					DataCentre: self.DataCentre,
 					NearFirst:  config.NearFirst,
 				}),
-				Retrier: retrier.New(retrier.Config{}),
+				Retrier: retrier.New(retrier.Config{Window: config.RetryWindow}),
 				Tracker: runs,
 				Routers: []waxwingseam.PrioritizedRouter{{Router: keys}},
 			}),
--- a/dispatcher/outcome.go
+++ b/dispatcher/outcome.go
@@ -63,7 +63,7 @@
 func (d *dispatcher) complete(c *waxwingseam.Context, f *flight, a *attempt, result waxwingseam.Result) {
 	f.pot.Left += min(result.Unspent, a.share)
 	if result.Status < failureStatus {
-		d.Retrier.Succeeded(f.call.Service, f.limit)
+		d.Retrier.Succeeded(c, f.call, f.limit)
 	}
 	d.settle(c, f, a, proofNone, result)
 	d.reply(c, f, result)
--- a/loader/keys.go
+++ b/loader/keys.go
@@ -43,8 +43,8 @@
 	{sectionProcess, "telemetry-address", false, "", address(func(s *Settings) *netip.AddrPort { return &s.Process.TelemetryAddress })},
 	{sectionProcess, "interface", false, "", name(func(s *Settings, v string) { s.Process.Interface = v })},
 	{sectionProcess, "readiness-address", false, "", address(func(s *Settings) *netip.AddrPort { return &s.Process.ReadinessAddress })},
-	{sectionProcess, "drain-time", false, "", drainTime("drain-time", func(s *Settings) *time.Duration { return &s.Process.DrainTime })},
-	{sectionProcess, "drain-limit", false, "", drainTime("drain-limit", func(s *Settings) *time.Duration { return &s.Process.DrainLimit })},
+	{sectionProcess, "drain-time", false, "", upToMinute("drain-time", func(s *Settings) *time.Duration { return &s.Process.DrainTime })},
+	{sectionProcess, "drain-limit", false, "", upToMinute("drain-limit", func(s *Settings) *time.Duration { return &s.Process.DrainLimit })},
 	{sectionProcess, "memory-limit", false, "", parseMemoryLimit},
 	{sectionProcess, "control-addresses", true, "control-seeds", parseControlAddresses},
 	{sectionProcess, "control-seeds", false, "", parseControlSeeds},
@@ -59,6 +59,7 @@
 	{sectionNode, "outbound-address", true, "", parseOutbound},
 	{sectionNode, "heartbeat-address", false, "", address(func(s *Settings) *netip.AddrPort { return &s.Node.HeartbeatAddress })},
 	{sectionNode, "near-first", false, "", boolean("near-first", func(s *Settings) *bool { return &s.Node.NearFirst })},
+	{sectionNode, "retry-window", false, "", upToMinute("retry-window", func(s *Settings) *time.Duration { return &s.Node.RetryWindow })},
 	{sectionNode, "backend-address", true, "", address(func(s *Settings) *netip.AddrPort { return &s.Node.BackendAddress })},
 	{sectionControl, "replica", true, "tolerated-losses", name(func(s *Settings, v string) { s.Control.Replica = waxwingseam.ReplicaID(v) })},
 	{sectionControl, "voter", false, "", boolean("voter", func(s *Settings) *bool { return &s.Control.Voter })},
@@ -153,14 +154,14 @@
 	return nil
 }
 
-// maxDrainTime bounds the times of a drain.
-const maxDrainTime = time.Minute
+// maxTime bounds the times of a drain and of the retry budget.
+const maxTime = time.Minute
 
-func drainTime(key string, field func(s *Settings) *time.Duration) func(*Settings, string) error {
+func upToMinute(key string, field func(s *Settings) *time.Duration) func(*Settings, string) error {
 	return func(s *Settings, v string) error {
 		d, err := time.ParseDuration(v)
-		if err != nil || d < 0 || d > maxDrainTime {
-			return trace.BadParameter("%s is %q, want a time with its unit up to %v", key, v, maxDrainTime)
+		if err != nil || d < 0 || d > maxTime {
+			return trace.BadParameter("%s is %q, want a time with its unit up to %v", key, v, maxTime)
 		}
 		*field(s) = d
 		return nil
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -29,12 +29,18 @@
 	// Splitter splits an allowance between an attempt and its sender; Along
 	// when unset.
 	Splitter Splitter
+	// Window is the sliding time in which the retries of a service stay within
+	// their share of the roots' calls; 0 leaves only the budget that successes
+	// earn.
+	Window time.Duration
 }
 
 type retrier struct {
 	splitter Splitter
 	rules    []PrioritizedRule
 	budgets  map[waxwingseam.ServiceName]*budget
+	length   time.Duration
+	windows  map[waxwingseam.ServiceName]*window
 }
 
 // New returns a retrier with full budgets.
@@ -43,6 +49,8 @@
 		splitter: config.Splitter,
 		rules:    config.Rules,
 		budgets:  map[waxwingseam.ServiceName]*budget{},
+		length:   config.Window,
+		windows:  map[waxwingseam.ServiceName]*window{},
 	}
 	if r.splitter == nil {
 		r.splitter = Along{}
@@ -51,6 +59,9 @@
 		r.rules = DefaultRules()
 	}
 	r.rules = append(slices.Clone(r.rules), PrioritizedRule{priorityBudget, budgetRule{r}})
+	if r.length > 0 {
+		r.rules = append(r.rules, PrioritizedRule{priorityWindow, windowRule{r}})
+	}
 	slices.SortStableFunc(r.rules, func(a, b PrioritizedRule) int {
 		return cmp.Compare(a.Priority, b.Priority)
 	})
@@ -74,12 +85,27 @@
 		return waxwingseam.RetryAnswer{}
 	}
 	r.budget(q.Call.Service).spend()
+	if r.length > 0 {
+		r.window(q.Call.Service).at(c.Now, r.length).retries++
+	}
 	return waxwingseam.RetryAnswer{Retry: true, Delay: delay}
 }
 
 // Succeeded implements waxwingseam.Retrier.
-func (r *retrier) Succeeded(service waxwingseam.ServiceName, limit waxwingseam.RetryLimit) {
-	r.budget(service).earn(limit.BudgetPercent)
+func (r *retrier) Succeeded(c *waxwingseam.Context, call waxwingseam.Call, limit waxwingseam.RetryLimit) {
+	r.budget(call.Service).earn(limit.BudgetPercent)
+	if r.length > 0 && call.Parent.IsZero() {
+		r.window(call.Service).at(c.Now, r.length).calls++
+	}
+}
+
+func (r *retrier) window(service waxwingseam.ServiceName) *window {
+	w, ok := r.windows[service]
+	if !ok {
+		w = &window{}
+		r.windows[service] = w
+	}
+	return w
 }
 
 func (r *retrier) budget(service waxwingseam.ServiceName) *budget {
--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -65,7 +66,7 @@
 		r := retrier.New(retrier.Config{})
 		q := question()
 		for range v.successes {
-			r.Succeeded("fees", q.Limit)
+			r.Succeeded(context(1), q.Call, q.Limit)
 		}
 		retries := 0
 		for r.Decide(context(1), q).Retry {
@@ -90,7 +91,7 @@
 		var slots [10]int
 		for i := range uint64(calls) {
 			got := r.Decide(context(i), q)
-			r.Succeeded("fees", q.Limit)
+			r.Succeeded(context(1), q.Call, q.Limit)
 			slots[min(int(got.Delay*10/(2*mean)), 9)]++
 		}
 		for _, n := range slots {
@@ -106,3 +107,72 @@
 	fmt.Println(answer.Retry, answer.Delay)
 	// Output: true 0s
 }
+
+// TestWindow checks that the retries of a service stay within their share in
+// every window, also at the seams of its parts and after a calm that earned
+// many, and that calls made by runs earn none. The first node's bound is 1 and
+// 20 % of the roots' calls in the window and those of the one before.
+func TestWindow(t *testing.T) {
+	const length = 10 * time.Second
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		r := retrier.New(retrier.Config{Window: length})
+		q := question()
+		below := q.Call
+		below.Parent = waxwingseam.CallID{1}
+		c := waxwingseam.NewContext(waxwingseam.Server{})
+		var calls, retries []time.Time
+		now := start
+		for range 5000 {
+			now = now.Add(time.Duration(random.Int64N(int64(20 * time.Millisecond))))
+			c.Begin(waxwingseam.Stamp{Now: now, Random: random.Uint64()})
+			r.Succeeded(c, below, q.Limit)
+			// Calm and trouble take turns of 7 s.
+			if trouble := now.Sub(start)/(7*time.Second)%2 == 1; !trouble {
+				r.Succeeded(c, q.Call, q.Limit)
+				calls = append(calls, now)
+				continue
+			}
+			q.Call.Deadline = now.Add(time.Second)
+			if r.Decide(c, q).Retry {
+				retries = append(retries, now)
+			}
+		}
+		qt.Assert(t, len(retries) > 50, qt.IsTrue)
+		for i, first := range retries {
+			n := 0
+			for _, later := range retries[i:] {
+				if later.Sub(first) < length {
+					n++
+				}
+			}
+			earned := 0
+			for _, at := range calls {
+				if at.After(first.Add(-length)) && at.Before(first.Add(length)) {
+					earned++
+				}
+			}
+			qt.Assert(t, n <= 1+earned*q.Limit.BudgetPercent/100, qt.IsTrue, qt.Commentf("seed %d: %d retries, %d calls", seed, n, earned))
+		}
+	}
+}
+
+// TestWindowFloor checks that calls made by runs earn no retries beyond the
+// one of a rarely called service, and that it comes back.
+func TestWindowFloor(t *testing.T) {
+	r := retrier.New(retrier.Config{Window: 10 * time.Second})
+	q := question()
+	q.Call.Parent = waxwingseam.CallID{1}
+	q.Call.Deadline = start.Add(time.Hour)
+	c := context(1)
+	for range 1000 {
+		r.Succeeded(c, q.Call, q.Limit)
+	}
+	for i, v := range []struct {
+		after time.Duration
+		want  bool
+	}{{0, true}, {0, false}, {9 * time.Second, false}, {12 * time.Second, true}, {12 * time.Second, false}} {
+		c.Begin(waxwingseam.Stamp{Now: start.Add(v.after), Random: 1})
+		qt.Check(t, r.Decide(c, q).Retry, qt.Equals, v.want, qt.Commentf("%d", i))
+	}
+}
--- a/retrier/rules.go
+++ b/retrier/rules.go
@@ -10,6 +10,7 @@
 	priorityProof     = 400
 	priorityOverload  = 500
 	priorityBudget    = 600
+	priorityWindow    = 700
 )
 
 // DefaultRules returns the rules of a retrier, but for its own budget.
--- a/retry.go
+++ b/retry.go
@@ -31,6 +31,6 @@
 	// Decide answers whether to retry, and after which delay; a retry it allows
 	// is taken out of the target's budget.
 	Decide(c *Context, q RetryQuestion) RetryAnswer
-	// Succeeded counts a completed call of a service toward its budget.
-	Succeeded(service ServiceName, limit RetryLimit)
+	// Succeeded counts a completed call toward the budget of its service.
+	Succeeded(c *Context, call Call, limit RetryLimit)
 }
