dispatcher, retrier: a backend server's own failure is tried again where the limit says so

Cause: a whole answer ended a call whatever its status. Ruled out: trying again what has calls below it (each would repeat all of them at services with little room, and count there), what failed for a refusal below, 504 (the deadline), classes that may run once. A limit's failures = true; the failure is kept and given where no later attempt gets an answer.

--- a/checker/retrylimit.go
+++ b/checker/retrylimit.go
@@ -21,6 +21,7 @@
 		number("budget-percent", 0, maxBudgetPercent, 0, func(l *waxwingseam.RetryLimit) *int { return &l.BudgetPercent }),
 		duration("backoff", 0, maxBackoff, func(l *waxwingseam.RetryLimit) *time.Duration { return &l.Backoff }),
 		boolean("did-not-run-only", func(l *waxwingseam.RetryLimit) *bool { return &l.DidNotRunOnly }),
+		boolean("failures", func(l *waxwingseam.RetryLimit) *bool { return &l.Failures }),
 		number("redirects", 0, maxRedirects, 0, func(l *waxwingseam.RetryLimit) *int { return &l.Redirects }),
 	},
 	fresh:  func(name string) waxwingseam.RetryLimit { return waxwingseam.RetryLimit{Name: name} },
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -52,11 +52,15 @@
 	set := &waxwingseam.Set{Revision: 1, RetryLimits: []waxwingseam.RetryLimit{
 		{Name: "limit", Allowance: 2, BudgetPercent: 10},
 		{Name: "careful", Allowance: 2, BudgetPercent: 10, DidNotRunOnly: true},
+		{Name: "again", Allowance: 2, BudgetPercent: 10, Failures: true},
 	}}
-	for name, repeat := range map[waxwingseam.ServiceName]waxwingseam.Repeat{"ledger": waxwingseam.RepeatNever, "fees": waxwingseam.RepeatIdempotent, "images": waxwingseam.RepeatIdempotent} {
+	for name, repeat := range map[waxwingseam.ServiceName]waxwingseam.Repeat{"ledger": waxwingseam.RepeatNever, "fees": waxwingseam.RepeatIdempotent, "images": waxwingseam.RepeatIdempotent, "photos": waxwingseam.RepeatIdempotent} {
 		limit := "limit"
-		if name == "images" {
+		switch name {
+		case "images":
 			limit = "careful"
+		case "photos":
+			limit = "again"
 		}
 		set.Services = append(set.Services, waxwingseam.Service{Name: name})
 		set.RequestClasses = append(set.RequestClasses, waxwingseam.RequestClass{
--- a/dispatcher/flight.go
+++ b/dispatcher/flight.go
@@ -23,6 +23,10 @@
 	redirecting bool
 	// last is the result of the last attempt that ended.
 	last waxwingseam.Result
+	// failed is the last failure that a backend server answered itself, and by
+	// which attempt; 0 for none. It is given where a later attempt gets no answer.
+	failed   waxwingseam.Result
+	failedBy waxwingseam.Attempt
 }
 
 // proof is what is known of whether an attempt ran.
--- a/dispatcher/outcome.go
+++ b/dispatcher/outcome.go
@@ -66,7 +66,13 @@
 		d.Retrier.Succeeded(c, f.call, f.limit)
 	}
 	d.settle(c, f, a, proofNone, result)
-	d.reply(c, f, result)
+	if result.Status >= failureStatus {
+		f.failed, f.failedBy = result, a.number
+		if d.retry(c, f, a, result) {
+			return
+		}
+	}
+	d.reply(c, f, result, a.number)
 }
 
 // doubt handles an attempt that may have run: it is taken up again where the
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -76,29 +76,37 @@
 		return
 	}
 	f.redirecting = false
-	answer := waxwingseam.RetryAnswer{}
-	if f.repeatable() && f.pot.Left > 0 {
-		answer = d.Retrier.Decide(c, waxwingseam.RetryQuestion{
-			Call:       f.call,
-			Attempt:    a.number,
-			Result:     result,
-			Limit:      f.limit,
-			Left:       f.pot.Left,
-			Replayable: f.replayable,
-			Overloaded: d.Balancer.Overloaded(c, f.call.Service),
-		})
+	if !d.retry(c, f, a, result) {
+		d.finish(c, f, result)
 	}
+}
+
+// retry follows an ended attempt with another one where that is allowed, and
+// reports whether it does.
+func (d *dispatcher) retry(c *waxwingseam.Context, f *flight, a *attempt, result waxwingseam.Result) bool {
+	if !f.repeatable() || f.pot.Left == 0 {
+		return false
+	}
+	answer := d.Retrier.Decide(c, waxwingseam.RetryQuestion{
+		Call:       f.call,
+		Attempt:    a.number,
+		Result:     result,
+		Limit:      f.limit,
+		Left:       f.pot.Left,
+		Replayable: f.replayable,
+		Overloaded: d.Balancer.Overloaded(c, f.call.Service),
+	})
 	if !answer.Retry {
-		d.finish(c, f, result)
-		return
+		return false
 	}
 	f.pot.Spend()
 	if answer.Delay <= 0 {
 		d.send(c, f)
-		return
+		return true
 	}
 	f.backingOff = true
 	c.Emit(waxwingseam.ArmTimer{Timer: retryTimer(f.call.ID), At: c.Now.Add(answer.Delay)})
+	return true
 }
 
 // redirects reports whether a call that no backend server was handed goes to
@@ -143,12 +151,16 @@
 		c.Emit(waxwingseam.CancelAttempt{ID: f.call.ID, Attempt: a.number})
 		d.settle(c, f, a, proofNone, waxwingseam.Result{Outcome: waxwingseam.OutcomeMayHaveRun, Reason: result.Reason})
 	}
+	if f.failedBy > 0 && result.Reason != waxwingseam.ReasonCancelled {
+		d.reply(c, f, f.failed, f.failedBy)
+		return
+	}
 	result.Outcome = f.outcome()
-	d.reply(c, f, result)
+	d.reply(c, f, result, waxwingseam.Attempt(len(f.attempts)))
 }
 
-// reply answers a call and forgets it.
-func (d *dispatcher) reply(c *waxwingseam.Context, f *flight, result waxwingseam.Result) {
+// reply answers a call with an attempt's result and forgets it.
+func (d *dispatcher) reply(c *waxwingseam.Context, f *flight, result waxwingseam.Result, by waxwingseam.Attempt) {
 	id := f.call.ID
 	if len(f.attempts) > 0 {
 		c.Emit(waxwingseam.StopTimer{Timer: deadlineTimer(id)})
@@ -158,7 +170,7 @@
 	}
 	c.Emit(waxwingseam.Reply{
 		ID:      id,
-		Attempt: waxwingseam.Attempt(len(f.attempts)),
+		Attempt: by,
 		Result:  result,
 	})
 	if !f.call.Parent.IsZero() && (result.RefusedBelow || refusedForRoom(result)) {
--- a/experimenter/records.go
+++ b/experimenter/records.go
@@ -103,3 +103,6 @@
 
 // RefusedBelow implements waxwingseam.Tracker.
 func (f *families) RefusedBelow(waxwingseam.CallID) bool { return false }
+
+// MadeCalls implements waxwingseam.Tracker.
+func (f *families) MadeCalls(waxwingseam.CallID) bool { return false }
--- a/object.go
+++ b/object.go
@@ -118,6 +118,9 @@
 	Backoff time.Duration
 	// DidNotRunOnly keeps retries to attempts that did not run, by proof.
 	DidNotRunOnly bool
+	// Failures lets calls be tried again that the backend server answered with a
+	// failure of its own.
+	Failures bool
 	// Redirects bounds the attempts that follow one which no backend server was
 	// handed; they draw no allowance.
 	Redirects int
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -304,6 +304,7 @@
 	result := e.Result
 	result.Unspent = r.tracker.Unspent(e.ID)
 	result.RefusedBelow = r.tracker.RefusedBelow(e.ID)
+	result.MadeCalls = r.tracker.MadeCalls(e.ID)
 	result.Reached = true
 	if !r.deduplicator.Finish(c, e.ID, result) {
 		c.Emit(waxwingseam.ForgetRun{ID: e.ID})
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -75,6 +75,8 @@
 func (p *purse) Begin(call waxwingseam.Call)          { p.calls[call.ID] = call }
 func (p *purse) RefusedBelow(waxwingseam.CallID) bool { return false }
 
+func (p *purse) MadeCalls(waxwingseam.CallID) bool { return false }
+
 func (p *purse) Origin(e waxwingseam.CallArrived) waxwingseam.CallID { return e.Parent }
 
 func (p *purse) Unspent(id waxwingseam.CallID) waxwingseam.Allowance {
--- a/retrier/rules.go
+++ b/retrier/rules.go
@@ -1,12 +1,17 @@
 package retrier
 
-import "waxwingseam.example/waxwingseam"
+import (
+	"net/http"
+
+	"waxwingseam.example/waxwingseam"
+)
 
 // The places of the default rules.
 const (
 	priorityReplay    = 100
 	priorityAllowance = 200
 	priorityReason    = 300
+	priorityFailure   = 350
 	priorityProof     = 400
 	priorityOverload  = 500
 	priorityBudget    = 600
@@ -19,6 +24,7 @@
 		{priorityReplay, replayRule{}},
 		{priorityAllowance, allowanceRule{}},
 		{priorityReason, reasonRule{}},
+		{priorityFailure, failureRule{}},
 		{priorityProof, proofRule{}},
 		{priorityOverload, overloadRule{}},
 	}
@@ -54,6 +60,28 @@
 	return false
 }
 
+// failureRule forbids a retry of what a backend server answered itself, unless
+// the limit lets failures be tried again. Load pattern: servers that fail a
+// share of their requests while their health check is good. Where a call below
+// was refused, another attempt would meet the same refusal; where the run made
+// calls, another would make them all again.
+type failureRule struct{}
+
+// Forbids implements Rule.
+func (failureRule) Forbids(_ *waxwingseam.Context, q waxwingseam.RetryQuestion) bool {
+	if !q.Result.Completed() {
+		return false
+	}
+	if !q.Limit.Failures || q.Result.RefusedBelow || q.Result.MadeCalls {
+		return true
+	}
+	switch q.Result.Status {
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable:
+		return false
+	}
+	return true
+}
+
 // proofRule forbids a retry of a not-repeatable call that may have run.
 type proofRule struct{}
 
--- a/run.go
+++ b/run.go
@@ -27,6 +27,8 @@
 	Refuse(parent CallID)
 	// RefusedBelow reports whether that was noted.
 	RefusedBelow(id CallID) bool
+	// MadeCalls reports whether a live run has made calls.
+	MadeCalls(id CallID) bool
 	// Parent returns the call of a live run.
 	Parent(id CallID) (Call, bool)
 	// Open records a child call of a live run and returns the run's pot, which
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -18,6 +18,8 @@
 	children []waxwingseam.CallID
 	// refused is set once a call further down was refused.
 	refused bool
+	// made is set once the run has made a call.
+	made bool
 }
 
 type tracker struct {
@@ -63,6 +65,12 @@
 	return ok && r.refused
 }
 
+// MadeCalls implements waxwingseam.Tracker.
+func (t *tracker) MadeCalls(id waxwingseam.CallID) bool {
+	r, ok := t.runs[id]
+	return ok && r.made
+}
+
 // Parent implements waxwingseam.Tracker.
 func (t *tracker) Parent(id waxwingseam.CallID) (waxwingseam.Call, bool) {
 	r, ok := t.runs[id]
@@ -78,6 +86,7 @@
 	if !ok {
 		return &waxwingseam.Pot{}
 	}
+	r.made = true
 	r.children = append(r.children, child)
 	return &r.pot
 }
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -35,3 +35,14 @@
 	qt.Assert(t, runs.Unspent(id(1)), qt.Equals, waxwingseam.Allowance(0))
 	qt.Assert(t, runs.End(id(1)), qt.HasLen, 0)
 }
+
+func TestMadeCalls(t *testing.T) {
+	runs := tracker.New(tracker.Config{})
+	runs.Begin(waxwingseam.Call{ID: id(1)})
+	qt.Assert(t, runs.MadeCalls(id(1)), qt.IsFalse)
+	runs.Open(id(1), id(2))
+	runs.Close(id(1), id(2))
+	qt.Assert(t, runs.MadeCalls(id(1)), qt.IsTrue)
+	runs.End(id(1))
+	qt.Assert(t, runs.MadeCalls(id(1)), qt.IsFalse)
+}
