retrier: no allowance goes along with calls of classes that make no calls

Ruled out: Half and KeepOne, which weaken chains (BenchmarkSplit). A class of which 20 runs in a row made no calls keeps its allowance at the sender.

--- a/dispatcher/outcome.go
+++ b/dispatcher/outcome.go
@@ -62,9 +62,7 @@
 
 func (d *dispatcher) complete(c *waxwingseam.Context, f *flight, a *attempt, result waxwingseam.Result) {
 	f.pot.Left += min(result.Unspent, a.share)
-	if result.Status < failureStatus {
-		d.Retrier.Succeeded(c, f.call, f.limit)
-	}
+	d.Retrier.Completed(c, f.call, result, f.limit)
 	d.settle(c, f, a, proofNone, result)
 	if result.Status >= failureStatus {
 		f.failed, f.failedBy = result, a.number
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -19,7 +19,7 @@
 		d.unsent(c, f, choice)
 		return
 	}
-	share := min(d.Retrier.Split(f.pot.Left), f.pot.Left)
+	share := min(d.Retrier.Split(f.call, f.pot.Left), f.pot.Left)
 	f.pot.Left -= share
 	number := waxwingseam.Attempt(len(f.attempts) + 1)
 	if number == 1 {
--- a/dispatcher/world_test.go
+++ b/dispatcher/world_test.go
@@ -339,7 +339,10 @@
 		case w.chance(w.faults.fail):
 			h.finish(r, waxwingseam.Result{Outcome: waxwingseam.OutcomeMayHaveRun, Reason: waxwingseam.ReasonServerFailed, Reached: true})
 		case len(groups) == 0 || r.failed:
-			result := waxwingseam.Result{Outcome: waxwingseam.OutcomeCompleted, Status: 200, Reached: true}
+			result := waxwingseam.Result{
+				Outcome: waxwingseam.OutcomeCompleted, Status: 200, Reached: true,
+				MadeCalls: h.tracker.MadeCalls(r.call.ID),
+			}
 			if r.failed {
 				result.Status = 502
 			}
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -41,6 +41,8 @@
 	budgets  map[waxwingseam.ServiceName]*budget
 	length   time.Duration
 	windows  map[waxwingseam.ServiceName]*window
+	// alone counts, for each class, the runs in a row that made no calls.
+	alone map[waxwingseam.ClassName]int
 }
 
 // New returns a retrier with full budgets.
@@ -51,6 +53,7 @@
 		budgets:  map[waxwingseam.ServiceName]*budget{},
 		length:   config.Window,
 		windows:  map[waxwingseam.ServiceName]*window{},
+		alone:    map[waxwingseam.ClassName]int{},
 	}
 	if r.splitter == nil {
 		r.splitter = Along{}
@@ -69,7 +72,10 @@
 }
 
 // Split implements waxwingseam.Retrier.
-func (r *retrier) Split(in waxwingseam.Allowance) waxwingseam.Allowance {
+func (r *retrier) Split(call waxwingseam.Call, in waxwingseam.Allowance) waxwingseam.Allowance {
+	if r.leaf(call.Class) {
+		return 0
+	}
 	return min(r.splitter.Split(in), in)
 }
 
@@ -91,8 +97,12 @@
 	return waxwingseam.RetryAnswer{Retry: true, Delay: delay}
 }
 
-// Succeeded implements waxwingseam.Retrier.
-func (r *retrier) Succeeded(c *waxwingseam.Context, call waxwingseam.Call, limit waxwingseam.RetryLimit) {
+// Completed implements waxwingseam.Retrier.
+func (r *retrier) Completed(c *waxwingseam.Context, call waxwingseam.Call, result waxwingseam.Result, limit waxwingseam.RetryLimit) {
+	r.learn(call.Class, result)
+	if result.Status >= failureStatus {
+		return
+	}
 	r.budget(call.Service).earn(limit.BudgetPercent)
 	if r.length > 0 && call.Parent.IsZero() {
 		r.window(call.Service).at(c.Now, r.length).calls++
--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -14,6 +14,9 @@
 
 var start = time.Date(2026, 1, 1, 6, 0, 0, 0, time.UTC)
 
+// success is a call that the backend server did.
+var success = waxwingseam.Result{Outcome: waxwingseam.OutcomeCompleted, Status: 200, Reached: true}
+
 // question is one whose answer is a retry at once.
 func question() waxwingseam.RetryQuestion {
 	return waxwingseam.RetryQuestion{
@@ -66,7 +69,7 @@
 		r := retrier.New(retrier.Config{})
 		q := question()
 		for range v.successes {
-			r.Succeeded(context(1), q.Call, q.Limit)
+			r.Completed(context(1), q.Call, success, q.Limit)
 		}
 		retries := 0
 		for r.Decide(context(1), q).Retry {
@@ -91,7 +94,7 @@
 		var slots [10]int
 		for i := range uint64(calls) {
 			got := r.Decide(context(i), q)
-			r.Succeeded(context(1), q.Call, q.Limit)
+			r.Completed(context(1), q.Call, success, q.Limit)
 			slots[min(int(got.Delay*10/(2*mean)), 9)]++
 		}
 		for _, n := range slots {
@@ -126,10 +129,10 @@
 		for range 5000 {
 			now = now.Add(time.Duration(random.Int64N(int64(20 * time.Millisecond))))
 			c.Begin(waxwingseam.Stamp{Now: now, Random: random.Uint64()})
-			r.Succeeded(c, below, q.Limit)
+			r.Completed(c, below, success, q.Limit)
 			// Calm and trouble take turns of 7 s.
 			if trouble := now.Sub(start)/(7*time.Second)%2 == 1; !trouble {
-				r.Succeeded(c, q.Call, q.Limit)
+				r.Completed(c, q.Call, success, q.Limit)
 				calls = append(calls, now)
 				continue
 			}
@@ -166,7 +169,7 @@
 	q.Call.Deadline = start.Add(time.Hour)
 	c := context(1)
 	for range 1000 {
-		r.Succeeded(c, q.Call, q.Limit)
+		r.Completed(c, q.Call, success, q.Limit)
 	}
 	for i, v := range []struct {
 		after time.Duration
@@ -176,3 +179,24 @@
 		qt.Check(t, r.Decide(c, q).Retry, qt.Equals, v.want, qt.Commentf("%d", i))
 	}
 }
+
+// TestLeavesTakeNoAllowance checks that no allowance goes along with the calls
+// of a class once its runs were seen to make none, and that it does again after
+// one that made some.
+func TestLeavesTakeNoAllowance(t *testing.T) {
+	r := retrier.New(retrier.Config{})
+	q := question()
+	q.Call.Class = "leaf"
+	qt.Assert(t, r.Split(q.Call, 2), qt.Equals, waxwingseam.Allowance(2))
+	for range 20 {
+		r.Completed(context(1), q.Call, success, q.Limit)
+	}
+	qt.Assert(t, r.Split(q.Call, 2), qt.Equals, waxwingseam.Allowance(0))
+	other := q.Call
+	other.Class = "browse"
+	qt.Assert(t, r.Split(other, 2), qt.Equals, waxwingseam.Allowance(2))
+	made := success
+	made.MadeCalls = true
+	r.Completed(context(1), q.Call, made, q.Limit)
+	qt.Assert(t, r.Split(q.Call, 2), qt.Equals, waxwingseam.Allowance(2))
+}
--- a/retry.go
+++ b/retry.go
@@ -25,12 +25,13 @@
 
 // Retrier decides on retries and keeps the budget of each target service.
 type Retrier interface {
-	// Split returns the part of an allowance that goes along with an attempt;
-	// the rest stays with the sender.
-	Split(in Allowance) Allowance
+	// Split returns the part of an allowance that goes along with an attempt of
+	// a call; the rest stays with the sender.
+	Split(call Call, in Allowance) Allowance
 	// Decide answers whether to retry, and after which delay; a retry it allows
 	// is taken out of the target's budget.
 	Decide(c *Context, q RetryQuestion) RetryAnswer
-	// Succeeded counts a completed call toward the budget of its service.
-	Succeeded(c *Context, call Call, limit RetryLimit)
+	// Completed takes in the whole answer of a call: a success counts toward the
+	// budget of its service.
+	Completed(c *Context, call Call, result Result, limit RetryLimit)
 }
