budgeter, retrier, tracker: retries are paid for where they arrive

Now: a call says whether a backend server may have been handed it or one above it; the receiving node admits such calls within its share of slack and ratio (retry-ratio, retry-slack); over it, the call goes to another server; leaves have an allowance of their own (call-allowance); a retry of what may have run costs the calls below it as well. The window at the senders is gone.

assembler: a process leaves before the kill although others keep streams open

--- a/assembler/node.go
+++ b/assembler/node.go
@@ -42,9 +42,8 @@
 	// nobody.
 	BadRequest func(waxwingseam.Reason)
 	// NearFirst keeps calls in the own data centre while there is room.
-	NearFirst bool
-	// RetryWindow is the sliding time of the retry budget; 0 for none.
-	RetryWindow time.Duration
+	NearFirst   bool
+	RetryBudget waxwingseam.RetryBudget
 	// Interface is how callers and the backend server speak.
 	Interface Interface
 	// Seed starts the random words of the node's events.
@@ -103,7 +102,7 @@
 				Workers: NewWorkers(WorkersConfig{
 					Self:        config.Self,
 					NearFirst:   config.NearFirst,
-					RetryWindow: config.RetryWindow,
+					RetryBudget: config.RetryBudget,
 				}),
 			}),
 			Observers: append([]runner.Observer{state}, config.Observers...),
--- a/assembler/process.go
+++ b/assembler/process.go
@@ -200,7 +200,7 @@
 		BadRequest:  p.meter.BadRequest,
 		Interface:   p.outside,
 		NearFirst:   settings.NearFirst,
-		RetryWindow: settings.RetryWindow,
+		RetryBudget: settings.RetryBudget,
 		Founding: founder.Client{
 			Control: p.settings.Process.ControlAddresses,
 			Dialer:  p.dialer,
--- a/assembler/serving.go
+++ b/assembler/serving.go
@@ -42,14 +42,54 @@
 		defer cancel()
 		return p.waitForStop(ctx, stop)
 	})
-	err := trace.NewAggregate(group.Wait(), hangUp())
-	p.close()
+	err := beforeKill(stop, p.settings.Process.DrainLimit, func() error {
+		err := trace.NewAggregate(group.Wait(), hangUp())
+		p.close()
+		return err
+	})
 	if errors.Is(err, context.Canceled) {
+		err = nil
+	}
+	p.logger.Part("process").Info("stopped", "cause", err)
+	if errors.Is(err, errConnectionsOpen) {
 		return nil
 	}
 	return trace.Wrap(err)
 }
 
+// exitMargin is how long before the limit a process exits that still waits for
+// others: the last log lines go out in it.
+const exitMargin = 200 * time.Millisecond
+
+// errConnectionsOpen says that a process left without closing its connections
+// in order.
+var errConnectionsOpen = trace.LimitExceeded("connections were still open shortly before the kill")
+
+// beforeKill returns what leave returns, or errConnectionsOpen shortly before
+// the limit after the request to stop, 0 for no limit. A stream that another
+// process does not end must not keep this one.
+func beforeKill(stop context.Context, limit time.Duration, leave func() error) error {
+	left := make(chan error, 1)
+	go func() { left <- leave() }()
+	var kill <-chan time.Time
+	stopped := stop.Done()
+	for {
+		select {
+		case err := <-left:
+			return err
+		case <-stopped:
+			stopped = nil
+			if limit > 0 {
+				timer := time.NewTimer(max(limit-exitMargin, 0))
+				defer timer.Stop()
+				kill = timer.C
+			}
+		case <-kill:
+			return errConnectionsOpen
+		}
+	}
+}
+
 // serveMessenger serves other processes until the returned function is called,
 // so that a replica can still hand over and a node announce that it leaves. A
 // failure ends the process.
--- a/assembler/workers.go
+++ b/assembler/workers.go
@@ -3,12 +3,11 @@
 package assembler
 
 import (
-	"time"
-
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/admitter"
 	"waxwingseam.example/waxwingseam/arbiter"
 	"waxwingseam.example/waxwingseam/balancer"
+	"waxwingseam.example/waxwingseam/budgeter"
 	"waxwingseam.example/waxwingseam/classifier"
 	"waxwingseam.example/waxwingseam/deduplicator"
 	"waxwingseam.example/waxwingseam/dispatcher"
@@ -33,9 +32,8 @@
 type WorkersConfig struct {
 	Self waxwingseam.Server
 	// NearFirst keeps calls in the own data centre while there is room.
-	NearFirst bool
-	// RetryWindow is the sliding time of the retry budget; 0 for none.
-	RetryWindow time.Duration
+	NearFirst   bool
+	RetryBudget waxwingseam.RetryBudget
 }
 
 // Workers returns the default workers of a node.
@@ -63,6 +61,7 @@
 				Deduplicator: records,
 				Drainer:      drains,
 				Tracker:      runs,
+				Gate:         budgeter.New(budgeter.Config{Budget: config.RetryBudget}),
 			}),
 		},
 		{
@@ -78,7 +77,7 @@
 					DataCentre: self.DataCentre,
 					NearFirst:  config.NearFirst,
 				}),
-				Retrier: retrier.New(retrier.Config{Window: config.RetryWindow}),
+				Retrier: retrier.New(retrier.Config{}),
 				Tracker: runs,
 				Routers: []waxwingseam.PrioritizedRouter{{Router: keys}},
 			}),
--- a/call.go
+++ b/call.go
@@ -26,6 +26,9 @@
 	Deadline time.Time
 	// Allowance is what the call and all below it may still spend on retries.
 	Allowance Allowance
+	// Repeated is set when a backend server may have been handed the call, or one
+	// above it, before.
+	Repeated bool
 	// Key is the caller's idempotency key; empty without one.
 	Key string
 	// Resumed is set when an attempt goes on over a fresh connection, so that
--- a/checker/retrylimit.go
+++ b/checker/retrylimit.go
@@ -17,7 +17,8 @@
 var retryLimit = &kindOf[waxwingseam.RetryLimit]{
 	name: waxwingseam.KindRetryLimit,
 	fields: []field[waxwingseam.RetryLimit]{
-		required(allowance()),
+		required(allowance("allowance", func(l *waxwingseam.RetryLimit) *waxwingseam.Allowance { return &l.Allowance })),
+		allowance("call-allowance", func(l *waxwingseam.RetryLimit) *waxwingseam.Allowance { return &l.CallAllowance }),
 		number("budget-percent", 0, maxBudgetPercent, 0, func(l *waxwingseam.RetryLimit) *int { return &l.BudgetPercent }),
 		duration("backoff", 0, maxBackoff, func(l *waxwingseam.RetryLimit) *time.Duration { return &l.Backoff }),
 		boolean("did-not-run-only", func(l *waxwingseam.RetryLimit) *bool { return &l.DidNotRunOnly }),
@@ -29,20 +30,23 @@
 	list:   func(set *waxwingseam.Set) *[]waxwingseam.RetryLimit { return &set.RetryLimits },
 }
 
-func allowance() field[waxwingseam.RetryLimit] {
+func allowance(key string, part func(l *waxwingseam.RetryLimit) *waxwingseam.Allowance) field[waxwingseam.RetryLimit] {
 	return field[waxwingseam.RetryLimit]{
-		key: "allowance",
+		key: key,
 		read: func(l *waxwingseam.RetryLimit, text string) error {
 			var n int
-			whole := number("allowance", 0, maxAllowance, 0, func(*waxwingseam.RetryLimit) *int { return &n })
+			whole := number(key, 0, maxAllowance, 0, func(*waxwingseam.RetryLimit) *int { return &n })
 			if err := whole.read(l, text); err != nil {
 				return err
 			}
-			l.Allowance = waxwingseam.Allowance(n)
+			*part(l) = waxwingseam.Allowance(n)
 			return nil
 		},
 		write: func(l *waxwingseam.RetryLimit) string {
-			return strconv.Itoa(int(l.Allowance))
+			if n := int(*part(l)); n > 0 || key == "allowance" {
+				return strconv.Itoa(n)
+			}
+			return ""
 		},
 	}
 }
--- a/dispatcher/arrival.go
+++ b/dispatcher/arrival.go
@@ -110,12 +110,17 @@
 	f.call.Parent = parent.ID
 	f.call.Rank = parent.Rank
 	f.call.Depth = parent.Depth + 1
+	f.repeated = parent.Repeated
 	f.call.Deadline = parent.Deadline
 	f.shortenDeadline(c, e.Timeout)
 	if class.Host != "" {
 		f.shortenDeadline(c, class.Deadline)
 	}
 	f.pot = d.Tracker.Open(parent.ID, e.ID)
+	// Retries of a leaf are one attempt each: they multiply nothing further down.
+	if f.limit.CallAllowance > 0 && d.Retrier.Leaf(class.Name) {
+		f.pot = &waxwingseam.Pot{Left: f.limit.CallAllowance}
+	}
 	return waxwingseam.ReasonNone
 }
 
--- a/dispatcher/flight.go
+++ b/dispatcher/flight.go
@@ -21,6 +21,8 @@
 	// while the next one is such.
 	redirects   int
 	redirecting bool
+	// repeated is set once a backend server may have been handed the call.
+	repeated bool
 	// last is the result of the last attempt that ended.
 	last waxwingseam.Result
 	// failed is the last failure that a backend server answered itself, and by
--- a/dispatcher/outcome.go
+++ b/dispatcher/outcome.go
@@ -66,6 +66,7 @@
 	d.settle(c, f, a, proofNone, result)
 	if result.Status >= failureStatus {
 		f.failed, f.failedBy = result, a.number
+		f.repeated = true
 		if d.retry(c, f, a, result) {
 			return
 		}
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -34,6 +34,7 @@
 	})
 	call := f.call
 	call.Allowance = share
+	call.Repeated = f.repeated
 	c.Emit(waxwingseam.Dispatch{Call: call, Attempt: number, Server: choice.Server})
 }
 
@@ -68,7 +69,11 @@
 
 // proceed follows a settled attempt with another one or with the answer.
 func (d *dispatcher) proceed(c *waxwingseam.Context, f *flight, a *attempt, result waxwingseam.Result) {
-	f.last = result
+	if result.Reason != waxwingseam.ReasonRetryBudget || f.last.Reason == waxwingseam.ReasonNone {
+		// Why the attempt before failed tells more than that it can't be repeated.
+		f.last = result
+	}
+	f.repeated = f.repeated || !notHandedOver(result)
 	if d.redirects(c, f, result) {
 		f.redirects++
 		f.redirecting = true
@@ -77,7 +82,7 @@
 	}
 	f.redirecting = false
 	if !d.retry(c, f, a, result) {
-		d.finish(c, f, result)
+		d.finish(c, f, f.last)
 	}
 }
 
@@ -115,7 +120,9 @@
 	if f.redirects >= f.limit.Redirects || !f.replayable || !notHandedOver(result) {
 		return false
 	}
-	return f.outcome() == waxwingseam.OutcomeDidNotRun && !d.Balancer.Overloaded(c, f.call.Service)
+	fresh := f.outcome() == waxwingseam.OutcomeDidNotRun
+	overBudget := result.Reason == waxwingseam.ReasonRetryBudget && f.repeatable()
+	return (fresh || overBudget) && !d.Balancer.Overloaded(c, f.call.Service)
 }
 
 // notHandedOver reports whether a result shows that a node refused a call, or
@@ -127,7 +134,7 @@
 	switch result.Reason {
 	case waxwingseam.ReasonConnectionFailed, waxwingseam.ReasonDraining, waxwingseam.ReasonUnknownService,
 		waxwingseam.ReasonIncarnation, waxwingseam.ReasonFenced, waxwingseam.ReasonOverloaded,
-		waxwingseam.ReasonEvicted, waxwingseam.ReasonWaitLimit:
+		waxwingseam.ReasonEvicted, waxwingseam.ReasonWaitLimit, waxwingseam.ReasonRetryBudget:
 		return true
 	}
 	return false
@@ -176,6 +183,7 @@
 	if !f.call.Parent.IsZero() && (result.RefusedBelow || refusedForRoom(result)) {
 		d.Tracker.Refuse(f.call.Parent)
 	}
+	d.Tracker.Count(f.call.Parent, result.CallsBelow)
 	d.Tracker.Close(f.call.Parent, id)
 	if key, ok := f.rootKey(); ok {
 		d.keys.close(key, c.Now)
--- a/dispatcher/world_test.go
+++ b/dispatcher/world_test.go
@@ -341,7 +341,7 @@
 		case len(groups) == 0 || r.failed:
 			result := waxwingseam.Result{
 				Outcome: waxwingseam.OutcomeCompleted, Status: 200, Reached: true,
-				MadeCalls: h.tracker.MadeCalls(r.call.ID),
+				CallsBelow: h.tracker.CallsBelow(r.call.ID),
 			}
 			if r.failed {
 				result.Status = 502
--- a/experimenter/records.go
+++ b/experimenter/records.go
@@ -104,5 +104,8 @@
 // RefusedBelow implements waxwingseam.Tracker.
 func (f *families) RefusedBelow(waxwingseam.CallID) bool { return false }
 
-// MadeCalls implements waxwingseam.Tracker.
-func (f *families) MadeCalls(waxwingseam.CallID) bool { return false }
+// Count implements waxwingseam.Tracker.
+func (f *families) Count(waxwingseam.CallID, uint32) {}
+
+// CallsBelow implements waxwingseam.Tracker.
+func (f *families) CallsBelow(waxwingseam.CallID) uint32 { return 0 }
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -169,5 +169,6 @@
 	waxwingseam.ReasonServerFailed:     "the backend server broke off, or its answer was not the request's own",
 	waxwingseam.ReasonServerRefused:    "the backend server refused it, full or late",
 	waxwingseam.ReasonServerReplaced:   "another backend server has the address now",
+	waxwingseam.ReasonRetryBudget:      "too many calls of the service were repeated to repeat this one",
 	waxwingseam.ReasonCancelled:        "the caller left, or the run that made the call ended",
 }
--- a/forwarder/frame.go
+++ b/forwarder/frame.go
@@ -82,6 +82,8 @@
 	Relayed bool `cbor:"24,keyasint,omitempty"`
 	// RequestID is the caller's own identifier of the request.
 	RequestID string `cbor:"25,keyasint,omitempty"`
+	// Repeated is set when a backend server may have been handed the call before.
+	Repeated bool `cbor:"26,keyasint,omitempty"`
 	// Host is the host that the caller named.
 	Host string `cbor:"23,keyasint,omitempty"`
 }
@@ -114,6 +116,7 @@
 		Left:      call.Deadline.Sub(now),
 		Deadline:  call.Deadline,
 		Retries:   call.Allowance,
+		Repeated:  call.Repeated,
 		Key:       call.Key,
 		Revision:  call.Revision,
 		Attempt:   attempt,
@@ -145,6 +148,7 @@
 		Deadline:  o.deadline(now),
 		Resumed:   o.Resumed,
 		Allowance: o.Retries,
+		Repeated:  o.Repeated,
 		Key:       o.Key,
 		Revision:  o.Revision,
 		Trace:     o.Trace,
--- a/forwarder/problem.go
+++ b/forwarder/problem.go
@@ -57,6 +57,7 @@
 	waxwingseam.ReasonFenced:           "The request was kept from starting",
 	waxwingseam.ReasonIncarnation:      "The node has been restarted",
 	waxwingseam.ReasonKeyConflict:      "The idempotency key is in use",
+	waxwingseam.ReasonRetryBudget:      "Too many requests were repeated",
 	waxwingseam.ReasonCancelled:        "The request was cancelled",
 	waxwingseam.ReasonDigestMismatch:   "The reply was not whole",
 	waxwingseam.ReasonReplyNotKept:     "The request has run and its reply is kept no more",
--- a/loader/keys.go
+++ b/loader/keys.go
@@ -59,7 +59,9 @@
 	{sectionNode, "outbound-address", true, "", parseOutbound},
 	{sectionNode, "heartbeat-address", false, "", address(func(s *Settings) *netip.AddrPort { return &s.Node.HeartbeatAddress })},
 	{sectionNode, "near-first", false, "", boolean("near-first", func(s *Settings) *bool { return &s.Node.NearFirst })},
-	{sectionNode, "retry-window", false, "", upToMinute("retry-window", func(s *Settings) *time.Duration { return &s.Node.RetryWindow })},
+	{sectionNode, "retry-window", false, "", upToMinute("retry-window", func(s *Settings) *time.Duration { return &s.Node.RetryBudget.Window })},
+	{sectionNode, "retry-ratio", false, "", parseRetryRatio},
+	{sectionNode, "retry-slack", false, "", parseRetrySlack},
 	{sectionNode, "backend-address", true, "", address(func(s *Settings) *netip.AddrPort { return &s.Node.BackendAddress })},
 	{sectionControl, "replica", true, "tolerated-losses", name(func(s *Settings, v string) { s.Control.Replica = waxwingseam.ReplicaID(v) })},
 	{sectionControl, "voter", false, "", boolean("voter", func(s *Settings) *bool { return &s.Control.Voter })},
@@ -204,6 +206,27 @@
 	return nil
 }
 
+func parseRetryRatio(s *Settings, v string) error {
+	ratio, err := strconv.ParseFloat(v, 64)
+	if err != nil || !(ratio >= 0 && ratio <= 1) {
+		return trace.BadParameter("retry-ratio is %q, want a number from 0 to 1", v)
+	}
+	s.Node.RetryBudget.Ratio = ratio
+	return nil
+}
+
+// maxRetrySlack bounds the retry slack.
+const maxRetrySlack = 1_000_000
+
+func parseRetrySlack(s *Settings, v string) error {
+	n, err := strconv.Atoi(v)
+	if err != nil || n < 0 || n > maxRetrySlack {
+		return trace.BadParameter("retry-slack is %q, want a whole number from 0 to %d", v, maxRetrySlack)
+	}
+	s.Node.RetryBudget.Slack = n
+	return nil
+}
+
 func parseLogLevel(s *Settings, v string) error {
 	level, err := logger.ParseLevel(v)
 	s.Process.LogLevel = level
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -72,9 +72,8 @@
 	HeartbeatAddress netip.AddrPort
 	// NearFirst keeps calls in the own data centre while a server there has room.
 	NearFirst bool
-	// RetryWindow is the sliding time in which retries stay within their share of
-	// the roots' calls; 0 for none.
-	RetryWindow time.Duration
+	// RetryBudget bounds the repeated calls that the backend server is handed.
+	RetryBudget waxwingseam.RetryBudget
 	// BackendAddress is where the backend server listens.
 	BackendAddress netip.AddrPort
 }
--- a/object.go
+++ b/object.go
@@ -112,6 +112,9 @@
 	Name string
 	// Allowance is granted once to a root.
 	Allowance Allowance
+	// CallAllowance is granted to each call that a run makes, in place of a share
+	// of its root's, where runs of the call's class make no calls themselves.
+	CallAllowance Allowance
 	// BudgetPercent is the share of retries in the calls to one target.
 	BudgetPercent int
 	// Backoff is the mean delay before the first retry, doubled for each later one.
--- a/outcome.go
+++ b/outcome.go
@@ -64,4 +64,5 @@
 	ReasonServerRefused    Reason = "server-refused"
 	ReasonServerReplaced   Reason = "server-replaced"
 	ReasonNoConfiguration  Reason = "no-configuration"
+	ReasonRetryBudget      Reason = "retry-budget"
 )
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -36,6 +36,8 @@
 	Deduplicator waxwingseam.Deduplicator
 	Drainer      waxwingseam.Drainer
 	Tracker      waxwingseam.Tracker
+	// Gate bounds repeated calls; unset for no bound.
+	Gate waxwingseam.RetryGate
 }
 
 type receiver struct {
@@ -43,6 +45,7 @@
 	deduplicator waxwingseam.Deduplicator
 	drainer      waxwingseam.Drainer
 	tracker      waxwingseam.Tracker
+	gate         waxwingseam.RetryGate
 
 	settings settings
 	calls    map[waxwingseam.CallID]*call
@@ -79,6 +82,7 @@
 		deduplicator: config.Deduplicator,
 		drainer:      config.Drainer,
 		tracker:      config.Tracker,
+		gate:         config.Gate,
 		calls:        map[waxwingseam.CallID]*call{},
 		owners:       map[waxwingseam.CallID]waxwingseam.CallID{},
 		parents:      map[waxwingseam.CallID]*call{},
@@ -98,6 +102,7 @@
 		waxwingseam.KindTimerFired,
 		waxwingseam.KindSetAdopted,
 		waxwingseam.KindBackendReported,
+		waxwingseam.KindServersLearned,
 	}
 }
 
@@ -130,6 +135,11 @@
 		r.fire(c, v.Timer)
 	case waxwingseam.SetAdopted:
 		r.adopt(c)
+	case waxwingseam.ServersLearned:
+		if r.gate != nil {
+			r.gate.Learn(v.Servers, v.Gone)
+		}
+		return
 	}
 	r.arm(c)
 }
@@ -193,6 +203,8 @@
 		return waxwingseam.ReasonUnknownService
 	case !c.Now.Before(header.Deadline):
 		return waxwingseam.ReasonDeadline
+	case r.gate != nil && !r.gate.Admit(c, *header):
+		return waxwingseam.ReasonRetryBudget
 	}
 	return waxwingseam.ReasonNone
 }
@@ -304,7 +316,7 @@
 	result := e.Result
 	result.Unspent = r.tracker.Unspent(e.ID)
 	result.RefusedBelow = r.tracker.RefusedBelow(e.ID)
-	result.MadeCalls = r.tracker.MadeCalls(e.ID)
+	result.CallsBelow = r.tracker.CallsBelow(e.ID)
 	result.Reached = true
 	if !r.deduplicator.Finish(c, e.ID, result) {
 		c.Emit(waxwingseam.ForgetRun{ID: e.ID})
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -10,6 +10,7 @@
 
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/admitter"
+	"waxwingseam.example/waxwingseam/budgeter"
 	"waxwingseam.example/waxwingseam/limiter"
 	"waxwingseam.example/waxwingseam/reducer"
 )
@@ -75,7 +76,7 @@
 func (p *purse) Begin(call waxwingseam.Call)          { p.calls[call.ID] = call }
 func (p *purse) RefusedBelow(waxwingseam.CallID) bool { return false }
 
-func (p *purse) MadeCalls(waxwingseam.CallID) bool { return false }
+func (p *purse) CallsBelow(waxwingseam.CallID) uint32 { return 0 }
 
 func (p *purse) Origin(e waxwingseam.CallArrived) waxwingseam.CallID { return e.Parent }
 
@@ -101,6 +102,9 @@
 			Deduplicator: b.records,
 			Drainer:      &door{},
 			Tracker:      &purse{calls: map[waxwingseam.CallID]waxwingseam.Call{}},
+			Gate: budgeter.New(budgeter.Config{
+				Budget: waxwingseam.RetryBudget{Window: time.Second, Slack: 2},
+			}),
 		})}},
 	})
 	b.reducer.Reduce(waxwingseam.SetAdopted{Stamp: b.stamp(), Set: &waxwingseam.Set{
@@ -171,6 +175,23 @@
 	qt.Assert(t, b.records.refused, qt.Equals, 2)
 }
 
+// TestRepeatedCallsBeyondTheBudget refuses a call that another server may have
+// run, once this node has handed out its share of the service's budget.
+func TestRepeatedCallsBeyondTheBudget(t *testing.T) {
+	b := newBench()
+	repeated := func(id uint64) string {
+		call := b.call(id)
+		call.Repeated = true
+		return b.reduce(waxwingseam.AttemptArrived{Stamp: b.stamp(), Call: call, Attempt: 2})
+	}
+	qt.Assert(t, repeated(1), qt.Equals, "run 1.2")
+	qt.Assert(t, repeated(1), qt.Equals, "join 1.2 to 1")
+	qt.Assert(t, repeated(2), qt.Equals, "answer 2.2 did-not-run retry-budget unspent 0")
+	qt.Assert(t, b.end(1), qt.Equals, "answer 1.2 completed  unspent 2")
+	b.now = b.now.Add(2 * time.Second)
+	qt.Assert(t, repeated(3), qt.Equals, "run 3.2")
+}
+
 func TestResentAttempts(t *testing.T) {
 	b := newBench()
 	qt.Assert(t, b.arrive(1, 1), qt.Equals, "run 1.1")
--- a/result.go
+++ b/result.go
@@ -21,8 +21,8 @@
 	Waited time.Duration `cbor:"10,keyasint,omitempty"`
 	// RefusedBelow is set when a call further down was refused.
 	RefusedBelow bool `cbor:"11,keyasint,omitempty"`
-	// MadeCalls is set when the run made calls of its own.
-	MadeCalls bool `cbor:"12,keyasint,omitempty"`
+	// CallsBelow counts the calls that the run made, and those below them.
+	CallsBelow uint32 `cbor:"12,keyasint,omitempty"`
 	// Length and Digest are those of the whole reply body.
 	Length int64  `cbor:"8,keyasint,omitempty"`
 	Digest uint64 `cbor:"9,keyasint,omitempty"`
--- a/retrier/budget.go
+++ b/retrier/budget.go
@@ -24,8 +24,8 @@
 	b.held = min(b.held+percent, maxRetries*retryCost)
 }
 
-func (b *budget) spend() {
-	b.held = max(b.held-retryCost, 0)
+func (b *budget) spend(cost int) {
+	b.held = max(b.held-cost, 0)
 }
 
 // budgetRule forbids a retry that the target's budget does not cover.
@@ -35,5 +35,5 @@
 
 // Forbids implements Rule.
 func (r budgetRule) Forbids(_ *waxwingseam.Context, q waxwingseam.RetryQuestion) bool {
-	return r.retrier.budget(q.Call.Service).held < retryCost
+	return r.retrier.budget(q.Call.Service).held < r.retrier.cost(q)
 }
--- a/retrier/leaf.go
+++ b/retrier/leaf.go
@@ -8,22 +8,54 @@
 	leafRuns = 20
 	// failureStatus is the least HTTP status that counts as a failure.
 	failureStatus = 500
+	// belowGain is the weight of one more run in the usual count of calls.
+	belowGain = 0.05
 )
 
-// leaf reports whether the runs of a class make no calls, so that no allowance
-// needs to go along with them. Load pattern: several calls of one run at once,
-// of which one fails while another holds the only retry that is left.
-func (r *retrier) leaf(class waxwingseam.ClassName) bool {
-	return r.alone[class] >= leafRuns
+// tree is what was seen of the calls below the runs of a class.
+type tree struct {
+	// alone counts the runs in a row that made no calls.
+	alone int
+	// below is the usual count of the calls below a run.
+	below float64
 }
 
-// learn takes in whether a run of a class made calls. A failure may have come
+func (r *retrier) tree(class waxwingseam.ClassName) *tree {
+	t, ok := r.trees[class]
+	if !ok {
+		t = &tree{}
+		r.trees[class] = t
+	}
+	return t
+}
+
+// Leaf implements waxwingseam.Retrier. No allowance needs to go along with a
+// leaf. Load pattern: several calls of one run at once, of which one fails while
+// another holds the only retry that is left.
+func (r *retrier) Leaf(class waxwingseam.ClassName) bool {
+	return r.tree(class).alone >= leafRuns
+}
+
+// learn takes in how many calls a run of a class made. A failure may have come
 // before the first one, and tells nothing.
-func (r *retrier) learn(class waxwingseam.ClassName, result waxwingseam.Result) {
-	switch {
-	case result.MadeCalls:
-		r.alone[class] = 0
-	case result.Status < failureStatus:
-		r.alone[class] = min(r.alone[class]+1, leafRuns)
+func (t *tree) learn(result waxwingseam.Result) {
+	if result.Status >= failureStatus {
+		return
+	}
+	t.below += belowGain * (float64(result.CallsBelow) - t.below)
+	t.alone = min(t.alone+1, leafRuns)
+	if result.CallsBelow > 0 {
+		t.alone = 0
+	}
+}
+
+// cost is what a retry takes out of the budget, in hundredths: a run that is
+// repeated makes its calls again. Load pattern: servers that fail while each
+// request makes many calls further down, where there is least room.
+func (r *retrier) cost(q waxwingseam.RetryQuestion) int {
+	if q.Result.Outcome == waxwingseam.OutcomeDidNotRun {
+		return retryCost
 	}
+	t := r.tree(q.Call.Class)
+	return min(int((1+t.below)*retryCost), maxRetries*retryCost)
 }
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -29,20 +29,13 @@
 	// Splitter splits an allowance between an attempt and its sender; Along
 	// when unset.
 	Splitter Splitter
-	// Window is the sliding time in which the retries of a service stay within
-	// their share of the roots' calls; 0 leaves only the budget that successes
-	// earn.
-	Window time.Duration
 }
 
 type retrier struct {
 	splitter Splitter
 	rules    []PrioritizedRule
 	budgets  map[waxwingseam.ServiceName]*budget
-	length   time.Duration
-	windows  map[waxwingseam.ServiceName]*window
-	// alone counts, for each class, the runs in a row that made no calls.
-	alone map[waxwingseam.ClassName]int
+	trees    map[waxwingseam.ClassName]*tree
 }
 
 // New returns a retrier with full budgets.
@@ -51,9 +44,7 @@
 		splitter: config.Splitter,
 		rules:    config.Rules,
 		budgets:  map[waxwingseam.ServiceName]*budget{},
-		length:   config.Window,
-		windows:  map[waxwingseam.ServiceName]*window{},
-		alone:    map[waxwingseam.ClassName]int{},
+		trees:    map[waxwingseam.ClassName]*tree{},
 	}
 	if r.splitter == nil {
 		r.splitter = Along{}
@@ -62,9 +53,6 @@
 		r.rules = DefaultRules()
 	}
 	r.rules = append(slices.Clone(r.rules), PrioritizedRule{priorityBudget, budgetRule{r}})
-	if r.length > 0 {
-		r.rules = append(r.rules, PrioritizedRule{priorityWindow, windowRule{r}})
-	}
 	slices.SortStableFunc(r.rules, func(a, b PrioritizedRule) int {
 		return cmp.Compare(a.Priority, b.Priority)
 	})
@@ -73,7 +61,7 @@
 
 // Split implements waxwingseam.Retrier.
 func (r *retrier) Split(call waxwingseam.Call, in waxwingseam.Allowance) waxwingseam.Allowance {
-	if r.leaf(call.Class) {
+	if r.Leaf(call.Class) {
 		return 0
 	}
 	return min(r.splitter.Split(in), in)
@@ -90,32 +78,17 @@
 	if !c.Now.Add(delay).Before(q.Call.Deadline) {
 		return waxwingseam.RetryAnswer{}
 	}
-	r.budget(q.Call.Service).spend()
-	if r.length > 0 {
-		r.window(q.Call.Service).at(c.Now, r.length).retries++
-	}
+	r.budget(q.Call.Service).spend(r.cost(q))
 	return waxwingseam.RetryAnswer{Retry: true, Delay: delay}
 }
 
 // Completed implements waxwingseam.Retrier.
 func (r *retrier) Completed(c *waxwingseam.Context, call waxwingseam.Call, result waxwingseam.Result, limit waxwingseam.RetryLimit) {
-	r.learn(call.Class, result)
+	r.tree(call.Class).learn(result)
 	if result.Status >= failureStatus {
 		return
 	}
 	r.budget(call.Service).earn(limit.BudgetPercent)
-	if r.length > 0 && call.Parent.IsZero() {
-		r.window(call.Service).at(c.Now, r.length).calls++
-	}
-}
-
-func (r *retrier) window(service waxwingseam.ServiceName) *window {
-	w, ok := r.windows[service]
-	if !ok {
-		w = &window{}
-		r.windows[service] = w
-	}
-	return w
 }
 
 func (r *retrier) budget(service waxwingseam.ServiceName) *budget {
--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -111,75 +110,6 @@
 	// Output: true 0s
 }
 
-// TestWindow checks that the retries of a service stay within their share in
-// every window, also at the seams of its parts and after a calm that earned
-// many, and that calls made by runs earn none. The first node's bound is 1 and
-// 20 % of the roots' calls in the window and those of the one before.
-func TestWindow(t *testing.T) {
-	const length = 10 * time.Second
-	for seed := range uint64(20) {
-		random := rand.New(rand.NewPCG(seed, 1))
-		r := retrier.New(retrier.Config{Window: length})
-		q := question()
-		below := q.Call
-		below.Parent = waxwingseam.CallID{1}
-		c := waxwingseam.NewContext(waxwingseam.Server{})
-		var calls, retries []time.Time
-		now := start
-		for range 5000 {
-			now = now.Add(time.Duration(random.Int64N(int64(20 * time.Millisecond))))
-			c.Begin(waxwingseam.Stamp{Now: now, Random: random.Uint64()})
-			r.Completed(c, below, success, q.Limit)
-			// Calm and trouble take turns of 7 s.
-			if trouble := now.Sub(start)/(7*time.Second)%2 == 1; !trouble {
-				r.Completed(c, q.Call, success, q.Limit)
-				calls = append(calls, now)
-				continue
-			}
-			q.Call.Deadline = now.Add(time.Second)
-			if r.Decide(c, q).Retry {
-				retries = append(retries, now)
-			}
-		}
-		qt.Assert(t, len(retries) > 50, qt.IsTrue)
-		for i, first := range retries {
-			n := 0
-			for _, later := range retries[i:] {
-				if later.Sub(first) < length {
-					n++
-				}
-			}
-			earned := 0
-			for _, at := range calls {
-				if at.After(first.Add(-length)) && at.Before(first.Add(length)) {
-					earned++
-				}
-			}
-			qt.Assert(t, n <= 1+earned*q.Limit.BudgetPercent/100, qt.IsTrue, qt.Commentf("seed %d: %d retries, %d calls", seed, n, earned))
-		}
-	}
-}
-
-// TestWindowFloor checks that calls made by runs earn no retries beyond the
-// one of a rarely called service, and that it comes back.
-func TestWindowFloor(t *testing.T) {
-	r := retrier.New(retrier.Config{Window: 10 * time.Second})
-	q := question()
-	q.Call.Parent = waxwingseam.CallID{1}
-	q.Call.Deadline = start.Add(time.Hour)
-	c := context(1)
-	for range 1000 {
-		r.Completed(c, q.Call, success, q.Limit)
-	}
-	for i, v := range []struct {
-		after time.Duration
-		want  bool
-	}{{0, true}, {0, false}, {9 * time.Second, false}, {12 * time.Second, true}, {12 * time.Second, false}} {
-		c.Begin(waxwingseam.Stamp{Now: start.Add(v.after), Random: 1})
-		qt.Check(t, r.Decide(c, q).Retry, qt.Equals, v.want, qt.Commentf("%d", i))
-	}
-}
-
 // TestLeavesTakeNoAllowance checks that no allowance goes along with the calls
 // of a class once its runs were seen to make none, and that it does again after
 // one that made some.
@@ -196,7 +126,25 @@
 	other.Class = "browse"
 	qt.Assert(t, r.Split(other, 2), qt.Equals, waxwingseam.Allowance(2))
 	made := success
-	made.MadeCalls = true
+	made.CallsBelow = 1
 	r.Completed(context(1), q.Call, made, q.Limit)
 	qt.Assert(t, r.Split(q.Call, 2), qt.Equals, waxwingseam.Allowance(2))
 }
+
+// TestRetriesOfTreesCostMore checks that a retry of a call whose runs make calls
+// is paid for with those.
+func TestRetriesOfTreesCostMore(t *testing.T) {
+	r := retrier.New(retrier.Config{})
+	q := question()
+	made := success
+	made.CallsBelow = 12
+	for range 800 {
+		r.Completed(context(1), q.Call, made, q.Limit)
+	}
+	retries := 0
+	for r.Decide(context(1), q).Retry {
+		retries++
+	}
+	// 100 at most, 13 each.
+	qt.Assert(t, retries, qt.Equals, 7)
+}
--- a/retrier/rules.go
+++ b/retrier/rules.go
@@ -15,7 +15,6 @@
 	priorityProof     = 400
 	priorityOverload  = 500
 	priorityBudget    = 600
-	priorityWindow    = 700
 )
 
 // DefaultRules returns the rules of a retrier, but for its own budget.
@@ -54,7 +53,7 @@
 	switch q.Result.Reason {
 	case waxwingseam.ReasonDeadline, waxwingseam.ReasonCancelled, waxwingseam.ReasonBadRequest,
 		waxwingseam.ReasonTooLarge, waxwingseam.ReasonKeyConflict, waxwingseam.ReasonUnknownService,
-		waxwingseam.ReasonUnknownClass, waxwingseam.ReasonUnknownContext:
+		waxwingseam.ReasonUnknownClass, waxwingseam.ReasonUnknownContext, waxwingseam.ReasonRetryBudget:
 		return true
 	}
 	return false
@@ -72,7 +71,7 @@
 	if !q.Result.Completed() {
 		return false
 	}
-	if !q.Limit.Failures || q.Result.RefusedBelow || q.Result.MadeCalls {
+	if !q.Limit.Failures || q.Result.RefusedBelow || q.Result.CallsBelow > 0 {
 		return true
 	}
 	switch q.Result.Status {
--- a/retry.go
+++ b/retry.go
@@ -28,6 +28,8 @@
 	// Split returns the part of an allowance that goes along with an attempt of
 	// a call; the rest stays with the sender.
 	Split(call Call, in Allowance) Allowance
+	// Leaf reports whether runs of a class were seen to make no calls.
+	Leaf(class ClassName) bool
 	// Decide answers whether to retry, and after which delay; a retry it allows
 	// is taken out of the target's budget.
 	Decide(c *Context, q RetryQuestion) RetryAnswer
--- a/run.go
+++ b/run.go
@@ -27,8 +27,10 @@
 	Refuse(parent CallID)
 	// RefusedBelow reports whether that was noted.
 	RefusedBelow(id CallID) bool
-	// MadeCalls reports whether a live run has made calls.
-	MadeCalls(id CallID) bool
+	// Count adds calls that were made below a call of a live run.
+	Count(parent CallID, below uint32)
+	// CallsBelow counts the calls that a live run has made, and those below them.
+	CallsBelow(id CallID) uint32
 	// Parent returns the call of a live run.
 	Parent(id CallID) (Call, bool)
 	// Open records a child call of a live run and returns the run's pot, which
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -18,8 +18,8 @@
 	children []waxwingseam.CallID
 	// refused is set once a call further down was refused.
 	refused bool
-	// made is set once the run has made a call.
-	made bool
+	// below counts the calls that the run has made, and those below them.
+	below uint32
 }
 
 type tracker struct {
@@ -65,10 +65,20 @@
 	return ok && r.refused
 }
 
-// MadeCalls implements waxwingseam.Tracker.
-func (t *tracker) MadeCalls(id waxwingseam.CallID) bool {
+// Count implements waxwingseam.Tracker.
+func (t *tracker) Count(parent waxwingseam.CallID, below uint32) {
+	if r, ok := t.runs[parent]; ok {
+		r.below += below
+	}
+}
+
+// CallsBelow implements waxwingseam.Tracker.
+func (t *tracker) CallsBelow(id waxwingseam.CallID) uint32 {
 	r, ok := t.runs[id]
-	return ok && r.made
+	if !ok {
+		return 0
+	}
+	return r.below
 }
 
 // Parent implements waxwingseam.Tracker.
@@ -86,7 +96,7 @@
 	if !ok {
 		return &waxwingseam.Pot{}
 	}
-	r.made = true
+	r.below++
 	r.children = append(r.children, child)
 	return &r.pot
 }
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -36,13 +36,15 @@
 	qt.Assert(t, runs.End(id(1)), qt.HasLen, 0)
 }
 
-func TestMadeCalls(t *testing.T) {
+func TestCallsBelow(t *testing.T) {
 	runs := tracker.New(tracker.Config{})
 	runs.Begin(waxwingseam.Call{ID: id(1)})
-	qt.Assert(t, runs.MadeCalls(id(1)), qt.IsFalse)
+	qt.Assert(t, runs.CallsBelow(id(1)), qt.Equals, uint32(0))
 	runs.Open(id(1), id(2))
+	runs.Open(id(1), id(3))
+	runs.Count(id(1), 4)
 	runs.Close(id(1), id(2))
-	qt.Assert(t, runs.MadeCalls(id(1)), qt.IsTrue)
+	qt.Assert(t, runs.CallsBelow(id(1)), qt.Equals, uint32(6))
 	runs.End(id(1))
-	qt.Assert(t, runs.MadeCalls(id(1)), qt.IsFalse)
+	qt.Assert(t, runs.CallsBelow(id(1)), qt.Equals, uint32(0))
 }
