registrar, supervisor: a node whose clock was set back gets beyond its earlier incarnation

A node that started again while its clock was set back announced an earlier one, which registrars refused for an hour, as they would a late word of an ended life; its backend server got no work. Ruled out: state on the node's disk (it has none), a question before the first announcement (a round trip at each start). The registrar names the incarnation that it knows, the node moves beyond it.

--- a/assembler/announcer.go
+++ b/assembler/announcer.go
@@ -5,12 +5,14 @@
 	"encoding/binary"
 
 	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/forwarder"
 	"waxwingseam.example/waxwingseam/subscriber"
 )
 
 // announcer hands changes of the node's own state to the subscriber.
 type announcer struct {
 	subscriber subscriber.Subscriber
+	forwarder  *forwarder.Forwarder
 }
 
 // Kinds implements runner.Executor.
@@ -21,6 +23,7 @@
 // Execute implements runner.Executor.
 func (a announcer) Execute(e waxwingseam.Effect) {
 	if v, ok := e.(waxwingseam.Announce); ok {
+		a.forwarder.Outlive(v.Self.Incarnation)
 		a.subscriber.Announce(v.Self)
 	}
 }
--- a/assembler/process.go
+++ b/assembler/process.go
@@ -225,7 +225,7 @@
 	})
 	p.interests.subscriber = p.subscriber
 	p.noticer.subscriber = p.subscriber
-	node.Runner.Attach(announcer{p.subscriber})
+	node.Runner.Attach(announcer{p.subscriber, node.Forwarder})
 	return p.messenger.Register(p.subscriber, subscriber.Description)
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -97,6 +97,9 @@
 	peers   *pool[netip.AddrPort, *drpcconn.Conn]
 	backend *http.Transport
 
+	// incarnation is the node's present life.
+	incarnation atomic.Uint64
+
 	mu        sync.Mutex
 	exchanges map[waxwingseam.CallID]*exchange
 	hosted    map[waxwingseam.CallID]*hosted
@@ -130,7 +133,7 @@
 	if config.BackendServer == nil {
 		config.BackendServer = nativeBackend{}
 	}
-	return &Forwarder{
+	f := &Forwarder{
 		config: config,
 		peers: newPool[netip.AddrPort](pooledLife, pooledLimit, func(c *drpcconn.Conn) {
 			go func() { _ = c.Close() }()
@@ -142,6 +145,8 @@
 		fences:    map[waxwingseam.CallID][]chan waxwingseam.AnswerFence{},
 		witnesses: map[uint64]chan waxwingseam.WitnessAnswer{},
 	}
+	f.Outlive(config.Self.Incarnation)
+	return f
 }
 
 // Close cancels the runs that go on, and closes the idle connections.
@@ -256,6 +261,12 @@
 	}
 }
 
+// Outlive moves the node to a later incarnation, which its answers name from now
+// on.
+func (f *Forwarder) Outlive(i waxwingseam.Incarnation) {
+	f.incarnation.Store(uint64(i))
+}
+
 func (f *Forwarder) exchange(id waxwingseam.CallID) *exchange {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/forwarder/inbound.go
+++ b/forwarder/inbound.go
@@ -62,7 +62,7 @@
 	if first.Whole {
 		in.host.takeWhole(first)
 	}
-	in.channel = newChannel(stream, f.config.Self.Incarnation, in.host.taken.Load, in.leave)
+	in.channel = newChannel(stream, waxwingseam.Incarnation(f.incarnation.Load()), in.host.taken.Load, in.leave)
 	in.host.attach(in)
 	f.mu.Lock()
 	f.inbounds[in.key()] = in
--- a/publisher/message.go
+++ b/publisher/message.go
@@ -73,6 +73,9 @@
 	Unconfirmed bool `cbor:"7,keyasint,omitempty"`
 	// Replicas lists the control replicas, when they have changed.
 	Replicas []netip.AddrPort `cbor:"8,keyasint,omitempty"`
+	// Outlived is set to the latest incarnation that control knows of the
+	// watcher, where it announced an earlier one.
+	Outlived waxwingseam.Incarnation `cbor:"9,keyasint,omitempty"`
 }
 
 // Step is the change to one revision from the one before.
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -132,17 +132,34 @@
 
 // Kinds implements Publisher.
 func (p *publisher) Kinds() []waxwingseam.Kind {
-	return []waxwingseam.Kind{waxwingseam.KindServersChanged}
+	return []waxwingseam.Kind{waxwingseam.KindServersChanged, waxwingseam.KindServerOutlived}
 }
 
 // Execute implements Publisher.
 func (p *publisher) Execute(e waxwingseam.Effect) {
-	changed, ok := e.(waxwingseam.ServersChanged)
-	if !ok {
-		return
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	switch v := e.(type) {
+	case waxwingseam.ServersChanged:
+		p.change(v)
+	case waxwingseam.ServerOutlived:
+		p.outlive(v)
+	}
+}
+
+// outlive tells a node that it was refused for an earlier incarnation.
+func (p *publisher) outlive(e waxwingseam.ServerOutlived) {
+	p.config.Logger.Warn("a node announced an earlier incarnation than it had before", "server", e.Server, "known", e.Incarnation)
+	for s := range p.sessions {
+		if s.server == e.Server {
+			s.outlived = e.Incarnation
+			s.wake()
+		}
+	}
+}
+
+// change puts changes to the servers into the table.
+func (p *publisher) change(changed waxwingseam.ServersChanged) {
 	for _, v := range changed.Present {
 		p.enter(v)
 		p.touch(v)
--- a/publisher/session.go
+++ b/publisher/session.go
@@ -40,6 +40,9 @@
 	dirty   map[waxwingseam.ServerName]waxwingseam.Announcement
 	// replicas are the control replicas that the watcher was told of.
 	replicas []netip.AddrPort
+	// outlived is a later incarnation of the watcher's that it was not told of
+	// yet; 0 for none.
+	outlived waxwingseam.Incarnation
 	// whole is set once the watcher was told all servers.
 	whole bool
 }
@@ -240,8 +243,9 @@
 	}
 	p.addServers(s, &push)
 	p.addReplicas(s, &push)
+	push.Outlived, s.outlived = s.outlived, 0
 	push.Unconfirmed = push.Unconfirmed || !p.confirmed.current()
-	empty = len(push.Steps)+len(push.Set)+len(push.Present)+len(push.Gone) == 0 && !push.Whole
+	empty = len(push.Steps)+len(push.Set)+len(push.Present)+len(push.Gone) == 0 && !push.Whole && push.Outlived == 0
 	return push, empty, nil
 }
 
--- a/recorder/catalog.go
+++ b/recorder/catalog.go
@@ -37,6 +37,7 @@
 		waxwingseam.FenceAsked{},
 		waxwingseam.DrainAsked{},
 		waxwingseam.BackendReported{},
+		waxwingseam.LifeOutlived{},
 		waxwingseam.KeyArrived{},
 		waxwingseam.WitnessAsked{},
 		waxwingseam.WitnessAnswered{},
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -85,12 +85,25 @@
 
 // announce takes in a server of the registrar's own.
 func (r *registrar) announce(c *waxwingseam.Context, a waxwingseam.Announcement, changed *waxwingseam.ServersChanged) {
+	if newest := r.newest(a.Server.Name); newest > a.Server.Incarnation {
+		c.Emit(waxwingseam.ServerOutlived{Server: a.Server.Name, Incarnation: newest})
+		return
+	}
 	r.put(waxwingseam.Registration{
 		Announcement: a,
 		Expires:      c.Now.Add(LeaseTime),
 	}, changed)
 }
 
+// newest returns the latest known incarnation of a server; 0 for none.
+func (r *registrar) newest(name waxwingseam.ServerName) waxwingseam.Incarnation {
+	newest := r.departed[name].announcement.Server.Incarnation
+	if known, ok := r.table[name]; ok {
+		newest = max(newest, known.Announcement.Server.Incarnation)
+	}
+	return newest
+}
+
 // put enters a registration unless a newer one is known.
 func (r *registrar) put(next waxwingseam.Registration, changed *waxwingseam.ServersChanged) {
 	name := next.Announcement.Server.Name
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -30,6 +30,8 @@
 	timer   time.Time
 	table   map[waxwingseam.ServerName]waxwingseam.Registration
 	gone    []waxwingseam.ServerName
+	// outlived holds the incarnation that a refused server was told of.
+	outlived map[waxwingseam.ServerName]waxwingseam.Incarnation
 }
 
 func newWorld() *world {
@@ -37,6 +39,8 @@
 		reducer: reducer.New(reducer.Config{Workers: []waxwingseam.Prioritized{{Worker: New()}}}),
 		now:     time.Unix(1_000, 0),
 		table:   map[waxwingseam.ServerName]waxwingseam.Registration{},
+
+		outlived: map[waxwingseam.ServerName]waxwingseam.Incarnation{},
 	}
 }
 
@@ -49,6 +53,8 @@
 		switch v := v.(type) {
 		case waxwingseam.ArmTimer:
 			w.timer = v.At
+		case waxwingseam.ServerOutlived:
+			w.outlived[v.Server] = v.Incarnation
 		case waxwingseam.ServersChanged:
 			for _, r := range v.Present {
 				w.table[r.Announcement.Server.Name] = r
@@ -145,6 +151,30 @@
 	}
 }
 
+// TestClockSetBack checks that a node which starts again with an earlier
+// incarnation is told of the later one, while that is listed and after it is
+// gone, and is listed once it announces one beyond it.
+func TestClockSetBack(t *testing.T) {
+	for _, gone := range []bool{false, true} {
+		w := newWorld()
+		w.announce("b", 1, 1)
+		w.announce("c", 1, 1)
+		w.announce("a", 9, 3)
+		if gone {
+			for range 20 {
+				w.pass(LeaseTime / 4)
+				w.renew("b")
+				w.renew("c")
+			}
+			qt.Assert(t, w.gone, qt.DeepEquals, []waxwingseam.ServerName{"a"})
+		}
+		w.announce("a", 7, 1)
+		qt.Assert(t, w.outlived["a"], qt.Equals, waxwingseam.Incarnation(9))
+		w.announce("a", 10, 2)
+		qt.Assert(t, w.table["a"].Announcement.Server.Incarnation, qt.Equals, waxwingseam.Incarnation(10))
+	}
+}
+
 // TestMovedServerStays checks that a server which moved to another registrar
 // is not dropped when the first one misses it.
 func TestMovedServerStays(t *testing.T) {
--- a/registration.go
+++ b/registration.go
@@ -24,6 +24,8 @@
 	KindPeerLearned     Kind = "peer-learned"
 	KindPeerLost        Kind = "peer-lost"
 	KindServersChanged  Kind = "servers-changed"
+	KindServerOutlived  Kind = "server-outlived"
+	KindLifeOutlived    Kind = "life-outlived"
 )
 
 // ServerAnnounced is an announcement from a node of the registrar's own.
@@ -62,6 +64,20 @@
 	Gone    []Registration
 }
 
+// ServerOutlived tells a node of the registrar's own that an earlier life of it
+// announced a later incarnation, as happens where its clock was set back.
+type ServerOutlived struct {
+	Server      ServerName
+	Incarnation Incarnation
+}
+
+// LifeOutlived says that control knows a later incarnation of the node than the
+// present one.
+type LifeOutlived struct {
+	Stamp
+	Incarnation Incarnation
+}
+
 // Registration is one server in the table of a registrar.
 type Registration struct {
 	Announcement Announcement
@@ -86,5 +102,11 @@
 // Kind implements Event.
 func (PeerLost) Kind() Kind { return KindPeerLost }
 
+// Kind implements Event.
+func (LifeOutlived) Kind() Kind { return KindLifeOutlived }
+
+// Kind implements Effect.
+func (ServerOutlived) Kind() Kind { return KindServerOutlived }
+
 // Kind implements Effect.
 func (ServersChanged) Kind() Kind { return KindServersChanged }
--- a/subscriber/subscriber_test.go
+++ b/subscriber/subscriber_test.go
@@ -125,6 +125,13 @@
 	qt.Assert(t, adopted(), qt.Equals, waxwingseam.Revision(5))
 }
 
+// TestOutlived checks that the node's reducer learns of a later incarnation.
+func TestOutlived(t *testing.T) {
+	s, events := start(t)
+	s.pushes <- publisher.Push{Outlived: 9}
+	qt.Assert(t, next(t, events), qt.DeepEquals, waxwingseam.Event(waxwingseam.LifeOutlived{Incarnation: 9}))
+}
+
 func announcement(name waxwingseam.ServerName, sequence uint64) waxwingseam.Announcement {
 	return waxwingseam.Announcement{Server: waxwingseam.Server{Name: name, Service: "fees"}, Sequence: sequence}
 }
--- a/subscriber/watch.go
+++ b/subscriber/watch.go
@@ -158,6 +158,12 @@
 		s.replicas = p.Replicas
 		s.mu.Unlock()
 	}
+	if p.Outlived > 0 {
+		s.config.Logger.Warn("control knows a later incarnation of this node", "incarnation", p.Outlived)
+		s.config.Step(func(stamp waxwingseam.Stamp) waxwingseam.Event {
+			return waxwingseam.LifeOutlived{Stamp: stamp, Incarnation: p.Outlived}
+		})
+	}
 	if len(p.Present)+len(p.Gone) > 0 || p.Whole {
 		s.learn(p)
 	}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -25,16 +25,30 @@
 
 // Kinds implements waxwingseam.Worker.
 func (s *supervisor) Kinds() []waxwingseam.Kind {
-	return []waxwingseam.Kind{waxwingseam.KindBackendReported}
+	return []waxwingseam.Kind{waxwingseam.KindBackendReported, waxwingseam.KindLifeOutlived}
 }
 
 // Reduce implements waxwingseam.Worker.
 func (s *supervisor) Reduce(c *waxwingseam.Context, e waxwingseam.Event) {
-	v, ok := e.(waxwingseam.BackendReported)
-	if !ok || !supersedes(v.Report, s.latest) {
+	switch v := e.(type) {
+	case waxwingseam.BackendReported:
+		if supersedes(v.Report, s.latest) {
+			s.take(c, v.Report)
+		}
+	case waxwingseam.LifeOutlived:
+		outlive(c, v.Incarnation)
+	}
+}
+
+// outlive moves the node to an incarnation beyond a known one. Attempts that
+// name the one before are answered like those to a life that has ended, whose
+// outcome is unknown.
+func outlive(c *waxwingseam.Context, known waxwingseam.Incarnation) {
+	if known < c.Self.Incarnation {
 		return
 	}
-	s.take(c, v.Report)
+	c.Self.Incarnation = known + 1
+	c.Emit(waxwingseam.Announce{Self: c.Self})
 }
 
 // supersedes reports whether a report is newer than the latest one. A leave is
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -70,3 +70,16 @@
 		})
 	}
 }
+
+// TestOutlived checks that a node whose clock was set back announces an
+// incarnation beyond the one that control knows, once.
+func TestOutlived(t *testing.T) {
+	c := waxwingseam.NewContext(waxwingseam.Server{Name: "fees-1", Service: "fees", Incarnation: 7})
+	s := supervisor.New(supervisor.Config{Drainer: drainer.New(drainer.Config{})})
+	for _, want := range []int{1, 0} {
+		c.Begin(waxwingseam.Stamp{})
+		s.Reduce(c, waxwingseam.LifeOutlived{Incarnation: 9})
+		qt.Assert(t, c.Effects(), qt.HasLen, want)
+		qt.Assert(t, c.Self.Incarnation, qt.Equals, waxwingseam.Incarnation(10))
+	}
+}
