balancer: servers that fault a part of their calls come after the others

Ruled out, in virtual time: lower ejection shares (take away what the servers still do), a share that fades with time (9.6 % faults, 8 probes a second of each sender), a cost four times as high (refuses at the sound server what the others would do). Now a server that faults 15 % more than the best is chosen only where no sound one takes the call, for 0.75 to 1.5 s after each further fault; its cost rises by its share; its refusals are no overload of the service.

--- a/balancer/filter.go
+++ b/balancer/filter.go
@@ -20,6 +20,7 @@
 	return []filter{
 		{priority: 100, firm: true, rejects: refusing},
 		{priority: 200, rejects: ejected},
+		{priority: 250, rejects: faulty},
 		{priority: 300, rejects: tried},
 	}
 }
--- a/balancer/fleet_test.go
+++ b/balancer/fleet_test.go
@@ -23,6 +23,10 @@
 	// fail at once, 0 for others.
 	slow    float64
 	failing int
+	// flaky is the share of requests, in hundredths, that it fails, or refuses
+	// where sheds is set.
+	flaky   int
+	sheds   bool
 	reports []report
 	served  int
 	refused int
@@ -210,6 +214,10 @@
 	switch {
 	case m.failing != 0:
 		end(waxwingseam.Result{Status: m.failing})
+	case f.random.IntN(100) < m.flaky && m.sheds:
+		end(waxwingseam.Result{Outcome: waxwingseam.OutcomeDidNotRun, Reason: waxwingseam.ReasonServerRefused})
+	case f.random.IntN(100) < m.flaky:
+		end(waxwingseam.Result{Status: 500})
 	case barred || len(m.waiting) >= m.slots:
 		end(waxwingseam.Result{Outcome: waxwingseam.OutcomeDidNotRun, Reason: waxwingseam.ReasonOverloaded})
 	case m.running < m.slots:
--- a/balancer/pool.go
+++ b/balancer/pool.go
@@ -118,6 +118,8 @@
 // observe takes in an ended attempt at one of the servers.
 func (p *pool) observe(c *waxwingseam.Context, t *target, f waxwingseam.Feedback) {
 	switch {
+	case f.Result.Reason == waxwingseam.ReasonServerRefused && t.held(c):
+		// A server that refuses more than the others says nothing of the service.
 	case f.Result.Reason.ForLoad():
 		p.throttle.rejected(c.Now, f.Rank.Importance)
 	case f.Result.Completed() && refusedBelow(f.Result):
--- a/balancer/target.go
+++ b/balancer/target.go
@@ -42,6 +42,7 @@
 	// latency is the usual time of a completed call, in seconds.
 	latency average
 	health  health
+	faults  faults
 }
 
 func newTarget(c *waxwingseam.Context, p *pool, s waxwingseam.Server) *target {
@@ -65,6 +66,7 @@
 	if f.Result.Reached {
 		t.report(c, f.Result.Load)
 	}
+	t.note(c, f.Result)
 	if succeeded(f.Result) {
 		t.observeLatency(c, f.Elapsed)
 	}
@@ -135,9 +137,10 @@
 
 // cost ranks servers, the lower one preferred: the time that the node's own
 // calls ahead of a new one take. What the server reports of others' calls is
-// left out: it is old when it arrives, and those who follow it herd.
+// left out: it is old when it arrives, and those who follow it herd. A server that
+// faults ends calls sooner than it would do them, and must not attract more by it.
 func (t *target) cost(c *waxwingseam.Context) float64 {
-	return float64(t.inFlight+1) / t.limit(c.Now) * (t.usualLatency(c) + minLatency)
+	return float64(t.inFlight+1) / t.limit(c.Now) * (t.usualLatency(c) + minLatency) / (1 - t.faults.share)
 }
 
 // usualLatency fades from the server's own to that of all servers while it
