logger: a line after the close of the queue does no harm

A process that leaves shortly before the kill, with others still at work, could write to the closed channel and end with a panic. Found by reading, while looking for why two processes outlasted their limit in a soak. TestWriteAfterClose panics before the change.

--- a/logger/queue.go
+++ b/logger/queue.go
@@ -14,6 +14,8 @@
 type Queue struct {
 	lines   chan []byte
 	dropped atomic.Int64
+	// closed tells the goroutine to write what waits and end, which done says.
+	closed  chan struct{}
 	done    chan struct{}
 	closing sync.Once
 }
@@ -28,8 +30,9 @@
 // NewQueue returns a queue in front of a writer.
 func NewQueue(w io.Writer) *Queue {
 	q := &Queue{
-		lines: make(chan []byte, queueLines),
-		done:  make(chan struct{}),
+		lines:  make(chan []byte, queueLines),
+		closed: make(chan struct{}),
+		done:   make(chan struct{}),
 	}
 	go q.run(w)
 	return q
@@ -37,15 +40,37 @@
 
 func (q *Queue) run(w io.Writer) {
 	defer close(q.done)
-	for line := range q.lines {
-		if n := q.dropped.Swap(0); n > 0 {
-			_, _ = fmt.Fprintf(w, "{\"level\":\"WARN\",\"msg\":\"logger: lines were dropped\",\"lines\":%d}\n", n)
+	for {
+		select {
+		case line := <-q.lines:
+			q.pass(w, line)
+		case <-q.closed:
+			q.passRest(w)
+			return
 		}
-		// There is nobody left to tell of a failure to write the logs.
-		_, _ = w.Write(line)
 	}
 }
 
+// passRest writes the lines that wait.
+func (q *Queue) passRest(w io.Writer) {
+	for {
+		select {
+		case line := <-q.lines:
+			q.pass(w, line)
+		default:
+			return
+		}
+	}
+}
+
+func (q *Queue) pass(w io.Writer, line []byte) {
+	if n := q.dropped.Swap(0); n > 0 {
+		_, _ = fmt.Fprintf(w, "{\"level\":\"WARN\",\"msg\":\"logger: lines were dropped\",\"lines\":%d}\n", n)
+	}
+	// There is nobody left to tell of a failure to write the logs.
+	_, _ = w.Write(line)
+}
+
 // Write implements io.Writer; it never blocks and never fails.
 func (q *Queue) Write(p []byte) (int, error) {
 	line := append([]byte(nil), p...)
@@ -62,10 +87,10 @@
 	return q.dropped.Load()
 }
 
-// Close writes the last lines, as far as the reader takes them. Nothing may be
-// written after it.
+// Close writes the last lines, as far as the reader takes them. What is written
+// after it, as a process may that leaves in a hurry, is lost.
 func (q *Queue) Close() {
-	q.closing.Do(func() { close(q.lines) })
+	q.closing.Do(func() { close(q.closed) })
 	select {
 	case <-q.done:
 	case <-time.After(closePatience):
--- a/logger/queue_test.go
+++ b/logger/queue_test.go
@@ -36,3 +36,15 @@
 	qt.Assert(t, strings.Count(out.String(), "line\n")+int(dropped), qt.Equals, 5000)
 	qt.Assert(t, out.String(), qt.Contains, "lines were dropped")
 }
+
+// TestWriteAfterClose checks that a late line does no harm.
+func TestWriteAfterClose(t *testing.T) {
+	var out bytes.Buffer
+	q := logger.NewQueue(&out)
+	_, _ = q.Write([]byte("first\n"))
+	q.Close()
+	_, err := q.Write([]byte("late\n"))
+	qt.Assert(t, err, qt.IsNil)
+	q.Close()
+	qt.Assert(t, out.String(), qt.Equals, "first\n")
+}
