--- a/dispatcher/failure_test.go
+++ b/dispatcher/failure_test.go
@@ -87,8 +87,8 @@
 				waxwingseam.Server{Name: "desk-3", Service: "desk", Incarnation: 1},
 			)
 			n.tracker.Begin(waxwingseam.Call{ID: waxwingseam.NewCallID(9, 9), RequestID: "r1", Deadline: start.Add(time.Second)})
-			arrive := func() string {
-				return n.step(waxwingseam.CallArrived{
+			arrive := func() {
+				n.step(waxwingseam.CallArrived{
 					Stamp: n.stamp(), ID: id, Root: waxwingseam.RootID(id), ParentRequestID: "r1",
 					Outbound: true, Host: "desk.example", Path: "/", Replayable: true,
 				})
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -184,10 +184,10 @@
 		call.Repeated = true
 		return b.reduce(waxwingseam.AttemptArrived{Stamp: b.stamp(), Call: call, Attempt: 2})
 	}
-	qt.Assert(t, repeated(1), qt.Equals, "run 1.2")
-	qt.Assert(t, repeated(1), qt.Equals, "join 1.2 to 1")
+	qt.Assert(t, repeated(5), qt.Equals, "run 5.2")
+	qt.Assert(t, repeated(5), qt.Equals, "join 5.2 to 5")
 	qt.Assert(t, repeated(2), qt.Equals, "answer 2.2 did-not-run retry-budget unspent 0")
-	qt.Assert(t, b.end(1), qt.Equals, "answer 1.2 completed  unspent 2")
+	qt.Assert(t, b.end(5), qt.Equals, "answer 5.2 completed  unspent 2")
 	b.now = b.now.Add(2 * time.Second)
 	qt.Assert(t, repeated(3), qt.Equals, "run 3.2")
 }
--- a/soaker/deployment.go
+++ b/soaker/deployment.go
@@ -114,7 +114,6 @@
 type replica struct {
 	*program
 	operators netip.AddrPort
-	busy      sync.Mutex
 }
 
 // deployment is all processes of a soak.
@@ -257,7 +256,7 @@
 }
 
 func (d *deployment) programs() []*program {
-	var list []*program
+	list := make([]*program, 0, len(d.replicas)+len(d.hosts))
 	for _, r := range d.replicas {
 		list = append(list, r.program)
 	}
--- a/soaker/program.go
+++ b/soaker/program.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -67,7 +68,8 @@
 	defer func() { _ = out.Close() }()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	command := exec.Command(p.path, "serve", "--settings", p.settings)
+	// The process outlasts every context: the soak ends it by signals.
+	command := exec.CommandContext(context.Background(), p.path, "serve", "--settings", p.settings)
 	command.Stdout, command.Stderr = out, out
 	if err := command.Start(); err != nil {
 		return trace.ConvertSystemError(err)
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -20,7 +20,7 @@
 // TestSoak plays short soaks of fixed seeds with the real program.
 func TestSoak(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "waxwingseam")
-	out, err := exec.Command("go", "build", "-o", program, "waxwingseam.example/waxwingseam/cmd/waxwingseam").CombinedOutput()
+	out, err := exec.CommandContext(t.Context(), "go", "build", "-o", program, "waxwingseam.example/waxwingseam/cmd/waxwingseam").CombinedOutput()
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
 	for _, seed := range []uint64{1, 2} {
 		report, err := Run(t.Context(), Config{Program: program, Folder: t.TempDir(), Seed: seed, Length: 4 * time.Second})
@@ -113,7 +113,8 @@
 
 // TestRelay passes bytes, holds them in one direction, and resets connections.
 func TestRelay(t *testing.T) {
-	target, err := net.Listen("tcp", "127.0.0.1:0")
+	var lc net.ListenConfig
+	target, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { _ = target.Close() })
 	go func() {
@@ -127,7 +128,8 @@
 	}()
 	r, err := listenRelay(t.Context(), netip.MustParseAddrPort(target.Addr().String()))
 	qt.Assert(t, err, qt.IsNil)
-	conn, err := net.Dial("tcp", r.address().String())
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(t.Context(), "tcp", r.address().String())
 	qt.Assert(t, err, qt.IsNil)
 	echo := func(text string) (string, error) {
 		if _, err := conn.Write([]byte(text)); err != nil {
