--- /dev/null
+++ b/assembler/refusals_test.go
@@ -0,0 +1,42 @@
+package assembler
+
+import (
+	"bytes"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestRefusalsAreLogged checks that a malformed request leaves one line with its
+// cause, cut where that is long, and that others leave none.
+func TestRefusalsAreLogged(t *testing.T) {
+	for _, v := range []struct {
+		status int
+		text   string
+		lines  int
+	}{
+		{http.StatusOK, "{}", 0},
+		{http.StatusPreconditionFailed, "another version is in force", 0},
+		{http.StatusBadRequest, "route \"a\": has 0 attempts", 1},
+		{http.StatusBadRequest, strings.Repeat("x", 2000), 1},
+	} {
+		var out bytes.Buffer
+		h := refusals{
+			next:   http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { http.Error(w, v.text, v.status) }),
+			logger: slog.New(slog.NewTextHandler(&out, nil)),
+		}
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodPut, "/config", nil))
+		qt.Assert(t, w.Code, qt.Equals, v.status)
+		qt.Assert(t, w.Body.String(), qt.Equals, v.text+"\n")
+		qt.Assert(t, strings.Count(out.String(), "\n"), qt.Equals, v.lines)
+		if v.lines > 0 {
+			qt.Assert(t, strings.Contains(out.String(), v.text[:6]), qt.IsTrue)
+			qt.Assert(t, out.Len() < 600, qt.IsTrue)
+		}
+	}
+}
--- a/assembler/serving.go
+++ b/assembler/serving.go
@@ -151,7 +151,8 @@
 func (p *Process) serveNode(ctx context.Context, group *errgroup.Group) error {
 	f := p.node.Forwarder
 	if address := p.settings.Node.HeartbeatAddress; address.IsValid() && p.outside.Heartbeats != nil {
-		if err := serveHTTP(ctx, group, address, p.outside.Heartbeats(p.node)); err != nil {
+		handler := refusals{next: p.outside.Heartbeats(p.node), logger: p.logger.Part("heartbeats")}
+		if err := serveHTTP(ctx, group, address, handler); err != nil {
 			return err
 		}
 	}
