--- a/balancer/health.go
+++ b/balancer/health.go
@@ -125,7 +125,7 @@
 // all servers alike, and ejects none.
 func failure(r waxwingseam.Result) (failed, known bool) {
 	if r.Completed() {
-		return r.Status >= failureStatus, true
+		return r.Failed(), true
 	}
 	switch r.Reason {
 	case waxwingseam.ReasonConnectionFailed, waxwingseam.ReasonConnectionSilent, waxwingseam.ReasonServerFailed,
--- a/balancer/target.go
+++ b/balancer/target.go
@@ -20,8 +20,6 @@
 	// roomyShare is the share of a server's limit below which its time of service
 	// hardly depends on its load.
 	roomyShare = 0.75
-	// failureStatus is the least HTTP status that counts as a failure.
-	failureStatus = 500
 	// fullWeight is the usual weight of a server's object, in hundredths.
 	fullWeight = 100
 )
@@ -67,7 +65,7 @@
 		t.report(c, f.Result.Load)
 	}
 	t.note(c, f.Result)
-	if succeeded(f.Result) {
+	if f.Result.Succeeded() {
 		t.observeLatency(c, f.Elapsed)
 	}
 }
@@ -153,8 +151,3 @@
 // minLatency stands in for the latency of a server that has not answered yet,
 // in seconds.
 const minLatency = 0.001
-
-// succeeded reports whether the backend server did what was asked.
-func succeeded(r waxwingseam.Result) bool {
-	return r.Completed() && r.Status < failureStatus
-}
--- a/balancer/throttle.go
+++ b/balancer/throttle.go
@@ -139,5 +139,5 @@
 	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
 		return true
 	}
-	return r.RefusedBelow && r.Status >= failureStatus
+	return r.RefusedBelow && r.Failed()
 }
--- a/dispatcher/outcome.go
+++ b/dispatcher/outcome.go
@@ -6,12 +6,8 @@
 	"waxwingseam.example/waxwingseam"
 )
 
-const (
-	// clockSkew bounds how far the clocks of two hosts differ.
-	clockSkew = 2 * time.Second
-	// failureStatus is the least HTTP status that counts as a failure.
-	failureStatus = 500
-)
+// clockSkew bounds how far the clocks of two hosts differ.
+const clockSkew = 2 * time.Second
 
 // keepFromRetry marks a call that can't be sent again as a whole.
 func (d *dispatcher) keepFromRetry(id waxwingseam.CallID) {
@@ -62,9 +58,9 @@
 
 func (d *dispatcher) complete(c *waxwingseam.Context, f *flight, a *attempt, result waxwingseam.Result) {
 	f.pot.Left += min(result.Unspent, a.share)
-	d.Retrier.Completed(c, f.call, result, f.limit)
+	d.Retrier.Completed(f.call, result, f.limit)
 	d.settle(c, f, a, proofNone, result)
-	if result.Status >= failureStatus {
+	if result.Failed() {
 		f.failed, f.failedBy = result, a.number
 		f.repeated = true
 		if d.retry(c, f, a, result) {
--- a/narrator/narrator.go
+++ b/narrator/narrator.go
@@ -23,12 +23,8 @@
 	EventSummary         = "calls-summed-up"
 )
 
-const (
-	// summaryEvery is the time between two sums of the calls.
-	summaryEvery = 5 * time.Second
-	// failureStatus is the least HTTP status that counts as a failure.
-	failureStatus = 500
-)
+// summaryEvery is the time between two sums of the calls.
+const summaryEvery = 5 * time.Second
 
 // Config holds the parts of a narrator.
 type Config struct {
@@ -178,7 +174,7 @@
 	elapsed := now.Sub(f.arrived)
 	n.sums.slowest = max(n.sums.slowest, elapsed)
 	switch {
-	case v.Result.Completed() && v.Result.Status < failureStatus:
+	case v.Result.Succeeded():
 		n.sums.completed++
 		return
 	case v.Result.Completed():
@@ -222,7 +218,7 @@
 	}
 	delete(n.hosted, v.ID)
 	n.sums.hosted++
-	if v.Result.Completed() && v.Result.Status < failureStatus {
+	if v.Result.Succeeded() {
 		return
 	}
 	load := v.Result.Load
--- a/receiver/account.go
+++ b/receiver/account.go
@@ -63,7 +63,7 @@
 	cancelled := len(live.attempts) == 0
 	return waxwingseam.RunEnd{
 		ID:      e.ID,
-		Failed:  cancelled || !e.Result.Completed() || e.Result.Status >= failureStatus,
+		Failed:  cancelled || !e.Result.Succeeded(),
 		Elapsed: e.Elapsed,
 		Own:     max(e.Elapsed-a.childs, 0),
 		Below:   min(a.below, a.childs),
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -24,8 +24,6 @@
 const (
 	// recordsPeriod is the time between two looks through the records.
 	recordsPeriod = time.Second
-	// failureStatus is the least HTTP status that counts as a failed run.
-	failureStatus = 500
 	// minRetryAfter is the least time that a refused caller stays away.
 	minRetryAfter = time.Second
 )
--- a/result.go
+++ b/result.go
@@ -28,6 +28,19 @@
 	Digest uint64 `cbor:"9,keyasint,omitempty"`
 }
 
+// failureStatus is the least HTTP status that counts as a failure.
+const failureStatus = 500
+
+// Succeeded reports whether the backend server did what was asked.
+func (r Result) Succeeded() bool {
+	return r.Completed() && r.Status < failureStatus
+}
+
+// Failed reports whether the backend server answered with a failure of its own.
+func (r Result) Failed() bool {
+	return r.Completed() && r.Status >= failureStatus
+}
+
 // Completed reports whether the backend server's whole answer is known.
 func (r Result) Completed() bool {
 	return r.Outcome == OutcomeCompleted
--- a/retrier/leaf.go
+++ b/retrier/leaf.go
@@ -6,8 +6,6 @@
 	// leafRuns is how many runs of a class in a row must have made no calls until
 	// the next is taken to make none: one in twenty is worth keeping a retry for.
 	leafRuns = 20
-	// failureStatus is the least HTTP status that counts as a failure.
-	failureStatus = 500
 	// belowGain is the weight of one more run in the usual count of calls.
 	belowGain = 0.05
 )
@@ -39,7 +37,7 @@
 // learn takes in how many calls a run of a class made. A failure may have come
 // before the first one, and tells nothing.
 func (t *tree) learn(result waxwingseam.Result) {
-	if result.Status >= failureStatus {
+	if result.Failed() {
 		return
 	}
 	t.below += belowGain * (float64(result.CallsBelow) - t.below)
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -83,9 +83,9 @@
 }
 
 // Completed implements waxwingseam.Retrier.
-func (r *retrier) Completed(c *waxwingseam.Context, call waxwingseam.Call, result waxwingseam.Result, limit waxwingseam.RetryLimit) {
+func (r *retrier) Completed(call waxwingseam.Call, result waxwingseam.Result, limit waxwingseam.RetryLimit) {
 	r.tree(call.Class).learn(result)
-	if result.Status >= failureStatus {
+	if result.Failed() {
 		return
 	}
 	r.budget(call.Service).earn(limit.BudgetPercent)
--- a/retry.go
+++ b/retry.go
@@ -35,5 +35,5 @@
 	Decide(c *Context, q RetryQuestion) RetryAnswer
 	// Completed takes in the whole answer of a call: a success counts toward the
 	// budget of its service.
-	Completed(c *Context, call Call, result Result, limit RetryLimit)
+	Completed(call Call, result Result, limit RetryLimit)
 }
