receiver, forwarder, assembler, controller: less to pass and to keep

The receiver has a gate without a budget where none is given, as the admitter has a limiter, in place of two checks; the run goes through the forwarder as one value, not as call and instance; assembler.Workers is one function; the exchanges of a controller stand in one map, started and ended in one place. SetIncarnation says what Outlive did. Behaviour as before.

--- a/assembler/announcer.go
+++ b/assembler/announcer.go
@@ -23,7 +23,7 @@
 // Execute implements runner.Executor.
 func (a announcer) Execute(e waxwingseam.Effect) {
 	if v, ok := e.(waxwingseam.Announce); ok {
-		a.forwarder.Outlive(v.Self.Incarnation)
+		a.forwarder.SetIncarnation(v.Self.Incarnation)
 		a.subscriber.Announce(v.Self)
 	}
 }
--- a/assembler/known_bench_test.go
+++ b/assembler/known_bench_test.go
@@ -17,7 +17,7 @@
 	const servers = 2000
 	for b.Loop() {
 		before := heap()
-		r := reducer.New(reducer.Config{Workers: assembler.Workers(waxwingseam.Server{Name: "self"})})
+		r := reducer.New(reducer.Config{Workers: assembler.Workers(assembler.WorkersConfig{Self: waxwingseam.Server{Name: "self"}})})
 		list := make([]waxwingseam.Server, servers)
 		for n := range list {
 			list[n] = waxwingseam.Server{
--- a/assembler/node.go
+++ b/assembler/node.go
@@ -99,7 +99,7 @@
 		Runner: runner.New(runner.Config{
 			Reducer: reducer.New(reducer.Config{
 				Self: config.Self,
-				Workers: NewWorkers(WorkersConfig{
+				Workers: Workers(WorkersConfig{
 					Self:        config.Self,
 					NearFirst:   config.NearFirst,
 					RetryBudget: config.RetryBudget,
--- a/assembler/workers.go
+++ b/assembler/workers.go
@@ -37,12 +37,7 @@
 }
 
 // Workers returns the default workers of a node.
-func Workers(self waxwingseam.Server) []waxwingseam.Prioritized {
-	return NewWorkers(WorkersConfig{Self: self})
-}
-
-// NewWorkers returns the workers of a node with some settings.
-func NewWorkers(config WorkersConfig) []waxwingseam.Prioritized {
+func Workers(config WorkersConfig) []waxwingseam.Prioritized {
 	self := config.Self
 	runs := tracker.New(tracker.Config{})
 	records := deduplicator.New(deduplicator.Config{})
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -46,8 +46,6 @@
 	idleTimeout = time.Minute
 	// shutdownTimeout bounds the end of the operator API.
 	shutdownTimeout = 2 * time.Second
-	// followEvery is the time between two looks at the members of the cluster.
-	followEvery = 500 * time.Millisecond
 )
 
 // Config holds the parts of a controller.
@@ -233,45 +231,6 @@
 	return trace.Wrap(group.Wait())
 }
 
-// followPeers keeps an exchange with each other control replica, as replicas come
-// and go.
-func (c *controller) followPeers(ctx context.Context) error {
-	ticker := time.NewTicker(followEvery)
-	defer ticker.Stop()
-	running := map[netip.AddrPort]context.CancelFunc{}
-	for {
-		peers := c.peers()
-		for _, address := range peers {
-			if running[address] == nil {
-				exchanging, cancel := context.WithCancel(ctx)
-				running[address] = cancel
-				x := newExchange(c, address)
-				c.mu.Lock()
-				c.exchanges[address] = x
-				c.mu.Unlock()
-				go x.run(exchanging)
-			}
-		}
-		for address, cancel := range running {
-			if !slices.Contains(peers, address) {
-				cancel()
-				delete(running, address)
-				c.mu.Lock()
-				delete(c.exchanges, address)
-				c.mu.Unlock()
-			}
-		}
-		select {
-		case <-ctx.Done():
-			for _, cancel := range running {
-				cancel()
-			}
-			return nil
-		case <-ticker.C:
-		}
-	}
-}
-
 // serveOperators serves the operator API.
 func (c *controller) serveOperators(ctx context.Context) error {
 	logger := c.config.Logger("operators")
--- a/controller/exchange.go
+++ b/controller/exchange.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,20 +22,61 @@
 	exchangeDialTimeout = 500 * time.Millisecond
 	// exchangeBackoff is the mean time between attempts.
 	exchangeBackoff = 500 * time.Millisecond
+	// followEvery is the time between two looks at the members of the cluster.
+	followEvery = 500 * time.Millisecond
 )
 
+// followPeers keeps an exchange with each other control replica, as replicas come
+// and go.
+func (c *controller) followPeers(ctx context.Context) error {
+	ticker := time.NewTicker(followEvery)
+	defer ticker.Stop()
+	for {
+		c.matchExchanges(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// matchExchanges begins an exchange with each new peer, and ends those with the
+// ones that are gone.
+func (c *controller) matchExchanges(ctx context.Context) {
+	peers := c.peers()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, address := range peers {
+		if c.exchanges[address] == nil {
+			c.exchanges[address] = startExchange(ctx, c, address)
+		}
+	}
+	maps.DeleteFunc(c.exchanges, func(address netip.AddrPort, x *exchange) bool {
+		if slices.Contains(peers, address) {
+			return false
+		}
+		x.stop()
+		return true
+	})
+}
+
 // exchange learns from one other control replica which servers announce
 // themselves there, and which revisions its nodes hold.
 type exchange struct {
 	controller *controller
 	address    netip.AddrPort
+	stop       context.CancelFunc
 
 	mu      sync.Mutex
 	holding *publisher.Holding
 }
 
-func newExchange(c *controller, address netip.AddrPort) *exchange {
-	return &exchange{controller: c, address: address}
+func startExchange(ctx context.Context, c *controller, address netip.AddrPort) *exchange {
+	ctx, stop := context.WithCancel(ctx)
+	x := &exchange{controller: c, address: address, stop: stop}
+	go x.run(ctx)
+	return x
 }
 
 // latest returns the latest summary while the replica is in touch.
--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -157,9 +157,9 @@
 }
 
 // execute runs the call at the backend server.
-func (h *hosted) execute(call waxwingseam.Call, instance string) {
+func (h *hosted) execute(run waxwingseam.Run) {
 	began := time.Now()
-	ctx, cancel := context.WithDeadline(context.Background(), call.Deadline)
+	ctx, cancel := context.WithDeadline(context.Background(), run.Call.Deadline)
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() {
 		h.body.fail(errLeft)
@@ -169,7 +169,7 @@
 	h.mu.Lock()
 	h.cancel = cancel
 	h.mu.Unlock()
-	result := h.exchange(ctx, call, instance)
+	result := h.exchange(ctx, run)
 	if result.Completed() {
 		h.reply.end()
 	} else {
@@ -191,10 +191,10 @@
 }
 
 // exchange sends the request and takes the whole reply in.
-func (h *hosted) exchange(ctx context.Context, call waxwingseam.Call, instance string) waxwingseam.Result {
+func (h *hosted) exchange(ctx context.Context, run waxwingseam.Run) waxwingseam.Result {
 	w := &witness{}
 	defer w.guard()()
-	request := h.request(w.watch(ctx), call, instance)
+	request := h.request(w.watch(ctx), run)
 	response, err := h.forwarder.backend.RoundTrip(request)
 	if err != nil {
 		return h.failed(ctx, w, err)
@@ -279,7 +279,7 @@
 
 // request returns the request for the backend server, which the HTTP client
 // must not take for one that it may send twice on its own.
-func (h *hosted) request(ctx context.Context, call waxwingseam.Call, instance string) *http.Request {
+func (h *hosted) request(ctx context.Context, run waxwingseam.Run) *http.Request {
 	o := h.opening
 	address := h.forwarder.config.Backend.String()
 	host := o.Host
@@ -296,7 +296,7 @@
 		Method:        o.Method,
 		URL:           target,
 		Host:          host,
-		Header:        h.requestHeader(call, instance),
+		Header:        h.requestHeader(run),
 		ContentLength: o.Length,
 		Body:          h,
 	}
@@ -321,7 +321,7 @@
 var rewindableKeys = []string{HeaderKey, "X-Idempotency-Key"}
 
 // requestHeader returns the headers of the request for the backend server.
-func (h *hosted) requestHeader(call waxwingseam.Call, instance string) http.Header {
+func (h *hosted) requestHeader(run waxwingseam.Run) http.Header {
 	header := h.opening.Header.Clone()
 	if header == nil {
 		header = http.Header{}
@@ -333,9 +333,9 @@
 		}
 	}
 	h.forwarder.config.BackendServer.RequestHeader(header, waxwingseam.BackendRequest{
-		Call:     call,
-		Instance: instance,
-		Left:     time.Until(call.Deadline),
+		Call:     run.Call,
+		Instance: run.Instance,
+		Left:     time.Until(run.Call.Deadline),
 	})
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = nil
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -145,7 +145,7 @@
 		fences:    map[waxwingseam.CallID][]chan waxwingseam.AnswerFence{},
 		witnesses: map[uint64]chan waxwingseam.WitnessAnswer{},
 	}
-	f.Outlive(config.Self.Incarnation)
+	f.SetIncarnation(config.Self.Incarnation)
 	return f
 }
 
@@ -261,9 +261,8 @@
 	}
 }
 
-// Outlive moves the node to a later incarnation, which its answers name from now
-// on.
-func (f *Forwarder) Outlive(i waxwingseam.Incarnation) {
+// SetIncarnation sets the life of the node that its answers name from now on.
+func (f *Forwarder) SetIncarnation(i waxwingseam.Incarnation) {
 	f.incarnation.Store(uint64(i))
 }
 
--- a/forwarder/hosted.go
+++ b/forwarder/hosted.go
@@ -199,7 +199,7 @@
 	if in := f.inbound(attemptKey{e.Call.ID, e.Attempt}); in != nil {
 		in.follow(h)
 	}
-	go h.execute(e.Call, e.Instance)
+	go h.execute(e)
 }
 
 // relayed reports whether another node runs the call.
--- a/receiver/answer.go
+++ b/receiver/answer.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"slices"
 	"time"
 
 	"waxwingseam.example/waxwingseam"
@@ -33,22 +34,16 @@
 }
 
 func (v *call) has(w waiter) bool {
-	for _, other := range v.attempts {
-		if other == w {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(v.attempts, w)
 }
 
 func (v *call) drop(w waiter) bool {
-	for i, other := range v.attempts {
-		if other == w {
-			v.attempts = append(v.attempts[:i], v.attempts[i+1:]...)
-			return true
-		}
+	i := slices.Index(v.attempts, w)
+	if i < 0 {
+		return false
 	}
-	return false
+	v.attempts = slices.Delete(v.attempts, i, i+1)
+	return true
 }
 
 func refused(reason waxwingseam.Reason) waxwingseam.Result {
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/budgeter"
 )
 
 // Priority is the receiver's place among the workers: before those that take
@@ -34,7 +35,7 @@
 	Deduplicator waxwingseam.Deduplicator
 	Drainer      waxwingseam.Drainer
 	Tracker      waxwingseam.Tracker
-	// Gate bounds repeated calls; unset for no bound.
+	// Gate bounds repeated calls; one without a budget when unset.
 	Gate waxwingseam.RetryGate
 }
 
@@ -75,6 +76,9 @@
 
 // New returns the worker of a receiving node.
 func New(config Config) waxwingseam.Worker {
+	if config.Gate == nil {
+		config.Gate = budgeter.New(budgeter.Config{})
+	}
 	return &receiver{
 		admitter:     config.Admitter,
 		deduplicator: config.Deduplicator,
@@ -134,9 +138,7 @@
 	case waxwingseam.SetAdopted:
 		r.adopt(c)
 	case waxwingseam.ServersLearned:
-		if r.gate != nil {
-			r.gate.Learn(v.Servers, v.Gone)
-		}
+		r.gate.Learn(v.Servers, v.Gone)
 		return
 	}
 	r.arm(c)
@@ -201,7 +203,7 @@
 		return waxwingseam.ReasonUnknownService
 	case !c.Now.Before(header.Deadline):
 		return waxwingseam.ReasonDeadline
-	case r.gate != nil && !r.gate.Admit(c, *header):
+	case !r.gate.Admit(c, *header):
 		return waxwingseam.ReasonRetryBudget
 	}
 	return waxwingseam.ReasonNone
