loader: one reader of whole numbers, of addresses and of lists of them

parseTolerated and parseRetrySlack were one function with two names, parseOutbound was address, the seeds were read by a copy of the loop for control addresses. The findings read as before (golden files unchanged).

--- a/loader/keys.go
+++ b/loader/keys.go
@@ -56,17 +56,17 @@
 	{sectionNode, "server-name", true, "", name(func(s *Settings, v string) { s.Node.ServerName = waxwingseam.ServerName(v) })},
 	{sectionNode, "service", true, "", name(func(s *Settings, v string) { s.Node.Service = waxwingseam.ServiceName(v) })},
 	{sectionNode, "entry-address", true, "", address(func(s *Settings) *netip.AddrPort { return &s.Node.EntryAddress })},
-	{sectionNode, "outbound-address", true, "", parseOutbound},
+	{sectionNode, "outbound-address", true, "", address(func(s *Settings) *netip.AddrPort { return &s.Node.OutboundAddress })},
 	{sectionNode, "heartbeat-address", false, "", address(func(s *Settings) *netip.AddrPort { return &s.Node.HeartbeatAddress })},
 	{sectionNode, "near-first", false, "", boolean("near-first", func(s *Settings) *bool { return &s.Node.NearFirst })},
 	{sectionNode, "retry-window", false, "", upToMinute("retry-window", func(s *Settings) *time.Duration { return &s.Node.RetryBudget.Window })},
 	{sectionNode, "retry-ratio", false, "", parseRetryRatio},
-	{sectionNode, "retry-slack", false, "", parseRetrySlack},
+	{sectionNode, "retry-slack", false, "", wholeNumber("retry-slack", maxRetrySlack, func(s *Settings) *int { return &s.Node.RetryBudget.Slack })},
 	{sectionNode, "backend-address", true, "", address(func(s *Settings) *netip.AddrPort { return &s.Node.BackendAddress })},
 	{sectionControl, "replica", true, "tolerated-losses", name(func(s *Settings, v string) { s.Control.Replica = waxwingseam.ReplicaID(v) })},
 	{sectionControl, "voter", false, "", boolean("voter", func(s *Settings) *bool { return &s.Control.Voter })},
 	{sectionControl, "founder", false, "", boolean("founder", func(s *Settings) *bool { return &s.Control.Founder })},
-	{sectionControl, "tolerated-losses", false, "", parseTolerated},
+	{sectionControl, "tolerated-losses", false, "", wholeNumber("tolerated-losses", maxTolerated, func(s *Settings) *int { return &s.Control.Tolerated })},
 	{sectionControl, "data-folder", true, "", parseDataFolder},
 	{sectionControl, "operator-address", true, "", address(func(s *Settings) *netip.AddrPort { return &s.Control.OperatorAddress })},
 	{sectionControl, "tokens-file", false, "", file(func(s *Settings) *string { return &s.Control.TokensFile })},
@@ -122,15 +122,6 @@
 	return parsed, nil
 }
 
-func parseOutbound(s *Settings, v string) error {
-	parsed, err := parseAddress(v)
-	if err != nil {
-		return err
-	}
-	s.Node.OutboundAddress = parsed
-	return nil
-}
-
 func parseControlAddresses(s *Settings, v string) error {
 	for part := range strings.SplitSeq(v, ",") {
 		parsed, err := parseAddress(strings.TrimSpace(part))
@@ -146,12 +137,13 @@
 // ports are those of other listeners, so that only the hosts count.
 func parseControlSeeds(s *Settings, v string) error {
 	s.Process.Seeded = true
-	for part := range strings.SplitSeq(v, ",") {
-		parsed, err := parseAddress(strings.TrimSpace(part))
-		if err != nil {
-			return err
-		}
-		s.Process.ControlAddresses = append(s.Process.ControlAddresses, netip.AddrPortFrom(parsed.Addr(), 0))
+	named := len(s.Process.ControlAddresses)
+	if err := parseControlAddresses(s, v); err != nil {
+		return err
+	}
+	seeds := s.Process.ControlAddresses[named:]
+	for i, a := range seeds {
+		seeds[i] = netip.AddrPortFrom(a.Addr(), 0)
 	}
 	return nil
 }
@@ -194,16 +186,23 @@
 	}
 }
 
-// maxTolerated bounds the losses of disks that a cluster is laid out for.
-const maxTolerated = 8
+const (
+	// maxTolerated bounds the losses of disks that a cluster is laid out for.
+	maxTolerated = 8
+	// maxRetrySlack bounds the retry slack.
+	maxRetrySlack = 1_000_000
+)
 
-func parseTolerated(s *Settings, v string) error {
-	n, err := strconv.Atoi(v)
-	if err != nil || n < 0 || n > maxTolerated {
-		return trace.BadParameter("tolerated-losses is %q, want a whole number from 0 to %d", v, maxTolerated)
+// wholeNumber parses a number from 0 to a bound.
+func wholeNumber(key string, most int, field func(s *Settings) *int) func(*Settings, string) error {
+	return func(s *Settings, v string) error {
+		n, err := strconv.Atoi(v)
+		if err != nil || n < 0 || n > most {
+			return trace.BadParameter("%s is %q, want a whole number from 0 to %d", key, v, most)
+		}
+		*field(s) = n
+		return nil
 	}
-	s.Control.Tolerated = n
-	return nil
 }
 
 func parseRetryRatio(s *Settings, v string) error {
@@ -215,18 +214,6 @@
 	return nil
 }
 
-// maxRetrySlack bounds the retry slack.
-const maxRetrySlack = 1_000_000
-
-func parseRetrySlack(s *Settings, v string) error {
-	n, err := strconv.Atoi(v)
-	if err != nil || n < 0 || n > maxRetrySlack {
-		return trace.BadParameter("retry-slack is %q, want a whole number from 0 to %d", v, maxRetrySlack)
-	}
-	s.Node.RetryBudget.Slack = n
-	return nil
-}
-
 func parseLogLevel(s *Settings, v string) error {
 	level, err := logger.ParseLevel(v)
 	s.Process.LogLevel = level
