--- a/launcher/fleet.go
+++ b/launcher/fleet.go
@@ -38,8 +38,6 @@
 	dataCentres = 3
 	// startTimeout bounds the start of all processes.
 	startTimeout = 20 * time.Second
-	// startPoll is the time between two looks at the start.
-	startPoll = 50 * time.Millisecond
 )
 
 // Service describes the stand-ins of one service.
@@ -243,39 +241,8 @@
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	client := operator.New(operator.Config{Control: f.operators.String(), Name: "launcher"})
-	submission := administrator.Submission{
+	return trace.Wrap(operator.Establish(ctx, client, administrator.Submission{
 		ID:    waxwingseam.SubmissionID(uuid.NewString()),
 		Files: []checker.File{{Name: "objects.ini", Data: f.config.Objects}},
-	}
-	if err := poll(ctx, func() bool {
-		_, err := client.Submit(ctx, submission)
-		return err == nil
-	}); err != nil {
-		return trace.Wrap(err, "the objects were not accepted")
-	}
-	return trace.Wrap(poll(ctx, func() bool {
-		status, err := client.Status(ctx)
-		return err == nil && f.informed(status)
-	}), "the nodes did not take the objects over")
-}
-
-// informed reports whether every node is announced and at the newest revision.
-func (f *Fleet) informed(status administrator.StatusAnswer) bool {
-	newest := 0
-	for _, n := range status.Nodes {
-		newest += n.Newest
-	}
-	return status.Revision > 0 && newest >= len(f.StandIns) && len(status.Servers) == len(f.StandIns)
-}
-
-// poll calls done until it reports true or the context ends.
-func poll(ctx context.Context, done func() bool) error {
-	for !done() {
-		select {
-		case <-ctx.Done():
-			return trace.Wrap(ctx.Err())
-		case <-time.After(startPoll):
-		}
-	}
-	return nil
+	}, len(f.StandIns)))
 }
--- a/soaker/operators.go
+++ b/soaker/operators.go
@@ -59,8 +59,7 @@
 
 // any returns a client of one replica.
 func (o *operators) any(random *rand.Rand) operator.Client {
-	r := o.deployment.replicas[random.IntN(replicas)]
-	return operator.New(operator.Config{Control: r.operators.String(), Name: "soak"})
+	return o.deployment.replicas[random.IntN(replicas)].client()
 }
 
 // submit makes one change, and sends it again while its answer is open.
@@ -109,7 +108,7 @@
 
 // history returns the accepted changes as a replica tells them, at the end.
 func (o *operators) history(ctx context.Context) (map[waxwingseam.SubmissionID]waxwingseam.Revision, error) {
-	client := operator.New(operator.Config{Control: o.deployment.replicas[0].operators.String(), Name: "soak"})
+	client := o.deployment.replicas[0].client()
 	kept := map[waxwingseam.SubmissionID]waxwingseam.Revision{}
 	for after := waxwingseam.Revision(0); ; {
 		answer, err := client.History(ctx, after)
@@ -125,16 +124,3 @@
 		}
 	}
 }
-
-// first publishes the first objects.
-func (o *operators) first(ctx context.Context) error {
-	client := operator.New(operator.Config{Control: o.deployment.replicas[0].operators.String(), Name: "soak"})
-	_, err := within(ctx, func(ctx context.Context) (historian.Answer, error) {
-		return client.Submit(ctx, administrator.Submission{
-			ID:             "first",
-			AcceptWarnings: true,
-			Files:          []checker.File{{Name: "objects.ini", Data: o.deployment.set(leastDeadline)}},
-		})
-	})
-	return err
-}
--- a/soaker/program.go
+++ b/soaker/program.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -15,10 +16,10 @@
 
 // program is one waxwingseam process, with what the soak does to it.
 type program struct {
-	name     string
-	path     string
-	settings string
-	log      string
+	name string
+	path string
+	file string
+	log  string
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -41,22 +42,17 @@
 }
 
 func meetsAny(list []span, o span) bool {
-	for _, s := range list {
-		if s.meets(o) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(list, o.meets)
 }
 
 func newProgram(config Config, name, settings string) (*program, error) {
 	p := &program{
-		name:     name,
-		path:     config.Program,
-		settings: filepath.Join(config.Folder, name+".ini"),
-		log:      filepath.Join(config.Folder, name+".log"),
+		name: name,
+		path: config.Program,
+		file: filepath.Join(config.Folder, name+".ini"),
+		log:  filepath.Join(config.Folder, name+".log"),
 	}
-	return p, trace.ConvertSystemError(os.WriteFile(p.settings, []byte(settings), 0o600))
+	return p, trace.ConvertSystemError(os.WriteFile(p.file, []byte(settings), 0o600))
 }
 
 // start starts the process anew; its output is appended to the log.
@@ -69,7 +65,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	// The process outlasts every context: the soak ends it by signals.
-	command := exec.CommandContext(context.Background(), p.path, "serve", "--settings", p.settings)
+	command := exec.CommandContext(context.Background(), p.path, "serve", "--settings", p.file)
 	command.Stdout, command.Stderr = out, out
 	if err := command.Start(); err != nil {
 		return trace.ConvertSystemError(err)
@@ -175,5 +171,5 @@
 func (p *program) spans() (leaving, hurt []span, broken []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return append([]span{}, p.leaving...), append([]span{}, p.hurt...), append([]string{}, p.broken...)
+	return slices.Clone(p.leaving), slices.Clone(p.hurt), slices.Clone(p.broken)
 }
--- a/soaker/promises.go
+++ b/soaker/promises.go
@@ -21,6 +21,20 @@
 	acknowledged, kept map[waxwingseam.SubmissionID]waxwingseam.Revision
 }
 
+// ran holds the tags of the requests that a backend server began; those of the
+// calls below them have other paths.
+func (e evidence) ran() map[string]bool {
+	tags := map[string]bool{}
+	for _, r := range e.runs {
+		for _, prefix := range []string{prefixNever, prefixFree} {
+			if tag, ok := strings.CutPrefix(r.Path, prefix); ok {
+				tags[tag] = true
+			}
+		}
+	}
+	return tags
+}
+
 // promise is one that is checked from outside.
 type promise struct {
 	name  string
@@ -60,13 +74,10 @@
 
 // didNotRun checks that what a caller was told did not run has not begun.
 func didNotRun(e evidence) []string {
-	ran := map[string]bool{}
-	for _, r := range e.runs {
-		ran[r.Path] = true
-	}
+	ran := e.ran()
 	var out []string
 	for _, r := range e.requests {
-		if r.outcome == waxwingseam.OutcomeDidNotRun.String() && (ran[prefixNever+r.tag] || ran[prefixFree+r.tag]) {
+		if r.outcome == waxwingseam.OutcomeDidNotRun.String() && ran[r.tag] {
 			out = append(out, fmt.Sprintf("%s did not run, it was said (%d), but ran", r.tag, r.status))
 		}
 	}
@@ -103,15 +114,11 @@
 // uninterrupted checks that a node which is told to leave answers what it took:
 // a request that a backend server began must not end without an answer.
 func uninterrupted(e evidence) []string {
-	ran := map[string]bool{}
-	for _, r := range e.runs {
-		ran[r.Path] = true
-	}
+	ran := e.ran()
 	var out []string
 	for _, r := range e.requests {
 		leaving, hurt, _ := r.host.spans()
-		began := ran[prefixNever+r.tag] || ran[prefixFree+r.tag]
-		if r.err != nil && r.dialled && began && meetsAny(leaving, r.span()) && !meetsAny(hurt, r.span()) {
+		if r.err != nil && r.dialled && ran[r.tag] && meetsAny(leaving, r.span()) && !meetsAny(hurt, r.span()) {
 			out = append(out, fmt.Sprintf("%s was cut off while its node left: %v", r.tag, r.err))
 		}
 	}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -13,6 +13,9 @@
 	"github.com/gravitational/trace"
 
 	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/administrator"
+	"waxwingseam.example/waxwingseam/checker"
+	"waxwingseam.example/waxwingseam/operator"
 )
 
 const (
@@ -148,18 +151,15 @@
 	return trace.Wrap(err)
 }
 
-// configure publishes the first objects.
+// configure publishes the first objects and waits until all nodes hold them.
 func (s *soak) configure(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	for s.operators.first(ctx) != nil {
-		select {
-		case <-ctx.Done():
-			return trace.LimitExceeded("the first objects were not accepted in %v", startTimeout)
-		case <-time.After(pollEvery):
-		}
-	}
-	return s.deployment.ready(ctx)
+	return trace.Wrap(operator.Establish(ctx, s.deployment.replicas[0].client(), administrator.Submission{
+		ID:             "first",
+		AcceptWarnings: true,
+		Files:          []checker.File{{Name: "objects.ini", Data: s.deployment.set(leastDeadline)}},
+	}, len(s.deployment.hosts)))
 }
 
 // recover waits until requests are served again.
