--- /dev/null
+++ b/forwarder/reply.go
@@ -0,0 +1,117 @@
+package forwarder
+
+import (
+	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// listen takes frames in until the result.
+func (a *attempt) listen(c *channel) (waxwingseam.Result, error) {
+	for {
+		f, err := c.receive()
+		if err != nil {
+			return waxwingseam.Result{}, err
+		}
+		a.exchange.body.release(f.Taken)
+		if err := a.take(f); err != nil {
+			return waxwingseam.Result{}, err
+		}
+		if f.Kind == frameResult && f.Result != nil {
+			return a.verify(*f.Result), nil
+		}
+	}
+}
+
+// take takes in one frame of the reply.
+func (a *attempt) take(f frame) error {
+	a.mu.Lock()
+	if f.Incarnation != 0 {
+		a.life = f.Incarnation
+	}
+	if f.Head != nil && a.head == nil {
+		a.head = f.Head
+	}
+	cancelled := a.cancelled
+	a.mu.Unlock()
+	if len(f.Data) == 0 || cancelled {
+		return nil
+	}
+	data, err := unseen(f, a.reply.length())
+	if err != nil {
+		return err
+	}
+	_, _ = a.digest.Write(data)
+	if err := a.reply.add(data); err != nil {
+		return err
+	}
+	if a.reply.length() > holdLimit {
+		a.begin()
+	}
+	return nil
+}
+
+// unseen returns the part of a frame's data from an offset on.
+func unseen(f frame, offset int64) ([]byte, error) {
+	skip := offset - f.Offset
+	if skip < 0 {
+		return nil, trace.BadParameter("a part of the body is missing before offset %d", f.Offset)
+	}
+	return f.Data[min(skip, int64(len(f.Data))):], nil
+}
+
+// verify checks a whole reply against its length and digest.
+func (a *attempt) verify(result waxwingseam.Result) waxwingseam.Result {
+	if !result.Completed() {
+		return result
+	}
+	a.mu.Lock()
+	whole := a.head != nil
+	a.mu.Unlock()
+	if whole && result.Length == a.reply.length() && result.Digest == a.digest.Sum64() {
+		return result
+	}
+	result.Outcome = waxwingseam.OutcomeMayHaveRun
+	result.Reason = waxwingseam.ReasonDigestMismatch
+	return result
+}
+
+// begin lets the reply go to the caller before its end is known.
+func (a *attempt) begin() {
+	a.mu.Lock()
+	first := !a.began
+	a.began = true
+	a.mu.Unlock()
+	if !first {
+		return
+	}
+	f := a.exchange.forwarder
+	f.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
+		return waxwingseam.ReplyStarted{
+			Stamp:   s,
+			ID:      a.call.ID,
+			Attempt: a.number,
+		}
+	})
+	select {
+	case a.exchange.started <- a:
+	default:
+	}
+}
+
+// heading returns the beginning of the reply; nil before it is known.
+func (a *attempt) heading() *heading {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.head
+}
+
+// acknowledge tells the receiving node how much of the reply was given.
+func (a *attempt) acknowledge() {
+	a.mu.Lock()
+	c := a.channel
+	a.mu.Unlock()
+	if c != nil {
+		_ = c.send(frame{Kind: frameAlive})
+	}
+}
