--- a/soaker/settings.go
+++ b/soaker/settings.go
@@ -90,7 +90,7 @@
 
 // freePort returns the first of the ports that are free on all addresses.
 func freePort(ctx context.Context) (uint16, error) {
-	var ips []netip.Addr
+	ips := make([]netip.Addr, 0, replicas+2*servers)
 	for n := range replicas {
 		ips = append(ips, replicaIP(n))
 	}
@@ -122,7 +122,7 @@
 
 // processSettings are those of every process; the data centre counts from 0.
 func processSettings(ip netip.Addr, port uint16, dataCentre int) string {
-	var seeds []string
+	seeds := make([]string, 0, replicas)
 	for n := range replicas {
 		seeds = append(seeds, netip.AddrPortFrom(replicaIP(n), port).String())
 	}
