--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -46,7 +46,7 @@
 	Confirmer Confirmer
 	// Step feeds the registrar's reducer.
 	Step func(build func(waxwingseam.Stamp) waxwingseam.Event)
-	// Peers counts the other control replicas.
+	// Peers counts the other control replicas; nil for none.
 	Peers func() int
 	// Replicas lists the addresses of all of them, for the watchers; nil for
 	// none.
@@ -100,6 +100,9 @@
 
 // New returns a publisher without watchers.
 func New(config Config) Publisher {
+	if config.Peers == nil {
+		config.Peers = func() int { return 0 }
+	}
 	p := &publisher{
 		config:    config,
 		confirmed: newBatch(config.Confirmer),
