launcher: an address is handed out once

The addresses of a node are drawn before it listens on them, and the next draw of the same process could hit one again (nine of 20,000 ports drawn for three stand-ins, about one start in 400). Not from this change, found by it. TestAddressesAreGivenOnce fails before.

--- a/launcher/address.go
+++ b/launcher/address.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"sync"
 
 	"github.com/gravitational/trace"
 )
@@ -18,7 +19,26 @@
 	maxPortTries = 100
 )
 
-// freeAddresses returns loopback addresses that nothing listens on now.
+// given are the ports that were handed out: nothing listens on them until the
+// process starts that they are for.
+var given = struct {
+	sync.Mutex
+	ports map[uint16]bool
+}{ports: map[uint16]bool{}}
+
+// reserve hands a port out; false if it was before.
+func reserve(port uint16) bool {
+	given.Lock()
+	defer given.Unlock()
+	if given.ports[port] {
+		return false
+	}
+	given.ports[port] = true
+	return true
+}
+
+// freeAddresses returns loopback addresses that nothing listens on now, each of
+// them once.
 func freeAddresses(ctx context.Context, count int) ([]netip.AddrPort, error) {
 	addresses := make([]netip.AddrPort, 0, count)
 	for range count {
@@ -34,10 +54,13 @@
 
 func listenFree(ctx context.Context) (net.Listener, error) {
 	var lc net.ListenConfig
-	var err error
+	err := error(trace.LimitExceeded("no port was drawn that is not in use"))
 	for range maxPortTries {
-		port := firstPort + rand.IntN(lastPort-firstPort)
-		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(port))
+		port := uint16(firstPort + rand.IntN(lastPort-firstPort))
+		if !reserve(port) {
+			continue
+		}
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
 		var listener net.Listener
 		if listener, err = lc.Listen(ctx, "tcp", address.String()); err == nil {
 			return listener, nil
