forwarder, narrator, meter: what backend servers say in answers is seen

Nodes read the rate limit and the leaving header of their own backend server's answers, once for each change and by the order of hand-over. A line backend-server-stated, the gauges waxwingseam_rate_limit and waxwingseam_stated_leaving, and the counter waxwingseam_hand_overs_total show them. No decision depends on them yet.

--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -204,6 +204,9 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	verdict, reason := h.forwarder.config.BackendServer.CheckReply(request.Header, response.StatusCode, response.Header)
+	if verdict != waxwingseam.ReplyMismatched && reason != waxwingseam.ReasonServerReplaced {
+		h.forwarder.reportStatement(run, response.Header)
+	}
 	switch verdict {
 	case waxwingseam.ReplyDidNotRun:
 		_, _ = io.CopyN(io.Discard, response.Body, maxRefusalBytes)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -111,6 +111,7 @@
 	fenceAnswers   map[waxwingseam.CallID][]chan waxwingseam.AnswerFence
 	witnessAnswers map[uint64]chan waxwingseam.WitnessAnswer
 	lastWitnessAsk uint64
+	statements     statementFilter
 	// entryClosed is set once calls from outside are refused.
 	entryClosed atomic.Bool
 	// pendingWitnessAsks counts the unanswered messages to witnesses.
--- a/forwarder/headers.go
+++ b/forwarder/headers.go
@@ -26,6 +26,12 @@
 	// HeaderKey is the caller's idempotency key.
 	HeaderKey = "Idempotency-Key"
 
+	// HeaderRateLimit is the rate of requests, per second, that a backend server
+	// accepts from all nodes together.
+	HeaderRateLimit = "Waxwingseam-Rate-Limit"
+	// HeaderLeaving is set to 1 by a backend server that takes no new work.
+	HeaderLeaving = "Waxwingseam-Leaving"
+
 	headerTraceParent = "Traceparent"
 )
 
--- a/forwarder/native.go
+++ b/forwarder/native.go
@@ -72,3 +72,8 @@
 func (nativeBackend) CheckReply(http.Header, int, http.Header) (waxwingseam.ReplyVerdict, waxwingseam.Reason) {
 	return waxwingseam.ReplyMatched, waxwingseam.ReasonNone
 }
+
+// ParseStatement implements waxwingseam.BackendProtocol.
+func (nativeBackend) ParseStatement(reply http.Header) waxwingseam.Statement {
+	return waxwingseam.NewStatement(strings.Join(reply.Values(HeaderRateLimit), ","), reply.Get(HeaderLeaving))
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -73,6 +73,8 @@
 		waxwingseam.KindRun:           m.runs.started,
 		waxwingseam.KindAnswerAttempt: m.runs.answered,
 		waxwingseam.KindJoinRun:       m.runs.joined,
+
+		waxwingseam.KindStatementChanged: m.runs.stated,
 	}
 	return m
 }
--- a/meter/runs.go
+++ b/meter/runs.go
@@ -24,10 +24,19 @@
 	rootLimit   prometheus.Gauge
 	shedding    prometheus.Gauge
 	leaving     prometheus.Gauge
+	handOvers   prometheus.Counter
+	// rateLimit is -1 without a limit.
+	rateLimit prometheus.Gauge
+	// statedLeaving is 1 while the backend server says in its answers that it is
+	// leaving.
+	statedLeaving prometheus.Gauge
 }
 
+// noRateLimit is the value of the rate limit's gauge without a limit.
+const noRateLimit = -1
+
 func newRunMetrics() runMetrics {
-	return runMetrics{
+	m := runMetrics{
 		queuedSince: map[waxwingseam.CallID]time.Time{},
 		answers:     newCounter("waxwingseam_attempt_answers_total", "Attempts answered by this node for its backend server.", labelOutcome, labelReason),
 		joins:       prometheus.NewCounter(prometheus.CounterOpts{Name: "waxwingseam_joined_attempts_total", Help: "Attempts that joined a run or collected its kept reply."}),
@@ -40,11 +49,17 @@
 		rootLimit:   newGauge("waxwingseam_root_limit", "Limit on running roots in force."),
 		shedding:    newGauge("waxwingseam_shedding", "1 while calls are refused for overload."),
 		leaving:     newGauge("waxwingseam_leaving", "1 while no new work is taken."),
+		handOvers:   prometheus.NewCounter(prometheus.CounterOpts{Name: "waxwingseam_hand_overs_total", Help: "Runs handed to the backend server."}),
+		rateLimit:   newGauge("waxwingseam_rate_limit", "Rate limit that the backend server names, in requests per second; -1 without one."),
+
+		statedLeaving: newGauge("waxwingseam_stated_leaving", "1 while the backend server says in its answers that it is leaving."),
 	}
+	m.rateLimit.Set(noRateLimit)
+	return m
 }
 
 func (m *runMetrics) collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.answers, m.joins, m.arrivalTime, m.queueTime, m.runTime, m.inFlight, m.queued, m.limit, m.rootLimit, m.shedding, m.leaving}
+	return []prometheus.Collector{m.answers, m.joins, m.arrivalTime, m.queueTime, m.runTime, m.inFlight, m.queued, m.limit, m.rootLimit, m.shedding, m.leaving, m.handOvers, m.rateLimit, m.statedLeaving}
 }
 
 func (m *runMetrics) arrived(e waxwingseam.Event) {
@@ -76,6 +91,7 @@
 	if !ok {
 		return
 	}
+	m.handOvers.Inc()
 	if arrived, waited := m.queuedSince[v.Call.ID]; waited {
 		delete(m.queuedSince, v.Call.ID)
 		m.queueTime.WithLabelValues().Observe(now.Sub(arrived).Seconds())
@@ -99,6 +115,18 @@
 	}
 }
 
+func (m *runMetrics) stated(_ time.Time, e waxwingseam.Effect) {
+	v, ok := e.(waxwingseam.StatementChanged)
+	if !ok || v.Source == waxwingseam.StatementFromPeer {
+		return
+	}
+	m.rateLimit.Set(noRateLimit)
+	if v.Statement.Limited {
+		m.rateLimit.Set(v.Statement.Rate)
+	}
+	m.statedLeaving.Set(boolToFloat(v.Statement.Leaving))
+}
+
 func (m *runMetrics) setLoad(l waxwingseam.Load) {
 	m.inFlight.Set(float64(l.InFlight))
 	m.queued.Set(float64(l.Waiting))
--- a/narrator/narrator.go
+++ b/narrator/narrator.go
@@ -20,6 +20,7 @@
 	EventConfiguration   = "configuration-adopted"
 	EventServers         = "servers-learned"
 	EventBackend         = "backend-server-reported"
+	EventStatement       = "backend-server-stated"
 	EventDrain           = "drain-asked"
 	EventSummary         = "calls-summed-up"
 )
@@ -77,7 +78,9 @@
 	refused          int
 	outcomeUnknown   int
 	answeredAttempts int
-	slowest          time.Duration
+	// handedOver counts the runs handed to the backend server.
+	handedOver int
+	slowest    time.Duration
 	// arrivals counts the received attempts, and arrivalDelay sums the times from
 	// their receipt to the decisions on them.
 	arrivals     int
@@ -190,9 +193,28 @@
 		n.callAnswered(now, v)
 	case waxwingseam.AnswerAttempt:
 		n.attemptAnswered(now, v)
+	case waxwingseam.Run:
+		n.totals.handedOver++
+	case waxwingseam.StatementChanged:
+		n.statementChanged(now, v)
 	}
 }
 
+// statementChanged writes a line for each change of what a backend server says of
+// itself in its answers.
+func (n *Narrator) statementChanged(now time.Time, v waxwingseam.StatementChanged) {
+	n.write(now, EventStatement, slog.LevelWarn,
+		slog.String("server", string(v.Server)),
+		slog.String("instance", v.Backend.Instance),
+		slog.Time("started", v.Backend.Started),
+		slog.Bool("limited", v.Statement.Limited),
+		slog.Float64("rate", v.Statement.Rate),
+		slog.Bool("leaving", v.Statement.Leaving),
+		slog.String("unreadable", v.Statement.Unreadable),
+		slog.String("source", string(v.Source)),
+		slog.Duration("age", v.Age))
+}
+
 // attemptSent records an attempt, and writes a line for each one after the first.
 func (n *Narrator) attemptSent(now time.Time, v waxwingseam.Dispatch) {
 	c, ok := n.open[v.Call.ID]
@@ -368,6 +390,7 @@
 		slog.Int("refused", totals.refused),
 		slog.Int("outcome-unknown", totals.outcomeUnknown),
 		slog.Int("hosted", totals.answeredAttempts),
+		slog.Int("handed-over", totals.handedOver),
 		slog.Duration("slowest", totals.slowest),
 		slog.Int("open", len(n.open)),
 		slog.Int("lines-left-out", dropped),
--- a/narrator/narrator_test.go
+++ b/narrator/narrator_test.go
@@ -74,6 +74,10 @@
 	n.Observe(waxwingseam.AttemptEnded{Stamp: stamp(380 * time.Millisecond), ID: id, Attempt: 2, Result: refused}, []waxwingseam.Effect{
 		waxwingseam.Reply{ID: id, Attempt: 2, Result: refused},
 	})
+	n.Observe(waxwingseam.BackendStated{Stamp: stamp(500 * time.Millisecond)}, []waxwingseam.Effect{waxwingseam.StatementChanged{
+		Server: "desk-1", Backend: waxwingseam.BackendIncarnation{Instance: "i-1", Started: start},
+		Statement: waxwingseam.Statement{Limited: true, Rate: 14.5}, Source: waxwingseam.StatementFromAnswer,
+	}})
 	n.Observe(waxwingseam.DrainAsked{Stamp: stamp(time.Second)}, nil)
 	n.Observe(waxwingseam.TimerFired{Stamp: stamp(6 * time.Second)}, nil)
 	if *update {
--- a/protocol.go
+++ b/protocol.go
@@ -51,4 +51,6 @@
 	// CheckReply checks the status and header of a reply to a request with the
 	// given header. The reason is set with ReplyDidNotRun.
 	CheckReply(request http.Header, status int, reply http.Header) (ReplyVerdict, Reason)
+	// ParseStatement returns what the backend server says of itself in a reply.
+	ParseStatement(reply http.Header) Statement
 }
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -47,7 +47,11 @@
 	gate         waxwingseam.RetryGate
 
 	settings settings
-	calls    map[waxwingseam.CallID]*call
+	// statement is in force for the current incarnation of the backend server.
+	statement statement
+	// handOvers counts the runs handed to the backend server.
+	handOvers uint64
+	calls     map[waxwingseam.CallID]*call
 	// owners maps a call that joined another call to that other call.
 	owners map[waxwingseam.CallID]waxwingseam.CallID
 	// parents maps a call that a run made to the call of that run.
@@ -105,6 +109,7 @@
 		waxwingseam.KindTimerFired,
 		waxwingseam.KindSetAdopted,
 		waxwingseam.KindBackendReported,
+		waxwingseam.KindBackendStated,
 		waxwingseam.KindServersUpdated,
 	}
 }
@@ -133,7 +138,10 @@
 		if r.settings.service != c.Self.Service || r.settings.reportedSlots != c.Self.Slots {
 			r.adopt(c)
 		}
+		r.forgetStatement(c)
 		r.refuseWaiting(c)
+	case waxwingseam.BackendStated:
+		r.backendStated(c, v)
 	case waxwingseam.TimerFired:
 		r.fire(c, v.Timer)
 	case waxwingseam.SetAdopted:
@@ -255,7 +263,14 @@
 	r.deduplicator.Start(c, live.header.ID)
 	r.tracker.Begin(live.header)
 	first := live.attempts[0]
-	c.Emit(waxwingseam.Run{Call: live.header, Attempt: first.attempt, Instance: c.Self.Instance})
+	r.handOvers++
+	c.Emit(waxwingseam.Run{
+		Call:     live.header,
+		Attempt:  first.attempt,
+		Instance: c.Self.Instance,
+		Backend:  c.Self.BackendIncarnation(),
+		HandOver: r.handOvers,
+	})
 	for _, w := range live.attempts[1:] {
 		c.Emit(waxwingseam.JoinRun{ID: w.id, Attempt: w.attempt, Owner: live.header.ID})
 	}
--- /dev/null
+++ b/receiver/statement.go
@@ -0,0 +1,63 @@
+package receiver
+
+import (
+	"time"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// statement is what the node's own backend server last said of itself.
+type statement struct {
+	backend waxwingseam.BackendIncarnation
+	waxwingseam.Statement
+	// handOver is that of the run whose answer had the statement; 0 if the node has
+	// received no statement of the incarnation itself.
+	handOver uint64
+	at       time.Time
+}
+
+// backendStated applies the statement in an answer, unless an answer to a later run
+// has been applied or another incarnation of the backend server made it.
+func (r *receiver) backendStated(c *waxwingseam.Context, e waxwingseam.BackendStated) {
+	if !e.Backend.Equal(c.Self.BackendIncarnation()) || e.HandOver < r.statement.handOver {
+		return
+	}
+	next := e.Statement
+	if next.Unreadable != "" {
+		next.Limited, next.Rate = r.statement.Limited, r.statement.Rate
+	}
+	next.Leaving = next.Leaving || r.statement.Leaving
+	r.setStatement(c, statement{
+		backend:   e.Backend,
+		Statement: next,
+		handOver:  e.HandOver,
+		at:        c.Now,
+	}, waxwingseam.StatementFromAnswer)
+}
+
+// setStatement puts a statement in force and reports it if it differs from the last
+// one.
+func (r *receiver) setStatement(c *waxwingseam.Context, s statement, source waxwingseam.StatementSource) {
+	changed := s.Statement != r.statement.Statement
+	r.statement = s
+	if !changed {
+		return
+	}
+	c.Emit(waxwingseam.StatementChanged{
+		Server:    c.Self.Name,
+		Backend:   s.backend,
+		Statement: s.Statement,
+		Source:    source,
+		Age:       c.Now.Sub(s.at),
+	})
+}
+
+// forgetStatement drops the statement of an earlier incarnation of the backend
+// server.
+func (r *receiver) forgetStatement(c *waxwingseam.Context) {
+	current := c.Self.BackendIncarnation()
+	if r.statement.backend.Equal(current) {
+		return
+	}
+	r.setStatement(c, statement{backend: current, at: c.Now}, waxwingseam.StatementFromRestart)
+}
--- a/runeffect.go
+++ b/runeffect.go
@@ -18,6 +18,11 @@
 	// Instance identifies the backend server's incarnation that must run the
 	// call; empty for any.
 	Instance string
+	// Backend is the incarnation of the backend server as the node knows it.
+	Backend BackendIncarnation
+	// HandOver numbers the runs in the order of their hand-over to the backend
+	// server, starting at 1 with each process of the node.
+	HandOver uint64
 }
 
 // CancelRun cancels a run at the backend server.
--- a/server.go
+++ b/server.go
@@ -29,6 +29,9 @@
 	// Instance identifies the current incarnation of the backend server; empty
 	// if it reports no identifier.
 	Instance string `cbor:"10,keyasint,omitempty"`
+	// Started is when the current incarnation of the backend server began, as it
+	// reports; zero if not reported.
+	Started time.Time `cbor:"11,keyasint,omitzero"`
 }
 
 // Load is a node's measurement of its backend server, sent with each answer.
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -78,6 +78,9 @@
 	s.latest = r
 	before := c.Self
 	c.Self.Instance = r.Instance
+	if !r.Started.IsZero() || before.Instance != r.Instance {
+		c.Self.Started = r.Started
+	}
 	if r.Service != "" {
 		c.Self.Service = r.Service
 	}
