experimenter: limited and leaving backend servers, red

Stand-in backend servers name rate limits and say that they are leaving, keep their incarnation when their node restarts, and record who sent them what. TestLimitedServersAreNotOverrun counts as the rule does, and asks that callers whom the other servers can serve are served. TestLeavingServersGetNoRequests covers a restart of the node, a late heartbeat and a new announcement.

--- a/experimenter/backend.go
+++ b/experimenter/backend.go
@@ -19,6 +19,8 @@
 	stage     int
 	openCalls int
 	ended     bool
+	// order is the hand-over that began the run.
+	order waxwingseam.Run
 }
 
 // backend simulates a backend server. Each run occupies a slot from start to
@@ -49,6 +51,22 @@
 	wakeGeneration uint64
 	// failing makes every new run fail at once.
 	failing bool
+	// statement is in the header of each answer; it and arrivals outlast a restart of
+	// the node.
+	statement waxwingseam.Statement
+	arrivals  []Arrival
+}
+
+// Arrival is the hand-over of one request to a backend server.
+type Arrival struct {
+	At       time.Time
+	Instance string
+	// Told is since when the sending node knew from an answer that the server names a
+	// rate limit, and ToldLeaving that it is leaving; zero if it did not know.
+	Told        time.Time
+	ToldLeaving time.Time
+	// Issued is when the caller or run sent the request.
+	Issued time.Time
 }
 
 func newBackend(n *Node, t Tier) *backend {
@@ -64,8 +82,16 @@
 }
 
 // run starts a call's run, queues it or fails it.
-func (b *backend) run(call *callState) {
-	j := &job{call: call, started: b.node.world.scheduler.now}
+func (b *backend) run(call *callState, order waxwingseam.Run) {
+	j := &job{call: call, started: b.node.world.scheduler.now, order: order}
+	told := call.node.told[b.node.Server.Instance]
+	b.arrivals = append(b.arrivals, Arrival{
+		At:          j.started,
+		Instance:    b.node.Server.Instance,
+		Told:        told.limited,
+		ToldLeaving: told.leaving,
+		Issued:      call.issued,
+	})
 	b.jobs[call.id] = j
 	switch {
 	case b.failing || len(b.jobs) > b.connections:
@@ -168,6 +194,12 @@
 	b.remove(j)
 	w := b.node.world
 	elapsed := w.scheduler.now.Sub(j.started)
+	b.node.step(waxwingseam.BackendStated{
+		Stamp:     w.stamp(),
+		Backend:   j.order.Backend,
+		HandOver:  j.order.HandOver,
+		Statement: b.statement,
+	})
 	b.node.step(waxwingseam.RunEnded{
 		Stamp:   w.stamp(),
 		ID:      j.call.id,
--- a/experimenter/layer.go
+++ b/experimenter/layer.go
@@ -14,6 +14,7 @@
 	"waxwingseam.example/waxwingseam/receiver"
 	"waxwingseam.example/waxwingseam/reducer"
 	"waxwingseam.example/waxwingseam/retrier"
+	"waxwingseam.example/waxwingseam/supervisor"
 	"waxwingseam.example/waxwingseam/tracker"
 )
 
@@ -62,13 +63,15 @@
 	return Layer{Name: name, New: func(self waxwingseam.Server) waxwingseam.Reducer {
 		retries := retrier.New(retrier.Config{})
 		runs := tracker.New(tracker.Config{})
+		drainState := drainer.New(drainer.Config{})
 		return reducer.New(reducer.Config{
 			Self: self,
 			Workers: []waxwingseam.PrioritizedWorker{
+				{Priority: supervisor.Priority, Worker: supervisor.New(supervisor.Config{Drainer: drainState})},
 				{Priority: receiver.Priority, Worker: receiver.New(receiver.Config{
 					Admitter:     build(),
 					Deduplicator: deduplicator.New(deduplicator.Config{}),
-					Drainer:      drainer.New(drainer.Config{}),
+					Drainer:      drainState,
 					Tracker:      runs,
 				})},
 				{Priority: senderPriority, Worker: dispatcher.New(dispatcher.Config{
--- /dev/null
+++ b/experimenter/limits_test.go
@@ -0,0 +1,217 @@
+package experimenter
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// The bounds on the requests that reach a backend server which names a rate limit, or
+// which is leaving.
+const (
+	limitWindow = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+	// limitSettleTime passes from the first answer with a limit until it must be kept.
+	limitSettleTime = 3 * time.Second
+	// toldDelay passes from such an answer until the requests of the node that passed
+	// it on count.
+	toldDelay = 500 * time.Millisecond
+	// leaveTime passes from an answer that says that the server is leaving until no
+	// request sent later may reach the server from the node that passed it on.
+	leaveTime = 2 * time.Second
+	// learnTime is how long a lower limit may take to reach the node.
+	learnTime = time.Second
+)
+
+// namedLimit is a rate limit that a server names from a time on; a negative rate means
+// none.
+type namedLimit struct {
+	from time.Time
+	rate float64
+}
+
+// limitChecker records the limits that one server names, and checks its arrivals.
+type limitChecker struct {
+	node   *Node
+	limits []namedLimit
+}
+
+// set makes the server name a limit, or none if the rate is negative.
+func (k *limitChecker) set(rate float64) {
+	s := k.node.backend.statement
+	s.Limited, s.Rate = rate >= 0, max(rate, 0)
+	k.node.SetStatement(s)
+	k.limits = append(k.limits, namedLimit{k.node.world.scheduler.now, rate})
+}
+
+// violations returns the windows in which more requests arrived than the limits allow.
+func (k *limitChecker) violations(end time.Time) []string {
+	var out []string
+	for i, first := range k.limits {
+		if first.rate < 0 || i > 0 && k.limits[i-1].rate >= 0 {
+			continue
+		}
+		until := end
+		for _, v := range k.limits[i+1:] {
+			if v.rate < 0 {
+				until = v.from
+				break
+			}
+		}
+		out = append(out, k.check(first.from.Add(limitSettleTime), until)...)
+	}
+	return out
+}
+
+// check checks the windows that end at arrivals between two times, during which the
+// server names limits all the time.
+func (k *limitChecker) check(from, until time.Time) []string {
+	var window []time.Time
+	for _, a := range k.node.Arrivals() {
+		if a.At.Before(from) || a.At.After(until) || a.Told.IsZero() || a.At.Sub(a.Told) < toldDelay {
+			continue
+		}
+		window = append(window, a.At)
+		for a.At.Sub(window[0]) >= limitWindow {
+			window = window[1:]
+		}
+		allowed := limitFactor*k.allowance(a.At.Add(-limitWindow), a.At) + limitSlack
+		if float64(len(window)) > allowed {
+			return []string{fmt.Sprintf("%s: %d requests in %v up to %v, allowed %.1f",
+				k.node.Server.Name, len(window), limitWindow, a.At.Sub(k.node.world.startTime), allowed)}
+		}
+	}
+	return nil
+}
+
+// allowance returns the number of requests that the limits name for a time, where a
+// limit holds for learnTime longer if the next one is lower.
+func (k *limitChecker) allowance(from, to time.Time) float64 {
+	const step = 50 * time.Millisecond
+	sum := 0.0
+	for t := from; t.Before(to); t = t.Add(step) {
+		sum += max(k.rateAt(t), k.rateAt(t.Add(-learnTime)), 0) * step.Seconds()
+	}
+	return sum
+}
+
+func (k *limitChecker) rateAt(t time.Time) float64 {
+	rate := -1.0
+	for _, v := range k.limits {
+		if !v.from.After(t) {
+			rate = v.rate
+		}
+	}
+	return rate
+}
+
+// arrivalsAfterLeaving returns the first request of each node that was sent later than
+// leaveTime after its sender knew that the server was leaving.
+func arrivalsAfterLeaving(nodes []*Node) []string {
+	var out []string
+	for _, n := range nodes {
+		for _, a := range n.Arrivals() {
+			if !a.ToldLeaving.IsZero() && a.Issued.Sub(a.ToldLeaving) > leaveTime {
+				out = append(out, fmt.Sprintf("%s got a request sent %v after its sender knew that it was leaving", a.Instance, a.Issued.Sub(a.ToldLeaving)))
+				break
+			}
+		}
+	}
+	return out
+}
+
+// servedShares returns the served share of the demand of each kind during the trigger.
+func servedShares(config Config, r Report) []float64 {
+	out := make([]float64, len(r.ByKind))
+	total := 0
+	for _, k := range config.Deployment.RequestKinds {
+		total += k.Share
+	}
+	for i, k := range config.Deployment.RequestKinds {
+		out[i] = r.OnTimeByKind[i] / (config.Demand.Base * config.Capacity * float64(k.Share) / float64(total))
+	}
+	return out
+}
+
+// TestLimitedServersAreNotOverrun guards against backend servers that get more requests
+// than the rate that they name, and against callers who are refused for it though other
+// servers of the service have room.
+func TestLimitedServersAreNotOverrun(t *testing.T) {
+	t.Parallel()
+	for _, rate := range []float64{14.5, 10.3, 0.4, 0} {
+		t.Run(fmt.Sprint(rate), func(t *testing.T) {
+			t.Parallel()
+			config := limitedBoard(0.35, 12*time.Second)
+			var checkers []*limitChecker
+			config.Faults = []Fault{{At: config.TriggerStart, Do: func(w *World) {
+				for _, n := range w.Service("board")[:2] {
+					k := &limitChecker{node: n}
+					k.set(rate)
+					checkers = append(checkers, k)
+				}
+			}}}
+			config.Layer = Waxwingseam()
+			r := Run(config)
+			for _, k := range checkers {
+				qt.Check(t, k.violations(k.node.world.scheduler.now), qt.HasLen, 0)
+			}
+			shares := servedShares(config, r)
+			t.Logf("on time by kind: %.3f; refusals %v, failures %d", shares, r.Refusals, r.Failures)
+			for _, v := range shares {
+				qt.Check(t, v >= targetGoodput, qt.IsTrue, qt.Commentf("%.3f", v))
+			}
+			qt.Check(t, r.Refusals[0]+r.Refusals[1], qt.Equals, 0)
+		})
+	}
+}
+
+// TestLeavingServersGetNoRequests guards against requests that reach a backend server
+// although it says in its answers that it is leaving, also after its node restarts or
+// receives a heartbeat from before.
+func TestLeavingServersGetNoRequests(t *testing.T) {
+	t.Parallel()
+	for _, v := range []struct {
+		name  string
+		event func(n *Node)
+	}{
+		{"nothing else", func(*Node) {}},
+		{"its node restarts", (*Node).Restart},
+		{"a heartbeat says that it is ready", func(n *Node) {
+			n.step(waxwingseam.BackendReported{Stamp: n.world.stamp(), Report: waxwingseam.BackendReport{
+				Instance: n.Server.Instance, Service: n.Server.Service, State: waxwingseam.BackendReady, Sequence: 9,
+			}})
+		}},
+		{"it is announced again", func(n *Node) {
+			for _, other := range n.world.nodes {
+				server := n.Server
+				server.Leaving = false
+				other.step(waxwingseam.ServersUpdated{Stamp: n.world.stamp(), Gone: []waxwingseam.ServerName{server.Name}})
+				other.updateServers([]waxwingseam.Server{server})
+			}
+		}},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			t.Parallel()
+			config := limitedBoard(0.35, 8*time.Second)
+			var world *World
+			config.Faults = []Fault{
+				{At: config.TriggerStart, Do: func(w *World) {
+					world = w
+					w.Service("board")[0].SetStatement(waxwingseam.Statement{Leaving: true})
+				}},
+				{At: config.TriggerStart + time.Second, Do: func(w *World) { v.event(w.Service("board")[0]) }},
+			}
+			config.Layer = Waxwingseam()
+			r := Run(config)
+			violations := arrivalsAfterLeaving(world.nodes)
+			qt.Check(t, violations, qt.HasLen, 0)
+			t.Logf("refusals %v, failures %d", r.Refusals, r.Failures)
+			qt.Check(t, r.Refusals[0]+r.Refusals[1], qt.Equals, 0)
+		})
+	}
+}
--- a/experimenter/node.go
+++ b/experimenter/node.go
@@ -1,6 +1,10 @@
 package experimenter
 
 import (
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
 	"time"
 
 	"waxwingseam.example/waxwingseam"
@@ -35,8 +39,15 @@
 	timers    map[waxwingseam.TimerID]uint64
 	lastArmed uint64
 	inbound   map[attemptKey]inbound
+	// told holds what the node has learned from answers about the instances of backend
+	// servers.
+	told map[string]toldStatement
+	// pausedUntil is when a pause of the node ends.
+	pausedUntil time.Time
 	// processorFree is when the node has processed the attempts that have arrived.
 	processorFree time.Time
+	// incarnations counts the replacements of the backend server.
+	incarnations int
 	// events counts the reduced events.
 	events uint64
 	// lastStart is the event count at the last start of a run of each
@@ -44,6 +55,12 @@
 	lastStart [int(waxwingseam.MaxImportance) + 1][maxDepth]uint64
 }
 
+// toldStatement holds since when a node has known a statement; zero if it does not.
+type toldStatement struct {
+	limited time.Time
+	leaving time.Time
+}
+
 func newNode(w *World, t Tier, server waxwingseam.Server) *Node {
 	n := &Node{world: w, tier: t, Server: server}
 	n.start()
@@ -53,7 +70,12 @@
 // start starts an incarnation of the node.
 func (n *Node) start() {
 	n.reducer = n.world.config.Layer.New(n.Server)
+	before := n.backend
 	n.backend = newBackend(n, n.tier)
+	if before != nil {
+		n.backend.statement, n.backend.arrivals = before.statement, before.arrivals
+	}
+	n.told = map[string]toldStatement{}
 	n.timers = map[waxwingseam.TimerID]uint64{}
 	n.inbound = map[attemptKey]inbound{}
 	if n.world.config.Prepare != nil {
@@ -63,6 +85,15 @@
 
 // step reduces one event and executes its effects.
 func (n *Node) step(e waxwingseam.Event) {
+	if wait := n.pausedUntil.Sub(n.world.scheduler.now); wait > 0 {
+		reducer := n.reducer
+		n.world.scheduler.after(wait, func() {
+			if n.reducer == reducer {
+				n.step(restamped(e, n.world.stamp()))
+			}
+		})
+		return
+	}
 	n.events++
 	for _, x := range n.reducer.Reduce(e) {
 		n.execute(x)
@@ -77,7 +108,7 @@
 		n.answer(v)
 	case waxwingseam.Run:
 		n.lastStart[v.Call.Rank.Importance][min(v.Call.Depth, maxDepth-1)] = n.events
-		n.backend.run(n.world.calls[v.Call.ID])
+		n.backend.run(n.world.calls[v.Call.ID], v)
 	case waxwingseam.Reply:
 		n.world.reply(n, v)
 	case waxwingseam.CancelAttempt:
@@ -86,6 +117,8 @@
 		n.backend.cancel(v.ID)
 	case waxwingseam.Fence:
 		n.fence(v)
+	case waxwingseam.Announce:
+		n.announce(v)
 	case waxwingseam.ArmTimer:
 		n.arm(v)
 	case waxwingseam.StopTimer:
@@ -145,10 +178,14 @@
 	if w.config.Distort != nil {
 		w.config.Distort(n, &result)
 	}
+	statement, instance := n.backend.statement, n.Server.Instance
 	w.scheduler.after(n.delay(in.sender), func() {
 		if w.messageLost(n, in.sender) {
 			return
 		}
+		if result.Completed() {
+			in.sender.learn(instance, statement)
+		}
 		in.sender.step(waxwingseam.AttemptEnded{
 			Stamp:   w.stamp(),
 			ID:      v.ID,
@@ -197,6 +234,73 @@
 	})
 }
 
+// learn records what an answer that the node passes on says of a backend server.
+func (n *Node) learn(instance string, s waxwingseam.Statement) {
+	t := n.told[instance]
+	if s.Limited && t.limited.IsZero() {
+		t.limited = n.world.scheduler.now
+	}
+	if s.Leaving && t.leaving.IsZero() {
+		t.leaving = n.world.scheduler.now
+	}
+	n.told[instance] = t
+}
+
+// announce delivers the node's description of its backend server to all nodes.
+func (n *Node) announce(v waxwingseam.Announce) {
+	n.Server = v.Self
+	w := n.world
+	w.scheduler.after(w.config.Deployment.Delay, func() {
+		for _, other := range w.nodes {
+			other.updateServers([]waxwingseam.Server{v.Self})
+		}
+	})
+}
+
+// restamped returns an event with another stamp.
+func restamped(e waxwingseam.Event, s waxwingseam.Stamp) waxwingseam.Event {
+	v := reflect.New(reflect.TypeOf(e)).Elem()
+	v.Set(reflect.ValueOf(e))
+	v.FieldByName("Stamp").Set(reflect.ValueOf(s))
+	return v.Interface().(waxwingseam.Event)
+}
+
+// SetStatement sets what the backend server says in the header of its answers.
+func (n *Node) SetStatement(s waxwingseam.Statement) {
+	n.backend.statement = s
+}
+
+// Arrivals returns the requests that were handed to the backend servers of the node.
+func (n *Node) Arrivals() []Arrival {
+	return n.backend.arrivals
+}
+
+// Pause stops the node for a time, in which its backend server goes on.
+func (n *Node) Pause(d time.Duration) {
+	n.pausedUntil = n.world.scheduler.now.Add(d)
+}
+
+// ReplaceBackend ends all runs and starts a new incarnation of the backend server
+// beside the running node.
+func (n *Node) ReplaceBackend() {
+	w := n.world
+	for _, id := range slices.SortedFunc(maps.Keys(n.backend.jobs), waxwingseam.CallID.Compare) {
+		if j, ok := n.backend.jobs[id]; ok {
+			n.backend.end(j, statusFailed)
+		}
+	}
+	n.backend.statement = waxwingseam.Statement{}
+	n.incarnations++
+	n.Server.Instance = fmt.Sprintf("%s-%d", n.Server.Name, n.incarnations)
+	n.step(waxwingseam.BackendReported{Stamp: w.stamp(), Report: waxwingseam.BackendReport{
+		Instance: n.Server.Instance,
+		Service:  n.Server.Service,
+		State:    waxwingseam.BackendReady,
+		Started:  w.scheduler.now,
+		Sequence: 1,
+	}})
+}
+
 func (n *Node) reduce(e waxwingseam.Event) []waxwingseam.Effect {
 	n.events++
 	return n.reducer.Reduce(e)
--- a/experimenter/world.go
+++ b/experimenter/world.go
@@ -100,6 +100,7 @@
 	node   *Node
 	parent *job
 	target waxwingseam.ServerName
+	issued time.Time
 	// answered is set once the node has answered the call; a run may continue.
 	answered bool
 	// senderRestarted is set if the node restarted before the answer.
@@ -146,6 +147,7 @@
 		Node:        netip.AddrPortFrom(address, nodePort),
 		DataCentre:  waxwingseam.DataCentre(fmt.Sprintf("dc-%d", number%3+1)),
 		Incarnation: 1,
+		Instance:    fmt.Sprintf("%s-%d-0", t.Service, number+1),
 		Since:       w.startTime.Add(-time.Hour),
 	}
 	n := newNode(w, t, server)
@@ -199,6 +201,7 @@
 		visit:  v,
 		node:   n,
 		parent: j,
+		issued: w.scheduler.now,
 	}
 	w.calls[call.id] = call
 	return call
--- a/identity.go
+++ b/identity.go
@@ -1,6 +1,7 @@
 package waxwingseam
 
 import (
+	"bytes"
 	"encoding/binary"
 	"encoding/hex"
 
@@ -72,6 +73,11 @@
 	return hex.EncodeToString(id[:])
 }
 
+// Compare returns the order of two identifiers by their bytes.
+func (id CallID) Compare(o CallID) int {
+	return bytes.Compare(id[:], o[:])
+}
+
 // IsZero reports whether the identifier is unset.
 func (id CallID) IsZero() bool {
 	return id == CallID{}
