experimenter: backend servers state nothing unless a scenario sets it

The events of the statements drew random words in all scenarios, so that the tests ran with other draws than before: with them, TestQuietRunServesAll, TestLeafRootsUseFreeSlots and TestEqualClassesShareShortage failed.

--- a/experimenter/backend.go
+++ b/experimenter/backend.go
@@ -51,8 +51,9 @@
 	wakeGeneration uint64
 	// failing makes every new run fail at once.
 	failing bool
-	// statement is in the header of each answer; it and arrivals outlast a restart of
-	// the node.
+	// states is set once SetStatement was called. From then on, statement is in the
+	// header of each answer. These fields and arrivals outlast a restart of the node.
+	states    bool
 	statement waxwingseam.Statement
 	arrivals  []Arrival
 }
@@ -194,12 +195,14 @@
 	b.remove(j)
 	w := b.node.world
 	elapsed := w.scheduler.now.Sub(j.started)
-	b.node.step(waxwingseam.BackendStated{
-		Stamp:     w.stamp(),
-		Backend:   j.order.Backend,
-		HandOver:  j.order.HandOver,
-		Statement: b.statement,
-	})
+	if b.states {
+		b.node.step(waxwingseam.BackendStated{
+			Stamp:     w.stamp(),
+			Backend:   j.order.Backend,
+			HandOver:  j.order.HandOver,
+			Statement: b.statement,
+		})
+	}
 	b.node.step(waxwingseam.RunEnded{
 		Stamp:   w.stamp(),
 		ID:      j.call.id,
--- a/experimenter/node.go
+++ b/experimenter/node.go
@@ -73,7 +73,7 @@
 	before := n.backend
 	n.backend = newBackend(n, n.tier)
 	if before != nil {
-		n.backend.statement, n.backend.arrivals = before.statement, before.arrivals
+		n.backend.states, n.backend.statement, n.backend.arrivals = before.states, before.statement, before.arrivals
 	}
 	n.told = map[string]toldStatement{}
 	n.timers = map[waxwingseam.TimerID]uint64{}
@@ -267,7 +267,7 @@
 
 // SetStatement sets what the backend server says in the header of its answers.
 func (n *Node) SetStatement(s waxwingseam.Statement) {
-	n.backend.statement = s
+	n.backend.states, n.backend.statement = true, s
 }
 
 // Arrivals returns the requests that were handed to the backend servers of the node.
