pacer, receiver, balancer: the rate limit that a backend server names is kept

What callers saw: nothing. Two backend servers in need named rate limits of 14.5 and 10.3 a second in their answers and got 179 and 222 requests in 4 s.

Cause: the statement was copied to the caller with the other headers, and no node acted on it. The node beside the server bounds concurrent runs only.

- The node beside the backend server, which hands over every request, spaces them by the named rate (token bucket, 250 ms of burst, no saved-up permits after a pause; a limit of 0 leaves a call each 4 s, whose answer can end it).
The order is the order of service.
The newest statement by hand-over holds.
- Senders learn the limit with each answer and send it along with attempts, so that a node which has just started keeps it from its first call on.
- Senders leave out a server for the time that its rate is used up.
A call is refused there within 10 ms and goes to another server; only if all are at their limits, it waits.
Such a refusal is no overload, counts neither as redirect nor as retry, and throttles a sender only if all servers of the service name limits.

Evidence: TestLimitedServersAreNotOverrun failed with 93 requests (92 allowed) at the first window for 14.5, 67 for 10.3, 7 for 0.4, 6 for 0. TestRateIsKeptAndUsed, TestChangesGrantNoCalls, TestLowLimitsEnd, TestLimitOfLatestHandOverHolds and TestFreshNodeKeepsKnownLimit guard the parts.

--- a/admission.go
+++ b/admission.go
@@ -14,6 +14,9 @@
 	Deadline time.Time
 	// RefusedPermille is that of the call; see Call.RefusedPermille.
 	RefusedPermille uint16
+	// Patient is set if the call may wait for the server's rate limit, as the sender
+	// knows no server that could take it sooner.
+	Patient bool
 	// Arrived is when the ticket was offered.
 	Arrived time.Time
 	// MaxWait is the longest time that a root may wait in the queue. A deeper
--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -8,6 +8,7 @@
 
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/limiter"
+	"waxwingseam.example/waxwingseam/pacer"
 )
 
 const (
@@ -25,11 +26,14 @@
 	// RootLimiter bounds how many roots of classes that make calls run at once; if
 	// nil, the bound is the number of slots.
 	RootLimiter waxwingseam.Limiter
+	// Pacer bounds the rate at which calls start; if nil, it is not bounded.
+	Pacer waxwingseam.Pacer
 }
 
 type admitter struct {
 	limiter       waxwingseam.Limiter
 	rootLimiter   waxwingseam.Limiter
+	pacer         waxwingseam.Pacer
 	slots         int
 	queue         queue
 	runs          runs
@@ -46,9 +50,13 @@
 	if config.RootLimiter == nil {
 		config.RootLimiter = limiter.NewFixed()
 	}
+	if config.Pacer == nil {
+		config.Pacer = pacer.New()
+	}
 	return &admitter{
 		limiter:       config.Limiter,
 		rootLimiter:   config.RootLimiter,
+		pacer:         config.Pacer,
 		slots:         1,
 		queue:         newQueue(),
 		runs:          newRuns(),
@@ -76,6 +84,9 @@
 	if c.Now.Add(a.shortRunTimes[t.Class]).After(t.Deadline) {
 		return []waxwingseam.Admission{a.refuse(t, waxwingseam.ReasonDeadline)}
 	}
+	if a.exceedsRate(&t) {
+		return []waxwingseam.Admission{a.refuse(t, waxwingseam.ReasonRateLimited)}
+	}
 	if a.queue.len() == 0 && a.fits(&t) {
 		return []waxwingseam.Admission{a.start(t)}
 	}
@@ -154,7 +165,7 @@
 // toward the bound of its own depth and of all deeper ones.
 func (a *admitter) fits(t *waxwingseam.Ticket) bool {
 	limit := a.limiter.Limit()
-	if a.runs.len() >= limit {
+	if a.runs.len() >= limit || a.pacer.Delay(a.now, 1) > 0 {
 		return false
 	}
 	_, depth := laneIndices(t)
@@ -218,6 +229,7 @@
 func (a *admitter) start(t waxwingseam.Ticket) waxwingseam.Admission {
 	waited := a.now.Sub(t.Arrived)
 	a.runs.add(&t, waited, t.Depth == 0 && !a.leafClasses.contains(t.Class))
+	a.pacer.Take(a.now)
 	a.activity.observeStart(a.now, t.Rank)
 	return waxwingseam.Admission{
 		ID:      t.ID,
@@ -227,7 +239,12 @@
 }
 
 func (a *admitter) refuse(t waxwingseam.Ticket, reason waxwingseam.Reason) waxwingseam.Admission {
-	a.activity.observeRefusal(a.now, t.Rank)
+	if a.rateBound() && reason.IsOverload() {
+		reason = waxwingseam.ReasonRateLimited
+	}
+	if reason != waxwingseam.ReasonRateLimited {
+		a.activity.observeRefusal(a.now, t.Rank)
+	}
 	return waxwingseam.Admission{
 		ID:      t.ID,
 		Verdict: waxwingseam.VerdictRefuse,
@@ -307,7 +324,11 @@
 	if a.queue.len() == 0 {
 		return time.Time{}, false
 	}
-	return a.queue.expiry[0].expiresAt, true
+	at := a.queue.expiry[0].expiresAt
+	if delay := a.pacer.Delay(a.now, 1); delay > 0 && a.now.Add(delay).Before(at) {
+		at = a.now.Add(delay)
+	}
+	return at, true
 }
 
 // Load implements waxwingseam.Admitter.
@@ -318,6 +339,7 @@
 		Limit:       count(a.limiter.Limit()),
 		RootLimit:   count(a.rootLimiter.Limit()),
 		ServiceTime: a.limiter.ServiceTime(),
+		RateDelay:   a.pacer.Delay(a.now, a.queue.len()+1),
 	}
 	load.Threshold, load.Shedding = a.activity.threshold(a.now)
 	return load
--- a/assembler/workers.go
+++ b/assembler/workers.go
@@ -13,6 +13,7 @@
 	"waxwingseam.example/waxwingseam/dispatcher"
 	"waxwingseam.example/waxwingseam/drainer"
 	"waxwingseam.example/waxwingseam/limiter"
+	"waxwingseam.example/waxwingseam/pacer"
 	"waxwingseam.example/waxwingseam/receiver"
 	"waxwingseam.example/waxwingseam/retrier"
 	"waxwingseam.example/waxwingseam/supervisor"
@@ -43,6 +44,7 @@
 	callRecords := deduplicator.New(deduplicator.Config{})
 	keyRouter := arbiter.NewRouter()
 	drainState := drainer.New(drainer.Config{Withdrawn: self.Leaving})
+	callPacer := pacer.New()
 	return []waxwingseam.PrioritizedWorker{
 		{Priority: priorityRouter, Worker: keyRouter},
 		{Priority: supervisor.Priority, Worker: supervisor.New(supervisor.Config{Drainer: drainState})},
@@ -52,7 +54,9 @@
 				Admitter: admitter.New(admitter.Config{
 					Limiter:     limiter.NewFixed(),
 					RootLimiter: limiter.NewQueueDelay(),
+					Pacer:       callPacer,
 				}),
+				Pacer:        callPacer,
 				Deduplicator: callRecords,
 				Drainer:      drainState,
 				Tracker:      runTracker,
--- a/balance.go
+++ b/balance.go
@@ -5,6 +5,10 @@
 // Choice is a balancer's answer: a server, or the reason why there is none.
 type Choice struct {
 	Server Server
+	// Known is what the node knows from answers of the server; nil if it knows nothing.
+	Known *KnownStatement
+	// Patient is set if all servers that may take the call are at their rate limits.
+	Patient bool
 	// Refused is set when there is no server to call.
 	Refused bool
 	Reason  Reason
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -28,6 +28,9 @@
 	targets map[waxwingseam.ServerName]*target
 	pools   map[waxwingseam.ServiceName]*pool
 	filters []filter
+	// known holds what answers said of the servers. It outlasts the targets, as a
+	// server may be announced again.
+	known map[waxwingseam.ServerName]*knownServer
 	// objects and subsetSizes are from the configuration in force.
 	objects     map[waxwingseam.ServerName]waxwingseam.BackendServer
 	subsetSizes map[waxwingseam.ServiceName]int
@@ -40,6 +43,7 @@
 		targets: map[waxwingseam.ServerName]*target{},
 		pools:   map[waxwingseam.ServiceName]*pool{},
 		filters: defaultFilters(),
+		known:   map[waxwingseam.ServerName]*knownServer{},
 	}
 }
 
@@ -77,11 +81,13 @@
 		t.server = s
 		t.load.Leaving = false
 		t.pool.stale = true
+		t.known = b.knownServer(c, s)
 		return
 	}
 	b.removeServer(s.Name)
 	p := b.pool(s.Service)
 	t = newTarget(c, p, s)
+	t.known = b.knownServer(c, s)
 	b.targets[s.Name] = t
 	p.add(t)
 }
@@ -108,7 +114,7 @@
 func (b *balancer) Choose(c *waxwingseam.Context, q waxwingseam.Query) waxwingseam.Choice {
 	p := b.currentPool(q.Service)
 	if q.Pinned != "" {
-		return b.choosePinned(p, q)
+		return b.choosePinned(c, p, q)
 	}
 	if len(p.members) == 0 {
 		return waxwingseam.Choice{Refused: true, Reason: waxwingseam.ReasonNoServer}
@@ -125,13 +131,13 @@
 
 // choosePinned answers a query that only one server may serve. That server
 // itself refuses the call if it is overloaded.
-func (b *balancer) choosePinned(p *pool, q waxwingseam.Query) waxwingseam.Choice {
+func (b *balancer) choosePinned(c *waxwingseam.Context, p *pool, q waxwingseam.Query) waxwingseam.Choice {
 	t, ok := b.targets[q.Pinned]
 	if !ok || t.pool != p || t.leaving() {
 		return waxwingseam.Choice{Refused: true, Reason: waxwingseam.ReasonNoServer}
 	}
 	t.inFlight++
-	return waxwingseam.Choice{Server: t.server}
+	return waxwingseam.Choice{Server: t.server, Known: t.known.report(c), Patient: true}
 }
 
 // currentPool returns the pool of a service, rebuilt if it was stale.
@@ -157,7 +163,7 @@
 func (b *balancer) Overloaded(c *waxwingseam.Context, service waxwingseam.ServiceName) bool {
 	p := b.currentPool(service)
 	for _, t := range p.members {
-		if !t.shedding(c) {
+		if !t.shedding(c) && !t.paused(c) {
 			return false
 		}
 	}
--- a/balancer/faults.go
+++ b/balancer/faults.go
@@ -80,7 +80,7 @@
 // call: it has room, or it sheds only less important calls.
 func (p *pool) hasUndemotedServer(c *waxwingseam.Context, q waxwingseam.Query) bool {
 	for _, t := range p.members {
-		if t.demoted(c) || t.health.ejected(c.Now) || refusing(c, q, t) || tried(c, q, t) {
+		if t.demoted(c) || t.paused(c) || t.health.ejected(c.Now) || refusing(c, q, t) || tried(c, q, t) {
 			continue
 		}
 		if t.shedding(c) || t.usage(c) < t.limit(c.Now) {
--- a/balancer/filter.go
+++ b/balancer/filter.go
@@ -23,6 +23,7 @@
 		{priority: 200, rejects: ejected},
 		{priority: 250, rejects: demoted},
 		{priority: 300, rejects: tried},
+		{priority: 350, rejects: paused},
 	}
 }
 
--- a/balancer/target.go
+++ b/balancer/target.go
@@ -41,6 +41,9 @@
 	latency average
 	health  health
 	faults  faults
+	// known is what answers said of the current incarnation of the server.
+	known *knownServer
+	pause pause
 }
 
 func newTarget(c *waxwingseam.Context, p *pool, s waxwingseam.Server) *target {
@@ -55,7 +58,7 @@
 func (t *target) choose(c *waxwingseam.Context) waxwingseam.Choice {
 	t.inFlight++
 	t.health.startProbe(c.Now)
-	return waxwingseam.Choice{Server: t.server}
+	return waxwingseam.Choice{Server: t.server, Known: t.known.report(c), Patient: t.paused(c)}
 }
 
 // observe updates the server's state with an ended attempt.
@@ -63,6 +66,8 @@
 	t.inFlight = max(t.inFlight-1, 0)
 	if f.Result.Reached {
 		t.observeLoad(c, f.Result.Load)
+		t.observeStatement(c, f.Result)
+		t.pause.observe(c, f.Result)
 	}
 	t.observeFault(c, f.Result)
 	if f.Result.Succeeded() {
@@ -86,7 +91,7 @@
 
 // leaving reports whether no new work may be sent to the server.
 func (t *target) leaving() bool {
-	return t.drained || t.server.Leaving || t.load.Leaving
+	return t.drained || t.server.Leaving || t.load.Leaving || t.known.leaving
 }
 
 // shedding reports whether the latest load report is recent enough and says
@@ -141,7 +146,8 @@
 // them all choose the same server. The fault rate raises the cost, because a
 // server that faults ends calls early and must not attract more calls by it.
 func (t *target) cost(c *waxwingseam.Context) float64 {
-	return float64(t.inFlight+1) / t.limit(c.Now) * (t.expectedLatency(c) + minLatency) / (1 - t.faults.rate)
+	return float64(t.inFlight+1)/t.limit(c.Now)*(t.expectedLatency(c)+minLatency)/(1-t.faults.rate) +
+		t.pause.remaining(c.Now).Seconds()
 }
 
 // expectedLatency returns the server's mean latency. Without new results it
--- a/calleffect.go
+++ b/calleffect.go
@@ -27,6 +27,12 @@
 	Call    Call
 	Attempt Attempt
 	Server  Server
+	// Known is what the node knows from answers of the backend server; nil if it
+	// knows nothing.
+	Known *KnownStatement
+	// Patient is set if the call may wait for the server's rate limit, as the node
+	// knows no server that could take it sooner.
+	Patient bool
 }
 
 // Reply answers the caller: with an attempt's reply if Result is completed,
--- a/dispatcher/flight.go
+++ b/dispatcher/flight.go
@@ -22,6 +22,9 @@
 	// redirecting is set while the next or the open attempt is one of them.
 	redirects   int
 	redirecting bool
+	// rateRedirects counts the further attempts after refusals by rate limits, which
+	// count neither as redirects nor as retries.
+	rateRedirects int
 	// repeated is set once a backend server may have received the call.
 	repeated bool
 	// lastResult is the result of the last attempt that ended without a backend
@@ -55,8 +58,10 @@
 	number waxwingseam.Attempt
 	server waxwingseam.Server
 	// share is the part of the allowance that was sent with the attempt.
-	share     waxwingseam.Allowance
-	sent      time.Time
+	share waxwingseam.Allowance
+	sent  time.Time
+	// patient is that of the attempt; see waxwingseam.Dispatch.
+	patient   bool
 	state     attemptState
 	resumes   int
 	fenceSent bool
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -10,7 +10,7 @@
 		Class:        f.call.Class,
 		Rank:         f.call.Rank,
 		Tried:        f.tried,
-		ExcludeTried: f.redirecting,
+		ExcludeTried: f.redirecting && f.lastResult.Reason != waxwingseam.ReasonRateLimited,
 	}
 	for _, p := range d.Routers {
 		p.Router.Route(c, f.call, &query)
@@ -32,11 +32,13 @@
 		server: choice.Server,
 		share:  share,
 		sent:   c.Now,
+
+		patient: choice.Patient,
 	})
 	call := f.call
 	call.Allowance = share
 	call.Repeated = f.repeated
-	c.Emit(waxwingseam.Dispatch{Call: call, Attempt: number, Server: choice.Server})
+	c.Emit(waxwingseam.Dispatch{Call: call, Attempt: number, Server: choice.Server, Known: choice.Known, Patient: choice.Patient})
 }
 
 // finishUnsent finishes a call whose next attempt the balancer refuses. A call
@@ -78,8 +80,10 @@
 		f.lastResult = result
 	}
 	f.repeated = f.repeated || !backendNotReached(result)
-	if d.shouldRedirect(c, f, result) {
-		f.redirects++
+	if d.shouldRedirect(c, f, a, result) {
+		if result.Reason != waxwingseam.ReasonRateLimited {
+			f.redirects++
+		}
 		f.redirecting = true
 		d.send(c, f)
 		return
@@ -120,8 +124,14 @@
 
 // shouldRedirect reports whether a call is sent to another server at once, without
 // spending a retry, because its last attempt reached no backend server.
-func (d *dispatcher) shouldRedirect(c *waxwingseam.Context, f *flight, result waxwingseam.Result) bool {
-	if f.redirects >= f.limit.Redirects || !f.replayable || !backendNotReached(result) {
+func (d *dispatcher) shouldRedirect(c *waxwingseam.Context, f *flight, a *attempt, result waxwingseam.Result) bool {
+	if !f.replayable || !backendNotReached(result) {
+		return false
+	}
+	if result.Reason == waxwingseam.ReasonRateLimited {
+		return f.shouldRedirectRateLimited(a)
+	}
+	if f.redirects >= f.limit.Redirects {
 		return false
 	}
 	didNotRun := f.outcome() == waxwingseam.OutcomeDidNotRun
@@ -129,6 +139,24 @@
 	return (didNotRun || overBudget) && !d.Balancer.Overloaded(c, f.call.Service)
 }
 
+// maxRateRedirects bounds how often a call is sent to another server because of rate
+// limits, in addition to the redirects of its retry limit.
+const maxRateRedirects = 3
+
+// shouldRedirectRateLimited reports whether a call whose attempt a rate limit kept
+// from one server is sent to another. A call that was allowed to wait for the limit is
+// not.
+func (f *flight) shouldRedirectRateLimited(a *attempt) bool {
+	if a.patient || f.rateRedirects >= maxRateRedirects {
+		return false
+	}
+	if f.outcome() != waxwingseam.OutcomeDidNotRun && !f.repeatable() {
+		return false
+	}
+	f.rateRedirects++
+	return true
+}
+
 // backendNotReached reports whether a result shows that a node refused a call, or
 // could not be reached, before its backend server received any part of the call.
 func backendNotReached(result waxwingseam.Result) bool {
@@ -138,7 +166,8 @@
 	switch result.Reason {
 	case waxwingseam.ReasonConnectionFailed, waxwingseam.ReasonDraining, waxwingseam.ReasonUnknownService,
 		waxwingseam.ReasonIncarnation, waxwingseam.ReasonFenced, waxwingseam.ReasonOverloaded,
-		waxwingseam.ReasonEvicted, waxwingseam.ReasonWaitLimit, waxwingseam.ReasonRetryBudget:
+		waxwingseam.ReasonEvicted, waxwingseam.ReasonWaitLimit, waxwingseam.ReasonRetryBudget,
+		waxwingseam.ReasonRateLimited:
 		return true
 	}
 	return false
--- a/experimenter/deployment.go
+++ b/experimenter/deployment.go
@@ -43,6 +43,9 @@
 	ClientDelay time.Duration
 	// MaxWaiting is the largest number of queued calls that a wait limit allows.
 	MaxWaiting int
+	// Redirects bounds how often a call that reached no backend server is sent to
+	// another one.
+	Redirects int
 }
 
 // VanDalen returns the hallmarking office's deployment.
@@ -196,6 +199,7 @@
 		Name:          "usual",
 		Allowance:     2,
 		BudgetPercent: 10,
+		Redirects:     d.Redirects,
 		Backoff:       20 * time.Millisecond,
 	}}
 	return s
--- a/experimenter/layer.go
+++ b/experimenter/layer.go
@@ -11,6 +11,7 @@
 	"waxwingseam.example/waxwingseam/dispatcher"
 	"waxwingseam.example/waxwingseam/drainer"
 	"waxwingseam.example/waxwingseam/limiter"
+	"waxwingseam.example/waxwingseam/pacer"
 	"waxwingseam.example/waxwingseam/receiver"
 	"waxwingseam.example/waxwingseam/reducer"
 	"waxwingseam.example/waxwingseam/retrier"
@@ -47,29 +48,38 @@
 
 // Waxwingseam returns the project's current layer.
 func Waxwingseam() Layer {
-	return Variant("waxwingseam", newAdmitter)
+	return variant("waxwingseam", newAdmitter, pacer.New)
 }
 
 // newAdmitter returns the project's admitter with its default limiters.
-func newAdmitter() waxwingseam.Admitter {
+func newAdmitter(p waxwingseam.Pacer) waxwingseam.Admitter {
 	return admitter.New(admitter.Config{
 		Limiter:     limiter.NewFixed(),
 		RootLimiter: limiter.NewQueueDelay(),
+		Pacer:       p,
 	})
 }
 
 // Variant returns the project's layer with another admitter.
 func Variant(name string, build func() waxwingseam.Admitter) Layer {
+	return variant(name, func(waxwingseam.Pacer) waxwingseam.Admitter { return build() }, pacer.New)
+}
+
+// variant returns the project's layer with another admitter, which keeps to a pacer of
+// its node.
+func variant(name string, build func(waxwingseam.Pacer) waxwingseam.Admitter, newPacer func() waxwingseam.Pacer) Layer {
 	return Layer{Name: name, New: func(self waxwingseam.Server) waxwingseam.Reducer {
 		retries := retrier.New(retrier.Config{})
 		runs := tracker.New(tracker.Config{})
+		callPacer := newPacer()
 		drainState := drainer.New(drainer.Config{})
 		return reducer.New(reducer.Config{
 			Self: self,
 			Workers: []waxwingseam.PrioritizedWorker{
 				{Priority: supervisor.Priority, Worker: supervisor.New(supervisor.Config{Drainer: drainState})},
 				{Priority: receiver.Priority, Worker: receiver.New(receiver.Config{
-					Admitter:     build(),
+					Admitter:     build(callPacer),
+					Pacer:        callPacer,
 					Deduplicator: deduplicator.New(deduplicator.Config{}),
 					Drainer:      drainState,
 					Tracker:      runs,
@@ -88,7 +98,7 @@
 // AdmissionOnly returns a layer with the project's admitter and no retries.
 func AdmissionOnly() Layer {
 	return Layer{Name: "admission, plain sender", New: func(self waxwingseam.Server) waxwingseam.Reducer {
-		return assemble(self, newAdmitter(), 0)
+		return assemble(self, newAdmitter(nil), 0)
 	}}
 }
 
--- a/experimenter/node.go
+++ b/experimenter/node.go
@@ -145,6 +145,8 @@
 				Call:        v.Call,
 				Attempt:     v.Attempt,
 				Incarnation: v.Server.Incarnation,
+				Known:       v.Known,
+				Patient:     v.Patient,
 			})
 		})
 	})
--- a/experimenter/scenario_limits.go
+++ b/experimenter/scenario_limits.go
@@ -28,6 +28,7 @@
 		Delay:       500 * time.Microsecond,
 		ClientDelay: 8 * time.Millisecond,
 		MaxWaiting:  80,
+		Redirects:   3,
 	}
 	board := &Visit{Service: "board", Work: boardWork}
 	confirm := &Visit{Service: "bookings", Work: 20 * time.Millisecond, Stages: [][]*Visit{{board}}}
@@ -43,13 +44,3 @@
 		Seed:         1,
 	}
 }
-
-// setStatements returns a fault that makes the first count servers of board say s in
-// their answers.
-func setStatements(at time.Duration, count int, s waxwingseam.Statement) Fault {
-	return Fault{At: at, Do: func(w *World) {
-		for _, n := range w.Service("board")[:count] {
-			n.SetStatement(s)
-		}
-	}}
-}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -27,6 +27,8 @@
 	call     waxwingseam.Call
 	number   waxwingseam.Attempt
 	server   waxwingseam.Server
+	known    *waxwingseam.KnownStatement
+	patient  bool
 	// reply buffers the part of the reply that the caller has not received yet.
 	reply *buffer
 	// delivered is how many bytes of the reply were written to the caller.
@@ -53,6 +55,8 @@
 		exchange:    x,
 		call:        e.Call,
 		number:      e.Attempt,
+		known:       e.Known,
+		patient:     e.Patient,
 		server:      e.Server,
 		reply:       reply,
 		digest:      xxhash.New(),
@@ -212,6 +216,8 @@
 func (a *attempt) opening(resumed bool) *opening {
 	x := a.exchange
 	o := newOpening(a.call, a.number, time.Now())
+	o.Known = a.known
+	o.Patient = a.patient
 	o.Method = x.method
 	o.Target = x.target
 	o.Host = x.host
--- a/forwarder/frame.go
+++ b/forwarder/frame.go
@@ -91,6 +91,10 @@
 	Repeated bool `cbor:"26,keyasint,omitempty"`
 	// RefusedPermille is that of the call; see waxwingseam.Call.
 	RefusedPermille uint16 `cbor:"27,keyasint,omitempty"`
+	// Known is what the sender knows from answers of the backend server.
+	Known *waxwingseam.KnownStatement `cbor:"28,keyasint,omitempty"`
+	// Patient is set if the call may wait for the backend server's rate limit.
+	Patient bool `cbor:"29,keyasint,omitempty"`
 	// Host is the host in the caller's request.
 	Host string `cbor:"23,keyasint,omitempty"`
 }
--- a/forwarder/inbound.go
+++ b/forwarder/inbound.go
@@ -88,6 +88,8 @@
 			Call:        o.call(s.Now),
 			Attempt:     o.Attempt,
 			Incarnation: o.Incarnation,
+			Known:       o.Known,
+			Patient:     o.Patient,
 			Received:    in.received,
 		}
 	})
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -96,6 +96,7 @@
 	opening := *in.opening
 	opening.Relayed = true
 	opening.Incarnation = 0
+	opening.Known = nil
 	opening.Offset = h.reply.length()
 	opening.TimeToDeadline = time.Until(in.opening.deadline(time.Now()))
 	if err := c.send(frame{Kind: frameOpen, Open: &opening}); err != nil {
--- a/outcome.go
+++ b/outcome.go
@@ -30,7 +30,7 @@
 // IsOverload reports whether a call was refused for lack of capacity.
 func (r Reason) IsOverload() bool {
 	switch r {
-	case ReasonOverloaded, ReasonEvicted, ReasonWaitLimit, ReasonServerRefused:
+	case ReasonOverloaded, ReasonEvicted, ReasonWaitLimit, ReasonServerRefused, ReasonRateLimited:
 		return true
 	}
 	return false
@@ -65,4 +65,5 @@
 	ReasonServerReplaced   Reason = "server-replaced"
 	ReasonNoConfiguration  Reason = "no-configuration"
 	ReasonRetryBudget      Reason = "retry-budget"
+	ReasonRateLimited      Reason = "rate-limited"
 )
--- a/receiver/answer.go
+++ b/receiver/answer.go
@@ -13,6 +13,7 @@
 	result.Load = r.admitter.Load()
 	result.Load.Leaving = r.drainer.Leaving() || r.settings.drained
 	result.Load.Revision = c.Set.Revision
+	result.Load.Statement = r.knownStatement(c)
 	c.Emit(waxwingseam.AnswerAttempt{ID: w.id, Attempt: w.attempt, Result: result})
 }
 
@@ -24,13 +25,14 @@
 	}
 }
 
-// retryAfter returns the estimated time to run the queued calls, plus a random
+// retryAfter returns the estimated time to run the queued calls, or to hand them over
+// within the rate limit if that takes longer, plus a random
 // part of up to the same length so that refused callers do not retry all at
 // once.
 func (r *receiver) retryAfter(c *waxwingseam.Context) time.Duration {
 	load := r.admitter.Load()
 	turns := time.Duration(1 + load.Waiting/max(load.Limit, 1))
-	mean := max(turns*load.ServiceTime, minRetryAfter)
+	mean := max(turns*load.ServiceTime, load.RateDelay, minRetryAfter)
 	return mean + time.Duration(c.Random().Int64N(int64(mean)))
 }
 
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -9,6 +9,7 @@
 
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/budgeter"
+	"waxwingseam.example/waxwingseam/pacer"
 )
 
 // Priority orders the receiver among the workers: before those that remove the
@@ -35,6 +36,8 @@
 	Deduplicator waxwingseam.Deduplicator
 	Drainer      waxwingseam.Drainer
 	Tracker      waxwingseam.Tracker
+	// Pacer is the admitter's; if nil, rate limits are not kept.
+	Pacer waxwingseam.Pacer
 	// Gate limits repeated calls; if nil, they are not limited.
 	Gate waxwingseam.RetryGate
 }
@@ -45,6 +48,7 @@
 	drainer      waxwingseam.Drainer
 	tracker      waxwingseam.Tracker
 	gate         waxwingseam.RetryGate
+	pacer        waxwingseam.Pacer
 
 	settings settings
 	// statement is in force for the current incarnation of the backend server.
@@ -84,12 +88,16 @@
 	if config.Gate == nil {
 		config.Gate = budgeter.New(budgeter.Config{})
 	}
+	if config.Pacer == nil {
+		config.Pacer = pacer.New()
+	}
 	return &receiver{
 		admitter:     config.Admitter,
 		deduplicator: config.Deduplicator,
 		drainer:      config.Drainer,
 		tracker:      config.Tracker,
 		gate:         config.Gate,
+		pacer:        config.Pacer,
 		calls:        map[waxwingseam.CallID]*call{},
 		owners:       map[waxwingseam.CallID]waxwingseam.CallID{},
 		parents:      map[waxwingseam.CallID]*call{},
@@ -161,6 +169,7 @@
 		r.answer(c, w, mayHaveRun(waxwingseam.ReasonIncarnation))
 		return
 	}
+	r.adoptKnown(c, e.Known)
 	record := r.deduplicator.Arrive(c, e.Call)
 	switch record.State {
 	case waxwingseam.CallStateNew:
@@ -199,6 +208,7 @@
 		RefusedPermille: e.Call.RefusedPermille,
 		Deadline:        e.Call.Deadline,
 		Arrived:         c.Now,
+		Patient:         e.Patient,
 		MaxWait:         limit.Wait,
 		MaxWaiting:      limit.Waiting,
 	}))
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -12,6 +12,7 @@
 	"waxwingseam.example/waxwingseam/admitter"
 	"waxwingseam.example/waxwingseam/budgeter"
 	"waxwingseam.example/waxwingseam/limiter"
+	"waxwingseam.example/waxwingseam/pacer"
 	"waxwingseam.example/waxwingseam/reducer"
 )
 
@@ -96,10 +97,12 @@
 		records: &fakeDeduplicator{byID: map[waxwingseam.CallID]waxwingseam.Record{}},
 		now:     time.Unix(1000, 0),
 	}
+	callPacer := pacer.New()
 	h.reducer = reducer.New(reducer.Config{
 		Self: waxwingseam.Server{Name: "fees-1", Service: "fees", Incarnation: 7},
 		Workers: []waxwingseam.PrioritizedWorker{{Priority: Priority, Worker: New(Config{
-			Admitter:     admitter.New(admitter.Config{Limiter: limiter.NewFixed(), RootLimiter: limiter.NewFixed()}),
+			Admitter:     admitter.New(admitter.Config{Limiter: limiter.NewFixed(), RootLimiter: limiter.NewFixed(), Pacer: callPacer}),
+			Pacer:        callPacer,
 			Deduplicator: h.records,
 			Drainer:      &fakeDrainer{},
 			Tracker:      &fakeTracker{calls: map[waxwingseam.CallID]waxwingseam.Call{}},
--- a/receiver/statement.go
+++ b/receiver/statement.go
@@ -35,6 +35,23 @@
 	}, waxwingseam.StatementFromAnswer)
 }
 
+// adoptKnown applies what the sender of an attempt knows of the backend server, as a
+// node that has just started has received no answer yet. It ignores a rate limit once
+// the backend server has made a statement to this node.
+func (r *receiver) adoptKnown(c *waxwingseam.Context, known *waxwingseam.KnownStatement) {
+	if known == nil || !known.Backend.Equal(c.Self.BackendIncarnation()) {
+		return
+	}
+	at := c.Now.Add(-known.Age)
+	next := r.statement
+	next.backend = known.Backend
+	next.Leaving = next.Leaving || known.Statement.Leaving
+	if r.statement.handOver == 0 && at.After(r.statement.at) {
+		next.Limited, next.Rate, next.at = known.Statement.Limited, known.Statement.Rate, at
+	}
+	r.setStatement(c, next, waxwingseam.StatementFromSender)
+}
+
 // setStatement puts a statement in force and reports it if it differs from the last
 // one.
 func (r *receiver) setStatement(c *waxwingseam.Context, s statement, source waxwingseam.StatementSource) {
@@ -50,6 +67,12 @@
 		Source:    source,
 		Age:       c.Now.Sub(s.at),
 	})
+	if s.Limited {
+		r.pacer.SetLimit(c.Now, s.Rate)
+	} else {
+		r.pacer.Unlimit()
+	}
+	r.apply(c, r.admitter.Expire(c))
 }
 
 // forgetStatement drops the statement of an earlier incarnation of the backend
@@ -61,3 +84,16 @@
 	}
 	r.setStatement(c, statement{backend: current, at: c.Now}, waxwingseam.StatementFromRestart)
 }
+
+// knownStatement returns the statement to report with an answer; nil if the backend
+// server names no limit and is not leaving, as far as the node knows.
+func (r *receiver) knownStatement(c *waxwingseam.Context) *waxwingseam.KnownStatement {
+	if !r.statement.Limited && !r.statement.Leaving {
+		return nil
+	}
+	return &waxwingseam.KnownStatement{
+		Backend:   r.statement.backend,
+		Statement: r.statement.Statement,
+		Age:       c.Now.Sub(r.statement.at),
+	}
+}
--- a/runevent.go
+++ b/runevent.go
@@ -20,6 +20,11 @@
 	// Incarnation is the incarnation of this node that the sender addressed; 0
 	// for any.
 	Incarnation Incarnation
+	// Known is what the sender knows from answers of the backend server; nil if it
+	// knows nothing.
+	Known *KnownStatement
+	// Patient is set if the call may wait for the backend server's rate limit.
+	Patient bool
 	// Received is when the node received the attempt; the event may be reduced
 	// later. It is zero if unknown.
 	Received time.Time
--- a/server.go
+++ b/server.go
@@ -51,6 +51,12 @@
 	ServiceTime time.Duration `cbor:"6,keyasint"`
 	// Leaving is set once the backend server takes no new work.
 	Leaving bool `cbor:"7,keyasint,omitempty"`
+	// RateDelay is how long one more call would wait for the rate limit that the
+	// backend server names; 0 without a limit.
+	RateDelay time.Duration `cbor:"8,keyasint,omitempty"`
+	// Statement is what the node's backend server says of itself; nil if it names no
+	// limit and is not leaving, as far as the node knows.
+	Statement *KnownStatement `cbor:"9,keyasint,omitempty"`
 	// RootLimit is the limit on running roots in force. It is not sent to other
 	// nodes.
 	RootLimit uint32 `cbor:"-"`
--- a/statement.go
+++ b/statement.go
@@ -80,6 +80,14 @@
 	return BackendIncarnation{Instance: s.Instance, Started: s.Started}
 }
 
+// KnownStatement is a statement as one node reports it to another.
+type KnownStatement struct {
+	Backend   BackendIncarnation `cbor:"1,keyasint"`
+	Statement Statement          `cbor:"2,keyasint"`
+	// Age is how long ago the reporting node learned the statement.
+	Age time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
 // BackendStated is the statement in an answer of the node's own backend server.
 type BackendStated struct {
 	Stamp
