receiver, drainer: a backend server that says it is leaving gets no new calls

What callers could see: requests that reached a server after it had left. A server says in its answers that it is leaving; only its heartbeats counted, and a heartbeat from before, a restart of its node or a new announcement brought it back.

The class of fault: what a backend server says of itself is read by nobody, or forgotten by the node that acts on it.

The node beside the server refuses new and waiting calls from the first such answer on, until another incarnation reports; work in flight goes on.

--- a/deduplication.go
+++ b/deduplication.go
@@ -57,6 +57,9 @@
 	Drain(c *Context, undo bool)
 	// SetWithdrawn records whether the backend server itself refuses new work.
 	SetWithdrawn(c *Context, withdrawn bool)
+	// SetStatedLeaving records whether the current incarnation of the backend server
+	// says in its answers that it is leaving.
+	SetStatedLeaving(c *Context, leaving bool)
 	// Leaving reports whether new work is refused because of a drain or by the
 	// backend server itself. It does not cover BackendServer.Drained.
 	Leaving() bool
--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -5,9 +5,11 @@
 
 type drainer struct {
 	// draining is set from a request to drain until it is undone. withdrawn is
-	// set while the backend server itself accepts no new work.
-	draining  bool
-	withdrawn bool
+	// set while the backend server reports that it accepts no new work, and
+	// statedLeaving once it says in an answer that it is leaving.
+	draining      bool
+	withdrawn     bool
+	statedLeaving bool
 }
 
 // Config holds the initial state of a drainer.
@@ -34,6 +36,12 @@
 	d.announce(c)
 }
 
+// SetStatedLeaving implements waxwingseam.Drainer.
+func (d *drainer) SetStatedLeaving(c *waxwingseam.Context, leaving bool) {
+	d.statedLeaving = leaving
+	d.announce(c)
+}
+
 // announce updates Self.Leaving and emits an announcement, but only if the state
 // has changed. A process that is told to stop twice thus emits one announcement.
 func (d *drainer) announce(c *waxwingseam.Context) {
@@ -46,5 +54,5 @@
 
 // Leaving implements waxwingseam.Drainer.
 func (d *drainer) Leaving() bool {
-	return d.draining || d.withdrawn
+	return d.draining || d.withdrawn || d.statedLeaving
 }
--- a/experimenter/records.go
+++ b/experimenter/records.go
@@ -54,6 +54,9 @@
 // noopDrainer is the drainer of a server that never leaves.
 type noopDrainer struct{}
 
+// SetStatedLeaving implements waxwingseam.Drainer.
+func (noopDrainer) SetStatedLeaving(*waxwingseam.Context, bool) {}
+
 func (noopDrainer) Drain(*waxwingseam.Context, bool)        {}
 func (noopDrainer) SetWithdrawn(*waxwingseam.Context, bool) {}
 func (noopDrainer) Leaving() bool                           { return false }
--- a/experimenter/report.go
+++ b/experimenter/report.go
@@ -36,6 +36,8 @@
 	MaxAttempts     int
 	// Refusals counts the refused roots of each kind of request.
 	Refusals []int
+	// RefusalReasons counts the refused roots by reason.
+	RefusalReasons map[waxwingseam.Reason]int
 	// Failures counts the roots that failed otherwise.
 	Failures int
 	// Inversions counts calls refused for overload by a server that, after their
@@ -57,6 +59,8 @@
 	r := Report{
 		Layer:      w.config.Layer.Name,
 		Refusals:   t.refusals,
+
+		RefusalReasons: t.refusalReasons,
 		Failures:   t.failures,
 		Inversions: t.inversions,
 		Overtaken:  t.overtaken,
--- a/experimenter/tally.go
+++ b/experimenter/tally.go
@@ -26,6 +26,8 @@
 	onTime []int
 	// refusals counts the refused roots, by kind of request.
 	refusals   []int
+	// refusalReasons counts the refused roots by reason.
+	refusalReasons map[waxwingseam.Reason]int
 	failures   int
 	inversions int
 	overtaken  int
@@ -46,11 +48,13 @@
 		t.served = make([]int, kinds)
 		t.onTime = make([]int, kinds)
 		t.refusals = make([]int, kinds)
+		t.refusalReasons = map[waxwingseam.Reason]int{}
 		t.latency = hdrhistogram.New(1, maxLatency.Microseconds(), latencyDigits)
 	}
 	if !succeeded(result) {
 		if result.Outcome == waxwingseam.OutcomeDidNotRun {
 			t.refusals[r.request.kind]++
+			t.refusalReasons[result.Reason]++
 		} else {
 			t.failures++
 		}
--- a/receiver/statement.go
+++ b/receiver/statement.go
@@ -73,6 +73,8 @@
 		r.pacer.Unlimit()
 	}
 	r.apply(c, r.admitter.Expire(c))
+	r.drainer.SetStatedLeaving(c, s.Leaving)
+	r.refuseWaiting(c)
 }
 
 // forgetStatement drops the statement of an earlier incarnation of the backend
--- a/receiver/statement_test.go
+++ b/receiver/statement_test.go
@@ -62,3 +62,21 @@
 	h.state(1, waxwingseam.Statement{})
 	qt.Assert(t, h.arriveKnowing(4, known(10, 0)), qt.Equals, "run 4.1")
 }
+
+// TestLeavingServerRefusesWaitingCalls guards against calls that start at a backend
+// server after it has said that it is leaving, and against an earlier hand-over whose
+// late answer takes that back.
+func TestLeavingServerRefusesWaitingCalls(t *testing.T) {
+	h := newHarness()
+	qt.Assert(t, h.arrive(1, 1), qt.Equals, "run 1.1")
+	qt.Assert(t, h.arrive(2, 1), qt.Equals, "")
+	leaving := waxwingseam.Statement{Leaving: true}
+	qt.Assert(t, h.state(1, leaving), qt.Equals, "answer 2.1 did-not-run draining unspent 2")
+	h.state(2, waxwingseam.Statement{})
+	qt.Assert(t, h.end(1), qt.Equals, "answer 1.1 completed  unspent 2")
+	qt.Assert(t, h.arrive(3, 1), qt.Equals, "answer 3.1 did-not-run draining unspent 0")
+
+	fresh := newHarness()
+	known := waxwingseam.KnownStatement{Backend: waxwingseam.BackendIncarnation{Node: 7}, Statement: leaving, Age: time.Hour}
+	qt.Assert(t, fresh.arriveKnowing(1, known), qt.Equals, "answer 1.1 did-not-run draining unspent 0")
+}
