experimenter: reports count the issued requests and reasons of refusal

The shares of the tests were also relative to the mean demand, so that a draw of few requests read as 0.889 with all of them served; they are relative to the requests issued now.

--- a/experimenter/limits_test.go
+++ b/experimenter/limits_test.go
@@ -125,15 +125,12 @@
 	return out
 }
 
-// servedShares returns the served share of the demand of each kind during the trigger.
-func servedShares(config Config, r Report) []float64 {
-	out := make([]float64, len(r.ByKind))
-	total := 0
-	for _, k := range config.Deployment.RequestKinds {
-		total += k.Share
-	}
-	for i, k := range config.Deployment.RequestKinds {
-		out[i] = r.OnTimeByKind[i] / (config.Demand.Base * config.Capacity * float64(k.Share) / float64(total))
+// onTimeShares returns the share of the requests of each kind issued during the trigger
+// that were answered within their objective.
+func onTimeShares(r Report) []float64 {
+	out := make([]float64, len(r.IssuedByKind))
+	for i, issued := range r.IssuedByKind {
+		out[i] = r.OnTimeByKind[i] / issued
 	}
 	return out
 }
@@ -160,7 +157,7 @@
 			for _, k := range checkers {
 				qt.Check(t, k.violations(k.node.world.scheduler.now), qt.HasLen, 0)
 			}
-			shares := servedShares(config, r)
+			shares := onTimeShares(r)
 			t.Logf("on time by kind: %.3f; refusals %v, failures %d", shares, r.Refusals, r.Failures)
 			for _, v := range shares {
 				qt.Check(t, v >= targetGoodput, qt.IsTrue, qt.Commentf("%.3f", v))
@@ -210,7 +207,7 @@
 			r := Run(config)
 			violations := arrivalsAfterLeaving(world.nodes)
 			qt.Check(t, violations, qt.HasLen, 0)
-			shares := servedShares(config, r)
+			shares := onTimeShares(r)
 			t.Logf("on time by kind: %.3f; refusals %v, failures %d", shares, r.RefusalReasons, r.Failures)
 			for _, v := range shares {
 				qt.Check(t, v >= targetGoodput, qt.IsTrue, qt.Commentf("%.3f", v))
--- a/experimenter/report.go
+++ b/experimenter/report.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"waxwingseam.example/waxwingseam"
 )
 
 const (
@@ -25,6 +27,9 @@
 	ByKind []float64
 	// OnTimeByKind is the part of ByKind that met its objective.
 	OnTimeByKind []float64
+	// IssuedByKind is the rate of requests of each kind issued during the trigger, per
+	// second.
+	IssuedByKind []float64
 	// Recovery is the time from the trigger's end until requests succeed as
 	// before it; Recovered reports whether they did.
 	Recovery  time.Duration
@@ -57,17 +62,18 @@
 
 func (t *tally) report(w *World) Report {
 	r := Report{
-		Layer:      w.config.Layer.Name,
-		Refusals:   t.refusals,
+		Layer:    w.config.Layer.Name,
+		Refusals: t.refusals,
 
 		RefusalReasons: t.refusalReasons,
-		Failures:   t.failures,
-		Inversions: t.inversions,
-		Overtaken:  t.overtaken,
-		OpenCalls:  w.openCalls(),
+		Failures:       t.failures,
+		Inversions:     t.inversions,
+		Overtaken:      t.overtaken,
+		OpenCalls:      w.openCalls(),
 	}
 	triggerSeconds := (w.config.TriggerEnd - w.config.TriggerStart).Seconds()
 	for i, n := range t.served {
+		r.IssuedByKind = append(r.IssuedByKind, float64(t.issuedDuringTrigger(w, i))/triggerSeconds)
 		r.OnTimeByKind = append(r.OnTimeByKind, float64(t.onTime[i])/triggerSeconds)
 		r.ByKind = append(r.ByKind, float64(n)/triggerSeconds)
 		r.Goodput += float64(n) / triggerSeconds
@@ -81,6 +87,19 @@
 	return r
 }
 
+// issuedDuringTrigger returns the number of requests of a kind issued during the
+// trigger.
+func (t *tally) issuedDuringTrigger(w *World, kind int) int {
+	n := 0
+	for _, q := range t.requests {
+		at := q.issued.Sub(w.startTime)
+		if q.kind == kind && at >= w.config.TriggerStart && at < w.config.TriggerEnd {
+			n++
+		}
+	}
+	return n
+}
+
 func (t *tally) reportRoots(r *Report) {
 	var work, wasted time.Duration
 	attempts := 0
--- a/experimenter/tally.go
+++ b/experimenter/tally.go
@@ -25,12 +25,12 @@
 	// onTime counts those of them that met their objective.
 	onTime []int
 	// refusals counts the refused roots, by kind of request.
-	refusals   []int
+	refusals []int
 	// refusalReasons counts the refused roots by reason.
 	refusalReasons map[waxwingseam.Reason]int
-	failures   int
-	inversions int
-	overtaken  int
+	failures       int
+	inversions     int
+	overtaken      int
 }
 
 func (t *tally) addRequest(r *request) {
