--- a/experimenter/limits_test.go
+++ b/experimenter/limits_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/pacer"
 )
 
 // The bounds on the requests that reach a backend server which names a rate limit, or
@@ -35,10 +37,12 @@
 	rate float64
 }
 
-// limitChecker records the limits that one server names, and checks its arrivals.
+// limitChecker records the limits that one incarnation of a server names, and checks its
+// arrivals.
 type limitChecker struct {
-	node   *Node
-	limits []namedLimit
+	node     *Node
+	instance string
+	limits   []namedLimit
 }
 
 // set makes the server name a limit, or none if the rate is negative.
@@ -56,6 +60,10 @@
 		if first.rate < 0 || i > 0 && k.limits[i-1].rate >= 0 {
 			continue
 		}
+		from := first.from.Add(limitSettleTime)
+		if i > 0 && k.limits[0].rate >= 0 {
+			from = first.from.Add(learnTime)
+		}
 		until := end
 		for _, v := range k.limits[i+1:] {
 			if v.rate < 0 {
@@ -63,7 +71,7 @@
 				break
 			}
 		}
-		out = append(out, k.check(first.from.Add(limitSettleTime), until)...)
+		out = append(out, k.check(from, until)...)
 	}
 	return out
 }
@@ -73,7 +81,7 @@
 func (k *limitChecker) check(from, until time.Time) []string {
 	var window []time.Time
 	for _, a := range k.node.Arrivals() {
-		if a.At.Before(from) || a.At.After(until) || a.Told.IsZero() || a.At.Sub(a.Told) < toldDelay {
+		if k.instance != "" && a.Instance != k.instance || a.At.Before(from) || a.At.After(until) || a.Told.IsZero() || a.At.Sub(a.Told) < toldDelay {
 			continue
 		}
 		window = append(window, a.At)
@@ -293,3 +301,114 @@
 		})
 	}
 }
+
+// limitFaults draws faults for the servers of board: they name limits, change and end
+// them, leave and are replaced, while nodes of both services restart and pause.
+type limitFaults struct {
+	random   *rand.Rand
+	checkers map[*Node]*limitChecker
+	ended    []*limitChecker
+}
+
+// do does one random fault and schedules the next one.
+func (f *limitFaults) do(w *World) {
+	w.After(time.Duration(100+f.random.IntN(400))*time.Millisecond, func() { f.do(w) })
+	boards := w.Service("board")
+	n := boards[f.random.IntN(len(boards))]
+	rates := []float64{-1, 0, 0.3, 2.7, 8, 14.5, 30}
+	switch f.random.IntN(8) {
+	case 0, 1, 2, 3:
+		f.checker(n).set(rates[f.random.IntN(len(rates))])
+	case 4:
+		n.Restart()
+	case 5:
+		w.nodes[f.random.IntN(len(w.nodes))].Pause(time.Duration(f.random.IntN(3000)) * time.Millisecond)
+	case 6:
+		f.replace(n)
+	case 7:
+		// One server at a time is leaving, so that others are left.
+		for _, other := range boards {
+			if other.backend.statement.Leaving {
+				f.replace(other)
+				return
+			}
+		}
+		f.checker(n)
+		s := n.backend.statement
+		s.Leaving = true
+		n.SetStatement(s)
+	}
+}
+
+// checker returns the checker of a node's backend server.
+func (f *limitFaults) checker(n *Node) *limitChecker {
+	k, ok := f.checkers[n]
+	if !ok {
+		k = &limitChecker{node: n, instance: n.Server.Instance}
+		f.checkers[n] = k
+	}
+	return k
+}
+
+// replace replaces a backend server by one that names no limit.
+func (f *limitFaults) replace(n *Node) {
+	k := f.checker(n)
+	k.limits = append(k.limits, namedLimit{n.world.scheduler.now, -1})
+	f.ended = append(f.ended, k)
+	delete(f.checkers, n)
+	n.ReplaceBackend()
+}
+
+// runLimitFaults runs a layer with random faults, loss of messages included, and returns
+// what broke the bounds.
+func runLimitFaults(layer Layer, seed uint64) []string {
+	// Many requests arrive in the time until the first answer.
+	config := boardDeployment(100, 300*time.Millisecond, 0.35, 14*time.Second)
+	config.Seed = seed
+	f := &limitFaults{random: rand.New(rand.NewPCG(seed, 2)), checkers: map[*Node]*limitChecker{}}
+	var world *World
+	config.Faults = []Fault{{At: config.TriggerStart, Do: func(w *World) {
+		world = w
+		f.do(w)
+	}}}
+	config.Lose = func(w *World, from, to *Node) bool { return from != to && w.Random().IntN(50) == 0 }
+	config.Layer = layer
+	Run(config)
+	out := arrivalsAfterLeaving(world.nodes)
+	for _, n := range world.Service("board") {
+		f.ended = append(f.ended, f.checker(n))
+	}
+	for _, k := range f.ended {
+		out = append(out, k.violations(world.scheduler.now)...)
+	}
+	return out
+}
+
+// TestStatementsHoldUnderFaults guards against requests beyond a named rate, and requests
+// to a leaving server, while nodes restart and pause, messages are lost, limits change and
+// backend servers are replaced.
+func TestStatementsHoldUnderFaults(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(12) {
+		qt.Check(t, runLimitFaults(Waxwingseam(), seed), qt.HasLen, 0, qt.Commentf("seed %d", seed))
+	}
+}
+
+// TestBrokenLimitersAreFound shows that the checks of TestStatementsHoldUnderFaults find
+// a limiter that keeps no rate.
+func TestBrokenLimitersAreFound(t *testing.T) {
+	t.Parallel()
+	unlimited := variant("no rate limits", newAdmitter, func() waxwingseam.Pacer { return unlimitedPacer{pacer.New()} })
+	found := 0
+	for seed := range uint64(6) {
+		if len(runLimitFaults(unlimited, seed)) > 0 {
+			found++
+		}
+	}
+	qt.Check(t, found >= 5, qt.IsTrue, qt.Commentf("in %d of 6 runs", found))
+}
+
+// unlimitedPacer is a pacer that ignores limits.
+type unlimitedPacer struct{ waxwingseam.Pacer }
+
+func (unlimitedPacer) SetLimit(time.Time, float64) {}
--- a/experimenter/node.go
+++ b/experimenter/node.go
@@ -277,8 +277,10 @@
 	return n.backend.arrivals
 }
 
-// Pause stops the node for a time, in which its backend server goes on.
+// Pause stops the node for a time, in which its backend server goes on. What the node
+// knew of backend servers does not count until it has been told again.
 func (n *Node) Pause(d time.Duration) {
+	n.told = map[string]toldStatement{}
 	n.pausedUntil = n.world.scheduler.now.Add(d)
 }
 
