budgeter, receiver: calls that never reach the backend server spend no retry budget

What callers would see: repeated calls refused for the retry budget though no repeated call had reached the service. The node beside the backend server charged a repeated call when it arrived; one that its queue or the rate limit then refused stayed charged.

Refused, fenced and cancelled waiting calls are refunded. TestRefusedCallsSpendNoRetryBudget failed without it (the third of five rate-limited calls was refused with retry-budget).

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -69,6 +69,14 @@
 	return true
 }
 
+// Refund implements waxwingseam.RetryGate.
+func (b *budgeter) Refund(c *waxwingseam.Context, call waxwingseam.Call) {
+	if b.budget.Window <= 0 || !call.Repeated {
+		return
+	}
+	b.counts.removeRepeat(c.Now, b.budget.Window)
+}
+
 // countServers returns the number of known backend servers of the node's
 // service, including its own.
 func (b *budgeter) countServers(self waxwingseam.Server) int {
@@ -110,6 +118,18 @@
 	return p
 }
 
+// removeRepeat removes one repeated call from the newest part that has one.
+func (w *window) removeRepeat(now time.Time, length time.Duration) {
+	newest := w.currentPart(now, length)
+	for i := range w.parts {
+		p := &w.parts[i]
+		if p.repeats > 0 && (newest.repeats == 0 || p.number > newest.number) {
+			newest = p
+		}
+	}
+	newest.repeats = max(newest.repeats-1, 0)
+}
+
 // sums returns the counts of the window that ends now.
 func (w *window) sums(now time.Time, length time.Duration) (roots, repeats int) {
 	number := w.currentPart(now, length).number
--- a/experimenter/limits_test.go
+++ b/experimenter/limits_test.go
@@ -252,7 +252,7 @@
 
 // optimum returns the rates at which the kinds can be served: the most important kind
 // first, from a capacity of board in requests per second.
-func optimum(config Config, r Report, capacity float64) []float64 {
+func optimum(r Report, capacity float64) []float64 {
 	out := make([]float64, len(r.IssuedByKind))
 	for i, issued := range r.IssuedByKind {
 		out[i] = min(issued, capacity)
@@ -289,7 +289,7 @@
 			for _, k := range *checkers {
 				qt.Check(t, k.violations(k.node.world.scheduler.now), qt.HasLen, 0)
 			}
-			best := optimum(config, r, v.capacity)
+			best := optimum(r, v.capacity)
 			for i, rate := range best {
 				t.Logf("%s: %.1f issued, %.1f served, %.1f on time, optimum %.1f", config.Deployment.RequestKinds[i].Class, r.IssuedByKind[i], r.ByKind[i], r.OnTimeByKind[i], rate)
 			}
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -309,6 +309,7 @@
 func (r *receiver) refuse(c *waxwingseam.Context, live *call, reason waxwingseam.Reason) {
 	delete(r.calls, live.header.ID)
 	r.deduplicator.Refuse(c, live.header.ID)
+	r.gate.Refund(c, live.header)
 	result := didNotRun(reason)
 	result.RetryAfter = r.retryAfter(c)
 	result.Waited = live.waited
@@ -332,6 +333,7 @@
 	}
 	r.admitter.Withdraw(id)
 	r.deduplicator.Refuse(c, id)
+	r.gate.Refund(c, live.header)
 	delete(r.calls, id)
 }
 
@@ -365,6 +367,7 @@
 	live, ok := r.calls[e.ID]
 	if ok && !live.running {
 		r.admitter.Withdraw(e.ID)
+		r.gate.Refund(c, live.header)
 		delete(r.calls, e.ID)
 		r.answerAll(c, live, didNotRun(waxwingseam.ReasonFenced))
 	}
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -201,6 +201,23 @@
 	qt.Assert(t, repeated(3), qt.Equals, "run 3.2")
 }
 
+// TestRefusedCallsSpendNoRetryBudget guards against a retry budget that is used up by
+// repeated calls which never reach the backend server.
+func TestRefusedCallsSpendNoRetryBudget(t *testing.T) {
+	h := newHarness()
+	h.state(1, waxwingseam.Statement{Limited: true, Rate: 10})
+	repeated := func(id uint64) string {
+		call := h.call(id)
+		call.Repeated = true
+		return h.reduce(waxwingseam.AttemptArrived{Stamp: h.stamp(), Call: call, Attempt: 2})
+	}
+	for id := range uint64(5) {
+		qt.Assert(t, repeated(id), qt.Contains, "did-not-run rate-limited")
+	}
+	h.now = h.now.Add(100 * time.Millisecond)
+	qt.Assert(t, repeated(9), qt.Equals, "run 9.2")
+}
+
 // TestResentAttemptsShareOneRun guards against a second run of a resent call, and
 // against a did-not-run answer for a call whose reply was dropped.
 func TestResentAttemptsShareOneRun(t *testing.T) {
--- a/retrybudget.go
+++ b/retrybudget.go
@@ -21,4 +21,7 @@
 	// Admit counts an arriving call and reports whether it may be handed to the
 	// backend server. It refuses only repeated calls.
 	Admit(c *Context, call Call) bool
+	// Refund takes back the count of an admitted repeated call that was not handed to
+	// the backend server after all.
+	Refund(c *Context, call Call)
 }
