supervisor: a report without a start time keeps the one that is known

What callers would see: a backend server that restarts under its identifier gets no calls any more, if it had left with a notice that names no start time.

The notice replaced the known start time by none, and without it the node can't tell the new incarnation from a late heartbeat of the old one.

TestReportOrder, two more cases; the first failed before.

--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -74,13 +74,14 @@
 // applyReport makes a report the latest one, tells the drainer whether the
 // server is ready, and announces the node if the report changed it.
 func (s *supervisor) applyReport(c *waxwingseam.Context, r waxwingseam.BackendReport) {
+	if r.Started.IsZero() && r.Instance == s.latest.Instance {
+		r.Started = s.latest.Started
+	}
 	restarted := r.Instance != s.latest.Instance || !r.Started.Equal(s.latest.Started)
 	s.latest = r
 	before := c.Self
 	c.Self.Instance = r.Instance
-	if !r.Started.IsZero() || before.Instance != r.Instance {
-		c.Self.Started = r.Started
-	}
+	c.Self.Started = r.Started
 	if r.Service != "" {
 		c.Self.Service = r.Service
 	}
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -49,6 +49,12 @@
 		{"restart under the same identifier", []waxwingseam.BackendReport{
 			ready("a", firstStart, 7), state(ready("a", firstStart, 0), waxwingseam.BackendGone), ready("a", secondStart, 1),
 		}, false, "a"},
+		{"restart under the same identifier after a leave without a start time", []waxwingseam.BackendReport{
+			ready("a", firstStart, 7), state(ready("a", time.Time{}, 0), waxwingseam.BackendGone), ready("a", secondStart, 1),
+		}, false, "a"},
+		{"late heartbeat after a leave without a start time", []waxwingseam.BackendReport{
+			ready("a", firstStart, 7), state(ready("a", time.Time{}, 0), waxwingseam.BackendGone), ready("a", firstStart, 9),
+		}, true, "a"},
 		{"heartbeat of the previous incarnation", []waxwingseam.BackendReport{
 			ready("b", secondStart, 1), state(ready("a", firstStart, 9), waxwingseam.BackendDraining),
 		}, false, "b"},
