--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -45,7 +45,9 @@
 	InFlight int           `json:"in-flight"`
 	Waiting  int           `json:"waiting"`
 	Limit    int           `json:"limit"`
-	Revision uint64        `json:"revision"`
+	// RateDelay is how long one more call would have waited for the rate limit.
+	RateDelay time.Duration `json:"rate-delay"`
+	Revision  uint64        `json:"revision"`
 }
 
 // Timeline holds the log lines about one request and the calls made for it.
@@ -121,8 +123,12 @@
 	case narrator.EventAttemptSent:
 		return fmt.Sprintf("%s: attempt %d sent to %s of service %s, revision %d", subject, l.Attempt, l.Server, l.Service, l.Revision)
 	case narrator.EventAttemptAnswered:
-		return fmt.Sprintf("%s: instance %s answered attempt %d: %s; waited %v, in flight %d of %d, %d waiting",
+		text := fmt.Sprintf("%s: instance %s answered attempt %d: %s; waited %v, in flight %d of %d, %d waiting",
 			subject, l.Instance, l.Attempt, l.result(), l.Waited.Round(time.Millisecond), l.InFlight, l.Limit, l.Waiting)
+		if l.RateDelay > 0 {
+			text += fmt.Sprintf(", next call by the rate limit in %v", l.RateDelay.Round(time.Millisecond))
+		}
+		return text
 	case narrator.EventCallAnswered:
 		return fmt.Sprintf("%s: answered after %v (servers: %s): %s, class %s, revision %d",
 			subject, l.Elapsed.Round(time.Millisecond), strings.Join(l.Servers, ", "), l.result(), l.Class, l.Revision)
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -34,6 +34,18 @@
 	qt.Assert(t, out.String(), qt.Equals, string(want))
 }
 
+// TestRateLimitIsNamedAsCause checks that an operator can tell a refusal for the rate
+// limit that a backend server names from one for overload.
+func TestRateLimitIsNamedAsCause(t *testing.T) {
+	timeline := explainer.New("9c41")
+	lines := `{"time":"2026-01-01T06:00:00Z","event":"attempt-answered","request-id":"9c41","attempt":1,"instance":"i-1","outcome":"did-not-run","reason":"rate-limited","limit":8,"rate-delay":70000000}` + "\n"
+	qt.Assert(t, timeline.Read("receiver.log", strings.NewReader(lines)), qt.IsNil)
+	var out bytes.Buffer
+	qt.Assert(t, timeline.Write(&out), qt.IsNil)
+	qt.Check(t, out.String(), qt.Contains, "next call by the rate limit in 70ms")
+	qt.Check(t, out.String(), qt.Contains, "cause: the backend server names a rate limit")
+}
+
 func TestUnknownRequest(t *testing.T) {
 	timeline := explainer.New("none")
 	qt.Assert(t, timeline.Read("x", strings.NewReader("no log line\n")), qt.IsNil)
--- a/narrator/narrator.go
+++ b/narrator/narrator.go
@@ -318,6 +318,7 @@
 		slog.Int("waiting", int(load.Waiting)),
 		slog.Int("limit", int(load.Limit)),
 		slog.Duration("service-time", load.ServiceTime),
+		slog.Duration("rate-delay", load.RateDelay),
 		slog.Bool("leaving", load.Leaving),
 		slog.Uint64("revision", uint64(load.Revision)))
 }
