soaker, imitator: stand-in servers that name rate limits and leave

Two more kinds of faults, drawn from a stream of their own so that the faults of a seed stay as they were. Both rules are checked from the servers' side, by who had passed on an answer that says so.

A restart of the node beside a leaving stand-in ends the check of that server: in the project's own protocol, a backend server reports no incarnation.

--- a/imitator/answer.go
+++ b/imitator/answer.go
@@ -32,5 +32,6 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
+	i.behavior.setStatementFields(w.Header())
 	_, _ = w.Write(data)
 }
--- a/imitator/behavior.go
+++ b/imitator/behavior.go
@@ -3,8 +3,18 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// The headers of answers in which the stand-in names a rate limit and says that it is
+// leaving.
+const (
+	RateLimitHeader = "Waxwingseam-Rate-Limit"
+	LeavingHeader   = "Waxwingseam-Leaving"
 )
 
 // behavior holds the settings that can change while a stand-in serves, and its last
@@ -15,6 +25,7 @@
 	healthInverted bool
 	draining       bool
 	slowFactor     float64
+	statement      waxwingseam.Statement
 	report         LoadReport
 	reportedAt     time.Time
 }
@@ -51,6 +62,25 @@
 	i.behavior.slowFactor = factor
 }
 
+// SetStatement sets what the stand-in says of itself in its answers.
+func (i *Imitator) SetStatement(s waxwingseam.Statement) {
+	i.behavior.mu.Lock()
+	defer i.behavior.mu.Unlock()
+	i.behavior.statement = s
+}
+
+// setStatementFields sets the header fields of the statement in an answer.
+func (b *behavior) setStatementFields(header http.Header) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.statement.Limited {
+		header.Set(RateLimitHeader, strconv.FormatFloat(b.statement.Rate, 'f', -1, 64))
+	}
+	if b.statement.Leaving {
+		header.Set(LeavingHeader, "1")
+	}
+}
+
 func (b *behavior) failing() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/imitator/imitator.go
+++ b/imitator/imitator.go
@@ -179,6 +179,7 @@
 // service time, makes the child calls, and works for the other half.
 func (i *Imitator) serveRequest(w http.ResponseWriter, r *http.Request) {
 	if i.behavior.failing() {
+		i.behavior.setStatementFields(w.Header())
 		http.Error(w, "failed by setting", http.StatusInternalServerError)
 		return
 	}
@@ -195,6 +196,7 @@
 	}
 	if !i.callChildren(r) {
 		i.ledger.end(run, RunFailed)
+		i.behavior.setStatementFields(w.Header())
 		http.Error(w, "a call to another service failed", http.StatusBadGateway)
 		return
 	}
--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -15,6 +15,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/auditor"
 	"waxwingseam.example/waxwingseam/forwarder"
 	"waxwingseam.example/waxwingseam/imitator"
@@ -46,6 +47,9 @@
 	// outcome is the value of the outcome header; empty without an answer.
 	outcome string
 	status  int
+	// server is the backend server that answered, and stated what it stated.
+	server string
+	stated waxwingseam.Statement
 	// connected is set unless dialling the node failed.
 	connected bool
 	err       error
@@ -134,6 +138,7 @@
 	}
 	r.status = response.StatusCode
 	r.outcome = response.Header.Get(forwarder.HeaderOutcome)
+	r.stated = waxwingseam.NewStatement(response.Header.Get(forwarder.HeaderRateLimit), response.Header.Get(forwarder.HeaderLeaving))
 	if r.status == http.StatusOK {
 		r.recordAnswer(data, body)
 	}
@@ -144,7 +149,9 @@
 func (r *request) recordAnswer(data, body []byte) {
 	var got imitator.Answer
 	r.answer = auditor.Answer{Name: r.tag, Want: xxhash.Sum64(body)}
-	if err := json.Unmarshal(data, &got); err != nil || got.Tag != r.tag {
+	err := json.Unmarshal(data, &got)
+	r.server = string(got.Server)
+	if err != nil || got.Tag != r.tag {
 		r.answer.Got = ^r.answer.Want
 		return
 	}
--- a/soaker/deployment.go
+++ b/soaker/deployment.go
@@ -60,6 +60,10 @@
 	// controlFaultMu serializes the faults of the control replicas, which tolerate
 	// the loss of one.
 	controlFaultMu sync.Mutex
+
+	spanMu sync.Mutex
+	// spans are the times in which backend servers stated something.
+	spans []statedSpan
 }
 
 func newDeployment(ctx context.Context, config Config) (*deployment, error) {
--- a/soaker/disturb.go
+++ b/soaker/disturb.go
@@ -18,6 +18,8 @@
 		d.controlFaultMu.Lock()
 		defer d.controlFaultMu.Unlock()
 		return disturbProcess(d.replicas[s.Target].process, s)
+	case FaultBackendLimited, FaultBackendLeaving:
+		return d.state(s)
 	case FaultReload:
 		d.hosts[s.Target].signal(syscall.SIGHUP)
 		return ""
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -48,6 +48,8 @@
 	// After a kill, the process is restarted after half of it. A stop, a reset and a
 	// reload ignore it.
 	Duration time.Duration
+	// Rate is the rate limit that a backend server names.
+	Rate float64
 }
 
 // String describes the step in one line.
--- a/soaker/promises.go
+++ b/soaker/promises.go
@@ -16,6 +16,8 @@
 	requests []*request
 	// runs are the runs of all backend servers.
 	runs []imitator.Run
+	// spans are the times in which backend servers stated something.
+	spans []statedSpan
 	// acknowledged are the changes that replicas reported to operators as accepted,
 	// recorded the changes in the history at the end.
 	acknowledged, recorded map[waxwingseam.SubmissionID]waxwingseam.Revision
@@ -50,6 +52,8 @@
 		{"answered-in-time", answeredInTime},
 		{"uninterrupted", uninterrupted},
 		{"acknowledged-changes", acknowledgedChanges},
+		{"kept-limits", keptLimits},
+		{"kept-leaving", keptLeaving},
 	}
 }
 
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -4,8 +4,10 @@
 package soaker
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -74,7 +76,11 @@
 // Run runs one soak. Violations of guarantees are findings of the report; an error
 // means that the soak could not be completed.
 func Run(ctx context.Context, config Config) (Report, error) {
-	report := Report{Seed: config.Seed, Steps: Plan(config.Seed, config.Duration, 2*serversPerService, replicaCount)}
+	report := Report{Seed: config.Seed, Steps: slices.Concat(
+		Plan(config.Seed, config.Duration, 2*serversPerService, replicaCount),
+		PlanStatements(config.Seed, config.Duration, serversPerService),
+	)}
+	slices.SortStableFunc(report.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	// The backend servers outlive the processes, which may still answer requests.
 	serveCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -188,6 +194,10 @@
 		requests:     s.callers.requests,
 		acknowledged: s.operators.acknowledged,
 		recorded:     s.recorded,
+		spans:        s.deployment.spans,
+	}
+	for i := range e.spans {
+		e.spans[i].runs = e.spans[i].host.server.Ledger().Runs()
 	}
 	for _, h := range s.deployment.hosts {
 		e.runs = append(e.runs, h.server.Ledger().Runs()...)
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/netip"
@@ -38,6 +39,7 @@
 	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
 	stoppingHost := &host{process: &process{stopping: []interval{{at(1), at(3)}}}}
 	killedHost := &host{process: &process{stopping: []interval{{at(1), at(3)}}, disturbed: []interval{{at(2), at(4)}}}}
+	desk := &host{process: &process{name: "desk-1"}}
 	errReset := errors.New("connection reset")
 	run := imitator.Run{Path: prefixNotRepeatable + "a", Tag: "a"}
 	for _, v := range []struct {
@@ -75,6 +77,16 @@
 				{tag: "a", host: stoppingHost, sent: at(0), ended: at(2), err: errReset},
 			}},
 		},
+		{
+			"kept-limits",
+			statedEvidence(desk, start, waxwingseam.Statement{Limited: true, Rate: 1}, 4*time.Second, 12),
+			statedEvidence(desk, start, waxwingseam.Statement{Limited: true, Rate: 1}, 4*time.Second, 11),
+		},
+		{
+			"kept-leaving",
+			statedEvidence(desk, start, waxwingseam.Statement{Leaving: true}, 3100*time.Millisecond, 1),
+			statedEvidence(desk, start, waxwingseam.Statement{Leaving: true}, 2900*time.Millisecond, 1),
+		},
 		{
 			"acknowledged-changes",
 			evidence{acknowledged: map[waxwingseam.SubmissionID]waxwingseam.Revision{"x": 2}},
@@ -95,6 +107,42 @@
 	}
 }
 
+// statedEvidence returns evidence of a server that states something from start on, which
+// its own node passes on 1 s later, and of runs from a time on, 100 ms apart.
+func statedEvidence(h *host, start time.Time, s waxwingseam.Statement, first time.Duration, runs int) evidence {
+	span := statedSpan{interval: interval{start, start.Add(time.Minute)}, host: h, statement: s}
+	e := evidence{requests: []*request{{tag: "told", host: h, server: h.name, stated: s, sent: start, ended: start.Add(time.Second)}}}
+	for i := range runs {
+		sent := start.Add(first + time.Duration(i)*100*time.Millisecond)
+		tag := fmt.Sprint(i)
+		e.requests = append(e.requests, &request{tag: tag, host: h, sent: sent, ended: sent.Add(time.Second)})
+		span.runs = append(span.runs, imitator.Run{Tag: tag, Began: sent})
+	}
+	e.spans = []statedSpan{span}
+	return e
+}
+
+// TestStatementPlanLeavesServers checks that a seed always yields the same statements,
+// and that one server at any time states nothing.
+func TestStatementPlanLeavesServers(t *testing.T) {
+	kinds := map[Fault]bool{}
+	for seed := range uint64(50) {
+		steps := PlanStatements(seed, 15*time.Second, 3)
+		qt.Assert(t, steps, qt.DeepEquals, PlanStatements(seed, 15*time.Second, 3))
+		for i, s := range steps {
+			kinds[s.Fault] = true
+			busy := map[int]bool{}
+			for _, other := range steps[:i+1] {
+				if other.At+other.Duration > s.At {
+					busy[other.Target] = true
+				}
+			}
+			qt.Assert(t, len(busy) < 3, qt.IsTrue)
+		}
+	}
+	qt.Assert(t, kinds, qt.HasLen, 2)
+}
+
 // TestPlanIsReproducible checks that a seed always yields the same faults, that times
 // and durations are within bounds, that targets are below the number of nodes, and
 // that every kind occurs.
