--- a/experimenter/equals_test.go
+++ b/experimenter/equals_test.go
@@ -14,11 +14,23 @@
 // shortage leaves it.
 func TestEqualClassesShareShortage(t *testing.T) {
 	t.Parallel()
+	checkEqualShares(t, 12*time.Second)
+}
+
+// TestEqualClassesShareShortSurge checks the same for a surge of 4 s, in which the shares
+// have less time to settle.
+func TestEqualClassesShareShortSurge(t *testing.T) {
+	t.Parallel()
+	checkEqualShares(t, 4*time.Second)
+}
+
+func checkEqualShares(t *testing.T, duration time.Duration) {
+	t.Helper()
 	for _, lookupShare := range []int{10, 40} {
 		for _, surge := range []float64{1.15, 3} {
 			t.Run(fmt.Sprintf("lookups %d%%, surge %gx", lookupShare, surge), func(t *testing.T) {
 				t.Parallel()
-				config := sharedLeafSurge(lookupShare, surge, 12*time.Second)
+				config := sharedLeafSurge(lookupShare, surge, duration)
 				config.Layer = Waxwingseam()
 				r := Run(config)
 				for i, k := range config.Deployment.RequestKinds {
