--- a/cmd/imitator/main.go
+++ b/cmd/imitator/main.go
@@ -28,6 +28,7 @@
 	ServiceTime time.Duration `default:"20ms" help:"Mean service time of a request."`
 	ColdTime    time.Duration `help:"Time after the start during which the server runs at a fifth of its speed."`
 	Child       []string      `help:"Child call (GET) made through --outbound for each request, SERVICE/PATH; can be repeated."`
+	RateLimit   float64       `default:"-1" help:"Rate limit that the server names in its answers, in requests per second; negative for none."`
 	Seed        uint64        `default:"1" help:"Seed of the random service times."`
 }
 
@@ -43,6 +44,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	server.SetStatement(waxwingseam.Statement{Limited: c.RateLimit >= 0, Rate: max(c.RateLimit, 0)})
 	fmt.Printf("imitator: %s serves %s on %s\n", c.Name, c.Service, server.Address())
 	return trace.Wrap(server.Serve(ctx))
 }
