platform, balancer: request classes with large replies

Calls with large replies go to a server of the sender's data centre while one there has room, also on hosts without near-first.

--- a/balancer/distance_test.go
+++ b/balancer/distance_test.go
@@ -21,14 +21,16 @@
 	for _, v := range []struct {
 		name      string
 		nearFirst bool
+		large     bool
 		refusals  int
 		open      int
 		far       bool
 	}{
-		{"few calls", true, 0, 5, false},
-		{"as many calls as near slots", true, 0, 10, true},
-		{"few calls after refusals", true, 2, 5, true},
-		{"without NearFirst", false, 0, 5, true},
+		{"few calls", true, false, 0, 5, false},
+		{"as many calls as near slots", true, false, 0, 10, true},
+		{"few calls after refusals", true, false, 2, 5, true},
+		{"without NearFirst", false, false, 0, 5, true},
+		{"few calls with large replies without NearFirst", false, true, 0, 5, false},
 	} {
 		t.Run(v.name, func(t *testing.T) {
 			h := &harness{Balancer: balancer.New(balancer.Config{Self: "caller", DataCentre: "a", NearFirst: v.nearFirst}), now: start}
@@ -46,7 +48,7 @@
 			far := 0
 			for range v.open {
 				h.begin()
-				if h.Choose(h.context, waxwingseam.Query{Service: "fees"}).Server.Name == "far" {
+				if h.Choose(h.context, waxwingseam.Query{Service: "fees", LargeReply: v.large}).Server.Name == "far" {
 					far++
 				}
 			}
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -20,7 +20,7 @@
 			query:     q,
 			filters:   b.filters[:n],
 			random:    random,
-			nearFirst: b.config.NearFirst,
+			nearFirst: b.config.NearFirst || q.LargeReply,
 		}
 		if t := s.choose(p); t != nil {
 			return t
@@ -35,7 +35,7 @@
 	query   waxwingseam.Query
 	filters []filter
 	random  *rand.Rand
-	// nearFirst is Config.NearFirst.
+	// nearFirst is set for Config.NearFirst, and for calls with large replies.
 	nearFirst bool
 }
 
--- a/checker/requestclass.go
+++ b/checker/requestclass.go
@@ -37,6 +37,7 @@
 		required(repeat()),
 		required(duration("deadline", minDeadline, maxDeadline, func(c *waxwingseam.RequestClass) *time.Duration { return &c.Deadline })),
 		duration("objective", 0, maxDeadline, func(c *waxwingseam.RequestClass) *time.Duration { return &c.Objective }),
+		boolean("large-replies", func(c *waxwingseam.RequestClass) *bool { return &c.LargeReplies }),
 		text("retry-limit", nil, func(c *waxwingseam.RequestClass) *string { return &c.RetryLimit }),
 		text("wait-limit", nil, func(c *waxwingseam.RequestClass) *string { return &c.WaitLimit }),
 	},
--- a/dispatcher/arrival.go
+++ b/dispatcher/arrival.go
@@ -42,6 +42,7 @@
 			Revision:  c.Set.Revision,
 		},
 		limit:      limit,
+		largeReply: class.LargeReplies,
 		replayable: e.Replayable,
 	}
 	parent := d.Tracker.ParentRun(e)
--- a/dispatcher/flight.go
+++ b/dispatcher/flight.go
@@ -10,6 +10,8 @@
 type flight struct {
 	call  waxwingseam.Call
 	limit waxwingseam.RetryLimit
+	// largeReply is RequestClass.LargeReplies of the call's class.
+	largeReply bool
 	// allowance is the unspent retry allowance, without the shares of open
 	// attempts. It can be shared with other calls: those of the same run, or
 	// roots with the same key.
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -11,6 +11,7 @@
 		Rank:         f.call.Rank,
 		Depth:        f.call.Depth,
 		Root:         f.refusable && len(f.attempts) == 0,
+		LargeReply:   f.largeReply,
 		Tried:        f.tried,
 		ExcludeTried: f.redirecting && f.lastResult.Reason != waxwingseam.ReasonRateLimited,
 	}
--- a/object.go
+++ b/object.go
@@ -94,6 +94,9 @@
 	Deadline time.Duration
 	// Objective is the latency objective; 0 for none.
 	Objective time.Duration
+	// LargeReplies is set if replies are so large that they are kept out of the
+	// traffic between data centres where possible.
+	LargeReplies bool
 	// RetryLimit and WaitLimit name the limits that apply to the class.
 	RetryLimit string
 	WaitLimit  string
