pipeliner: requests sent one behind another on a connection run side by side

Cause: net/http reads the next request only after the answer to the last one, and the first byte of it ends its watch for the caller's leaving.

A server of our own for callers over HTTP/1.1: up to eight requests of a connection run side by side, answers come in order, the caller's leaving ends all of them. A request that may not run twice waits for the answers before it, as a closing answer before it would make its caller send it again; an answer closes the connection only if no later request is being handled. What was read and not handled is counted (waxwingseam_requests_unserved_total). A wait behind others is taken off the caller's timeout. HTTP/2 goes to the standard server.

--- a/assembler/leaving_test.go
+++ b/assembler/leaving_test.go
@@ -14,6 +14,9 @@
 
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
+
+	"waxwingseam.example/waxwingseam/forwarder"
+	"waxwingseam.example/waxwingseam/pipeliner"
 )
 
 // TestExitsBeforeDrainLimit checks that a process whose shutdown hangs, as when
@@ -81,16 +84,22 @@
 // caller must receive the answer, unless the process is told to exit at once or the
 // answer takes too long.
 func TestStopAnswersReadRequests(t *testing.T) {
+	newHTTPServer := func(h http.Handler) httpServer { return forwarder.NewServer(h) }
+	newCallerServer := func(h http.Handler) httpServer { return pipeliner.New(pipeliner.Config{Handler: h}) }
 	for _, v := range []struct {
-		name     string
-		cause    error
-		duration time.Duration
-		answered bool
-		maxWait  time.Duration
+		name      string
+		newServer func(http.Handler) httpServer
+		cause     error
+		duration  time.Duration
+		answered  bool
+		maxWait   time.Duration
 	}{
-		{"stopped", errStopped, 100 * time.Millisecond, true, stopTimeout},
-		{"stopped with a slow answer", errStopped, time.Hour, false, stopTimeout},
-		{"killed", context.Canceled, 100 * time.Millisecond, false, 0},
+		{"stopped", newHTTPServer, errStopped, 100 * time.Millisecond, true, stopTimeout},
+		{"stopped with a slow answer", newHTTPServer, errStopped, time.Hour, false, stopTimeout},
+		{"killed", newHTTPServer, context.Canceled, 100 * time.Millisecond, false, 0},
+		{"callers' server stopped", newCallerServer, errStopped, 100 * time.Millisecond, true, stopTimeout},
+		{"callers' server stopped with a slow answer", newCallerServer, errStopped, time.Hour, false, stopTimeout},
+		{"callers' server killed", newCallerServer, context.Canceled, 100 * time.Millisecond, false, 0},
 	} {
 		t.Run(v.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -98,19 +107,20 @@
 				group, ctx := errgroup.WithContext(ctx)
 				caller, accepted := net.Pipe()
 				var stopped time.Time
-				serveListener(ctx, group, listenOn(accepted), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				serveListener(ctx, group, listenOn(accepted), v.newServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 					stopped = time.Now()
 					cancel(v.cause)
 					time.Sleep(v.duration)
 					_, _ = io.WriteString(w, "answer")
-				}))
+				})))
 				_, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: fees\r\n\r\n")
 				qt.Assert(t, err, qt.IsNil)
 				reply, _ := io.ReadAll(caller)
 				qt.Assert(t, strings.HasSuffix(string(reply), "answer"), qt.Equals, v.answered, qt.Commentf("%q", reply))
 				qt.Assert(t, group.Wait(), qt.IsNil)
 				qt.Assert(t, time.Since(stopped) <= v.maxWait, qt.IsTrue)
-				time.Sleep(v.duration)
+				// The handler and the idle goroutines of the server end before the test does.
+				time.Sleep(v.duration + 2*time.Second)
 			})
 		})
 	}
--- a/assembler/process.go
+++ b/assembler/process.go
@@ -56,6 +56,7 @@
 	subscriber     subscriber.Subscriber
 	interests      *interests
 	revisions      *revisionObserver
+	repeatability  *repeatability
 	entryPoints    *entryPoints
 	controller     controller.Controller
 }
@@ -192,6 +193,7 @@
 	}
 	p.interests = newInterests()
 	p.revisions = newRevisionObserver()
+	p.repeatability = &repeatability{}
 	p.entryPoints = newEntryPoints()
 	node, err := NewNode(NodeConfig{
 		Self:        self,
@@ -259,7 +261,7 @@
 		Logger: p.logger.Part("node"),
 		Usage:  sampler.New().Sample,
 	})
-	observers := []runner.Observer{p.meter, eventLog, p.interests, p.revisions, p.entryPoints}
+	observers := []runner.Observer{p.meter, eventLog, p.interests, p.revisions, p.entryPoints, p.repeatability}
 	if p.tracer != nil {
 		observers = append(observers, p.tracer)
 	}
--- a/assembler/serving.go
+++ b/assembler/serving.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"waxwingseam.example/waxwingseam/forwarder"
+	"waxwingseam.example/waxwingseam/pipeliner"
 )
 
 // errStopped is the cause with which the process ends in an orderly way.
@@ -165,19 +166,35 @@
 		}
 	}
 	if p.external.AllServices {
-		if err := serveHTTP(ctx, group, p.settings.Node.EntryAddress, p.closeConnectionsOnDrain(f.Entry())); err != nil {
+		if err := p.serveCallers(ctx, group, p.settings.Node.EntryAddress, p.closeConnectionsOnDrain(f.Entry())); err != nil {
 			return err
 		}
-		return serveHTTP(ctx, group, p.settings.Node.OutboundAddress, p.closeConnectionsOnDrain(f.Entry()))
+		return p.serveCallers(ctx, group, p.settings.Node.OutboundAddress, p.closeConnectionsOnDrain(f.Entry()))
 	}
 	entry := chi.NewRouter()
 	entry.Get("/v1/entry-points", p.entryPoints.ServeHTTP)
 	entry.NotFound(p.interests.WaitForServers(f.Entry()).ServeHTTP)
 	entry.MethodNotAllowed(p.interests.WaitForServers(f.Entry()).ServeHTTP)
-	if err := serveHTTP(ctx, group, p.settings.Node.EntryAddress, entry); err != nil {
+	if err := p.serveCallers(ctx, group, p.settings.Node.EntryAddress, entry); err != nil {
 		return err
 	}
-	return serveHTTP(ctx, group, p.settings.Node.OutboundAddress, p.interests.WaitForServers(f.Outbound()))
+	return p.serveCallers(ctx, group, p.settings.Node.OutboundAddress, p.interests.WaitForServers(f.Outbound()))
+}
+
+// serveCallers serves the callers at an address until the context is done.
+func (p *Process) serveCallers(ctx context.Context, group *errgroup.Group, address netip.AddrPort, handler http.Handler) error {
+	listener, err := listen(ctx, address)
+	if err != nil {
+		return err
+	}
+	serveListener(ctx, group, listener, pipeliner.New(pipeliner.Config{
+		Handler:    handler,
+		Repeatable: p.repeatability.of(p.node.Forwarder.MatchRequest),
+		Unserved:   func(*http.Request) { p.meter.Unserved() },
+		HTTP2:      forwarder.NewServer(handler),
+		Logger:     p.logger.Part("callers"),
+	}))
+	return nil
 }
 
 // closeConnectionsOnDrain returns a handler that asks callers to close their
@@ -208,12 +225,18 @@
 	if err != nil {
 		return err
 	}
-	serveListener(ctx, group, listener, handler)
+	serveListener(ctx, group, listener, forwarder.NewServer(handler))
 	return nil
 }
 
-func serveListener(ctx context.Context, group *errgroup.Group, listener net.Listener, handler http.Handler) {
-	server := forwarder.NewServer(handler)
+// httpServer is a server for one or more listeners.
+type httpServer interface {
+	Serve(listener net.Listener) error
+	Shutdown(ctx context.Context) error
+	Close() error
+}
+
+func serveListener(ctx context.Context, group *errgroup.Group, listener net.Listener, server httpServer) {
 	closed := make(chan struct{})
 	context.AfterFunc(ctx, func() {
 		defer close(closed)
@@ -235,7 +258,7 @@
 
 // closeServer closes a server and its connections. If the process was stopped, requests
 // that were read are answered first.
-func closeServer(ctx context.Context, server *http.Server) {
+func closeServer(ctx context.Context, server httpServer) {
 	if errors.Is(context.Cause(ctx), errStopped) {
 		limited, cancel := context.WithTimeout(context.Background(), stopTimeout)
 		defer cancel()
--- a/forwarder/entry.go
+++ b/forwarder/entry.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 
 	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/pipeliner"
 )
 
 // readAheadLimit is the longest request body that is read completely before the
@@ -37,7 +38,7 @@
 	}
 }
 
-// NewServer returns an HTTP server for callers, with limits on the size and the
+// NewServer returns an HTTP server with limits on the size and the
 // reading time of headers. It supports HTTP/1.1 and unencrypted HTTP/2.
 func NewServer(handler http.Handler) *http.Server {
 	protocols := &http.Protocols{}
@@ -100,6 +101,7 @@
 		return arrival, "", err
 	}
 	arrival.Outbound = arrival.Outbound || e.outbound
+	subtractWait(&arrival, r)
 	_, _ = rand.Read(arrival.ID[:])
 	if arrival.Parent.IsZero() {
 		_, _ = rand.Read(arrival.Root[:])
@@ -108,6 +110,15 @@
 	return arrival, target, nil
 }
 
+// subtractWait shortens a caller's timeout by the time for which the request waited for
+// the answers to earlier requests of its connection.
+func subtractWait(a *waxwingseam.CallArrived, r *http.Request) {
+	received, ok := pipeliner.Received(r)
+	if ok && a.Timeout > 0 {
+		a.Timeout = max(a.Timeout-time.Since(received), 1)
+	}
+}
+
 // beginTrace assigns a trace to a root whose caller sent none.
 func (f *Forwarder) beginTrace(a *waxwingseam.CallArrived) {
 	if f.config.NewTrace != nil && a.Trace == (waxwingseam.TraceContext{}) {
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -139,7 +139,7 @@
 	x.mu.Lock()
 	x.attempts = append(x.attempts, a)
 	x.mu.Unlock()
-	f.workers.do(func() { a.run(false) })
+	f.workers.Do(func() { a.run(false) })
 }
 
 // resume carries out a Resume.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"maps"
 	"net"
+	"net/http"
 	"net/netip"
 	"slices"
 	"sync"
@@ -20,6 +21,7 @@
 
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/messenger"
+	"waxwingseam.example/waxwingseam/worker"
 )
 
 const (
@@ -96,7 +98,7 @@
 	config Config
 	gauge  gauge
 	// workers carry out attempts and runs.
-	workers workers
+	workers worker.Pool
 	// links carry attempts, and peers the other calls to nodes.
 	links   *pool[netip.AddrPort, *link]
 	peers   *pool[netip.AddrPort, *drpcconn.Conn]
@@ -147,7 +149,7 @@
 		peers: newPool[netip.AddrPort](peerIdleTimeout, maxIdlePeerConns, func(c *drpcconn.Conn) {
 			go func() { _ = c.Close() }()
 		}),
-		workers:        newWorkers(),
+		workers:        worker.NewPool(),
 		backend:        newBackendConns(config),
 		exchanges:      map[waxwingseam.CallID]*exchange{},
 		hostedCalls:    map[waxwingseam.CallID]*hostedCall{},
@@ -172,6 +174,11 @@
 	f.backend.closeIdle()
 }
 
+// MatchRequest returns the parts of a caller's request by which its class is found.
+func (f *Forwarder) MatchRequest(r *http.Request) waxwingseam.Request {
+	return f.config.Callers.MatchRequest(r)
+}
+
 // CloseEntry makes the forwarder refuse calls from outside. Calls of the node's
 // own backend server are still accepted.
 func (f *Forwarder) CloseEntry() {
--- a/forwarder/hosted.go
+++ b/forwarder/hosted.go
@@ -198,7 +198,7 @@
 	if in := f.inbound(attemptKey{e.Call.ID, e.Attempt}); in != nil {
 		in.follow(h)
 	}
-	f.workers.do(func() { h.execute(e) })
+	f.workers.Do(func() { h.execute(e) })
 }
 
 // relayed reports whether another node runs the call.
--- a/forwarder/native.go
+++ b/forwarder/native.go
@@ -36,6 +36,13 @@
 	}, target, nil
 }
 
+// MatchRequest implements waxwingseam.CallerProtocol.
+func (nativeCallers) MatchRequest(r *http.Request) waxwingseam.Request {
+	service, target := splitTarget(r)
+	path, _, _ := strings.Cut(target, "?")
+	return waxwingseam.Request{Service: waxwingseam.ServiceName(service), Method: r.Method, Path: path}
+}
+
 // splitTarget returns the service's name and the target for the backend server.
 func splitTarget(r *http.Request) (service, target string) {
 	path := strings.TrimPrefix(r.URL.EscapedPath(), "/")
--- a/meter/calls.go
+++ b/meter/calls.go
@@ -28,6 +28,7 @@
 	fences      prometheus.Counter
 	resumes     prometheus.Counter
 	badRequests *prometheus.CounterVec
+	unserved    prometheus.Counter
 }
 
 func newCallMetrics() callMetrics {
@@ -41,12 +42,13 @@
 		allowance:   newCounter("waxwingseam_retry_allowance_sent_total", "Retry allowance that went along with attempts.", labelService),
 		fences:      prometheus.NewCounter(prometheus.CounterOpts{Name: "waxwingseam_fences_total", Help: "Fences asked of receiving nodes."}),
 		badRequests: newCounter("waxwingseam_bad_requests_total", "Requests that could not become a call.", labelReason),
+		unserved:    prometheus.NewCounter(prometheus.CounterOpts{Name: "waxwingseam_requests_unserved_total", Help: "Requests that were read behind one whose answer closed the connection, and not handled."}),
 		resumes:     prometheus.NewCounter(prometheus.CounterOpts{Name: "waxwingseam_resumes_total", Help: "Attempts resumed over a fresh connection."}),
 	}
 }
 
 func (m *callMetrics) collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.replies, m.callTime, m.attempts, m.retries, m.allowance, m.fences, m.resumes, m.badRequests}
+	return []prometheus.Collector{m.replies, m.callTime, m.attempts, m.retries, m.allowance, m.fences, m.resumes, m.badRequests, m.unserved}
 }
 
 func (m *callMetrics) setServices(s *waxwingseam.Set) {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -99,6 +99,12 @@
 	m.calls.badRequests.WithLabelValues(string(reason)).Inc()
 }
 
+// Unserved counts a request that was read but not handled, because the answer to an
+// earlier one closed the connection. It may be called from any goroutine.
+func (m *Meter) Unserved() {
+	m.calls.unserved.Inc()
+}
+
 // Observe implements runner.Observer.
 func (m *Meter) Observe(e waxwingseam.Event, effects []waxwingseam.Effect) {
 	if handle, ok := m.eventHandlers[e.Kind()]; ok {
--- /dev/null
+++ b/pipeliner/body.go
@@ -0,0 +1,66 @@
+package pipeliner
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/gravitational/trace"
+)
+
+// requestBody is the body of a request. No further request is read before it is over.
+type requestBody struct {
+	connection *connection
+	source     io.Reader
+	// expected is set while the caller waits to be told to send the body.
+	expected bool
+	// over is closed once the body was read, its reading failed, or its request was
+	// answered.
+	over chan struct{}
+	end  func()
+	eof  atomic.Bool
+}
+
+func newRequestBody(c *connection, r *http.Request) *requestBody {
+	b := &requestBody{
+		connection: c,
+		source:     r.Body,
+		expected:   strings.EqualFold(r.Header.Get("Expect"), "100-continue"),
+		over:       make(chan struct{}),
+	}
+	b.end = sync.OnceFunc(func() { close(b.over) })
+	return b
+}
+
+// whole reports whether the body was read completely.
+func (b *requestBody) whole() bool {
+	return b.eof.Load()
+}
+
+// Read implements io.Reader.
+func (b *requestBody) Read(p []byte) (int, error) {
+	if b.expected {
+		b.expected = false
+		// All earlier answers are written, as requests with a body are not handled early.
+		if _, err := io.WriteString(b.connection.conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+			return 0, trace.Wrap(err)
+		}
+	}
+	n, err := b.source.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.eof.Store(true)
+	}
+	if err != nil {
+		b.end()
+	}
+	return n, err
+}
+
+// Close implements io.Closer. What was not read is not discarded: the answer then
+// closes the connection.
+func (b *requestBody) Close() error {
+	return nil
+}
--- /dev/null
+++ b/pipeliner/connection.go
@@ -0,0 +1,406 @@
+package pipeliner
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+const (
+	readBufferSize = 4 << 10
+	// lingerTimeout bounds how long a connection that was closed for writing waits for
+	// the caller to close it. An earlier close would discard an answer that the caller
+	// has not read yet, if it has sent further requests.
+	lingerTimeout = 500 * time.Millisecond
+	// leftWriteTimeout bounds a write that was blocked when the caller left.
+	leftWriteTimeout = time.Second
+)
+
+var (
+	errHeadTooLarge = trace.LimitExceeded("the request's header is too long")
+	errHTTP2        = trace.NotImplemented("the caller speaks HTTP/2")
+	// errSealed means that the caller was told that the connection closes.
+	errSealed = trace.ConnectionProblem(nil, "the connection is closing")
+)
+
+// aLongTimeAgo is a deadline that interrupts a blocked read.
+var aLongTimeAgo = time.Unix(1, 0)
+
+// receivingConn notes when bytes were last received.
+type receivingConn struct {
+	net.Conn
+	received time.Time
+}
+
+// Read implements net.Conn.
+func (c *receivingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.received = time.Now()
+	}
+	return n, err
+}
+
+// connection is one connection of a caller. Its own goroutine reads the requests; others
+// handle them.
+type connection struct {
+	server *Server
+	conn   *receivingConn
+	reader *bufio.Reader
+	remote string
+	// ctx ends when the caller leaves.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// handlers counts the requests that are being handled.
+	handlers sync.WaitGroup
+	// writer is used by the response whose turn it is.
+	writer *bufio.Writer
+
+	mu sync.Mutex
+	// active counts the requests whose answers are not written completely.
+	active int
+	// last is the response to the last request that was handled.
+	last *response
+	// closing is set once no request may follow those being handled.
+	closing bool
+	// sealed is set once an answer says that the connection closes.
+	sealed bool
+	// watching is set while the reading goroutine may be blocked in watch.
+	watching bool
+	// woken wakes a watch that can't read ahead.
+	woken chan struct{}
+}
+
+func newConnection(s *Server, conn net.Conn) *connection {
+	c := &connection{
+		server: s,
+		conn:   &receivingConn{Conn: conn},
+		remote: conn.RemoteAddr().String(),
+		woken:  make(chan struct{}, 1),
+	}
+	c.reader = bufio.NewReaderSize(c.conn, readBufferSize)
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	return c
+}
+
+// serve reads and starts requests until the connection ends.
+func (c *connection) serve() {
+	defer c.server.remove(c)
+	defer c.cancel()
+	err := c.serveRequests()
+	switch {
+	case err == nil, errors.Is(err, errSealed), errors.Is(err, os.ErrDeadlineExceeded):
+		c.countUnserved()
+		c.shutDown()
+		err = c.watch(func() bool { return c.active == 0 })
+	case errors.Is(err, errHTTP2):
+		c.server.http2.take(c.conn.Conn, c.reader, func(err error) {
+			c.server.config.Logger.Error("serving HTTP/2 failed", "error", err)
+		})
+		return
+	case trace.IsBadParameter(err), trace.IsLimitExceeded(err):
+		err = c.refuse(err)
+	}
+	if err != nil {
+		// The caller has left, or its connection failed.
+		c.cancel()
+		_ = c.conn.SetWriteDeadline(time.Now().Add(leftWriteTimeout))
+	}
+	c.handlers.Wait()
+	if err == nil && c.isSealed() {
+		c.linger()
+	}
+	_ = c.conn.Close()
+}
+
+// countUnserved reports the further requests whose heads were received.
+func (c *connection) countUnserved() {
+	for c.isSealed() {
+		data, err := c.reader.Peek(c.reader.Buffered())
+		n := headLength(data, 0)
+		if err != nil || n == 0 {
+			return
+		}
+		r, err := parseHead(c.reader, countHosts(data[:n]))
+		if err != nil {
+			return
+		}
+		c.server.config.Unserved(r)
+		if r.ContentLength != 0 {
+			return
+		}
+	}
+}
+
+// serveRequests reads and starts requests until no further one is accepted. It returns
+// nil or errSealed if the connection is to be closed after the last answer, a bad
+// parameter for a malformed request, and another error if the caller has left.
+func (c *connection) serveRequests() error {
+	for {
+		r, err := c.readRequest()
+		if err != nil {
+			return err
+		}
+		w := newResponse(c, r)
+		if err := c.watch(func() bool { return c.mayStart(w) }); err != nil {
+			w.cancel()
+			c.server.config.Unserved(r)
+			return err
+		}
+		if !c.start(w) {
+			w.cancel()
+			c.server.config.Unserved(r)
+			return errSealed
+		}
+		if w.body != nil {
+			<-w.body.over
+			if !w.body.whole() {
+				// What follows in the buffer belongs to the body.
+				c.discardBuffer()
+				return nil
+			}
+		}
+		if r.Close || !r.ProtoAtLeast(1, 1) {
+			return nil
+		}
+	}
+}
+
+// readRequest reads the next request's head.
+func (c *connection) readRequest() (*http.Request, error) {
+	err := c.watch(func() bool { return c.reader.Buffered() > 0 || c.sealed || c.closing && c.active == 0 })
+	if err != nil {
+		return nil, err
+	}
+	if c.isSealed() || c.reader.Buffered() == 0 {
+		return nil, errSealed
+	}
+	head, err := c.peekHead()
+	if err != nil {
+		return nil, err
+	}
+	if len(head) > c.server.config.MaxHeaderBytes {
+		return nil, errHeadTooLarge
+	}
+	if c.server.http2 != nil && c.last == nil && bytes.HasPrefix(head, []byte(preface)) {
+		return nil, errHTTP2
+	}
+	return parseHead(c.reader, countHosts(head))
+}
+
+// peekHead waits until the next request's head is buffered completely, and returns it.
+func (c *connection) peekHead() ([]byte, error) {
+	searched := 0
+	limited := false
+	for {
+		data, err := c.reader.Peek(c.reader.Buffered())
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		if n := headLength(data, searched); n > 0 {
+			return data[:n], nil
+		}
+		searched = len(data)
+		if searched > c.server.config.MaxHeaderBytes {
+			return nil, errHeadTooLarge
+		}
+		if searched == c.reader.Size() {
+			c.reader = bufio.NewReaderSize(c.reader, 2*searched)
+			searched = 0
+		}
+		if !limited {
+			limited = true
+			_ = c.conn.SetReadDeadline(time.Now().Add(c.server.config.HeaderTimeout))
+			defer func() { _ = c.conn.SetReadDeadline(time.Time{}) }()
+		}
+		if _, err := c.reader.Peek(searched + 1); err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+}
+
+// watch waits until done returns true. It is called with the lock held, first at once
+// and then whenever an answer was written or bytes were received. Watch returns an
+// error if the caller leaves. The caller's further requests are read ahead as far as
+// the buffer has room; beyond that, its leaving is not noticed.
+func (c *connection) watch(done func() bool) error {
+	for {
+		c.mu.Lock()
+		if done() {
+			c.mu.Unlock()
+			return nil
+		}
+		c.watching = true
+		full := c.reader.Buffered() == c.reader.Size()
+		c.mu.Unlock()
+		var err error
+		if full {
+			<-c.woken
+			select {
+			case c.woken <- struct{}{}:
+			default:
+			}
+		} else {
+			_, err = c.reader.Peek(c.reader.Buffered() + 1)
+		}
+		c.stopWatching()
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return trace.Wrap(err)
+		}
+	}
+}
+
+// stopWatching removes the deadline that wake may have set.
+func (c *connection) stopWatching() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.watching = false
+	select {
+	case <-c.woken:
+		_ = c.conn.SetReadDeadline(time.Time{})
+	default:
+	}
+}
+
+// wake makes a blocked watch check its condition. The lock is held.
+func (c *connection) wake() {
+	if !c.watching {
+		return
+	}
+	select {
+	case c.woken <- struct{}{}:
+		_ = c.conn.SetReadDeadline(aLongTimeAgo)
+	default:
+	}
+}
+
+// mayStart reports whether a request can be handled now, or never. The lock is held.
+func (c *connection) mayStart(w *response) bool {
+	switch {
+	case c.sealed || c.active == 0:
+		return true
+	case c.closing || c.active >= c.server.config.MaxConcurrent:
+		return false
+	}
+	return w.mayStartEarly()
+}
+
+// start handles a request. It returns false if the connection is closing.
+func (c *connection) start(w *response) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sealed {
+		return false
+	}
+	if c.active > 0 {
+		w.turn = c.last.written()
+	}
+	c.last = w
+	c.active++
+	c.handlers.Add(1)
+	c.server.handlers.Do(w.serve)
+	return true
+}
+
+// answered notes that a response was written completely or given up.
+func (c *connection) answered(w *response) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.active--
+	w.over = true
+	if w.next != nil {
+		close(w.next)
+	}
+	c.wake()
+}
+
+// seal reports whether a response is to tell the caller that the connection closes. It
+// must not while later requests are being handled: the caller would take them as
+// unread. The last of these tells it then.
+func (c *connection) seal(w *response, wanted bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = c.closing || wanted
+	c.sealed = c.sealed || c.closing && c.last == w
+	return c.sealed
+}
+
+// isSealed reports whether an answer says that the connection closes.
+func (c *connection) isSealed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sealed
+}
+
+// sealNow seals the connection for an answer without a request that was handled. It
+// returns false if it was sealed already.
+func (c *connection) sealNow() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first := !c.sealed
+	c.sealed = true
+	return first
+}
+
+// discardBuffer drops the bytes that were read ahead.
+func (c *connection) discardBuffer() {
+	_, _ = c.reader.Discard(c.reader.Buffered())
+}
+
+// shutDown makes the connection close after the requests that were read are answered.
+func (c *connection) shutDown() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+	c.wake()
+}
+
+// reset makes the close of the connection a reset, so that an answer without a length
+// does not look complete.
+func (c *connection) reset() {
+	if t, ok := c.conn.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = t.SetLinger(0)
+	}
+}
+
+// abort closes the connection at once. Answers in progress never look complete.
+func (c *connection) abort() {
+	c.cancel()
+	_ = c.conn.Close()
+}
+
+// refuse answers a malformed request once the earlier ones are answered.
+func (c *connection) refuse(cause error) error {
+	if err := c.watch(func() bool { return c.active == 0 }); err != nil {
+		return err
+	}
+	if !c.sealNow() {
+		return nil
+	}
+	status := "400 Bad Request"
+	if errors.Is(cause, errHeadTooLarge) {
+		status = "431 Request Header Fields Too Large"
+	}
+	c.server.config.Logger.Debug("malformed request refused", "cause", cause, "status", status)
+	_, err := io.WriteString(c.conn, "HTTP/1.1 "+status+"\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"+status)
+	return trace.Wrap(err)
+}
+
+// linger closes the connection for writing and waits until the caller closes it too.
+func (c *connection) linger() {
+	half, ok := c.conn.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.Copy(io.Discard, c.reader)
+}
--- a/protocol.go
+++ b/protocol.go
@@ -10,6 +10,9 @@
 	// ParseRequest returns the call that a request makes, and the request target
 	// for the backend server. It may change headers that are forwarded.
 	ParseRequest(r *http.Request) (a CallArrived, target string, err error)
+	// MatchRequest returns the parts of a request that a classifier matches. It does not
+	// change the request.
+	MatchRequest(r *http.Request) Request
 	// WriteProblem writes the system's own answer to a call without an answer of a
 	// backend server. The detail is a text for the caller; empty for none.
 	WriteProblem(w http.ResponseWriter, result Result, detail string)
