waxwingseam-host: a program for hosts that only serves

Memory is the dearest price of the large site. Of the 21 to 24 MB that an idle process holds, 18 to 20 are pages of the program itself: the command line's and the trace exporter's libraries call methods by names found at run time, so that the linker keeps every method of every type, and the exporter brings gRPC.

The serving part is now package starter; the exporter is package exporter, handed in by 'waxwingseam serve'. The platform runs waxwingseam-host: the same serving, no other commands, and an error for settings with a trace endpoint.

--- a/assembler/export_test.go
+++ b/assembler/export_test.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/exporter"
 	"waxwingseam.example/waxwingseam/runner"
 	"waxwingseam.example/waxwingseam/tracer"
 )
@@ -94,7 +95,7 @@
 func newTracer(ctx context.Context, t *testing.T, endpoint string) *tracer.Tracer {
 	parsed, err := url.Parse(endpoint)
 	qt.Assert(t, err, qt.IsNil)
-	v, err := tracer.New(ctx, tracer.Config{Endpoint: parsed, Server: waxwingseam.ServerName("all")})
+	v, err := tracer.New(ctx, tracer.Config{NewExporter: exporter.New, Endpoint: parsed, Server: waxwingseam.ServerName("all")})
 	qt.Assert(t, err, qt.IsNil)
 	return v
 }
--- a/assembler/process.go
+++ b/assembler/process.go
@@ -36,6 +36,8 @@
 	// Interface is the project's own if it is the zero value.
 	Interface Interface
 	Logger    *logger.Logger
+	// NewExporter is required for settings with a trace endpoint.
+	NewExporter tracer.NewExporter
 	// Observers receive the events and effects of the node's reducer, in addition
 	// to the process's own observers.
 	Observers []runner.Observer
@@ -47,6 +49,7 @@
 	external       Interface
 	logger         *logger.Logger
 	extraObservers []runner.Observer
+	newExporter    tracer.NewExporter
 	tls            tlsConfigs
 	messenger      *messenger.Server
 	dialer         messenger.Dialer
@@ -76,6 +79,7 @@
 		external:       config.Interface,
 		logger:         config.Logger,
 		extraObservers: config.Observers,
+		newExporter:    config.NewExporter,
 		meter:          meter.New(),
 	}
 	steps := []func(context.Context) error{
@@ -133,7 +137,7 @@
 	if p.settings.Process.TraceEndpoint == nil {
 		return nil
 	}
-	config := tracer.Config{Endpoint: p.settings.Process.TraceEndpoint}
+	config := tracer.Config{Endpoint: p.settings.Process.TraceEndpoint, NewExporter: p.newExporter}
 	if p.settings.Node != nil {
 		config.Server = p.settings.Node.ServerName
 	}
--- a/cmd/waxwingseam/serve.go
+++ b/cmd/waxwingseam/serve.go
@@ -1,20 +1,8 @@
 package main
 
 import (
-	"context"
-	"os"
-	"os/signal"
-	"runtime/debug"
-	"syscall"
-
-	"github.com/gravitational/trace"
-
-	"waxwingseam.example/waxwingseam/assembler"
-	"waxwingseam.example/waxwingseam/loader"
-	"waxwingseam.example/waxwingseam/logger"
-	"waxwingseam.example/waxwingseam/platform"
-	"waxwingseam.example/waxwingseam/recorder"
-	"waxwingseam.example/waxwingseam/runner"
+	"waxwingseam.example/waxwingseam/exporter"
+	"waxwingseam.example/waxwingseam/starter"
 )
 
 type serveCommand struct {
@@ -22,109 +10,11 @@
 	Record   string `type:"path" help:"File that the node's events and effects are recorded in."`
 }
 
-// Run serves until a signal stops the process. The first SIGTERM or interrupt
-// starts a drain and the second one aborts it; SIGHUP reloads the log level.
+// Run serves until a signal stops the process.
 func (c *serveCommand) Run() error {
-	settings, findings := loader.Load(c.Settings)
-	if err := findings.OrNil(); err != nil {
-		return err
-	}
-	limitMemory(settings.Process.MemoryLimit)
-	logQueue := logger.NewQueue(os.Stdout)
-	defer logQueue.Close()
-	l := logger.New(logger.Config{
-		Writer: logQueue,
-		Format: settings.Process.LogFormat,
-		Level:  settings.Process.LogLevel,
+	return starter.Serve(starter.Config{
+		Settings:    c.Settings,
+		Record:      c.Record,
+		NewExporter: exporter.New,
 	})
-	abortContext, abort := context.WithCancel(context.Background())
-	defer abort()
-	drainContext, drain := context.WithCancel(abortContext)
-	defer drain()
-	go c.watchSignals(l, drain, abort)
-	processInterface, err := buildInterface(settings)
-	if err != nil {
-		return err
-	}
-	config := assembler.ProcessConfig{
-		Settings:  settings,
-		Interface: processInterface,
-		Logger:    l,
-	}
-	if c.Record != "" {
-		file, err := os.Create(c.Record)
-		if err != nil {
-			return trace.ConvertSystemError(err)
-		}
-		defer func() { _ = file.Close() }()
-		events := recorder.New(recorder.Config{Writer: file})
-		defer func() { _ = events.Flush() }()
-		config.Observers = []runner.Observer{events}
-	}
-	process, err := assembler.NewProcess(abortContext, config)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	return trace.Wrap(process.Serve(drainContext, abortContext))
-}
-
-// memoryLimitShare is the fraction of a process's memory limit that is set as the
-// soft limit of the Go runtime. The rest is a reserve, because the runtime can
-// exceed the soft limit, for example when stacks grow in a burst.
-const memoryLimitShare = 0.75
-
-func limitMemory(limit int64) {
-	if limit > 0 {
-		debug.SetMemoryLimit(int64(float64(limit) * memoryLimitShare))
-	}
-}
-
-// interfaces lists the interfaces that settings can select besides the native one.
-var interfaces = map[string]assembler.NewInterface{
-	platform.Name: platform.New,
-}
-
-// nativeInterface is the name of the built-in interface, which is the default.
-const nativeInterface = "native"
-
-func buildInterface(settings loader.Settings) (assembler.Interface, error) {
-	name := settings.Process.Interface
-	if name == "" || name == nativeInterface {
-		return assembler.Interface{}, nil
-	}
-	build, ok := interfaces[name]
-	if !ok {
-		return assembler.Interface{}, trace.BadParameter("unknown interface %q", name)
-	}
-	return build(settings), nil
-}
-
-func (c *serveCommand) watchSignals(l *logger.Logger, drain, abort context.CancelFunc) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	stopping := false
-	for s := range signals {
-		switch {
-		case s == syscall.SIGHUP:
-			c.reload(l)
-		case stopping:
-			abort()
-		default:
-			stopping = true
-			drain()
-		}
-	}
-}
-
-// reload sets the log level from the settings file. If the file has findings, it
-// logs them and leaves the level unchanged.
-func (c *serveCommand) reload(l *logger.Logger) {
-	part := l.Part("process")
-	settings, findings := loader.Load(c.Settings)
-	if err := findings.OrNil(); err != nil {
-		part.Error("settings were not reloaded", "findings", err)
-		return
-	}
-	l.SetLevel(settings.Process.LogLevel)
-	part.Info("log level was reloaded", "level", settings.Process.LogLevel)
 }
--- a/tracer/tracer.go
+++ b/tracer/tracer.go
@@ -12,7 +12,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
 	"go.opentelemetry.io/otel/sdk/resource"
 	sdk "go.opentelemetry.io/otel/sdk/trace"
 	api "go.opentelemetry.io/otel/trace"
@@ -29,9 +28,14 @@
 	maxPercent = 100
 )
 
+// NewExporter returns an exporter to the collector at a base URL; timeout bounds one
+// export.
+type NewExporter func(ctx context.Context, endpoint *url.URL, timeout time.Duration) (sdk.SpanExporter, error)
+
 // Config holds the settings of a Tracer.
 type Config struct {
-	// Endpoint is the base URL of the OTLP collector; /v1/traces is appended.
+	NewExporter NewExporter
+	// Endpoint is the base URL of the OTLP collector.
 	Endpoint *url.URL
 	// Server is the node's backend server, an attribute of the spans' resource.
 	Server waxwingseam.ServerName
@@ -46,14 +50,10 @@
 	effectHandlers map[waxwingseam.Kind]func(now time.Time, e waxwingseam.Effect)
 }
 
-// New returns a Tracer that exports over HTTP in the background. If the collector
+// New returns a Tracer that exports in the background. If the collector
 // is slow or unreachable, spans are lost, but calls are not delayed.
 func New(ctx context.Context, config Config) (*Tracer, error) {
-	exporter, err := otlptracehttp.New(ctx,
-		otlptracehttp.WithEndpointURL(config.Endpoint.JoinPath("v1", "traces").String()),
-		otlptracehttp.WithTimeout(exportTimeout),
-		otlptracehttp.WithRetry(otlptracehttp.RetryConfig{Enabled: false}),
-	)
+	exporter, err := config.NewExporter(ctx, config.Endpoint, exportTimeout)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
