dispatcher, balancer: callers who return late are refused before new ones

The late ones were refused before: Retry-After was 3 to 7 s for most, of which callers wait a third of what they have left, 1.67 s, more than the objective. In a long burst these returns were admitted like new requests, each in place of one that could have been on time. Ruled out: the queue of feeclerk (21 ms a read), the limit on roots.

Change: a first node tells returned callers by the time that they still wait, and gives the share that the servers state to those first that can't be on time any more. The share of all roots that is refused stays as stated. Retry-After is at most a third of what the caller has left, spread over the last quarter of it.

--- a/balance.go
+++ b/balance.go
@@ -28,6 +28,8 @@
 	// Root is set for the first attempt of a root, which may be refused for the share
 	// that servers name.
 	Root bool
+	// Late is set for a root that can't meet its latency objective any more.
+	Late bool
 	// LargeReply is set if the class of the call has large replies.
 	LargeReply bool
 	// Tried lists the servers to which earlier attempts were sent.
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -123,7 +123,7 @@
 	}
 	place := waxwingseam.Place{Class: q.Class, Importance: q.Rank.Importance, Depth: q.Depth}
 	share := p.shares.refused(c.Now, place)
-	if q.Root && !p.shares.admits(c.Now, place, q.Rank) {
+	if q.Root && !p.shares.admits(c.Now, place, q.Rank, q.Late) {
 		return p.refusal(c, 1/(1-share))
 	}
 	if !p.throttle.admit(c.Now, q.Rank) {
--- a/balancer/shares.go
+++ b/balancer/shares.go
@@ -28,6 +28,7 @@
 	mean    float64
 	// interval is the mean time between two answers.
 	interval time.Duration
+	arrivals arrivals
 }
 
 // observe records the share that an answer names.
@@ -71,7 +72,13 @@
 }
 
 // admits reports whether the place of a root in the order, which is the same at all
-// nodes, lies outside the refused share.
-func (s shares) admits(now time.Time, place waxwingseam.Place, rank waxwingseam.Rank) bool {
-	return rankFraction(rank) < 1-s.refused(now, place)
+// nodes, lies outside the refused share. Late roots are refused first: of the share that
+// is refused, they bear as much as they can, and the others the rest.
+func (s shares) admits(now time.Time, place waxwingseam.Place, rank waxwingseam.Rank, late bool) bool {
+	v, ok := s[place]
+	if !ok {
+		return true
+	}
+	v.arrivals.observe(now, late)
+	return rankFraction(rank) < 1-v.arrivals.divide(s.refused(now, place), late)
 }
--- a/balancer/shares_test.go
+++ b/balancer/shares_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"waxwingseam.example/waxwingseam"
 )
@@ -173,3 +174,45 @@
 		}
 	}
 }
+
+// TestLateRootsAreServedFirst guards against roots that can't be on time any more and are
+// admitted in place of others: late ones bear the refused share as far as they can, and
+// the share of all roots that is refused stays as it was stated.
+func TestLateRootsAreServedFirst(t *testing.T) {
+	for _, v := range []struct {
+		name        string
+		stated      waxwingseam.Permille
+		lateOfTen   int
+		late, fresh float64
+	}{
+		{"fewer late roots than are refused", 600, 3, 1, 0.43},
+		{"more late roots than are refused", 200, 5, 0.4, 0},
+		{"no late roots", 600, 0, 0, 0.6},
+		{"only late roots", 600, 10, 0.6, 0},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			const roots = 4000
+			h := newHarness("desk", servers(1), &waxwingseam.Set{})
+			var sent, refused [2]float64
+			for i := range roots {
+				h.now = h.now.Add(time.Millisecond)
+				h.answer("fees-0", v.stated)
+				h.begin()
+				q := rootQuery(uint64(i) * 0x9e3779b97f4a7c15)
+				kind := 0
+				if q.Late = i%10 < v.lateOfTen; q.Late {
+					kind = 1
+				}
+				sent[kind]++
+				if h.Choose(h.context, q).Refused {
+					refused[kind]++
+				}
+			}
+			qt.Assert(t, refused[0]/max(sent[0], 1), qt.CmpEquals(approximately), v.fresh)
+			qt.Assert(t, refused[1]/max(sent[1], 1), qt.CmpEquals(approximately), v.late)
+		})
+	}
+}
+
+// approximately compares shares of some hundreds of roots.
+var approximately = cmpopts.EquateApprox(0, 0.05)
--- a/dispatcher/arrival.go
+++ b/dispatcher/arrival.go
@@ -44,6 +44,8 @@
 		limit:      limit,
 		largeReply: class.LargeReplies,
 		replayable: e.Replayable,
+		arrived:    c.Now,
+		timeout:    e.Timeout,
 	}
 	parent := d.Tracker.ParentRun(e)
 	if parent.IsZero() {
@@ -89,6 +91,7 @@
 	f.shortenDeadline(c, e.Timeout)
 	granted := f.limit.Allowance
 	f.refusable = !e.Outbound
+	f.late = f.refusable && d.lateness.late(c.Now, class, e.Timeout)
 	switch {
 	case e.Outbound && class.Host == "":
 		granted = 0
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -35,6 +35,7 @@
 	flights       map[waxwingseam.CallID]*flight
 	keyAllowances keyAllowances
 	roundRobins   roundRobins
+	lateness      lateness
 }
 
 // New returns a dispatcher without calls.
@@ -48,6 +49,7 @@
 		flights:       map[waxwingseam.CallID]*flight{},
 		keyAllowances: keyAllowances{byKey: map[rootKey]*keyAllowance{}},
 		roundRobins:   roundRobins{},
+		lateness:      lateness{},
 	}
 }
 
@@ -94,6 +96,7 @@
 		d.Classifier.Adopt(c.Set)
 		d.Balancer.Adopt(c.Set)
 		d.roundRobins.adopt(c.Set)
+		d.lateness.adopt(c.Set)
 	case waxwingseam.RunEnded:
 		d.endRun(c, v.ID)
 	}
--- a/dispatcher/flight.go
+++ b/dispatcher/flight.go
@@ -19,8 +19,14 @@
 	attempts   []attempt
 	tried      []waxwingseam.ServerName
 	replayable bool
-	// refusable is set for a root for which no work has been done yet.
-	refusable  bool
+	// refusable is set for a root for which no work has been done yet, and late for one
+	// that can't meet its objective any more.
+	refusable bool
+	late      bool
+	// arrived is when the call arrived, and timeout the time that its caller would wait
+	// from then on; 0 if unknown.
+	arrived    time.Time
+	timeout    time.Duration
 	backingOff bool
 	// redirects counts the redirected attempts, which spend no allowance;
 	// redirecting is set while the next or the open attempt is one of them.
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -1,6 +1,10 @@
 package dispatcher
 
-import "waxwingseam.example/waxwingseam"
+import (
+	"time"
+
+	"waxwingseam.example/waxwingseam"
+)
 
 // send sends the next attempt of a call, or finishes the call if the balancer
 // refuses it.
@@ -11,6 +15,7 @@
 		Rank:         f.call.Rank,
 		Depth:        f.call.Depth,
 		Root:         f.refusable && len(f.attempts) == 0,
+		Late:         f.late,
 		LargeReply:   f.largeReply,
 		Tried:        f.tried,
 		ExcludeTried: f.redirecting && f.lastResult.Reason != waxwingseam.ReasonRateLimited,
@@ -210,9 +215,33 @@
 	d.reply(c, f, result, waxwingseam.Attempt(len(f.attempts)))
 }
 
+// returnDivisor divides the time that a refused caller has left to give the longest time
+// after which it is asked to return, so that enough is left for a run.
+const returnDivisor = 3
+
+// boundRetryAfter bounds the time after which the caller of a root may retry by the time
+// that it has left. Times that are cut off are spread, so that callers who were refused
+// together do not return together.
+func boundRetryAfter(c *waxwingseam.Context, f *flight, after time.Duration) time.Duration {
+	if f.timeout <= 0 || !f.call.Parent.IsZero() {
+		return after
+	}
+	longest := max(f.timeout-c.Now.Sub(f.arrived), 0) / returnDivisor
+	if after <= longest {
+		return after
+	}
+	return longest - time.Duration(c.Random().Int64N(int64(longest)/4+1))
+}
+
 // reply sends the result of a call to its caller and removes the call.
 func (d *dispatcher) reply(c *waxwingseam.Context, f *flight, result waxwingseam.Result, attempt waxwingseam.Attempt) {
 	id := f.call.ID
+	if result.RetryAfter > 0 {
+		result.RetryAfter = boundRetryAfter(c, f, result.RetryAfter)
+	}
+	if f.refusable && result.Completed() && !f.late {
+		d.lateness.served(f.call.Class, c.Now.Sub(f.arrived))
+	}
 	if len(f.attempts) > 0 {
 		c.Emit(waxwingseam.StopTimer{Timer: deadlineTimer(id)})
 	}
--- a/experimenter/callers.go
+++ b/experimenter/callers.go
@@ -15,6 +15,10 @@
 	Surge float64
 	// Resends bounds how often a caller resends a failed request, without delay.
 	Resends int
+	// Patient callers send the time for which they still wait, from their kind's deadline
+	// on, and a refused one resends its request after the time that it was told, or after
+	// a third of the time that it has left.
+	Patient bool
 	// Keys gives each request an idempotency key that its resends repeat.
 	Keys bool
 	// LeavePercent is the share of roots, in percent, whose caller leaves early.
@@ -145,11 +149,21 @@
 			Path:       path(kind.Class),
 			Key:        q.key,
 			Replayable: true,
+			Timeout:    c.timeLeft(q),
 		})
 	})
 	c.scheduleLeave(r)
 }
 
+// timeLeft returns how long the caller of a request still waits; 0 if it does not say.
+func (c *callers) timeLeft(q *request) time.Duration {
+	if !c.world.config.Demand.Patient {
+		return 0
+	}
+	limit := c.world.config.Deployment.RequestKinds[q.kind].Deadline
+	return max(limit-c.world.scheduler.now.Sub(q.issued), 1)
+}
+
 // scheduleLeave makes a root's caller leave with the configured probability.
 func (c *callers) scheduleLeave(r *root) {
 	w := c.world
@@ -178,5 +192,9 @@
 		return
 	}
 	r.request.resends++
+	if left := c.timeLeft(r.request); left > 0 && result.RetryAfter > 0 {
+		c.world.scheduler.after(min(result.RetryAfter, left/3), func() { c.send(r.request) })
+		return
+	}
 	c.send(r.request)
 }
--- a/pipeliner/bench_test.go
+++ b/pipeliner/bench_test.go
@@ -53,4 +53,3 @@
 		})
 	}
 }
-
