--- a/balance.go
+++ b/balance.go
@@ -14,11 +14,38 @@
 	Reason  Reason
 	// RetryAfter is how long a refused caller should wait before a retry.
 	RetryAfter time.Duration
+	// Basis says what a refusal is based on, and BasisAge how long ago that was learned;
+	// 0 if unknown.
+	Basis    RefusalBasis
+	BasisAge time.Duration
 	// RefusedPermille is the share of the roots of the class that are refused, if the
 	// query was for a root.
 	RefusedPermille Permille
 }
 
+// RefusalBasis says what the refusal of a call at its sending node is based on.
+type RefusalBasis string
+
+const (
+	// BasisStatedShare means that servers asked first nodes to refuse a share of the
+	// roots.
+	BasisStatedShare RefusalBasis = "stated-share"
+	// BasisThrottle means that the service rejected calls that were sent just before.
+	BasisThrottle RefusalBasis = "throttle"
+	// BasisServers means that no known server takes the call.
+	BasisServers RefusalBasis = "servers"
+)
+
+// Refusal describes a call that its sending node refused before its first attempt.
+type Refusal struct {
+	Call  Call
+	Basis RefusalBasis
+	// BasisAge is how long ago the basis was learned; 0 if unknown.
+	BasisAge time.Duration
+	// Late is set for a root that could not meet its latency objective any more.
+	Late bool
+}
+
 // Query asks a balancer for a server.
 type Query struct {
 	Service ServiceName
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -119,19 +119,26 @@
 		return b.choosePinned(c, p, q)
 	}
 	if len(p.members) == 0 {
-		return waxwingseam.Choice{Refused: true, Reason: waxwingseam.ReasonNoServer}
+		return waxwingseam.Choice{Refused: true, Reason: waxwingseam.ReasonNoServer, Basis: waxwingseam.BasisServers}
 	}
 	place := waxwingseam.Place{Class: q.Class, Importance: q.Rank.Importance, Depth: q.Depth}
 	share := p.shares.refused(c.Now, place)
 	if q.Root && !p.shares.admits(c.Now, place, q.Rank, q.Late) {
-		return p.refusal(c, 1/(1-share))
+		choice := p.refusal(c, 1/(1-share))
+		choice.Basis, choice.BasisAge = waxwingseam.BasisStatedShare, p.shares.age(c.Now, place)
+		choice.RefusedPermille = waxwingseam.PermilleOf(share)
+		return choice
 	}
 	if !p.throttle.admit(c.Now, q.Rank) {
-		return p.refusal(c, p.throttle.offerRatio())
+		choice := p.refusal(c, p.throttle.offerRatio())
+		choice.Basis = waxwingseam.BasisThrottle
+		return choice
 	}
 	t := b.pick(c, p, q)
 	if t == nil || q.ExcludeTried && slices.Contains(q.Tried, t.server.Name) {
-		return p.refusal(c, p.throttle.offerRatio())
+		choice := p.refusal(c, p.throttle.offerRatio())
+		choice.Basis = waxwingseam.BasisServers
+		return choice
 	}
 	choice := t.choose(c)
 	choice.RefusedPermille = waxwingseam.PermilleOf(share)
@@ -143,7 +150,7 @@
 func (b *balancer) choosePinned(c *waxwingseam.Context, p *pool, q waxwingseam.Query) waxwingseam.Choice {
 	t, ok := b.targets[q.Pinned]
 	if !ok || t.pool != p || t.leaving() {
-		return waxwingseam.Choice{Refused: true, Reason: waxwingseam.ReasonNoServer}
+		return waxwingseam.Choice{Refused: true, Reason: waxwingseam.ReasonNoServer, Basis: waxwingseam.BasisServers}
 	}
 	t.inFlight++
 	return waxwingseam.Choice{Server: t.server, Known: t.known.report(c), Patient: true}
--- a/balancer/shares.go
+++ b/balancer/shares.go
@@ -62,6 +62,15 @@
 	return v.mean * math.Exp(-overdue.Seconds()/lifetime.Seconds())
 }
 
+// age returns how long ago a share was last stated; 0 if none was.
+func (s shares) age(now time.Time, place waxwingseam.Place) time.Duration {
+	v, ok := s[place]
+	if !ok {
+		return 0
+	}
+	return now.Sub(v.updated)
+}
+
 // adopt removes the classes that a configuration no longer has.
 func (s shares) adopt(set *waxwingseam.Set) {
 	for place := range s {
--- a/calleffect.go
+++ b/calleffect.go
@@ -42,6 +42,8 @@
 	ID      CallID
 	Attempt Attempt
 	Result  Result
+	// Refusal is set for a call that was refused before its first attempt.
+	Refusal *Refusal `cbor:",omitempty"`
 }
 
 // CancelAttempt tells a receiving node that an attempt is no longer wanted.
--- a/dispatcher/flight.go
+++ b/dispatcher/flight.go
@@ -28,6 +28,8 @@
 	arrived    time.Time
 	timeout    time.Duration
 	backingOff bool
+	// refusal is set once the call is refused before its first attempt.
+	refusal *waxwingseam.Refusal
 	// redirects counts the redirected attempts, which spend no allowance;
 	// redirecting is set while the next or the open attempt is one of them.
 	redirects   int
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -64,6 +64,9 @@
 		}
 		result = f.lastResult
 		result.RetryAfter = max(result.RetryAfter, choice.RetryAfter)
+	} else {
+		f.call.RefusedPermille = choice.RefusedPermille
+		f.refusal = &waxwingseam.Refusal{Call: f.call, Basis: choice.Basis, BasisAge: choice.BasisAge, Late: f.late}
 	}
 	d.finish(c, f, result)
 }
@@ -252,6 +255,7 @@
 		ID:      id,
 		Attempt: attempt,
 		Result:  result,
+		Refusal: f.refusal,
 	})
 	if !f.call.Parent.IsZero() {
 		if result.RefusedBelow || refusedForCapacity(result) {
--- a/narrator/narrator.go
+++ b/narrator/narrator.go
@@ -310,7 +310,10 @@
 	if !n.allows(now, EventCallAnswered) {
 		return
 	}
-	n.line(EventCallAnswered, slog.LevelWarn,
+	if v.Refusal != nil {
+		c.call, c.revision = v.Refusal.Call, v.Refusal.Call.Revision
+	}
+	attributes := []slog.Attr{
 		slog.String("request-id", c.request),
 		slog.String("call", v.ID.String()),
 		slog.String("class", string(c.call.Class)),
@@ -324,7 +327,16 @@
 		slog.Duration("elapsed", elapsed),
 		slog.Duration("deadline-in", timeUntil(now, c.call.Deadline)),
 		slog.Duration("retry-after", v.Result.RetryAfter),
-		slog.Uint64("revision", uint64(c.revision)))
+		slog.Uint64("revision", uint64(c.revision)),
+	}
+	if v.Refusal != nil {
+		attributes = append(attributes,
+			slog.String("refusal-basis", string(v.Refusal.Basis)),
+			slog.Duration("basis-age", v.Refusal.BasisAge),
+			slog.Int("refused-permille", int(v.Refusal.Call.RefusedPermille)),
+			slog.Bool("late", v.Refusal.Late))
+	}
+	n.line(EventCallAnswered, slog.LevelWarn, attributes...)
 }
 
 // timeUntil returns the time until a deadline, or 0 if there is none.
--- a/narrator/narrator_test.go
+++ b/narrator/narrator_test.go
@@ -74,6 +74,17 @@
 	n.Observe(waxwingseam.AttemptEnded{Stamp: stamp(380 * time.Millisecond), ID: id, Attempt: 2, Result: refused}, []waxwingseam.Effect{
 		waxwingseam.Reply{ID: id, Attempt: 2, Result: refused},
 	})
+	unsent := waxwingseam.NewCallID(1, 3)
+	n.Observe(waxwingseam.CallArrived{Stamp: stamp(400 * time.Millisecond), ID: unsent, RequestID: "51b2cc07aa0e9d11"}, []waxwingseam.Effect{
+		waxwingseam.Reply{
+			ID:     unsent,
+			Result: waxwingseam.Result{Outcome: waxwingseam.OutcomeDidNotRun, Reason: waxwingseam.ReasonOverloaded, RetryAfter: time.Second},
+			Refusal: &waxwingseam.Refusal{
+				Call:  waxwingseam.Call{Class: "lots", Service: "desk", Revision: 7, Rank: waxwingseam.Rank{Importance: 7}, Deadline: start.Add(2 * time.Second), RefusedPermille: 420},
+				Basis: waxwingseam.BasisStatedShare, BasisAge: 30 * time.Millisecond, Late: true,
+			},
+		},
+	})
 	n.Observe(waxwingseam.BackendStated{Stamp: stamp(500 * time.Millisecond)}, []waxwingseam.Effect{waxwingseam.StatementChanged{
 		Server: "desk-1", Backend: waxwingseam.BackendIncarnation{Instance: "i-1", Started: start},
 		Statement: waxwingseam.Statement{Limited: true, Rate: 14.5}, Source: waxwingseam.StatementFromAnswer,
