--- a/starter/starter.go
+++ b/starter/starter.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 
 	"waxwingseam.example/waxwingseam/assembler"
+	"waxwingseam.example/waxwingseam/collector"
 	"waxwingseam.example/waxwingseam/loader"
 	"waxwingseam.example/waxwingseam/logger"
 	"waxwingseam.example/waxwingseam/platform"
@@ -55,6 +56,7 @@
 	drainContext, drain := context.WithCancel(abortContext)
 	defer drain()
 	go watchSignals(c.Settings, l, drain, abort)
+	go collector.Run(abortContext)
 	processInterface, err := buildInterface(settings)
 	if err != nil {
 		return err
