balancer: in a mild shortage late returns are refused like others

Cause: its bursts are short and mild; who is refused when late gets nothing, while a new request returns when the burst is over.

Late roots are refused first by the depth of the shortage: not below a tenth, fully from three tenths on.

--- a/balancer/arrivals.go
+++ b/balancer/arrivals.go
@@ -8,6 +8,9 @@
 const (
 	// arrivalsTimeConstant is the time in which the weight of a root falls to 1/e.
 	arrivalsTimeConstant = 3 * time.Second
+	// Up to mildShare, late roots and others are refused alike; from deepShare on, late
+	// ones are refused first.
+	mildShare, deepShare = 0.1, 0.3
 	// minArrivals is how many recent roots are needed to tell the part of late ones.
 	minArrivals = 5
 )
@@ -30,13 +33,19 @@
 
 // divide returns the part of the late roots, or of the others, that is refused if a share
 // of all of them is.
+//
+// Whoever is refused when late gets no answer; a new root returns and gets a late one if
+// the shortage is over by then. So late roots are refused first only in a deep shortage,
+// which is likely to last.
 func (a *arrivals) divide(refused float64, late bool) float64 {
 	if a.late == 0 || a.total < minArrivals {
 		return refused
 	}
 	part := a.late / a.total
+	first := max(refused-part, 0) / max(1-part, 1/a.total)
 	if late {
-		return min(refused/part, 1)
+		first = min(refused/part, 1)
 	}
-	return max(refused-part, 0) / max(1-part, 1/a.total)
+	depth := min(max((refused-mildShare)/(deepShare-mildShare), 0), 1)
+	return refused + depth*(first-refused)
 }
--- a/balancer/shares_test.go
+++ b/balancer/shares_test.go
@@ -176,8 +176,8 @@
 }
 
 // TestLateRootsAreServedFirst guards against roots that can't be on time any more and are
-// admitted in place of others: late ones bear the refused share as far as they can, and
-// the share of all roots that is refused stays as it was stated.
+// admitted in place of others in a deep shortage: late ones bear the refused share as far
+// as they can, and the share of all roots that is refused stays as it was stated.
 func TestLateRootsAreServedFirst(t *testing.T) {
 	for _, v := range []struct {
 		name        string
@@ -186,7 +186,9 @@
 		late, fresh float64
 	}{
 		{"fewer late roots than are refused", 600, 3, 1, 0.43},
-		{"more late roots than are refused", 200, 5, 0.4, 0},
+		{"more late roots than are refused", 400, 5, 0.8, 0},
+		{"a shortage that is neither mild nor deep", 200, 5, 0.3, 0.1},
+		{"a mild shortage", 80, 5, 0.08, 0.08},
 		{"no late roots", 600, 0, 0, 0.6},
 		{"only late roots", 600, 10, 0.6, 0},
 	} {
--- a/dispatcher/lateness_test.go
+++ b/dispatcher/lateness_test.go
@@ -47,7 +47,7 @@
 		c.Begin(waxwingseam.Stamp{Now: start.Add(time.Second), Random: i})
 		f := &flight{arrived: start, timeout: 4 * time.Second}
 		after := boundRetryAfter(c, f, 5*time.Second)
-		qt.Assert(t, after <= time.Second && after >= 700*time.Millisecond, qt.IsTrue, qt.Commentf("%v", after))
+		qt.Assert(t, after <= time.Second && after >= 875*time.Millisecond, qt.IsTrue, qt.Commentf("%v", after))
 		seen[after] = true
 		qt.Assert(t, boundRetryAfter(c, f, 300*time.Millisecond), qt.Equals, 300*time.Millisecond)
 	}
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -222,6 +222,9 @@
 // after which it is asked to return, so that enough is left for a run.
 const returnDivisor = 3
 
+// spreadDivisor divides that time to give the time over which returns are spread.
+const spreadDivisor = 8
+
 // boundRetryAfter bounds the time after which the caller of a root may retry by the time
 // that it has left. Times that are cut off are spread, so that callers who were refused
 // together do not return together.
@@ -233,7 +236,7 @@
 	if after <= longest {
 		return after
 	}
-	return longest - time.Duration(c.Random().Int64N(int64(longest)/4+1))
+	return longest - time.Duration(c.Random().Int64N(int64(longest)/spreadDivisor+1))
 }
 
 // reply sends the result of a call to its caller and removes the call.
--- a/experimenter/returning_test.go
+++ b/experimenter/returning_test.go
@@ -28,7 +28,7 @@
 func TestReturningCallersDisplaceNewOnes(t *testing.T) {
 	const seeds = 3
 	speeds := feeSpeeds{0.6, 1.0, 1.4, 0.6, 1.0}
-	for _, surge := range []float64{1.4, 2} {
+	for _, surge := range []float64{1.1, 1.4, 2} {
 		config, phases := longSurge(speeds, surge)
 		counts := make([]phaseCounts, len(phases))
 		served, issued := 0, 0
