--- a/forwarder/failure_test.go
+++ b/forwarder/failure_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -443,3 +444,56 @@
 		})
 	}
 }
+
+// TestSlowDownloadsFillMemory holds large replies to callers who read nothing. Each node
+// must buffer a bounded part of each reply, and nothing once the callers have left.
+func TestSlowDownloadsFillMemory(t *testing.T) {
+	const (
+		size = 8 << 20
+		// heldReply is the longest part of one reply that a node holds; it is the limit of
+		// the buffer.
+		heldReply = 256 << 10
+	)
+	for _, downloads := range []int{1, 200} {
+		t.Run(fmt.Sprint(downloads), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				front, back, _ := newTestbed(t).pair(func(w http.ResponseWriter, _ *http.Request) {
+					_, _ = io.Copy(w, io.LimitReader(zeros{}, size))
+				})
+				ctx, leave := context.WithCancel(context.Background())
+				var done sync.WaitGroup
+				for range downloads {
+					done.Go(func() {
+						defer func() { _ = recover() }()
+						r := request{method: http.MethodGet}.build(ctx)
+						front.Entry().ServeHTTP(stuckWriter{httptest.NewRecorder(), ctx}, r)
+					})
+				}
+				time.Sleep(time.Second)
+				for _, n := range []*node{front, back} {
+					held, peak := n.BufferedBytes()
+					qt.Check(t, held > 0 && peak <= int64(downloads)*heldReply, qt.IsTrue, qt.Commentf("held %d, peak %d", held, peak))
+					t.Logf("%d downloads: %d bytes at the peak", downloads, peak)
+				}
+				leave()
+				done.Wait()
+				time.Sleep(time.Minute)
+				for _, n := range []*node{front, back} {
+					held, _ := n.BufferedBytes()
+					qt.Check(t, held, qt.Equals, int64(0))
+				}
+			})
+		})
+	}
+}
+
+// stuckWriter blocks until its context is done, as for a caller who reads nothing.
+type stuckWriter struct {
+	http.ResponseWriter
+	ctx context.Context
+}
+
+func (w stuckWriter) Write([]byte) (int, error) {
+	<-w.ctx.Done()
+	return 0, w.ctx.Err()
+}
