--- a/experimenter/returning_test.go
+++ b/experimenter/returning_test.go
@@ -1,6 +1,7 @@
 package experimenter
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -26,35 +27,45 @@
 // TestReturningCallersDisplaceNewOnes guards against callers who return in a long surge
 // and are served late, in place of callers who could be served on time.
 func TestReturningCallersDisplaceNewOnes(t *testing.T) {
+	t.Parallel()
+	for _, surge := range []float64{1.1, 1.4, 2} {
+		t.Run(fmt.Sprintf("surge %.1f", surge), func(t *testing.T) {
+			t.Parallel()
+			checkLongSurge(t, surge)
+		})
+	}
+}
+
+// checkLongSurge checks the shares of several runs of a long surge together.
+func checkLongSurge(t *testing.T, surge float64) {
+	t.Helper()
 	const seeds = 3
 	speeds := feeSpeeds{0.6, 1.0, 1.4, 0.6, 1.0}
-	for _, surge := range []float64{1.1, 1.4, 2} {
-		config, phases := longSurge(speeds, surge)
-		counts := make([]phaseCounts, len(phases))
-		served, issued := 0, 0
-		for seed := range uint64(seeds) {
-			config.Seed = seed + 1
-			config.Layer = Waxwingseam()
-			var world *World
-			config.Faults = []Fault{{Do: func(w *World) { world = w }}}
-			r := Run(config)
-			qt.Check(t, r.OpenCalls, qt.Equals, 0)
-			for i, p := range phases {
-				counts[i].countPhase(world, p)
-			}
-			for _, q := range world.tally.requests {
-				if at := q.issued.Sub(world.startTime); at >= phases[1].from && at < phases[1].to {
-					issued++
-					if q.served {
-						served++
-					}
+	config, phases := longSurge(speeds, surge)
+	counts := make([]phaseCounts, len(phases))
+	served, issued := 0, 0
+	for seed := range uint64(seeds) {
+		config.Seed = seed + 1
+		config.Layer = Waxwingseam()
+		var world *World
+		config.Faults = []Fault{{Do: func(w *World) { world = w }}}
+		r := Run(config)
+		qt.Check(t, r.OpenCalls, qt.Equals, 0)
+		for i, p := range phases {
+			counts[i].countPhase(world, p)
+		}
+		for _, q := range world.tally.requests {
+			if at := q.issued.Sub(world.startTime); at >= phases[1].from && at < phases[1].to {
+				issued++
+				if q.served {
+					served++
 				}
 			}
 		}
-		fees := config.Deployment.Tiers[len(config.Deployment.Tiers)-1]
-		t.Logf("surge %.1f: served in all %.3f of %d", surge, float64(served)/float64(issued), issued)
-		for i, p := range phases {
-			checkShares(t, config, p, counts[i], seeds, speeds.capacity(fees.Slots, nil))
-		}
+	}
+	fees := config.Deployment.Tiers[len(config.Deployment.Tiers)-1]
+	t.Logf("served in all %.3f of %d", float64(served)/float64(issued), issued)
+	for i, p := range phases {
+		checkShares(t, config, p, counts[i], seeds, speeds.capacity(fees.Slots, nil))
 	}
 }
