accountant, meter, narrator: how long cancelled runs had run, and went on

Nothing told work for callers that have left from other work. A line run-cancelled now has the time from the hand-over to the cancellation and from there to the end of the run; metrics have both as histograms, the age of attempts at their arrival by the sender's clock, and counts of callers that left and of cancellations received. Ends that are queued behind their work show as cancellations right after hand-overs; ends that are lost as departures without a cancellation; work that outlives its connection shows in none of them, but at the backend server. No decision depends on them.

--- a/accountant/accountant.go
+++ b/accountant/accountant.go
@@ -29,13 +29,17 @@
 	// Idle receives slot time that stood idle while the node refused calls for lack of
 	// capacity, at most a mean run for each refused call.
 	Idle func(d time.Duration)
+	// Cancelled receives each cancelled run when it ends; it may be nil.
+	Cancelled func(r CancelledRun)
 }
 
 // Accountant observes the reducer of a node. It is not safe for concurrent use.
 type Accountant struct {
 	spend func(class waxwingseam.ClassName, fate Fate, d time.Duration)
 	idle  func(d time.Duration)
-	runs  map[waxwingseam.CallID]run
+	// cancel receives each cancelled run when it ends.
+	cancel func(r CancelledRun)
+	runs   map[waxwingseam.CallID]run
 	// load is the last one that the node sent.
 	load waxwingseam.Load
 	// windowEnd is when the current window ends, and updated until when its idle time
@@ -46,30 +50,47 @@
 	refused   int
 }
 
+// CancelledRun describes a run that was cancelled and has ended.
+type CancelledRun struct {
+	Call      waxwingseam.CallID
+	RequestID string
+	Class     waxwingseam.ClassName
+	// Ran is the time from the hand-over to the cancellation, and Stopped the time from
+	// the cancellation to the end.
+	Ran, Stopped time.Duration
+}
+
 // run is an open run at the backend server.
 type run struct {
-	class     waxwingseam.ClassName
-	cancelled bool
+	request string
+	class   waxwingseam.ClassName
+	started time.Time
+	// cancelled is when the run was cancelled; zero if it was not.
+	cancelled time.Time
 }
 
 // New returns an Accountant.
 func New(config Config) *Accountant {
-	return &Accountant{spend: config.Spend, idle: config.Idle, runs: map[waxwingseam.CallID]run{}}
+	if config.Cancelled == nil {
+		config.Cancelled = func(CancelledRun) {}
+	}
+	return &Accountant{spend: config.Spend, idle: config.Idle, cancel: config.Cancelled, runs: map[waxwingseam.CallID]run{}}
 }
 
 // Observe implements runner.Observer.
 func (a *Accountant) Observe(e waxwingseam.Event, effects []waxwingseam.Effect) {
-	a.advance(e.Stamped().Now)
+	now := e.Stamped().Now
+	a.advance(now)
 	if v, ok := e.(waxwingseam.RunEnded); ok {
 		a.ended(v)
 	}
 	for _, x := range effects {
 		switch v := x.(type) {
 		case waxwingseam.Run:
-			a.runs[v.Call.ID] = run{class: v.Call.Class}
+			a.runs[v.Call.ID] = run{request: v.Call.RequestID, class: v.Call.Class, started: now}
 		case waxwingseam.CancelRun:
-			if r, ok := a.runs[v.ID]; ok {
-				r.cancelled = true
+			if r, ok := a.runs[v.ID]; ok && r.cancelled.IsZero() {
+				r.cancelled = now
 				a.runs[v.ID] = r
 			}
 		case waxwingseam.AnswerAttempt:
@@ -86,8 +107,15 @@
 	delete(a.runs, e.ID)
 	fate := FateFailed
 	switch {
-	case r.cancelled:
+	case !r.cancelled.IsZero():
 		fate = FateCancelled
+		a.cancel(CancelledRun{
+			Call:      e.ID,
+			RequestID: r.request,
+			Class:     r.class,
+			Ran:       r.cancelled.Sub(r.started),
+			Stopped:   e.Now.Sub(r.cancelled),
+		})
 	case e.Result.Succeeded():
 		fate = FateSucceeded
 	}
--- a/accountant/accountant_test.go
+++ b/accountant/accountant_test.go
@@ -133,3 +133,30 @@
 		a.Observe(ended, answers)
 	}
 }
+
+// TestCancelledRunLasts guards against cancelled runs whose end nobody can see: what ran
+// before the cancellation, and what ran after it, is reported when the run ends.
+func TestCancelledRunLasts(t *testing.T) {
+	var got []accountant.CancelledRun
+	a := accountant.New(accountant.Config{
+		Spend:     func(waxwingseam.ClassName, accountant.Fate, time.Duration) {},
+		Idle:      func(time.Duration) {},
+		Cancelled: func(r accountant.CancelledRun) { got = append(got, r) },
+	})
+	start := time.Unix(1000, 0)
+	at := func(ms int) waxwingseam.Stamp {
+		return waxwingseam.Stamp{Now: start.Add(time.Duration(ms) * time.Millisecond)}
+	}
+	id := waxwingseam.NewCallID(1, 2)
+	cancelled := []waxwingseam.Effect{waxwingseam.CancelRun{ID: id}}
+	a.Observe(waxwingseam.AttemptArrived{Stamp: at(0)}, []waxwingseam.Effect{
+		waxwingseam.Run{Call: waxwingseam.Call{ID: id, RequestID: "r1", Class: "lots"}},
+	})
+	a.Observe(waxwingseam.AttemptCancelled{Stamp: at(40)}, cancelled)
+	a.Observe(waxwingseam.AttemptCancelled{Stamp: at(50)}, cancelled)
+	qt.Assert(t, got, qt.HasLen, 0)
+	a.Observe(waxwingseam.RunEnded{Stamp: at(340), ID: id}, nil)
+	qt.Assert(t, got, qt.DeepEquals, []accountant.CancelledRun{{
+		Call: id, RequestID: "r1", Class: "lots", Ran: 40 * time.Millisecond, Stopped: 300 * time.Millisecond,
+	}})
+}
--- a/forwarder/frame.go
+++ b/forwarder/frame.go
@@ -157,6 +157,11 @@
 	return deadline
 }
 
+// sent returns when the opening was sent, on the sender's clock.
+func (o *opening) sent() time.Time {
+	return o.Deadline.Add(-o.TimeToDeadline)
+}
+
 // call returns the call as the receiving node sees it.
 func (o *opening) call(now time.Time) waxwingseam.Call {
 	return waxwingseam.Call{
--- a/forwarder/inbound.go
+++ b/forwarder/inbound.go
@@ -88,6 +88,7 @@
 			Known:       o.Known,
 			Patient:     o.Patient,
 			Received:    in.received,
+			Sent:        o.sent(),
 		}
 	})
 }
--- a/meter/calls.go
+++ b/meter/calls.go
@@ -29,6 +29,7 @@
 	resumes     prometheus.Counter
 	badRequests *prometheus.CounterVec
 	unserved    prometheus.Counter
+	departures  prometheus.Counter
 }
 
 func newCallMetrics() callMetrics {
@@ -43,12 +44,13 @@
 		fences:      prometheus.NewCounter(prometheus.CounterOpts{Name: "waxwingseam_fences_total", Help: "Fences asked of receiving nodes."}),
 		badRequests: newCounter("waxwingseam_bad_requests_total", "Requests that could not become a call.", labelReason),
 		unserved:    prometheus.NewCounter(prometheus.CounterOpts{Name: "waxwingseam_requests_unserved_total", Help: "Requests that were read behind one whose answer closed the connection, and not handled."}),
+		departures:  prometheus.NewCounter(prometheus.CounterOpts{Name: "waxwingseam_departures_total", Help: "Callers that left before their answer."}),
 		resumes:     prometheus.NewCounter(prometheus.CounterOpts{Name: "waxwingseam_resumes_total", Help: "Attempts resumed over a fresh connection."}),
 	}
 }
 
 func (m *callMetrics) collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.replies, m.callTime, m.attempts, m.retries, m.allowance, m.fences, m.resumes, m.badRequests, m.unserved}
+	return []prometheus.Collector{m.replies, m.callTime, m.attempts, m.retries, m.allowance, m.fences, m.resumes, m.badRequests, m.unserved, m.departures}
 }
 
 func (m *callMetrics) setServices(s *waxwingseam.Set) {
@@ -74,6 +76,10 @@
 	}
 }
 
+func (m *callMetrics) left(waxwingseam.Event) {
+	m.departures.Inc()
+}
+
 func (m *callMetrics) dispatched(_ time.Time, e waxwingseam.Effect) {
 	v, ok := e.(waxwingseam.Dispatch)
 	if !ok {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -61,9 +61,10 @@
 	m.registry.MustRegister(m.revision)
 	m.registry.MustRegister(m.calls.collectors()...)
 	m.registry.MustRegister(m.runs.collectors()...)
-	m.accountant = accountant.New(accountant.Config{Spend: m.runs.spent, Idle: m.runs.idled})
+	m.accountant = accountant.New(accountant.Config{Spend: m.runs.spent, Idle: m.runs.idled, Cancelled: m.runs.cancelledRun})
 	m.eventHandlers = map[waxwingseam.Kind]func(waxwingseam.Event){
 		waxwingseam.KindCallArrived:      m.calls.arrived,
+		waxwingseam.KindCallerLeft:       m.calls.left,
 		waxwingseam.KindAttemptArrived:   m.runs.arrived,
 		waxwingseam.KindRunEnded:         m.runs.ended,
 		waxwingseam.KindAttemptCancelled: m.runs.cancelled,
--- a/meter/runs.go
+++ b/meter/runs.go
@@ -17,21 +17,30 @@
 	joins   prometheus.Counter
 	// arrivalTime is the time from the receipt of an attempt to its reduction.
 	arrivalTime *prometheus.HistogramVec
-	queueTime   *prometheus.HistogramVec
-	runTime     *prometheus.HistogramVec
-	inFlight    prometheus.Gauge
-	queued      prometheus.Gauge
-	limit       prometheus.Gauge
-	rootLimit   prometheus.Gauge
-	shedding    prometheus.Gauge
-	leaving     prometheus.Gauge
-	handOvers   prometheus.Counter
+	// openingAge is the time from the sending of an attempt, on the sender's clock, to
+	// its reduction.
+	openingAge *prometheus.HistogramVec
+	queueTime  *prometheus.HistogramVec
+	runTime    *prometheus.HistogramVec
+	inFlight   prometheus.Gauge
+	queued     prometheus.Gauge
+	limit      prometheus.Gauge
+	rootLimit  prometheus.Gauge
+	shedding   prometheus.Gauge
+	leaving    prometheus.Gauge
+	handOvers  prometheus.Counter
 	// rateLimit is -1 without a limit.
 	rateLimit prometheus.Gauge
 	// statedLeaving is 1 while the backend server says in its answers that it is
 	// leaving.
 	statedLeaving prometheus.Gauge
 
+	// cancelDelay is the time from a hand-over to its cancellation, and stopTime the time
+	// from there to the end of the run.
+	cancelDelay   *prometheus.HistogramVec
+	stopTime      *prometheus.HistogramVec
+	cancellations prometheus.Counter
+
 	classes      map[waxwingseam.ClassName]bool
 	slotTime     *prometheus.CounterVec
 	idleSlotTime prometheus.Counter
@@ -46,6 +55,7 @@
 		answers:     newCounter("waxwingseam_attempt_answers_total", "Attempts answered by this node for its backend server.", labelOutcome, labelReason),
 		joins:       prometheus.NewCounter(prometheus.CounterOpts{Name: "waxwingseam_joined_attempts_total", Help: "Attempts that joined a run or collected its kept reply."}),
 		arrivalTime: newHistogram("waxwingseam_arrival_seconds", "Time from the receipt of an attempt to the decision on it."),
+		openingAge:  newHistogram("waxwingseam_opening_age_seconds", "Time from the sending of an attempt, on the sender's clock, to the decision on it."),
 		queueTime:   newHistogram("waxwingseam_queue_seconds", "Time in the queue before a run."),
 		runTime:     newHistogram("waxwingseam_run_seconds", "Time of a run at the backend server.", labelOutcome),
 		inFlight:    newGauge("waxwingseam_in_flight", "Runs at the backend server."),
@@ -59,6 +69,10 @@
 
 		statedLeaving: newGauge("waxwingseam_stated_leaving", "1 while the backend server says in its answers that it is leaving."),
 
+		cancelDelay:   newHistogram("waxwingseam_cancel_delay_seconds", "Time from the hand-over of a run to its cancellation."),
+		stopTime:      newHistogram("waxwingseam_cancelled_run_seconds", "Time from the cancellation of a run to its end."),
+		cancellations: prometheus.NewCounter(prometheus.CounterOpts{Name: "waxwingseam_attempt_cancellations_total", Help: "Cancellations received from senders of attempts."}),
+
 		classes:      map[waxwingseam.ClassName]bool{},
 		slotTime:     newCounter("waxwingseam_slot_seconds_total", "Time for which runs held slots of the backend server, by what became of them.", labelClass, labelFate),
 		idleSlotTime: prometheus.NewCounter(prometheus.CounterOpts{Name: "waxwingseam_idle_slot_seconds_total", Help: "Time for which slots of the backend server stood idle while the node refused calls that could have used them."}),
@@ -68,7 +82,7 @@
 }
 
 func (m *runMetrics) collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.answers, m.joins, m.arrivalTime, m.queueTime, m.runTime, m.inFlight, m.queued, m.limit, m.rootLimit, m.shedding, m.leaving, m.handOvers, m.rateLimit, m.statedLeaving, m.slotTime, m.idleSlotTime}
+	return []prometheus.Collector{m.answers, m.joins, m.arrivalTime, m.queueTime, m.runTime, m.inFlight, m.queued, m.limit, m.rootLimit, m.shedding, m.leaving, m.handOvers, m.rateLimit, m.statedLeaving, m.slotTime, m.idleSlotTime, m.openingAge, m.cancelDelay, m.stopTime, m.cancellations}
 }
 
 func (m *runMetrics) arrived(e waxwingseam.Event) {
@@ -80,11 +94,15 @@
 	if !v.Received.IsZero() {
 		m.arrivalTime.WithLabelValues().Observe(v.Now.Sub(v.Received).Seconds())
 	}
+	if !v.Sent.IsZero() {
+		m.openingAge.WithLabelValues().Observe(max(v.Now.Sub(v.Sent), 0).Seconds())
+	}
 }
 
 // cancelled removes a call that may have left the queue without an answer.
 func (m *runMetrics) cancelled(e waxwingseam.Event) {
 	if v, ok := e.(waxwingseam.AttemptCancelled); ok {
+		m.cancellations.Inc()
 		delete(m.queuedSince, v.ID)
 	}
 }
@@ -154,6 +172,12 @@
 	m.idleSlotTime.Add(d.Seconds())
 }
 
+// cancelledRun records a cancelled run that has ended.
+func (m *runMetrics) cancelledRun(r accountant.CancelledRun) {
+	m.cancelDelay.WithLabelValues().Observe(r.Ran.Seconds())
+	m.stopTime.WithLabelValues().Observe(r.Stopped.Seconds())
+}
+
 func (m *runMetrics) setLoad(l waxwingseam.Load) {
 	m.inFlight.Set(float64(l.InFlight))
 	m.queued.Set(float64(l.Waiting))
--- a/narrator/narrator.go
+++ b/narrator/narrator.go
@@ -21,6 +21,7 @@
 	EventConfiguration   = "configuration-adopted"
 	EventServers         = "servers-learned"
 	EventBackend         = "backend-server-reported"
+	EventRunCancelled    = "run-cancelled"
 	EventStatement       = "backend-server-stated"
 	EventDrain           = "drain-asked"
 	EventSummary         = "calls-summed-up"
@@ -60,6 +61,8 @@
 	received   map[waxwingseam.CallID]receivedCall
 	totals     statistics
 	accountant *accountant.Accountant
+	// now is the time of the event that is being observed.
+	now        time.Time
 	lastReport waxwingseam.BackendReport
 }
 
@@ -191,6 +194,8 @@
 	n.accountant = accountant.New(accountant.Config{
 		Spend: n.spent,
 		Idle:  func(d time.Duration) { n.totals.idle += d },
+
+		Cancelled: n.runCancelled,
 	})
 	return n
 }
@@ -198,6 +203,7 @@
 // Observe implements runner.Observer.
 func (n *Narrator) Observe(e waxwingseam.Event, effects []waxwingseam.Effect) {
 	now := e.Stamped().Now
+	n.now = now
 	n.observeEvent(now, e)
 	n.accountant.Observe(e, effects)
 	for _, v := range effects {
@@ -379,6 +385,16 @@
 		slog.Uint64("revision", uint64(load.Revision)))
 }
 
+// runCancelled writes a line for a cancelled run that has ended.
+func (n *Narrator) runCancelled(r accountant.CancelledRun) {
+	n.write(n.now, EventRunCancelled, slog.LevelInfo,
+		slog.String("request-id", r.RequestID),
+		slog.String("call", r.Call.String()),
+		slog.String("class", string(r.Class)),
+		slog.Duration("ran", r.Ran),
+		slog.Duration("stopped-after", r.Stopped))
+}
+
 func (n *Narrator) configurationAdopted(now time.Time, v waxwingseam.SetAdopted) {
 	n.write(now, EventConfiguration, slog.LevelInfo,
 		slog.Uint64("revision", uint64(v.Set.Revision)),
--- a/narrator/narrator_test.go
+++ b/narrator/narrator_test.go
@@ -91,6 +91,10 @@
 	}})
 	n.Observe(waxwingseam.AttemptEnded{Stamp: stamp(510 * time.Millisecond)}, []waxwingseam.Effect{waxwingseam.Run{Call: call}})
 	n.Observe(waxwingseam.RunEnded{Stamp: stamp(550 * time.Millisecond), ID: id, Result: waxwingseam.Result{Status: 200}, Elapsed: 40 * time.Millisecond}, nil)
+	left := waxwingseam.Call{ID: waxwingseam.NewCallID(1, 4), RequestID: "0d3f6a1be2c84975", Class: "lots"}
+	n.Observe(waxwingseam.AttemptEnded{Stamp: stamp(600 * time.Millisecond)}, []waxwingseam.Effect{waxwingseam.Run{Call: left}})
+	n.Observe(waxwingseam.AttemptCancelled{Stamp: stamp(604 * time.Millisecond), ID: left.ID, Attempt: 1}, []waxwingseam.Effect{waxwingseam.CancelRun{ID: left.ID}})
+	n.Observe(waxwingseam.RunEnded{Stamp: stamp(605 * time.Millisecond), ID: left.ID, Elapsed: 5 * time.Millisecond}, nil)
 	n.Observe(waxwingseam.DrainAsked{Stamp: stamp(time.Second)}, nil)
 	n.Observe(waxwingseam.TimerFired{Stamp: stamp(6 * time.Second)}, nil)
 	if *update {
--- a/runevent.go
+++ b/runevent.go
@@ -28,6 +28,9 @@
 	// Received is when the node received the attempt; the event may be reduced
 	// later. It is zero if unknown.
 	Received time.Time
+	// Sent is when the sender opened the attempt, or resumed it, on the sender's clock;
+	// zero if unknown.
+	Sent time.Time
 }
 
 // AttemptCancelled says that the sender has cancelled an attempt.
