forwarder, pipeliner: tests of work that goes on for callers that have left

The stand-in network gained processes that stand still, and closes that drop what was not delivered, as a TCP connection does with a linger time of 0.

--- a/forwarder/network_test.go
+++ b/forwarder/network_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -79,6 +80,15 @@
 	w.changed.Broadcast()
 }
 
+// reset ends the wire at once; queued data is not delivered.
+func (w *wire) reset() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.closed = true
+	w.queue = nil
+	w.changed.Broadcast()
+}
+
 // next waits for a packet to deliver. It returns false at the end.
 func (w *wire) next() (packet, bool) {
 	w.mu.Lock()
@@ -123,6 +133,15 @@
 	out *wire
 	// fails is how the dialed end fails, "write" or "silent"; empty if it works.
 	fails string
+	// resets is set if Close drops what was not delivered yet.
+	resets atomic.Bool
+}
+
+// SetLinger sets what Close does with data that was not delivered yet, like that of a
+// TCP connection.
+func (e *end) SetLinger(seconds int) error {
+	e.resets.Store(seconds == 0)
+	return nil
 }
 
 func (e *end) Write(p []byte) (int, error) {
@@ -142,7 +161,11 @@
 }
 
 func (e *end) Close() error {
-	e.out.close()
+	if e.resets.Load() {
+		e.out.reset()
+	} else {
+		e.out.close()
+	}
 	return e.Conn.Close()
 }
 
@@ -176,6 +199,8 @@
 	delay time.Duration
 	// fails is how connections to an address fail.
 	fails map[netip.AddrPort]string
+	// stopped are the addresses whose later connections hold their data.
+	stopped map[netip.AddrPort]bool
 }
 
 func newNetwork() *network {
@@ -184,6 +209,7 @@
 		dials:   map[netip.AddrPort]int{},
 		cut:     map[netip.AddrPort][2]int{},
 		fails:   map[netip.AddrPort]string{},
+		stopped: map[netip.AddrPort]bool{},
 	}
 }
 
@@ -225,6 +251,34 @@
 	}
 }
 
+// stop holds the data of all connections to an address, also of later ones, until resume,
+// as if the process there stood still.
+func (n *network) stop(address netip.AddrPort) {
+	n.set(address, holding)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stopped[address] = true
+}
+
+// resume delivers what was held since stop.
+func (n *network) resume(address netip.AddrPort) {
+	n.mu.Lock()
+	delete(n.stopped, address)
+	n.mu.Unlock()
+	n.set(address, passing)
+}
+
+// reset breaks the current connections to an address.
+func (n *network) reset(address netip.AddrPort) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range n.links {
+		if l.to == address {
+			l.kill()
+		}
+	}
+}
+
 // cutNext limits how many bytes the next connection to an address delivers to it
 // and from it; below 0 for no limit.
 func (n *network) cutNext(address netip.AddrPort, to, from int) {
@@ -269,6 +323,9 @@
 		dialed: &end{Conn: dialed, out: to, fails: n.fails[address]},
 		served: &end{Conn: served, out: from},
 	}
+	if n.stopped[address] {
+		l.set(holding)
+	}
 	n.links = append(n.links, l)
 	n.dials[address]++
 	go serve(l.served)
