forwarder: requests that were given up do not reach their backend server later

What callers saw: requests were sent on after they had left. Cause: the connection of a run that is stopped was closed. While the path to the backend server is silent, the kernel keeps the request's bytes and delivers them, and then the end, once the path works again; the server gets a request whose caller left long before. The same for connections found silent, and for bodies that broke off.

Such connections are now reset: the kernel drops what was not acknowledged.

--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -96,7 +96,7 @@
 		r.cancelDial()
 	}
 	if r.conn != nil {
-		r.conn.close()
+		r.conn.abort()
 	}
 	r.call.body.fail(errCallOver)
 	r.call.reply.fail(errCallOver)
@@ -169,7 +169,7 @@
 		if err == nil {
 			return c, nil
 		}
-		c.close()
+		c.abort()
 		if n > 0 || !c.reused {
 			return nil, err
 		}
@@ -250,7 +250,7 @@
 	result, keep, err := h.readReply(c, header, run)
 	stopped := r.end()
 	if err != nil {
-		c.close()
+		c.abort()
 		return r.failed(stopped, err)
 	}
 	if keep && stopped == waxwingseam.ReasonNone && q.sent() {
--- a/forwarder/backendconn.go
+++ b/forwarder/backendconn.go
@@ -187,6 +187,12 @@
 	_ = c.conn.Close()
 }
 
+// abort closes the connection of a request that was given up, so that it does not reach
+// the backend server later.
+func (c *backendConn) abort() {
+	abort(c.conn)
+}
+
 // headLimiter reads from the connection as long as the reply's head is not too large.
 type headLimiter struct {
 	conn *backendConn
@@ -227,7 +233,7 @@
 	suspected := unacknowledged(c.conn) >= silenceLimit-2*heartbeatInterval
 	if suspected && c.suspected.Load() {
 		c.silent.Store(true)
-		c.close()
+		c.abort()
 	}
 	c.suspected.Store(suspected)
 }
--- a/forwarder/backendrequest.go
+++ b/forwarder/backendrequest.go
@@ -163,11 +163,11 @@
 	return append(out, "0\r\n\r\n"...)
 }
 
-// writeBody writes the body as it arrives. If that fails, it closes the connection, so
+// writeBody writes the body as it arrives. If that fails, it aborts the connection, so
 // that the backend server does not take the body as whole.
 func (q *backendRequest) writeBody(c *backendConn) {
 	if err := q.copyBody(c); err != nil {
-		c.close()
+		c.abort()
 		return
 	}
 	q.pending.Store(false)
