forwarder, receiver: cancellations are delivered until they are answered

What callers saw: work went on for callers that had left, up to its usual end or its deadline. Cause: a cancellation travelled once, on the connection of its attempt. If that connection was silent, or lost before or while the caller left, reportConnectionLost dropped the cancelled attempt and nothing sent the cancellation again. Read in the code on the way: a cancellation could also be sent between the opening of the channel and the opening frame; the receiving node then took it for the attempt before, and ran the call.

A cancellation is never sent before its opening.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -11,13 +11,9 @@
 	"waxwingseam.example/waxwingseam"
 )
 
-const (
-	// streamingThreshold is the reply length above which a reply is streamed to
-	// the caller before its end is known.
-	streamingThreshold = 64 << 10
-	// cancelTimeout limits the wait for the end of a cancelled attempt.
-	cancelTimeout = time.Second
-)
+// streamingThreshold is the reply length above which a reply is streamed to the caller
+// before its end is known.
+const streamingThreshold = 64 << 10
 
 // attempt is one attempt of a call at its sending node. It uses one connection
 // at a time; a resumed attempt continues over a new one.
@@ -43,9 +39,15 @@
 	head        *replyHead
 	incarnation waxwingseam.Incarnation
 	channel     *channel
-	cancelled   bool
-	streaming   bool
-	ended       bool
+	// sent is set once the receiving node may have an opening of the attempt, and opened
+	// once one was sent over channel.
+	sent      bool
+	opened    bool
+	cancelled bool
+	streaming bool
+	ended     bool
+	// cancelDelivery begins the delivery of the cancellation over fresh connections.
+	cancelDelivery sync.Once
 }
 
 func newAttempt(x *exchange, e waxwingseam.Dispatch) *attempt {
@@ -157,7 +159,7 @@
 	defer c.stop()
 	a.setChannel(c)
 	first := a.firstFrame(resumed)
-	if err := c.send(first); err != nil {
+	if err := a.open(c, first); err != nil {
 		return result, false, err
 	}
 	stopBody := func() {}
@@ -206,16 +208,36 @@
 	}
 }
 
-// setChannel sets the attempt's channel, and closes its connection if the
-// attempt was already cancelled.
+// setChannel sets the attempt's channel.
 func (a *attempt) setChannel(c *channel) {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.channel = c
+	a.opened = false
+}
+
+// open sends the opening, unless the attempt was cancelled. If it is cancelled meanwhile,
+// the cancellation follows the opening.
+func (a *attempt) open(c *channel, first frame) error {
+	a.mu.Lock()
+	if a.cancelled {
+		a.mu.Unlock()
+		c.transport.closeTransport()
+		return errCallOver
+	}
+	a.sent = true
+	a.mu.Unlock()
+	if err := c.send(first); err != nil {
+		return err
+	}
+	a.mu.Lock()
+	a.opened = true
 	cancelled := a.cancelled
 	a.mu.Unlock()
 	if cancelled {
-		c.transport.closeTransport()
+		return c.send(frame{Kind: frameCancel})
 	}
+	return nil
 }
 
 func (a *attempt) opening(resumed bool) *opening {
@@ -249,12 +271,14 @@
 	a.exchange.forwarder.endAttempt(a.call.ID, a.number, result)
 }
 
-// reportConnectionLost reports a lost connection, unless the attempt was cancelled.
+// reportConnectionLost reports a lost connection. If the attempt was cancelled, it
+// delivers the cancellation instead.
 func (a *attempt) reportConnectionLost() {
 	a.mu.Lock()
 	cancelled := a.cancelled
 	a.mu.Unlock()
 	if cancelled {
+		a.deliverCancellation()
 		return
 	}
 	a.exchange.forwarder.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
@@ -265,18 +289,3 @@
 		}
 	})
 }
-
-// cancel tells the receiving node that the attempt is no longer wanted, and
-// closes the connection if the attempt does not end within cancelTimeout.
-func (a *attempt) cancel() {
-	a.mu.Lock()
-	a.cancelled = true
-	c := a.channel
-	ended := a.ended
-	a.mu.Unlock()
-	if c == nil || ended {
-		return
-	}
-	time.AfterFunc(cancelTimeout, c.closeUnlessStopped)
-	_ = c.send(frame{Kind: frameCancel})
-}
--- a/forwarder/channel.go
+++ b/forwarder/channel.go
@@ -145,6 +145,11 @@
 	c.lastReceived.Store(int64(c.elapsed()))
 }
 
+// received returns when the last frame was received, since the channel was created.
+func (c *channel) received() time.Duration {
+	return time.Duration(c.lastReceived.Load())
+}
+
 // closeUnlessStopped closes the connection unless the channel was stopped.
 func (c *channel) closeUnlessStopped() {
 	if !c.stopped.Load() {
--- a/forwarder/departure_test.go
+++ b/forwarder/departure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -16,6 +17,8 @@
 
 // untilLeft works for ten seconds, or until nobody waits for the reply.
 func untilLeft(_ http.ResponseWriter, r *http.Request) {
+	// The server notices the end of the connection once it has read the body.
+	_, _ = io.Copy(io.Discard, r.Body)
 	select {
 	case <-r.Context().Done():
 	case <-time.After(10 * time.Second):
--- a/forwarder/frame.go
+++ b/forwarder/frame.go
@@ -190,6 +190,8 @@
 	ID waxwingseam.CallID `cbor:"1,keyasint"`
 	// Duration is how long the fence must remain in force.
 	Duration time.Duration `cbor:"2,keyasint"`
+	// Cancel is set if the call's run is to be cancelled.
+	Cancel bool `cbor:"3,keyasint,omitempty"`
 }
 
 // fenceReply is the answer to a fenceRequest.
--- a/forwarder/hosted.go
+++ b/forwarder/hosted.go
@@ -208,6 +208,13 @@
 	return h.relaying
 }
 
+// stopRelay stops the relaying of a call, if another node runs it.
+func (f *Forwarder) stopRelay(id waxwingseam.CallID) {
+	if h := f.hostedCall(id); h != nil && h.relayed() {
+		h.stop()
+	}
+}
+
 // endRun reports the end of a run.
 func (f *Forwarder) endRun(id waxwingseam.CallID, result waxwingseam.Result, elapsed time.Duration) {
 	f.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
--- a/forwarder/inbound.go
+++ b/forwarder/inbound.go
@@ -288,9 +288,7 @@
 
 // cancel stops the relaying, and reports and answers the cancelled attempt.
 func (in *inbound) cancel() {
-	if in.call.relayed() {
-		in.call.stop()
-	}
+	in.forwarder.stopRelay(in.opening.ID)
 	in.forwarder.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
 		return waxwingseam.AttemptCancelled{
 			Stamp:   s,
--- a/forwarder/node.go
+++ b/forwarder/node.go
@@ -93,11 +93,15 @@
 	f.mu.Lock()
 	f.fenceAnswers[q.ID] = append(f.fenceAnswers[q.ID], answer)
 	f.mu.Unlock()
+	if q.Cancel {
+		f.stopRelay(q.ID)
+	}
 	f.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
 		return waxwingseam.FenceAsked{
-			Stamp: s,
-			ID:    q.ID,
-			Until: s.Now.Add(q.Duration),
+			Stamp:  s,
+			ID:     q.ID,
+			Until:  s.Now.Add(q.Duration),
+			Cancel: q.Cancel,
 		}
 	})
 	select {
@@ -124,7 +128,7 @@
 
 // fence carries out a Fence.
 func (f *Forwarder) fence(e waxwingseam.Fence) {
-	answer, err := f.askFence(e)
+	answer, err := f.askFence(e, false)
 	f.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
 		event := waxwingseam.FenceAnswered{
 			Stamp:   s,
@@ -140,9 +144,11 @@
 	})
 }
 
-func (f *Forwarder) askFence(e waxwingseam.Fence) (*fenceReply, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), fenceTimeout)
-	defer cancel()
+// askFence asks the receiving node to keep a call from starting and, if cancel is set, to
+// cancel its run.
+func (f *Forwarder) askFence(e waxwingseam.Fence, cancel bool) (*fenceReply, error) {
+	ctx, stop := context.WithTimeout(context.Background(), fenceTimeout)
+	defer stop()
 	conn, err := f.dial(ctx, e.Server.Node)
 	if err != nil {
 		return nil, err
@@ -150,6 +156,7 @@
 	question := &fenceRequest{
 		ID:       e.ID,
 		Duration: time.Until(e.Until),
+		Cancel:   cancel,
 	}
 	reply := &fenceReply{}
 	if err := conn.Invoke(ctx, methodFence, messenger.Encoding, question, reply); err != nil {
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -350,7 +350,15 @@
 		id = owner
 	}
 	live, ok := r.calls[id]
-	if !ok || !live.removeAttempt(w) || len(live.attempts) > 0 {
+	if !ok || !live.removeAttempt(w) {
+		return
+	}
+	r.cancelUnwanted(c, id, live)
+}
+
+// cancelUnwanted cancels a call that has no attempt left.
+func (r *receiver) cancelUnwanted(c *waxwingseam.Context, id waxwingseam.CallID, live *call) {
+	if len(live.attempts) > 0 {
 		return
 	}
 	if live.running {
@@ -387,8 +395,25 @@
 	r.apply(c, admissions)
 }
 
+// cancelCall removes all attempts of a call.
+func (r *receiver) cancelCall(c *waxwingseam.Context, id waxwingseam.CallID) {
+	owner := id
+	if joined, ok := r.owners[id]; ok {
+		owner = joined
+	}
+	live, ok := r.calls[owner]
+	if !ok {
+		return
+	}
+	before := len(live.attempts)
+	live.attempts = slices.DeleteFunc(live.attempts, func(w waiter) bool { return w.id == id })
+	if len(live.attempts) < before {
+		r.cancelUnwanted(c, owner, live)
+	}
+}
+
 // fence prevents a call from starting if it has not started yet, and removes it
-// from the queue.
+// from the queue. A call that has started is cancelled if nobody waits for it.
 func (r *receiver) fence(c *waxwingseam.Context, e waxwingseam.FenceAsked) {
 	started := r.deduplicator.Fence(c, e.ID, e.Until)
 	live, ok := r.calls[e.ID]
@@ -398,6 +423,9 @@
 		delete(r.calls, e.ID)
 		r.answerAll(c, live, didNotRun(waxwingseam.ReasonFenced))
 	}
+	if e.Cancel {
+		r.cancelCall(c, e.ID)
+	}
 	c.Emit(waxwingseam.AnswerFence{
 		ID:          e.ID,
 		Started:     started,
--- a/runevent.go
+++ b/runevent.go
@@ -56,6 +56,9 @@
 	ID CallID
 	// Until is the time up to which the fence must hold.
 	Until time.Time
+	// Cancel is set if nobody waits for the call any more, so that its run is to be
+	// cancelled if it has started.
+	Cancel bool
 }
 
 // DrainAsked starts or undoes a drain.
