forwarder: attempts that were given up do not reach their node later

What callers saw: as with backend servers, requests were sent on after they had left. Cause: a link that is closed after a silence leaves an attempt, and the cancellation behind it, in the kernel's queue; the far node gets both when the path is back, and hands the run over before it reads the cancellation. Links that are given up are now reset.

--- a/forwarder/link.go
+++ b/forwarder/link.go
@@ -40,9 +40,10 @@
 	return !ok || !s.IsTerminated()
 }
 
-// closeTransport closes the connection at once, also while a write blocks.
+// closeTransport closes the connection at once, also while a write blocks. What the other
+// node has not received is dropped: it must not run an attempt that was given up.
 func (l *link) closeTransport() {
-	_ = l.conn.Transport().Close()
+	abort(l.conn.Transport())
 }
 
 // close closes the stream and the connection without waiting for them. The other
