forwarder: calls whose callers left while they waited are forgotten

Callers who leave a full queue so filled the node's memory.

Such calls are removed with the cancellation, and with an answer that has no connection any more.

--- a/forwarder/departure_test.go
+++ b/forwarder/departure_test.go
@@ -113,3 +113,33 @@
 		qt.Assert(t, b.runsOfX(), qt.Equals, 0)
 	})
 }
+
+// TestCancelledCallIsKept guards against a node that keeps each call whose caller left
+// before its run, and runs out of memory.
+func TestCancelledCallIsKept(t *testing.T) {
+	for _, pause := range []time.Duration{0, 500 * time.Millisecond} {
+		t.Run(pause.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tb := newTestbed(t)
+				front, back, b := tb.pair(func(_ http.ResponseWriter, r *http.Request) {
+					_, _ = io.Copy(io.Discard, r.Body)
+					time.Sleep(800 * time.Millisecond)
+				})
+				for range 50 {
+					go front.call(request{name: "first", body: strings.NewReader("lot")})
+				}
+				synctest.Wait()
+				if pause > 0 {
+					tb.net.stop(back.self.Node)
+					time.AfterFunc(pause, func() { tb.net.resume(back.self.Node) })
+				}
+				for range 20 {
+					go front.callUntil(200 * time.Millisecond)
+				}
+				time.Sleep(time.Minute)
+				qt.Assert(t, b.runsOfX(), qt.Equals, 0)
+				qt.Assert(t, back.HostedCalls(), qt.Equals, 0)
+			})
+		})
+	}
+}
--- a/forwarder/export_test.go
+++ b/forwarder/export_test.go
@@ -60,3 +60,10 @@
 func (s *AttemptSender) Close() {
 	s.link.closeTransport()
 }
+
+// HostedCalls returns how many calls the node holds for its backend server.
+func (f *Forwarder) HostedCalls() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.hostedCalls)
+}
--- a/forwarder/hosted.go
+++ b/forwarder/hosted.go
@@ -248,6 +248,9 @@
 func (f *Forwarder) answerAttempt(e waxwingseam.AnswerAttempt) {
 	in := f.inbound(attemptKey{e.ID, e.Attempt})
 	if in == nil {
+		if h := f.hostedCall(e.ID); h != nil && !e.Result.Completed() {
+			h.forgetUnstarted()
+		}
 		return
 	}
 	result := e.Result
@@ -255,8 +258,15 @@
 		result.Reason = waxwingseam.ReasonReplyNotKept
 	}
 	in.answer(result)
-	if !e.Result.Completed() && !in.call.started() {
-		in.call.forget()
+	if !e.Result.Completed() {
+		in.call.forgetUnstarted()
+	}
+}
+
+// forgetUnstarted removes the call unless it has a run.
+func (h *hostedCall) forgetUnstarted() {
+	if !h.started() {
+		h.forget()
 	}
 }
 
--- a/forwarder/inbound.go
+++ b/forwarder/inbound.go
@@ -301,4 +301,5 @@
 		Reason:  waxwingseam.ReasonCancelled,
 		Reached: true,
 	})
+	in.call.forgetUnstarted()
 }
