forwarder: attempts that arrive late are confirmed before they run

What callers saw: calls ran whose callers had left while the receiving node, or the path to it, stood still. Cause: the cancellation lies behind the opening in the same input; the node hands the run over and reads the cancellation next.

A node now compares the time at which an opening was sent with that of its arrival, less the offset of the two clocks, which it learns for each connection. If the opening took longer than 250 ms, the node asks the sender whether the attempt is still wanted, and reports its arrival once that is confirmed; a cancellation that was sent meanwhile is read before. The confirmation has the time that is left, so that a late attempt no longer gets its whole timeout anew; relayed attempts no longer do either. Clocks that differ cost one question a connection. The deadline travels in milliseconds: nodes of the layouts before and after cannot call each other.

--- a/forwarder/codec.go
+++ b/forwarder/codec.go
@@ -17,7 +17,7 @@
 )
 
 // frameVersion is the first byte of each frame. Any change of the layout changes it.
-const frameVersion = 1
+const frameVersion = 2
 
 // frameEncoding encodes frames in a fixed layout: the fields in order, numbers as
 // variable-length integers, texts behind their length.
@@ -180,18 +180,29 @@
 // seconds encodes a time in whole seconds, as CBOR does elsewhere: a time of one
 // server must be equal wherever it comes from.
 func (c *codec) seconds(v *time.Time) {
-	var s int64
+	c.wholeUnits(v, time.Second)
+}
+
+// milliseconds encodes a time in whole milliseconds.
+func (c *codec) milliseconds(v *time.Time) {
+	c.wholeUnits(v, time.Millisecond)
+}
+
+// wholeUnits encodes a time as a count of a unit, which divides a second.
+func (c *codec) wholeUnits(v *time.Time, unit time.Duration) {
+	var n int64
+	perSecond := int64(time.Second / unit)
 	set := !v.IsZero()
 	if set {
-		s = v.Unix()
+		n = v.Unix()*perSecond + int64(v.Nanosecond())/int64(unit)
 	}
 	c.flags(&set)
 	if !set {
 		return
 	}
-	signed(c, &s)
+	signed(c, &n)
 	if c.decoding {
-		*v = time.Unix(s, 0)
+		*v = time.Unix(n/perSecond, n%perSecond*int64(unit))
 	}
 }
 
@@ -279,7 +290,7 @@
 	unsigned(c, &o.RefusedPermille)
 	unsigned(c, &o.Repeat)
 	signed(c, &o.TimeToDeadline)
-	c.seconds(&o.Deadline)
+	c.milliseconds(&o.Deadline)
 	unsigned(c, &o.Allowance)
 	unsigned(c, &o.Revision)
 	unsigned(c, &o.Attempt)
--- a/forwarder/frame.go
+++ b/forwarder/frame.go
@@ -27,6 +27,11 @@
 	frameCancel
 	// frameDelivered says that the sending node has the whole reply.
 	frameDelivered
+	// frameConfirmAsked asks whether an attempt that arrived late is still wanted.
+	frameConfirmAsked
+	// frameConfirmed says that the attempt is still wanted. Its opening has the
+	// remaining time.
+	frameConfirmed
 )
 
 // frame is one message of an attempt between two nodes.
@@ -157,8 +162,11 @@
 	return deadline
 }
 
-// sent returns when the opening was sent, on the sender's clock.
+// sent returns when the opening was sent, on the sender's clock; zero if unknown.
 func (o *opening) sent() time.Time {
+	if o.Deadline.IsZero() {
+		return time.Time{}
+	}
 	return o.Deadline.Add(-o.TimeToDeadline)
 }
 
--- a/forwarder/inbound.go
+++ b/forwarder/inbound.go
@@ -23,6 +23,9 @@
 	received time.Time
 
 	disconnected atomic.Bool
+	// unconfirmed is set while the sending node is asked whether the attempt, which
+	// arrived late, is still wanted. The attempt is not reported before.
+	unconfirmed atomic.Bool
 
 	mu sync.Mutex
 	// changed says that source or result was set or the attempt disconnected.
@@ -49,7 +52,7 @@
 }
 
 // acceptAttempt registers an attempt, in place of the same attempt over an older
-// connection, and reports its arrival.
+// connection.
 func (f *Forwarder) acceptAttempt(stream drpc.Stream, first frame) *inbound {
 	o := first.Open
 	f.arrivals.Add(1)
@@ -68,12 +71,35 @@
 	f.mu.Lock()
 	f.inbounds[in.key()] = in
 	f.mu.Unlock()
-	if f.config.Arbitrated && o.Key != "" && o.Repeat == waxwingseam.RepeatNever {
+	return in
+}
+
+// report reports the attempt's arrival.
+func (in *inbound) report() {
+	o := in.opening
+	if in.forwarder.config.Arbitrated && o.Key != "" && o.Repeat == waxwingseam.RepeatNever {
 		in.reportKeyedArrival()
 	} else {
 		in.reportArrival()
 	}
-	return in
+}
+
+// askConfirmation asks the sending node whether the attempt is still wanted.
+func (in *inbound) askConfirmation() {
+	in.unconfirmed.Store(true)
+	in.forwarder.config.Logger.Debug("an attempt arrived late",
+		"call", in.opening.ID.String(), "request-id", in.opening.RequestID, "age", time.Since(in.opening.sent()))
+	go func() { _ = in.channel.send(frame{Kind: frameConfirmAsked}) }()
+}
+
+// confirmed reports the arrival of an attempt that is still wanted.
+func (in *inbound) confirmed(o *opening) {
+	if o == nil || !in.unconfirmed.CompareAndSwap(true, false) {
+		return
+	}
+	in.opening.TimeToDeadline, in.opening.Deadline = o.TimeToDeadline, o.Deadline
+	in.received = time.Now()
+	in.report()
 }
 
 // reportArrival reports the attempt's arrival.
@@ -127,6 +153,9 @@
 	}
 	f.mu.Unlock()
 	in.call.detach(in)
+	if in.unconfirmed.Load() {
+		in.call.forgetUnstarted()
+	}
 	in.mu.Lock()
 	source := in.source
 	in.mu.Unlock()
@@ -282,12 +311,15 @@
 		in.call.endBody(f)
 	case frameCancel:
 		in.cancel()
+	case frameConfirmed:
+		in.confirmed(f.Open)
 	}
 	return nil
 }
 
 // cancel stops the relaying, and reports and answers the cancelled attempt.
 func (in *inbound) cancel() {
+	in.unconfirmed.Store(false)
 	in.forwarder.stopRelay(in.opening.ID)
 	in.forwarder.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
 		return waxwingseam.AttemptCancelled{
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -92,13 +92,7 @@
 	}
 	c := newChannel(stream, 0, releasedOffset{h.reply}, &link{conn: conn, stream: stream})
 	defer c.stop()
-	opening := *in.opening
-	opening.Relayed = true
-	opening.Incarnation = 0
-	opening.Known = nil
-	opening.Offset = h.reply.length()
-	opening.TimeToDeadline = time.Until(in.opening.deadline(time.Now()))
-	if err := c.send(frame{Kind: frameOpen, Open: &opening}); err != nil {
+	if err := c.send(frame{Kind: frameOpen, Open: in.relayedOpening(h.reply.length())}); err != nil {
 		return waxwingseam.Result{}, err
 	}
 	ended := make(chan struct{})
@@ -106,7 +100,20 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.send(frame{Kind: frameCancel}) })
 	defer stop()
 	go h.relayBody(c, ended)
-	return h.relayReply(c)
+	return h.relayReply(ctx, c, in)
+}
+
+// relayedOpening returns the opening for the server that holds the key.
+func (in *inbound) relayedOpening(offset int64) *opening {
+	now := time.Now()
+	o := *in.opening
+	o.Relayed = true
+	o.Incarnation = 0
+	o.Known = nil
+	o.Offset = offset
+	o.TimeToDeadline -= now.Sub(in.received)
+	o.Deadline = now.Add(o.TimeToDeadline)
+	return &o
 }
 
 // relayBody forwards the request body until the connection ends.
@@ -133,12 +140,15 @@
 }
 
 // relayReply receives the reply until the result. The sender checks its digest.
-func (h *hostedCall) relayReply(c *channel) (waxwingseam.Result, error) {
+func (h *hostedCall) relayReply(ctx context.Context, c *channel, in *inbound) (waxwingseam.Result, error) {
 	var f frame
 	for {
 		if err := c.receive(&f); err != nil {
 			return waxwingseam.Result{}, err
 		}
+		if f.Kind == frameConfirmAsked && ctx.Err() == nil {
+			go func() { _ = c.send(frame{Kind: frameConfirmed, Open: in.relayedOpening(0)}) }()
+		}
 		h.consumed.Store(max(h.consumed.Load(), f.Consumed))
 		h.body.release(f.Consumed)
 		h.relayHead(f.Head)
--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"time"
+
 	"github.com/gravitational/trace"
 
 	"waxwingseam.example/waxwingseam"
@@ -33,7 +35,12 @@
 		a.head = f.Head
 	}
 	cancelled := a.cancelled
+	c := a.channel
 	a.mu.Unlock()
+	if f.Kind == frameConfirmAsked && !cancelled {
+		go func() { _ = c.send(frame{Kind: frameConfirmed, Open: newOpening(a.call, a.number, time.Now())}) }()
+		return nil
+	}
 	if len(f.Data) == 0 || cancelled {
 		return nil
 	}
--- a/forwarder/session.go
+++ b/forwarder/session.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"time"
 
 	"github.com/gravitational/trace"
 	"storj.io/drpc"
@@ -17,6 +18,32 @@
 	// current is the last attempt that was opened; nil before the first.
 	current *inbound
 	opened  chan *inbound
+	// offset is the least time, by both nodes' clocks, from the sending of an opening to
+	// its receipt: the difference of the clocks, and a short time on the way.
+	offset time.Duration
+}
+
+// maxOpeningAge is the age from which on an opening may have its cancellation behind it,
+// so that the sending node is asked whether the attempt is still wanted.
+const maxOpeningAge = 250 * time.Millisecond
+
+// late reports whether an opening was on its way, or waited in the input of this
+// process, for long.
+func (s *session) late(o *opening) bool {
+	sent := o.sent()
+	if sent.IsZero() {
+		return false
+	}
+	took := time.Since(sent)
+	s.offset = min(s.offset, took)
+	return took-s.offset > maxOpeningAge
+}
+
+// confirmed notes what a confirmation, which is never old, tells of the clocks.
+func (s *session) confirmed(o *opening) {
+	if sent := o.sent(); !sent.IsZero() {
+		s.offset = time.Since(sent)
+	}
 }
 
 func newSession(f *Forwarder, stream drpc.Stream) *session {
@@ -69,6 +96,8 @@
 	case f.Kind == frameDelivered:
 		s.forgetDelivered()
 		return nil
+	case f.Kind == frameConfirmed && f.Open != nil:
+		s.confirmed(f.Open)
 	}
 	return s.current.handleFrame(f)
 }
@@ -81,6 +110,11 @@
 	}
 	s.forgetDelivered()
 	s.current = s.forwarder.acceptAttempt(s.stream, f)
+	if s.late(f.Open) {
+		s.current.askConfirmation()
+	} else {
+		s.current.report()
+	}
 	select {
 	case s.opened <- s.current:
 		return nil
