pipeliner: leaving is noticed apart from reading

What callers saw: work went on, or began, for callers that had left. Cause: the end of a caller's connection was only found by reading up to it. A process that stood still began to handle a request whose end lay behind it, and nothing read the connection while the read-ahead was full or a long body waited for room.

The state of the connection, which the kernel keeps apart from the unread bytes, is now looked at before each request is handled, and every 100 ms while nothing is read. These tests now close the connection once the requests are being handled, as first committed they could not fail in the intended way once unread requests are dropped.

--- a/pipeliner/connection.go
+++ b/pipeliner/connection.go
@@ -23,6 +23,9 @@
 	lingerTimeout = 500 * time.Millisecond
 	// leftWriteTimeout bounds a write that was blocked when the caller left.
 	leftWriteTimeout = time.Second
+	// departureInterval is the time between two checks whether the caller has left,
+	// while nothing is read from its connection.
+	departureInterval = 100 * time.Millisecond
 )
 
 var (
@@ -30,6 +33,7 @@
 	errHTTP2        = trace.NotImplemented("the connection uses HTTP/2")
 	// errSealed means that the caller was told that the connection closes.
 	errSealed = trace.ConnectionProblem(nil, "the connection is closing")
+	errLeft   = trace.ConnectionProblem(nil, "the caller has left")
 )
 
 // aLongTimeAgo is a deadline that interrupts a blocked read.
@@ -60,6 +64,8 @@
 	// ctx ends when the caller leaves.
 	ctx    context.Context
 	cancel context.CancelFunc
+	// departed reports whether the caller has left, without reading; nil if unknown.
+	departed func() bool
 	// handlers counts the requests that are being handled.
 	handlers sync.WaitGroup
 	// writer is used by the response whose turn it is.
@@ -86,6 +92,8 @@
 		conn:   &receivingConn{Conn: conn},
 		remote: conn.RemoteAddr().String(),
 		woken:  make(chan struct{}, 1),
+
+		departed: newDeparture(conn),
 	}
 	c.reader = bufio.NewReaderSize(c.conn, readBufferSize)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -156,13 +164,20 @@
 			c.server.config.Unserved(r)
 			return err
 		}
+		if c.hasLeft() {
+			w.cancel()
+			c.server.config.Unserved(r)
+			return errLeft
+		}
 		if !c.start(w) {
 			w.cancel()
 			c.server.config.Unserved(r)
 			return errSealed
 		}
 		if w.body != nil {
-			<-w.body.over
+			if !c.await(w.body.over) {
+				return errLeft
+			}
 			if !w.body.whole() {
 				// What follows in the buffer belongs to the body.
 				c.discardBuffer()
@@ -175,6 +190,34 @@
 	}
 }
 
+// hasLeft reports whether the caller is known to have left, although what it sent before
+// was not read yet.
+func (c *connection) hasLeft() bool {
+	return c.departed != nil && c.departed()
+}
+
+// await waits for a channel while nothing is read ahead. It returns false if the caller
+// leaves before.
+func (c *connection) await(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return true
+	default:
+	}
+	ticker := time.NewTicker(departureInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-done:
+			return true
+		case <-ticker.C:
+			if c.hasLeft() {
+				return false
+			}
+		}
+	}
+}
+
 // readRequest reads the next request's head.
 func (c *connection) readRequest() (*http.Request, error) {
 	err := c.watch(func() bool { return c.reader.Buffered() > 0 || c.sealed || c.closing && c.active == 0 })
@@ -231,7 +274,7 @@
 // watch waits until done returns true. It is called with the lock held, first at once
 // and then whenever an answer was written or bytes were received. Watch returns an
 // error if the caller leaves. The caller's further requests are read ahead as far as
-// the buffer has room; beyond that, its leaving is not noticed.
+// the buffer has room; beyond that, its leaving is noticed within departureInterval.
 func (c *connection) watch(done func() bool) error {
 	for {
 		c.mu.Lock()
@@ -244,7 +287,9 @@
 		c.mu.Unlock()
 		var err error
 		if full {
-			<-c.woken
+			if !c.await(c.woken) {
+				err = errLeft
+			}
 			select {
 			case c.woken <- struct{}{}:
 			default:
--- a/pipeliner/departure_test.go
+++ b/pipeliner/departure_test.go
@@ -19,18 +19,20 @@
 const leavingTimeout = 5 * time.Second
 
 // awaitLeaving returns a handler that reads a part of the body and then waits for the
-// caller to leave, and a channel with a value for each caller whose leaving was noticed.
-func awaitLeaving(part int64) (http.HandlerFunc, chan bool) {
-	noticed := make(chan bool, 64)
+// caller to leave. The first channel has a value for each request whose handler waits, the
+// second one for each whose leaving was noticed or not.
+func awaitLeaving(part int64) (handler http.HandlerFunc, waits chan struct{}, noticed chan bool) {
+	waits, noticed = make(chan struct{}, 64), make(chan bool, 64)
 	return func(_ http.ResponseWriter, r *http.Request) {
 		_, _ = io.CopyN(io.Discard, r.Body, part)
+		waits <- struct{}{}
 		select {
 		case <-r.Context().Done():
 			noticed <- true
 		case <-time.After(leavingTimeout):
 			noticed <- false
 		}
-	}, noticed
+	}, waits, noticed
 }
 
 // TestLeavingBehindUnreadBodyIsUnnoticed guards against callers who leave while the
@@ -48,7 +50,7 @@
 		{"reset, in chunks", "Transfer-Encoding: chunked", true},
 	} {
 		t.Run(v.name, func(t *testing.T) {
-			handler, noticed := awaitLeaving(256 << 10)
+			handler, waits, noticed := awaitLeaving(256 << 10)
 			c := newTestServer(t, pipeliner.Config{Handler: handler}).dial()
 			c.send("POST / HTTP/1.1\r\nHost: desk.example\r\n" + v.head + "\r\n\r\n")
 			if strings.Contains(v.head, "chunked") {
@@ -56,6 +58,7 @@
 			} else {
 				c.send(strings.Repeat("b", length))
 			}
+			<-waits
 			if v.reset {
 				qt.Assert(t, c.conn.(*net.TCPConn).SetLinger(0), qt.IsNil)
 			}
@@ -65,13 +68,30 @@
 	}
 }
 
+// TestResetBehindUnreadBodyIsUnnoticed guards against callers who reset their connection
+// while the handler has stopped reading a body that is longer than all buffers.
+func TestResetBehindUnreadBodyIsUnnoticed(t *testing.T) {
+	const length = 64 << 20
+	handler, waits, noticed := awaitLeaving(256 << 10)
+	c := newTestServer(t, pipeliner.Config{Handler: handler}).dial()
+	c.send(fmt.Sprintf("POST / HTTP/1.1\r\nHost: desk.example\r\nContent-Length: %d\r\n\r\n", length))
+	c.send(strings.Repeat("b", 300_000))
+	<-waits
+	qt.Assert(t, c.conn.(*net.TCPConn).SetLinger(0), qt.IsNil)
+	qt.Assert(t, c.conn.Close(), qt.IsNil)
+	qt.Assert(t, <-noticed, qt.IsTrue)
+}
+
 // TestLeavingBehindReadAheadIsUnnoticed guards against callers who leave with more requests
 // under way than are read ahead, and whose earlier requests go on.
 func TestLeavingBehindReadAheadIsUnnoticed(t *testing.T) {
-	handler, noticed := awaitLeaving(0)
+	handler, waits, noticed := awaitLeaving(0)
 	c := newTestServer(t, pipeliner.Config{Handler: handler, MaxConcurrent: 4}).dial()
 	one := get("/")
 	c.send(strings.Repeat(one, 4+12<<10/len(one)))
+	for range 4 {
+		<-waits
+	}
 	qt.Assert(t, c.conn.Close(), qt.IsNil)
 	for range 4 {
 		qt.Assert(t, <-noticed, qt.IsTrue)
