soaker: callers that leave

One of five requests is given up by its caller within 200 ms; every other caller resets its connection, the others close it. No run, also of a call below, may begin more than 0.5 s after its caller has left, unless the caller's own node was killed or paused meanwhile. A caller that left is no longer taken for one that a stopping node interrupted. TestGuaranteeChecks has evidence for and against the new check.

--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
 
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/auditor"
@@ -28,6 +29,9 @@
 	meanThinkTime = 30 * time.Millisecond
 	// callTimeout is longer than every deadline, so that the system answers first.
 	callTimeout = 15 * time.Second
+	// One of leavingShare requests is given up by its caller, after maxPatience at most.
+	leavingShare = 5
+	maxPatience  = 200 * time.Millisecond
 	// maxBodyBytes bounds the length of a request body.
 	maxBodyBytes = 64 << 10
 	// hostStreamShift is the number of bits by which the host number is shifted in
@@ -42,8 +46,12 @@
 	tag           string
 	notRepeatable bool
 	host          *host
-	sent          time.Time
-	ended         time.Time
+	// patience is how long the caller waits; 0 if it waits for the answer.
+	patience time.Duration
+	sent     time.Time
+	ended    time.Time
+	// left is when the caller gave up the request; zero if it did not.
+	left time.Time
 	// outcome is the value of the outcome header; empty without an answer.
 	outcome string
 	status  int
@@ -81,10 +89,15 @@
 }
 
 // runCaller sends the requests of one caller. The caller reuses its connection
-// for as long as the node leaves it open.
+// for as long as the node leaves it open. Every other caller resets its connection when
+// it gives up a request, and the others close it.
 func (c *callers) runCaller(ctx context.Context, h *host, number int) {
 	random := rand.New(rand.NewPCG(c.deployment.config.Seed, uint64(h.number)<<hostStreamShift|uint64(number)))
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: callTimeout}
+	transport := &http.Transport{MaxIdleConnsPerHost: 1}
+	if number%2 == 1 {
+		transport.DialContext = dialResetting
+	}
+	client := &http.Client{Transport: transport, Timeout: callTimeout}
 	defer client.CloseIdleConnections()
 	for n := 0; ctx.Err() == nil; n++ {
 		r := &request{
@@ -92,6 +105,9 @@
 			notRepeatable: random.IntN(2) == 0,
 			host:          h,
 		}
+		if random.IntN(leavingShare) == 0 {
+			r.patience = time.Duration(1 + random.Int64N(int64(maxPatience)))
+		}
 		body := make([]byte, random.IntN(maxBodyBytes))
 		for i := range body {
 			body[i] = byte(random.Uint32())
@@ -107,6 +123,18 @@
 	}
 }
 
+// dialResetting opens a connection that is reset when it is closed.
+func dialResetting(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if t, ok := conn.(*net.TCPConn); ok {
+		err = t.SetLinger(0)
+	}
+	return conn, trace.Wrap(err)
+}
+
 // send sends the request. The end of the soak does not cancel the request,
 // because the checks need its answer.
 func (r *request) send(client *http.Client, body []byte) {
@@ -116,8 +144,14 @@
 	}
 	r.sent = time.Now()
 	defer func() { r.ended = time.Now() }()
+	ctx := context.Background()
+	if r.patience > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, r.patience)
+		defer cancel()
+	}
 	url := fmt.Sprintf("http://%s/%s%s%s", r.host.entryAddress, serviceDesk, prefix, r.tag)
-	httpRequest, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url, io.NopCloser(bytes.NewReader(body)))
+	httpRequest, err := http.NewRequestWithContext(ctx, http.MethodPost, url, io.NopCloser(bytes.NewReader(body)))
 	if err != nil {
 		r.err = err
 		return
@@ -127,13 +161,13 @@
 	response, err := client.Do(httpRequest)
 	r.connected = !isDialError(err)
 	if err != nil {
-		r.err = err
+		r.fail(err)
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
 	if err != nil {
-		r.err = err
+		r.fail(err)
 		return
 	}
 	r.status = response.StatusCode
@@ -144,6 +178,14 @@
 	}
 }
 
+// fail records why there is no answer.
+func (r *request) fail(err error) {
+	r.err = err
+	if r.patience > 0 && errors.Is(err, context.DeadlineExceeded) {
+		r.left = time.Now()
+	}
+}
+
 // recordAnswer records the expected and the received digest of the body. An
 // unreadable answer or one to another request counts as a mismatch.
 func (r *request) recordAnswer(data, body []byte) {
--- a/soaker/promises.go
+++ b/soaker/promises.go
@@ -51,6 +51,7 @@
 		{"own-bytes", ownBytes},
 		{"answered-in-time", answeredInTime},
 		{"uninterrupted", uninterrupted},
+		{"not-begun-for-nobody", notBegunForNobody},
 		{"acknowledged-changes", acknowledgedChanges},
 		{"kept-limits", keptLimits},
 		{"kept-leaving", keptLeaving},
@@ -122,13 +123,41 @@
 	var violations []string
 	for _, r := range e.requests {
 		stopping, disturbed, _ := r.host.intervals()
-		if r.err != nil && r.connected && started[r.tag] && anyOverlaps(stopping, r.interval()) && !anyOverlaps(disturbed, r.interval()) {
+		if r.err != nil && r.left.IsZero() && r.connected && started[r.tag] && anyOverlaps(stopping, r.interval()) && !anyOverlaps(disturbed, r.interval()) {
 			violations = append(violations, fmt.Sprintf("%s was interrupted while its node was stopping: %v", r.tag, r.err))
 		}
 	}
 	return violations
 }
 
+// departureTime passes from the time at which a caller leaves until no run begins for it.
+const departureTime = 500 * time.Millisecond
+
+// notBegunForNobody checks that no run, also of a call below, begins later than
+// departureTime after the request's caller has left, unless the node that the caller sent
+// its request to was killed or paused meanwhile.
+func notBegunForNobody(e evidence) []string {
+	gone := map[string]*request{}
+	for _, r := range e.requests {
+		if !r.left.IsZero() {
+			gone[r.tag] = r
+		}
+	}
+	var violations []string
+	for _, run := range e.runs {
+		r, ok := gone[run.Tag]
+		if !ok || run.Began.Sub(r.left) <= departureTime {
+			continue
+		}
+		_, disturbed, _ := r.host.intervals()
+		if !anyOverlaps(disturbed, interval{r.sent, run.Began}) {
+			violations = append(violations, fmt.Sprintf("%s began %v after the caller of %s had left", run.Path, run.Began.Sub(r.left).Round(time.Millisecond), r.tag))
+		}
+	}
+	slices.Sort(violations)
+	return violations
+}
+
 // acknowledgedChanges checks that the history contains every acknowledged change
 // with its revision.
 func acknowledgedChanges(e evidence) []string {
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -77,6 +77,21 @@
 				{tag: "a", host: stoppingHost, sent: at(0), ended: at(2), err: errReset},
 			}},
 		},
+		{
+			"not-begun-for-nobody",
+			evidence{
+				runs:     []imitator.Run{{Tag: "a", Began: at(3)}},
+				requests: []*request{{tag: "a", host: desk, sent: at(1), left: at(2)}},
+			},
+			evidence{
+				runs: []imitator.Run{{Tag: "a", Began: at(2)}, {Tag: "b", Began: at(3)}, {Tag: "c", Began: at(3)}},
+				requests: []*request{
+					{tag: "a", host: desk, sent: at(1), left: at(2)},
+					{tag: "b", host: killedHost, sent: at(1), left: at(2)},
+					{tag: "c", host: desk, sent: at(1), ended: at(2)},
+				},
+			},
+		},
 		{
 			"kept-limits",
 			statedEvidence(desk, start, waxwingseam.Statement{Limited: true, Rate: 1}, 4*time.Second, 12),
