soaker: a blocked path does not deliver what its sender has taken back

The relay between node and server had accepted the request's bytes and delivered them after the block, although the node had reset the connection; the kernels at the ends of a silent path would have dropped them, as they were never acknowledged. The relay now drops them as well. TestBlockedRelayDeliversAfterReset. A middlebox that acknowledges for the server and delivers later is beyond what the node can take back.

--- a/soaker/relay.go
+++ b/soaker/relay.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -84,7 +85,12 @@
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		r.wait(dir)
+		if r.wait(dir) && wasReset(from) {
+			// On a silent path, the sender's kernel would have dropped the bytes.
+			abort(to)
+			_ = from.Close()
+			return
+		}
 		if n > 0 {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				_ = from.Close()
@@ -104,8 +110,9 @@
 	}
 }
 
-// wait waits until a direction is not blocked, and then for the delay.
-func (r *relay) wait(dir direction) {
+// wait waits until a direction is not blocked, and then for the delay. It reports whether
+// the direction was blocked.
+func (r *relay) wait(dir direction) bool {
 	r.mu.Lock()
 	blocked, delay := r.blocked[dir], r.delay
 	r.mu.Unlock()
@@ -113,6 +120,32 @@
 		<-blocked
 	}
 	time.Sleep(delay)
+	return blocked != nil
+}
+
+// wasReset reports whether the other end has reset a connection.
+func wasReset(conn net.Conn) bool {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true
+	}
+	pending := 0
+	err = raw.Control(func(fd uintptr) {
+		pending, _ = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR)
+	})
+	return err != nil || pending != 0
+}
+
+// abort resets a connection.
+func abort(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
 }
 
 func (r *relay) addConn(conn net.Conn) {
@@ -133,10 +166,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for conn := range r.conns {
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		_ = conn.Close()
+		abort(conn)
 	}
 }
 
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -217,3 +217,27 @@
 	_, err = echo("three")
 	qt.Assert(t, err, qt.IsNotNil)
 }
+
+// TestBlockedRelayDeliversAfterReset guards against a stand-in of a silent path that, other
+// than a kernel, delivers what its sender has taken back by a reset.
+func TestBlockedRelayDeliversAfterReset(t *testing.T) {
+	var lc net.ListenConfig
+	target, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = target.Close() })
+	r, err := listenRelay(t.Context(), netip.MustParseAddrPort(target.Addr().String()))
+	qt.Assert(t, err, qt.IsNil)
+	unblocked := make(chan struct{})
+	r.blocked[toTarget] = unblocked
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(t.Context(), "tcp", r.address().String())
+	qt.Assert(t, err, qt.IsNil)
+	served, err := target.Accept()
+	qt.Assert(t, err, qt.IsNil)
+	_, err = conn.Write([]byte("taken back"))
+	qt.Assert(t, err, qt.IsNil)
+	abort(conn)
+	close(unblocked)
+	got, _ := io.ReadAll(served)
+	qt.Assert(t, string(got), qt.Equals, "")
+}
