forwarder: a second attempt at the same node is answered when its reply is gone

By the log, the call was sent to the same server again, which answered attempt 2 from its record within 4 ms. Cause: the attempt came over the same link as the first one, which had been delivered, so that its reply was dropped; the repeated attempt then followed its own new call, whose run never begins, and waited for its reply.

--- a/forwarder/hosted.go
+++ b/forwarder/hosted.go
@@ -284,7 +284,8 @@
 		return
 	}
 	source := f.hostedCall(e.Owner)
-	if source == nil {
+	if source == nil || !source.started() {
+		// The run was forgotten; what is there is the attempt's own new call.
 		in.replaceResult(replyNotKept())
 		return
 	}
