--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -29,9 +29,9 @@
 	meanThinkTime = 30 * time.Millisecond
 	// callTimeout is longer than every deadline, so that the system answers first.
 	callTimeout = 15 * time.Second
-	// One of leavingShare requests is given up by its caller, after maxPatience at most.
+	// One of leavingShare requests is given up by its caller, after maxStay at most.
 	leavingShare = 5
-	maxPatience  = 200 * time.Millisecond
+	maxStay      = 200 * time.Millisecond
 	// maxBodyBytes bounds the length of a request body.
 	maxBodyBytes = 64 << 10
 	// hostStreamShift is the number of bits by which the host number is shifted in
@@ -46,10 +46,10 @@
 	tag           string
 	notRepeatable bool
 	host          *host
-	// patience is how long the caller waits; 0 if it waits for the answer.
-	patience time.Duration
-	sent     time.Time
-	ended    time.Time
+	// leavesAfter is how long the caller stays; 0 if it stays until the answer.
+	leavesAfter time.Duration
+	sent        time.Time
+	ended       time.Time
 	// left is when the caller gave up the request; zero if it did not.
 	left time.Time
 	// outcome is the value of the outcome header; empty without an answer.
@@ -106,7 +106,7 @@
 			host:          h,
 		}
 		if random.IntN(leavingShare) == 0 {
-			r.patience = time.Duration(1 + random.Int64N(int64(maxPatience)))
+			r.leavesAfter = time.Duration(1 + random.Int64N(int64(maxStay)))
 		}
 		body := make([]byte, random.IntN(maxBodyBytes))
 		for i := range body {
@@ -145,9 +145,9 @@
 	r.sent = time.Now()
 	defer func() { r.ended = time.Now() }()
 	ctx := context.Background()
-	if r.patience > 0 {
+	if r.leavesAfter > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, r.patience)
+		ctx, cancel = context.WithTimeout(ctx, r.leavesAfter)
 		defer cancel()
 	}
 	url := fmt.Sprintf("http://%s/%s%s%s", r.host.entryAddress, serviceDesk, prefix, r.tag)
@@ -181,7 +181,7 @@
 // fail records why there is no answer.
 func (r *request) fail(err error) {
 	r.err = err
-	if r.patience > 0 && errors.Is(err, context.DeadlineExceeded) {
+	if r.leavesAfter > 0 && errors.Is(err, context.DeadlineExceeded) {
 		r.left = time.Now()
 	}
 }
