quarantiner, forwarder, narrator, meter: which requests were at a server when it ended

What callers saw: a request that ends each server that runs it came again, and servers went on getting it. Nothing told why: a node's log had a line for each run that broke off, none said that the server had ended, and nothing named a request across its resends.

Now a node tells the end of its backend server from a reset connection: runs broke off, and then connections were refused or the server reported a new start, and no drain explains it. It writes the line backend-server-ended with the digests of the requests that were running, counts ends, shares them with the other nodes, and writes request-quarantine for a request that explains three ends. Nothing is refused yet.

--- a/assembler/workers.go
+++ b/assembler/workers.go
@@ -14,6 +14,7 @@
 	"waxwingseam.example/waxwingseam/drainer"
 	"waxwingseam.example/waxwingseam/limiter"
 	"waxwingseam.example/waxwingseam/pacer"
+	"waxwingseam.example/waxwingseam/quarantiner"
 	"waxwingseam.example/waxwingseam/receiver"
 	"waxwingseam.example/waxwingseam/retrier"
 	"waxwingseam.example/waxwingseam/supervisor"
@@ -45,9 +46,11 @@
 	keyRouter := arbiter.NewRouter()
 	drainState := drainer.New(drainer.Config{Withdrawn: self.Leaving})
 	callPacer := pacer.New()
+	quarantine := quarantiner.New(quarantiner.Config{Drainer: drainState})
 	return []waxwingseam.PrioritizedWorker{
 		{Priority: priorityRouter, Worker: keyRouter},
 		{Priority: supervisor.Priority, Worker: supervisor.New(supervisor.Config{Drainer: drainState})},
+		{Priority: quarantiner.Priority, Worker: quarantine},
 		{
 			Priority: receiver.Priority,
 			Worker: receiver.New(receiver.Config{
--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"waxwingseam.example/waxwingseam"
@@ -40,6 +41,8 @@
 	ended      bool
 	// stopped is why the run was stopped early; empty if it wasn't.
 	stopped waxwingseam.Reason
+	// connectionEnd is set once the run has ended.
+	connectionEnd waxwingseam.ConnectionEnd
 }
 
 func newBackendRun(h *hostedCall, deadline time.Time) *backendRun {
@@ -199,9 +202,15 @@
 		result.Reason = waxwingseam.ReasonConnectionSilent
 		r.call.forwarder.backend.closeIdle()
 	}
-	if !r.written.Load() {
+	switch {
+	case !r.written.Load():
 		result.Outcome = waxwingseam.OutcomeDidNotRun
 		result.Reason = waxwingseam.ReasonConnectionFailed
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			r.connectionEnd = waxwingseam.ConnectionRefused
+		}
+	case stopped == waxwingseam.ReasonNone:
+		r.connectionEnd = waxwingseam.ConnectionBroken
 	}
 	return result
 }
@@ -219,8 +228,16 @@
 	} else {
 		h.reply.fail(errCallOver)
 	}
+	unanswered := r.written.Load() && !result.Completed() && result.Outcome == waxwingseam.OutcomeMayHaveRun
+	fingerprint := h.fingerprint(unanswered)
 	h.finish()
-	h.forwarder.endRun(h.opening.ID, result, time.Since(began))
+	h.forwarder.endRun(waxwingseam.RunEnded{
+		ID:          h.opening.ID,
+		Result:      result,
+		Elapsed:     time.Since(began),
+		Fingerprint: fingerprint,
+		Connection:  r.connectionEnd,
+	})
 }
 
 // finish marks the run as done and drops the request body.
--- a/forwarder/buffer.go
+++ b/forwarder/buffer.go
@@ -42,6 +42,10 @@
 	withheld int
 	// onTrim is called once, when the first bytes are dropped; it may be nil.
 	onTrim func()
+	// keepsPrefixSum is set if the digest of the body's beginning is needed after the
+	// beginning was dropped; prefixSum is that digest, nil before.
+	keepsPrefixSum bool
+	prefixSum      *prefixSum
 	// ended is set once the body is whole.
 	ended bool
 	err   error
@@ -129,6 +133,9 @@
 	if b.base == 0 && b.onTrim != nil {
 		go b.onTrim()
 	}
+	if b.keepsPrefixSum && b.prefixSum == nil && b.prefixKnown() {
+		b.prefixSum = b.sumPrefix()
+	}
 	b.data = append(b.data[:0], b.data[n:]...)
 	b.base += int64(n)
 	b.gauge.add(-n)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -117,6 +117,8 @@
 	statements     statementFilter
 	// entryClosed is set once calls from outside are refused.
 	entryClosed atomic.Bool
+	// watched holds the hashes of the watched heads; see waxwingseam.WatchRequests.
+	watched atomic.Pointer[map[uint64]struct{}]
 	// arrivals counts the attempts that other nodes have sent.
 	arrivals atomic.Uint64
 	// pendingWitnessAsks counts the unanswered messages to witnesses.
@@ -228,6 +230,9 @@
 		waxwingseam.KindAskWitness,
 		waxwingseam.KindAnswerWitness,
 		waxwingseam.KindAskFounding,
+		waxwingseam.KindProbeBackend,
+		waxwingseam.KindSendEnds,
+		waxwingseam.KindWatchRequests,
 	}
 }
 
@@ -281,6 +286,20 @@
 		f.answerWitness(v)
 	case waxwingseam.AskFounding:
 		go f.askFounding(v)
+	default:
+		f.executeQuarantine(e)
+	}
+}
+
+// executeQuarantine carries out an effect about requests that end their backend servers.
+func (f *Forwarder) executeQuarantine(e waxwingseam.Effect) {
+	switch v := e.(type) {
+	case waxwingseam.ProbeBackend:
+		go f.probeBackend()
+	case waxwingseam.SendEnds:
+		f.sendEnds(v)
+	case waxwingseam.WatchRequests:
+		f.watchRequests(v)
 	}
 }
 
--- a/forwarder/hosted.go
+++ b/forwarder/hosted.go
@@ -57,6 +57,7 @@
 			opening:   o,
 		}
 		h.body = h.buffers[0].init(&f.gauge)
+		h.body.keepsPrefixSum = true
 		h.reply = h.buffers[1].init(&f.gauge)
 		h.digest.Reset()
 		h.inbounds = h.firstInbound[:0]
@@ -189,7 +190,7 @@
 func (f *Forwarder) run(e waxwingseam.Run) {
 	h := f.hostedCall(e.Call.ID)
 	if h == nil {
-		f.endRun(e.Call.ID, didNotRun(waxwingseam.ReasonCancelled), 0)
+		f.endRun(waxwingseam.RunEnded{ID: e.Call.ID, Result: didNotRun(waxwingseam.ReasonCancelled)})
 		return
 	}
 	h.mu.Lock()
@@ -216,14 +217,10 @@
 }
 
 // endRun reports the end of a run.
-func (f *Forwarder) endRun(id waxwingseam.CallID, result waxwingseam.Result, elapsed time.Duration) {
+func (f *Forwarder) endRun(e waxwingseam.RunEnded) {
 	f.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
-		return waxwingseam.RunEnded{
-			Stamp:   s,
-			ID:      id,
-			Result:  result,
-			Elapsed: elapsed,
-		}
+		e.Stamp = s
+		return e
 	})
 }
 
--- a/forwarder/inbound.go
+++ b/forwarder/inbound.go
@@ -26,6 +26,9 @@
 	// unconfirmed is set while the sending node is asked whether the attempt, which
 	// arrived late, is still wanted. The attempt is not reported before.
 	unconfirmed atomic.Bool
+	// postponed is set while the attempt of a watched request waits for the part of its
+	// body by which the request is recognized. The attempt is not reported before.
+	postponed atomic.Bool
 
 	mu sync.Mutex
 	// changed says that source or result was set or the attempt disconnected.
@@ -74,8 +77,11 @@
 	return in
 }
 
-// report reports the attempt's arrival.
+// report reports the attempt's arrival, unless it has to be postponed.
 func (in *inbound) report() {
+	if in.postpone() {
+		return
+	}
 	o := in.opening
 	if in.forwarder.config.Arbitrated && o.Key != "" && o.Repeat == waxwingseam.RepeatNever {
 		in.reportKeyedArrival()
@@ -105,6 +111,7 @@
 // reportArrival reports the attempt's arrival.
 func (in *inbound) reportArrival() {
 	o := in.opening
+	fingerprint := in.call.watchedFingerprint()
 	in.forwarder.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
 		return waxwingseam.AttemptArrived{
 			Stamp:       s,
@@ -115,6 +122,7 @@
 			Patient:     o.Patient,
 			Received:    in.received,
 			Sent:        o.sent(),
+			Fingerprint: fingerprint,
 		}
 	})
 }
@@ -153,7 +161,7 @@
 	}
 	f.mu.Unlock()
 	in.call.detach(in)
-	if in.unconfirmed.Load() {
+	if in.unconfirmed.Load() || in.postponed.Load() {
 		in.call.forgetUnstarted()
 	}
 	in.mu.Lock()
@@ -306,9 +314,13 @@
 	}
 	switch f.Kind {
 	case frameData:
-		return in.call.addData(f)
+		if err := in.call.addData(f); err != nil {
+			return err
+		}
+		in.reportPostponed()
 	case frameEnd:
 		in.call.endBody(f)
+		in.reportPostponed()
 	case frameCancel:
 		in.cancel()
 	case frameConfirmed:
@@ -320,6 +332,7 @@
 // cancel stops the relaying, and reports and answers the cancelled attempt.
 func (in *inbound) cancel() {
 	in.unconfirmed.Store(false)
+	in.postponed.Store(false)
 	in.forwarder.stopRelay(in.opening.ID)
 	in.forwarder.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
 		return waxwingseam.AttemptCancelled{
--- a/forwarder/node.go
+++ b/forwarder/node.go
@@ -17,6 +17,7 @@
 	methodCall  = "/waxwingseam.Node/Call"
 	methodFence = "/waxwingseam.Node/Fence"
 	methodAsk   = "/waxwingseam.Node/Ask"
+	methodTell  = "/waxwingseam.Node/Tell"
 )
 
 // fenceTimeout limits the wait for the answer to a fence.
@@ -27,6 +28,7 @@
 	Call(stream drpc.Stream) error
 	Fence(ctx context.Context, q *fenceRequest) (*fenceReply, error)
 	Ask(ctx context.Context, m *waxwingseam.WitnessMessage) (*waxwingseam.WitnessAnswer, error)
+	Tell(ctx context.Context, m *waxwingseam.EndsMessage) (*endsReceipt, error)
 }
 
 type nodeService struct {
@@ -57,6 +59,13 @@
 			},
 			Expression: nodeMethods.Ask,
 		},
+		{
+			Name: methodTell,
+			Receiver: func(service any, ctx context.Context, in1, _ any) (drpc.Message, error) {
+				return service.(nodeMethods).Tell(ctx, in1.(*waxwingseam.EndsMessage))
+			},
+			Expression: nodeMethods.Tell,
+		},
 	}))
 }
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -80,6 +80,9 @@
 		waxwingseam.KindJoinRun:       m.runs.joined,
 
 		waxwingseam.KindStatementChanged: m.runs.stated,
+
+		waxwingseam.KindBackendEnded:      m.runs.backendEnded,
+		waxwingseam.KindQuarantineChanged: m.runs.quarantineChanged,
 	}
 	return m
 }
--- a/meter/runs.go
+++ b/meter/runs.go
@@ -41,6 +41,9 @@
 	stopTime      *prometheus.HistogramVec
 	cancellations prometheus.Counter
 
+	backendEnds prometheus.Counter
+	quarantined prometheus.Gauge
+
 	classes      map[waxwingseam.ClassName]bool
 	slotTime     *prometheus.CounterVec
 	idleSlotTime prometheus.Counter
@@ -73,6 +76,9 @@
 		stopTime:      newHistogram("waxwingseam_cancelled_run_seconds", "Time from the cancellation of a run to its end."),
 		cancellations: prometheus.NewCounter(prometheus.CounterOpts{Name: "waxwingseam_attempt_cancellations_total", Help: "Cancellations received from senders of attempts."}),
 
+		backendEnds: prometheus.NewCounter(prometheus.CounterOpts{Name: "waxwingseam_backend_server_ends_total", Help: "Ends of the backend server that were not planned."}),
+		quarantined: newGauge("waxwingseam_quarantined_requests", "Requests that are refused, or on trial, as they have ended backend servers."),
+
 		classes:      map[waxwingseam.ClassName]bool{},
 		slotTime:     newCounter("waxwingseam_slot_seconds_total", "Time for which runs held slots of the backend server, by what became of them.", labelClass, labelFate),
 		idleSlotTime: prometheus.NewCounter(prometheus.CounterOpts{Name: "waxwingseam_idle_slot_seconds_total", Help: "Time for which slots of the backend server stood idle while the node refused calls that could have used them."}),
@@ -82,7 +88,7 @@
 }
 
 func (m *runMetrics) collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.answers, m.joins, m.arrivalTime, m.queueTime, m.runTime, m.inFlight, m.queued, m.limit, m.rootLimit, m.shedding, m.leaving, m.handOvers, m.rateLimit, m.statedLeaving, m.slotTime, m.idleSlotTime, m.openingAge, m.cancelDelay, m.stopTime, m.cancellations}
+	return []prometheus.Collector{m.answers, m.joins, m.arrivalTime, m.queueTime, m.runTime, m.inFlight, m.queued, m.limit, m.rootLimit, m.shedding, m.leaving, m.handOvers, m.rateLimit, m.statedLeaving, m.slotTime, m.idleSlotTime, m.openingAge, m.cancelDelay, m.stopTime, m.cancellations, m.backendEnds, m.quarantined}
 }
 
 func (m *runMetrics) arrived(e waxwingseam.Event) {
@@ -193,3 +199,18 @@
 	}
 	return 0
 }
+
+func (m *runMetrics) backendEnded(time.Time, waxwingseam.Effect) {
+	m.backendEnds.Inc()
+}
+
+func (m *runMetrics) quarantineChanged(_ time.Time, e waxwingseam.Effect) {
+	v, ok := e.(waxwingseam.QuarantineChanged)
+	switch {
+	case !ok:
+	case v.Request.State == waxwingseam.QuarantineLifted:
+		m.quarantined.Dec()
+	default:
+		m.quarantined.Inc()
+	}
+}
--- a/narrator/narrator.go
+++ b/narrator/narrator.go
@@ -24,6 +24,8 @@
 	EventRunCancelled    = "run-cancelled"
 	EventStatement       = "backend-server-stated"
 	EventDrain           = "drain-asked"
+	EventBackendEnded    = "backend-server-ended"
+	EventQuarantine      = "request-quarantine"
 	EventSummary         = "calls-summed-up"
 )
 
@@ -244,9 +246,43 @@
 		n.totals.handedOver++
 	case waxwingseam.StatementChanged:
 		n.statementChanged(now, v)
+	case waxwingseam.BackendEnded:
+		n.backendEnded(now, v)
+	case waxwingseam.QuarantineChanged:
+		n.quarantineChanged(now, v.Request)
 	}
 }
 
+// maxNamedRequests bounds the requests that the line of an ended server names.
+const maxNamedRequests = 8
+
+// backendEnded writes a line for an end of the own backend server that was not planned.
+func (n *Narrator) backendEnded(now time.Time, v waxwingseam.BackendEnded) {
+	var digests []string
+	for _, r := range v.End.Requests[:min(len(v.End.Requests), maxNamedRequests)] {
+		digests = append(digests, r.Fingerprint.Digest.String())
+	}
+	n.write(now, EventBackendEnded, slog.LevelWarn,
+		slog.String("server", string(v.End.ID.Server)),
+		slog.String("instance", v.Instance),
+		slog.String("proof", string(v.Proof)),
+		slog.Bool("proven", v.End.Proven),
+		slog.Int("requests", len(v.End.Requests)),
+		slog.Any("digests", digests))
+}
+
+// quarantineChanged writes a line for a request that is refused from now on, or no longer.
+func (n *Narrator) quarantineChanged(now time.Time, r waxwingseam.QuarantinedRequest) {
+	n.write(now, EventQuarantine, slog.LevelWarn,
+		slog.String("digest", r.Digest.String()),
+		slog.String("state", string(r.State)),
+		slog.Int("ends", r.Ends),
+		slog.Int("proven", r.Proven),
+		slog.Int("servers", r.Servers),
+		slog.Int("runner-up", r.RunnerUp),
+		slog.Time("until", r.Until))
+}
+
 // statementChanged writes a line for each change of what a backend server says of
 // itself in its answers.
 func (n *Narrator) statementChanged(now time.Time, v waxwingseam.StatementChanged) {
--- a/narrator/narrator_test.go
+++ b/narrator/narrator_test.go
@@ -95,6 +95,19 @@
 	n.Observe(waxwingseam.AttemptEnded{Stamp: stamp(600 * time.Millisecond)}, []waxwingseam.Effect{waxwingseam.Run{Call: left}})
 	n.Observe(waxwingseam.AttemptCancelled{Stamp: stamp(604 * time.Millisecond), ID: left.ID, Attempt: 1}, []waxwingseam.Effect{waxwingseam.CancelRun{ID: left.ID}})
 	n.Observe(waxwingseam.RunEnded{Stamp: stamp(605 * time.Millisecond), ID: left.ID, Elapsed: 5 * time.Millisecond}, nil)
+	request := waxwingseam.RequestDigest{0: 0x5e, 15: 0x01}
+	n.Observe(waxwingseam.BackendProbed{Stamp: stamp(700 * time.Millisecond), Refused: true}, []waxwingseam.Effect{
+		waxwingseam.BackendEnded{
+			End: waxwingseam.ServerEnd{
+				ID: waxwingseam.ServerEndID{Server: "desk-1", Number: 1}, Proven: true,
+				Requests: []waxwingseam.EndedRequest{{Fingerprint: waxwingseam.Fingerprint{Digest: request}}},
+			},
+			Instance: "i-1", Proof: waxwingseam.EndProofRefused,
+		},
+		waxwingseam.QuarantineChanged{Request: waxwingseam.QuarantinedRequest{
+			Digest: request, State: waxwingseam.QuarantineSet, Ends: 3, Servers: 3, Proven: 3, RunnerUp: 1, Until: start.Add(time.Hour),
+		}},
+	})
 	n.Observe(waxwingseam.DrainAsked{Stamp: stamp(time.Second)}, nil)
 	n.Observe(waxwingseam.TimerFired{Stamp: stamp(6 * time.Second)}, nil)
 	if *update {
--- a/recorder/catalog.go
+++ b/recorder/catalog.go
@@ -43,5 +43,7 @@
 		waxwingseam.WitnessAsked{},
 		waxwingseam.WitnessAnswered{},
 		waxwingseam.FoundingGranted{},
+		waxwingseam.BackendProbed{},
+		waxwingseam.EndsReceived{},
 	)
 }
--- a/runevent.go
+++ b/runevent.go
@@ -31,6 +31,9 @@
 	// Sent is when the sender opened the attempt, or resumed it, on the sender's clock;
 	// zero if unknown.
 	Sent time.Time
+	// Fingerprint is that of the request. Its digest is set if the request is watched; see
+	// WatchRequests.
+	Fingerprint Fingerprint `cbor:",omitzero"`
 }
 
 // AttemptCancelled says that the sender has cancelled an attempt.
@@ -48,6 +51,11 @@
 	Result Result
 	// Elapsed is the time from the hand-over to the backend server to the end.
 	Elapsed time.Duration
+	// Fingerprint is that of the request. Its digest is set if the request was written
+	// and got no whole reply.
+	Fingerprint Fingerprint `cbor:",omitzero"`
+	// Connection says how the connection to the backend server ended.
+	Connection ConnectionEnd `cbor:",omitempty"`
 }
 
 // FenceAsked asks to keep a call from starting.
