launcher, imitator: a test of a request that ends its servers and comes again, failing

Six servers end 30 ms after they get a request with a text in its path, or in its body alone, and are back after 0.3 s.

--- a/cmd/imitator/main.go
+++ b/cmd/imitator/main.go
@@ -29,6 +29,9 @@
 	ColdTime    time.Duration `help:"Time after the start during which the server runs at a fifth of its speed."`
 	Child       []string      `help:"Child call (GET) made through --outbound for each request, SERVICE/PATH; can be repeated."`
 	RateLimit   float64       `default:"-1" help:"Rate limit that the server names in its answers, in requests per second; negative for none."`
+	EndText     string        `help:"Text in the path or body of requests that end the server."`
+	EndDelay    time.Duration `default:"30ms" help:"Time from the arrival of such a request to the end."`
+	DownTime    time.Duration `default:"1s" help:"Time from the end to the restart."`
 	Seed        uint64        `default:"1" help:"Seed of the random service times."`
 }
 
@@ -56,6 +59,9 @@
 		Slots:       c.Slots,
 		ServiceTime: c.ServiceTime,
 		ColdTime:    c.ColdTime,
+		EndText:     c.EndText,
+		EndDelay:    c.EndDelay,
+		DownTime:    c.DownTime,
 		Seed:        c.Seed,
 	}
 	var err error
--- a/imitator/imitator.go
+++ b/imitator/imitator.go
@@ -76,6 +76,12 @@
 	Direct []Peer
 	// Retries is the maximum number of retries of a direct call.
 	Retries int
+	// EndText, unless it is empty, is a text in the path or body of requests that end the
+	// stand-in: EndDelay after the arrival of such a request it resets all connections
+	// and stops listening, for DownTime.
+	EndText  string
+	EndDelay time.Duration
+	DownTime time.Duration
 	// Seed is the seed of the random service times and of the random choice among
 	// direct peers.
 	Seed uint64
@@ -93,7 +99,10 @@
 	started  time.Time
 	ledger   Ledger
 	behavior behavior
-	client   *http.Client
+	ending   ending
+	// address is kept over restarts.
+	address netip.AddrPort
+	client  *http.Client
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -113,6 +122,7 @@
 	i := &Imitator{
 		config:   config,
 		listener: listener,
+		address:  netip.MustParseAddrPort(listener.Addr().String()),
 		slots:    make(chan struct{}, config.Slots),
 		started:  time.Now(),
 		client:   newClient(config.Slots),
@@ -122,6 +132,7 @@
 		Handler:           i.routes(),
 		ReadHeaderTimeout: headerTimeout,
 		ErrorLog:          slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
+		ConnState:         i.ending.track,
 	}
 	return i, nil
 }
@@ -134,7 +145,7 @@
 
 // Address returns the address that the stand-in listens on.
 func (i *Imitator) Address() netip.AddrPort {
-	return netip.MustParseAddrPort(i.listener.Addr().String())
+	return i.address
 }
 
 // Ledger returns the ledger of the stand-in's runs.
@@ -158,11 +169,16 @@
 func (i *Imitator) Serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = i.server.Close() })
 	defer stop()
-	err := i.server.Serve(i.listener)
-	if ctx.Err() != nil {
-		return nil
+	for {
+		err := i.server.Serve(i.listener)
+		restarted := i.awaitRestart(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if !restarted {
+			return trace.Wrap(err)
+		}
 	}
-	return trace.Wrap(err)
 }
 
 func (i *Imitator) routes() http.Handler {
@@ -189,6 +205,10 @@
 		i.ledger.end(run, RunInterrupted)
 		return
 	}
+	if i.endedBy(r, body) {
+		i.ledger.end(run, RunInterrupted)
+		return
+	}
 	serviceTime := i.drawServiceTime()
 	if !i.work(r.Context(), serviceTime/2) {
 		i.ledger.end(run, RunInterrupted)
--- a/launcher/fleet.go
+++ b/launcher/fleet.go
@@ -51,6 +51,10 @@
 	// ServiceTime is the mean time that a stand-in works on one request.
 	ServiceTime time.Duration
 	Routes      []imitator.Route
+	// EndText, EndDelay and DownTime are those of the stand-ins; see imitator.Config.
+	EndText  string
+	EndDelay time.Duration
+	DownTime time.Duration
 }
 
 // Config describes a fleet.
--- a/launcher/standin.go
+++ b/launcher/standin.go
@@ -93,6 +93,9 @@
 		Connections: service.Connections,
 		ServiceTime: service.ServiceTime,
 		Routes:      service.Routes,
+		EndText:     service.EndText,
+		EndDelay:    service.EndDelay,
+		DownTime:    service.DownTime,
 		Retries:     maxDirectRetries,
 		Seed:        uint64(number),
 	})
