quarantiner, receiver: a request that has ended three servers does not reach others

What callers saw: one request that ends each server that runs it, sent again and again at any node, kept the servers of its service down, and with them failed the requests of everybody.

Cause: what a request did to a server was known to its own call only, and forgotten with it. Each resend was a new call and started at nothing, at each node.

In the logs of the nodes each end is followed by one of another server under the same digest.

The fix: the node beside a backend server, the only way in, refuses what explains three ends. The refusal says that the request has not run, is not retried, and its Retry-After is the time for which the request is refused. In the project's own protocol the host that a caller names is the node, so that the service takes its place in the identity of a request.

--- a/assembler/workers.go
+++ b/assembler/workers.go
@@ -64,6 +64,7 @@
 				Drainer:      drainState,
 				Tracker:      runTracker,
 				Gate:         budgeter.New(budgeter.Config{Budget: config.RetryBudget}),
+				Quarantine:   quarantine,
 			}),
 		},
 		{
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -242,7 +242,7 @@
 // reply sends the result of a call to its caller and removes the call.
 func (d *dispatcher) reply(c *waxwingseam.Context, f *flight, result waxwingseam.Result, attempt waxwingseam.Attempt) {
 	id := f.call.ID
-	if result.RetryAfter > 0 {
+	if result.RetryAfter > 0 && result.Reason != waxwingseam.ReasonQuarantined {
 		result.RetryAfter = boundRetryAfter(c, f, result.RetryAfter)
 	}
 	if f.refusable && result.Succeeded() && !f.late {
--- a/forwarder/fingerprint.go
+++ b/forwarder/fingerprint.go
@@ -14,9 +14,8 @@
 // arrived.
 const prefixLimit = 64 << 10
 
-// callerField is the header field that identifies the caller, if there is any. Requests
-// that differ in it only are different requests.
-const callerField = "Authorization"
+// maxUsualIdentity is room for the identity of a usual request.
+const maxUsualIdentity = 256
 
 // prefixSum is the digest of the first prefixLimit bytes of a body.
 type prefixSum [sha256.Size]byte
@@ -37,26 +36,19 @@
 	return &sum
 }
 
-// identity returns the parts of the request's head that count for its identity, each behind
-// its length.
-func (o *opening) identity() []byte {
-	fields := [...]string{o.Method, o.Host, o.Target, o.Header.Get(callerField)}
-	size := 0
-	for _, v := range fields {
-		size += binary.MaxVarintLen32 + len(v)
-	}
-	out := make([]byte, 0, size)
-	for _, v := range fields {
-		out = binary.AppendUvarint(out, uint64(len(v)))
-		out = append(out, v...)
-	}
-	return out
+// identity returns the parts of the request's head that count for its identity.
+func (h *hostedCall) identity() []byte {
+	o := h.opening
+	b := make([]byte, 0, maxUsualIdentity)
+	b = waxwingseam.AppendText(b, o.Method)
+	b = waxwingseam.AppendText(b, o.Target)
+	return h.forwarder.config.Callers.AppendIdentity(b, o.Service, o.Host, o.Header)
 }
 
 // fingerprint returns the fingerprint of the call's request, with its digest only if that
 // is wanted and known.
 func (h *hostedCall) fingerprint(wantDigest bool) waxwingseam.Fingerprint {
-	identity := h.opening.identity()
+	identity := h.identity()
 	out := waxwingseam.Fingerprint{Head: xxhash.Sum64(identity)}
 	h.mu.Lock()
 	bodyDigest := h.digest.Sum64()
@@ -96,7 +88,7 @@
 	if watched == nil {
 		return false
 	}
-	_, ok := (*watched)[xxhash.Sum64(h.opening.identity())]
+	_, ok := (*watched)[xxhash.Sum64(h.identity())]
 	return ok
 }
 
--- a/forwarder/native.go
+++ b/forwarder/native.go
@@ -54,6 +54,12 @@
 	return service, target
 }
 
+// AppendIdentity implements waxwingseam.CallerProtocol. The host is that of the node to which
+// the request was sent.
+func (nativeCallers) AppendIdentity(b []byte, service waxwingseam.ServiceName, _ string, header http.Header) []byte {
+	return waxwingseam.AppendCaller(waxwingseam.AppendText(b, string(service)), header)
+}
+
 // WriteProblem implements waxwingseam.CallerProtocol.
 func (nativeCallers) WriteProblem(w http.ResponseWriter, result waxwingseam.Result, detail string) {
 	writeProblem(w, result, detail)
--- a/outcome.go
+++ b/outcome.go
@@ -66,4 +66,5 @@
 	ReasonNoConfiguration  Reason = "no-configuration"
 	ReasonRetryBudget      Reason = "retry-budget"
 	ReasonRateLimited      Reason = "rate-limited"
+	ReasonQuarantined      Reason = "quarantined"
 )
--- a/protocol.go
+++ b/protocol.go
@@ -1,6 +1,7 @@
 package waxwingseam
 
 import (
+	"encoding/binary"
 	"net/http"
 	"time"
 )
@@ -13,6 +14,10 @@
 	// MatchRequest returns the parts of a request that a classifier matches. It does not
 	// change the request.
 	MatchRequest(r *http.Request) Request
+	// AppendIdentity appends what distinguishes a request for a service or a host from others
+	// with the same method, target and body. It is equal for all resends of the request,
+	// at whatever node, and each part has its length before it.
+	AppendIdentity(b []byte, service ServiceName, host string, header http.Header) []byte
 	// WriteProblem writes the system's own answer to a call without an answer of a
 	// backend server. The detail is a text for the caller; empty for none.
 	WriteProblem(w http.ResponseWriter, result Result, detail string)
@@ -21,6 +26,20 @@
 	SetReplyFields(header http.Header)
 }
 
+// callerField is the header field that identifies the caller, if there is any.
+const callerField = "Authorization"
+
+// AppendCaller appends the caller's credentials, for CallerProtocol.AppendIdentity.
+func AppendCaller(b []byte, header http.Header) []byte {
+	return AppendText(b, header.Get(callerField))
+}
+
+// AppendText appends a text behind its length, so that no two sequences of texts are
+// appended alike.
+func AppendText(b []byte, text string) []byte {
+	return append(binary.AppendUvarint(b, uint64(len(text))), text...)
+}
+
 // BackendRequest holds the data on which the header of a request to the backend
 // server may depend.
 type BackendRequest struct {
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -40,6 +40,8 @@
 	Pacer waxwingseam.Pacer
 	// Gate limits repeated calls; if nil, they are not limited.
 	Gate waxwingseam.RetryGate
+	// Quarantine names the requests that are not run; nil for none.
+	Quarantine waxwingseam.Quarantine
 }
 
 type receiver struct {
@@ -49,6 +51,7 @@
 	tracker      waxwingseam.Tracker
 	gate         waxwingseam.RetryGate
 	pacer        waxwingseam.Pacer
+	quarantine   waxwingseam.Quarantine
 
 	settings settings
 	// statement is in force for the current incarnation of the backend server.
@@ -101,6 +104,7 @@
 		tracker:      config.Tracker,
 		gate:         config.Gate,
 		pacer:        config.Pacer,
+		quarantine:   config.Quarantine,
 		rootRefusals: rootRefusals{},
 		calls:        map[waxwingseam.CallID]*call{},
 		owners:       map[waxwingseam.CallID]waxwingseam.CallID{},
@@ -196,6 +200,11 @@
 // offer refuses a new call that cannot run here, or passes it to the admitter.
 func (r *receiver) offer(c *waxwingseam.Context, e waxwingseam.AttemptArrived) {
 	w := waiter{e.Call.ID, e.Attempt}
+	if result, refused := r.quarantined(c, e); refused {
+		r.deduplicator.Refuse(c, e.Call.ID)
+		r.answer(c, w, result)
+		return
+	}
 	if reason := r.refusalReason(c, &e.Call); reason != waxwingseam.ReasonNone {
 		r.deduplicator.Refuse(c, e.Call.ID)
 		r.answer(c, w, didNotRun(reason))
@@ -231,6 +240,21 @@
 	}))
 }
 
+// quarantined returns the refusal of a call whose request has ended the backend servers
+// that ran it.
+func (r *receiver) quarantined(c *waxwingseam.Context, e waxwingseam.AttemptArrived) (result waxwingseam.Result, refused bool) {
+	if r.quarantine == nil || e.Fingerprint.Digest.IsZero() {
+		return result, false
+	}
+	allowed, retryAfter := r.quarantine.Check(c, e.Call.ID, e.Fingerprint)
+	if allowed {
+		return result, false
+	}
+	result = didNotRun(waxwingseam.ReasonQuarantined)
+	result.RetryAfter = retryAfter
+	return result, true
+}
+
 // refusalReason returns why a new call is refused regardless of load;
 // ReasonNone if it is not.
 func (r *receiver) refusalReason(c *waxwingseam.Context, header *waxwingseam.Call) waxwingseam.Reason {
--- a/retrier/rules.go
+++ b/retrier/rules.go
@@ -55,7 +55,8 @@
 	switch q.Result.Reason {
 	case waxwingseam.ReasonDeadline, waxwingseam.ReasonCancelled, waxwingseam.ReasonBadRequest,
 		waxwingseam.ReasonTooLarge, waxwingseam.ReasonKeyConflict, waxwingseam.ReasonUnknownService,
-		waxwingseam.ReasonUnknownClass, waxwingseam.ReasonUnknownContext, waxwingseam.ReasonRetryBudget:
+		waxwingseam.ReasonUnknownClass, waxwingseam.ReasonUnknownContext, waxwingseam.ReasonRetryBudget,
+		waxwingseam.ReasonQuarantined:
 		return true
 	}
 	return false
