--- /dev/null
+++ b/quarantiner/quarantiner_test.go
@@ -0,0 +1,275 @@
+package quarantiner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+// killer is a request that ends each server that runs it.
+const killer = "killer"
+
+// learningTime is the time within which all nodes must know a request that has ended three
+// servers.
+const learningTime = 3 * time.Second
+
+// prove has each server complete a run, so that its end says something.
+func (w *world) prove() {
+	for n, v := range w.nodes {
+		v.serve(fmt.Sprintf("usual-%d", n))
+	}
+}
+
+// endThree has the killer end three servers.
+func (w *world) endThree() {
+	w.prove()
+	for _, v := range w.nodes[:3] {
+		v.end(killer)
+		w.pass(100 * time.Millisecond)
+	}
+}
+
+// TestQuarantinedRequestRunsAtAnotherNode has a request end three servers. No node may let
+// it run after that, wherever it comes.
+func TestQuarantinedRequestRunsAtAnotherNode(t *testing.T) {
+	w := newWorld(13)
+	w.endThree()
+	w.pass(learningTime)
+	qt.Assert(t, w.allowing(killer), qt.Equals, 0)
+	qt.Assert(t, w.allowing("other"), qt.Equals, 13)
+	qt.Assert(t, w.nodes[12].changes, qt.HasLen, 1)
+	qt.Assert(t, w.nodes[12].changes[0].Ends, qt.Equals, 3)
+}
+
+// TestNodeThatWasCutOffRunsQuarantinedRequest cuts a node off while the request ends servers.
+func TestNodeThatWasCutOffRunsQuarantinedRequest(t *testing.T) {
+	w := newWorld(13)
+	cut := w.nodes[7]
+	cut.cut = true
+	w.endThree()
+	w.pass(10 * time.Second)
+	qt.Assert(t, cut.allows(killer), qt.IsTrue)
+	cut.cut = false
+	w.pass(learningTime)
+	qt.Assert(t, cut.allows(killer), qt.IsFalse)
+}
+
+// TestRestartedNodeRunsQuarantinedRequest restarts the nodes one after another, among them
+// those that noticed the ends.
+func TestRestartedNodeRunsQuarantinedRequest(t *testing.T) {
+	w := newWorld(6)
+	w.endThree()
+	w.pass(time.Second)
+	for _, v := range w.nodes {
+		self := v.context.Self
+		self.Incarnation++
+		v.start(self)
+		w.introduce()
+		w.pass(500 * time.Millisecond)
+		qt.Assert(t, v.allows(killer), qt.IsFalse)
+	}
+}
+
+// TestRequestsBesideTheCauseAreRefused runs others beside the request that ends servers, and
+// sends them on to the next server like the retries of their callers.
+func TestRequestsBesideTheCauseAreRefused(t *testing.T) {
+	w := newWorld(6)
+	w.prove()
+	var beside []string
+	for n := range 90 {
+		beside = append(beside, fmt.Sprintf("beside-%d", n))
+	}
+	for _, v := range w.nodes[:3] {
+		v.end(append(beside, killer)...)
+		w.pass(60 * time.Millisecond)
+	}
+	w.nodes[3].end(killer)
+	w.pass(learningTime)
+	qt.Assert(t, w.allowing(killer), qt.Equals, 0)
+	for _, r := range beside {
+		qt.Assert(t, w.allowing(r), qt.Equals, 6)
+	}
+}
+
+// TestPopularRequestIsRefusedAfterPowerLoss ends all servers at once while a popular request
+// runs at each, as a loss of power does.
+func TestPopularRequestIsRefusedAfterPowerLoss(t *testing.T) {
+	w := newWorld(6)
+	w.prove()
+	w.nodes[0].serve("popular")
+	w.pass(time.Second)
+	for _, v := range w.nodes {
+		v.end("popular")
+	}
+	w.pass(learningTime)
+	qt.Assert(t, w.allowing("popular"), qt.Equals, 6)
+}
+
+// TestRunningWellIsNotNoticed lets a request that is refused run well where it had been
+// running already.
+func TestRunningWellIsNotNoticed(t *testing.T) {
+	w := newWorld(6)
+	w.endThree()
+	w.pass(learningTime)
+	w.nodes[5].serve(killer)
+	w.pass(time.Second)
+	qt.Assert(t, w.allowing(killer), qt.Equals, 6)
+	last := w.nodes[0].changes[len(w.nodes[0].changes)-1]
+	qt.Assert(t, last.State, qt.Equals, waxwingseam.QuarantineLifted)
+}
+
+// TestFaultyServerHasCallersRefused has one server end of all that it runs, while its
+// callers' requests are not tried elsewhere.
+func TestFaultyServerHasCallersRefused(t *testing.T) {
+	w := newWorld(6)
+	w.prove()
+	for range 20 {
+		w.nodes[2].serve("usual")
+		w.nodes[2].end("sound")
+		w.pass(time.Second)
+	}
+	qt.Assert(t, w.allowing("sound"), qt.Equals, 6)
+}
+
+// TestFaultyServerHidesTheCause has one server end of all that it runs, while a request ends
+// the others.
+func TestFaultyServerHidesTheCause(t *testing.T) {
+	w := newWorld(6)
+	w.prove()
+	for range 20 {
+		w.nodes[5].end("sound")
+		w.pass(100 * time.Millisecond)
+	}
+	w.endThree()
+	w.pass(learningTime)
+	qt.Assert(t, w.allowing(killer), qt.Equals, 0)
+}
+
+// TestFaultyVersionHasCallersRefusedForLong has all servers end of all that they run until a
+// better version comes. Requests must be tried again after a minute.
+func TestFaultyVersionHasCallersRefusedForLong(t *testing.T) {
+	w := newWorld(6)
+	for range 4 {
+		for _, v := range w.nodes {
+			v.end("sound")
+			w.pass(50 * time.Millisecond)
+		}
+	}
+	w.pass(learningTime)
+	qt.Assert(t, w.allowing("sound"), qt.Equals, 0)
+	w.pass(time.Minute)
+	qt.Assert(t, w.allowing("sound"), qt.Equals, 1)
+}
+
+// TestResetConnectionsCountAsEnds resets all connections of servers that live on.
+func TestResetConnectionsCountAsEnds(t *testing.T) {
+	w := newWorld(6)
+	w.prove()
+	for _, v := range w.nodes {
+		v.breakOff("sound")
+		v.probed(false)
+	}
+	w.pass(learningTime)
+	qt.Assert(t, w.allowing("sound"), qt.Equals, 6)
+	for _, v := range w.nodes {
+		qt.Assert(t, v.ended, qt.HasLen, 0)
+	}
+}
+
+// TestPlannedEndsAccuseRequests stops servers that were drained before.
+func TestPlannedEndsAccuseRequests(t *testing.T) {
+	w := newWorld(6)
+	w.prove()
+	for _, v := range w.nodes {
+		v.drainer.SetWithdrawn(v.context, true)
+		v.end("sound")
+	}
+	w.pass(learningTime)
+	qt.Assert(t, w.allowing("sound"), qt.Equals, 6)
+}
+
+// TestRestartIsMissed restarts servers so fast that no connection is refused; they report
+// their new starts.
+func TestRestartIsMissed(t *testing.T) {
+	w := newWorld(6)
+	w.prove()
+	for n, v := range w.nodes[:3] {
+		for life := range 2 {
+			if life == 1 {
+				v.serve("usual")
+				v.breakOff(killer)
+				v.probed(false)
+			}
+			v.context.Self.Instance = fmt.Sprintf("i-%d-%d", n, life)
+			v.step(func(s waxwingseam.Stamp) waxwingseam.Event { return waxwingseam.BackendReported{Stamp: s} })
+		}
+	}
+	w.pass(learningTime)
+	qt.Assert(t, w.allowing(killer), qt.Equals, 0)
+}
+
+// TestCallersThatLeaveAreNotSuspected has the callers leave before the server ends.
+func TestCallersThatLeaveAreNotSuspected(t *testing.T) {
+	w := newWorld(6)
+	w.prove()
+	for n, v := range w.nodes[:3] {
+		v.step(func(s waxwingseam.Stamp) waxwingseam.Event {
+			return waxwingseam.RunEnded{
+				Stamp: s, Result: waxwingseam.Result{Outcome: waxwingseam.OutcomeMayHaveRun, Reason: waxwingseam.ReasonCancelled},
+				Fingerprint: fingerprint(killer),
+			}
+		})
+		w.pass(30 * time.Millisecond)
+		v.end(fmt.Sprintf("beside-%d", n))
+	}
+	w.pass(learningTime)
+	qt.Assert(t, w.allowing(killer), qt.Equals, 0)
+}
+
+// TestTrialsRunTogether waits until a quarantine has ended. One node at a time may try the
+// request, and a further end refuses it again.
+func TestTrialsRunTogether(t *testing.T) {
+	w := newWorld(13)
+	w.endThree()
+	w.pass(time.Hour)
+	qt.Assert(t, w.allowing(killer), qt.Equals, 1)
+	qt.Assert(t, w.allowing(killer), qt.Equals, 0)
+	var trier *node
+	for _, v := range w.nodes {
+		v.serve("usual")
+		v.step(func(s waxwingseam.Stamp) waxwingseam.Event {
+			return waxwingseam.RunEnded{Stamp: s, ID: waxwingseam.NewCallID(1, v.calls-1)}
+		})
+		if v.allows(killer) {
+			trier = v
+		}
+	}
+	trier.end(killer)
+	w.pass(time.Second)
+	qt.Assert(t, w.allowing(killer), qt.Equals, 0)
+	w.pass(3 * time.Hour)
+	qt.Assert(t, w.allowing(killer), qt.Equals, 13)
+}
+
+// TestKnowledgeGrowsWithoutBound has a caller end servers with ever new requests, beside many
+// others. The oldest ends are forgotten first, but not those that a quarantine is based on.
+func TestKnowledgeGrowsWithoutBound(t *testing.T) {
+	w := newWorld(4)
+	w.endThree()
+	w.pass(time.Second)
+	for n := range 400 {
+		w.nodes[n%4].end(fmt.Sprintf("%d-once", n), fmt.Sprintf("%d-beside", n))
+		w.pass(60 * time.Millisecond)
+	}
+	w.pass(learningTime)
+	qt.Assert(t, w.allowing(killer), qt.Equals, 0)
+	qt.Assert(t, w.largest <= 3*128, qt.IsTrue, qt.Commentf("%d requests", w.largest))
+	before := w.messages
+	w.pass(10 * time.Second)
+	// Two comparisons a second and node, and their answers.
+	qt.Assert(t, w.messages-before <= 10*4*2, qt.IsTrue, qt.Commentf("%d messages", w.messages-before))
+}
