forwarder, platform: a refusal that a backend server repeats is not taken for another's

What callers saw, at another operator: 'not run, try again' for requests that a server had run or was running, or a second run, after a faulty server had written an earlier refusal once more on a kept connection.

And a call that is sent to the same server again bears the same id, so that a repeated refusal of its first attempt was taken as the answer to the second one, which ran.

--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -146,7 +146,7 @@
 
 // connect returns a connection for the run.
 func (r *backendRun) connect() (*backendConn, error) {
-	c := r.call.forwarder.backend.take()
+	c := r.call.forwarder.backend.take(r.call.opening.ID)
 	if c == nil {
 		var err error
 		if c, err = r.dial(); err != nil {
@@ -293,7 +293,7 @@
 	case waxwingseam.ReplyDidNotRun:
 		result := didNotRun(reason)
 		result.Reached = true
-		return result, c.discard(reply.body) && c.keepable(reply), nil
+		return result, c.discard(reply.body) && c.keepable(reply) && c.noteRefused(h.opening.ID), nil
 	case waxwingseam.ReplyMismatched:
 		// Further replies to other requests may follow on the connection.
 		return waxwingseam.Result{
--- a/forwarder/backendconn.go
+++ b/forwarder/backendconn.go
@@ -9,12 +9,15 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam"
 )
 
 const (
@@ -25,6 +28,8 @@
 	backendProbeInterval = time.Second
 	// maxHeaderBytes limits the size of the headers of a request or a reply.
 	maxHeaderBytes = 64 << 10
+	// maxRefused is how many calls may be refused over one connection before it is closed.
+	maxRefused = 64
 	// maxKeptRequest limits the room for a request that a connection keeps.
 	maxKeptRequest = 4 << 10
 )
@@ -86,19 +91,14 @@
 	<-p.slots
 }
 
-// take returns the idle connection used last that is still open; nil without one.
-func (p *backendConns) take() *backendConn {
+// take returns the idle connection used last that is still open and has not carried a
+// refusal of the call; nil without one.
+func (p *backendConns) take(call waxwingseam.CallID) *backendConn {
 	for {
-		p.mu.Lock()
-		if len(p.idle) == 0 {
-			p.mu.Unlock()
+		c := p.takeIdle(call)
+		if c == nil {
 			return nil
 		}
-		last := len(p.idle) - 1
-		c := p.idle[last]
-		p.idle[last] = nil
-		p.idle = p.idle[:last]
-		p.mu.Unlock()
 		if time.Since(c.idleSince) < backendIdleTimeout && c.quiet() {
 			c.reused = true
 			return c
@@ -107,6 +107,19 @@
 	}
 }
 
+// takeIdle removes the idle connection used last that has not carried a refusal of the call.
+func (p *backendConns) takeIdle(call waxwingseam.CallID) *backendConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i, c := range slices.Backward(p.idle) {
+		if !slices.Contains(c.refused, call) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
 // dial opens a connection.
 func (p *backendConns) dial(ctx context.Context) (*backendConn, error) {
 	conn, err := p.dialer.DialContext(ctx, "tcp", p.address)
@@ -168,6 +181,10 @@
 	peek      func() bool
 	idleSince time.Time
 	reused    bool
+	// refused lists the calls whose refusals the connection has carried. The server might
+	// write such a refusal once more, and a further attempt of the call bears the same
+	// identifier.
+	refused []waxwingseam.CallID
 	// suspected is set if the last check found the other end silent.
 	suspected atomic.Bool
 	// silent is set once the connection was closed because of silence.
@@ -282,6 +299,13 @@
 	return !r.last && c.reader.Buffered() == 0
 }
 
+// noteRefused records that the connection has carried the refusal of a call. It returns
+// false if the connection must be closed, as it has carried too many.
+func (c *backendConn) noteRefused(call waxwingseam.CallID) bool {
+	c.refused = append(c.refused, call)
+	return len(c.refused) < maxRefused
+}
+
 // keepRequest keeps the room of a request unless it is large.
 func (c *backendConn) keepRequest(request []byte) {
 	if cap(request) <= maxKeptRequest {
