pipeliner: a request that arrived before the shutdown is not dropped

What callers saw, at another operator: in a planned stop, in calm, requests that came late were cut with no answer.

Cause: the server stops to wait for a request by a read deadline in the past. A socket then returns no bytes even if some have arrived, so that an idle connection was closed under a request that lay in the kernel. For the caller this is a reset after a whole request.

That the report was this is suspected, not shown.

The fix: before an idle connection closes, it is read once more, for 5 ms.

--- a/pipeliner/connection.go
+++ b/pipeliner/connection.go
@@ -23,6 +23,8 @@
 	lingerTimeout = 500 * time.Millisecond
 	// leftWriteTimeout bounds a write that was blocked when the caller left.
 	leftWriteTimeout = time.Second
+	// arrivalTimeout bounds the last look for a request before an idle connection closes.
+	arrivalTimeout = 5 * time.Millisecond
 	// departureInterval is the time between two checks whether the caller has left,
 	// while nothing is read from its connection.
 	departureInterval = 100 * time.Millisecond
@@ -224,7 +226,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if c.isSealed() || c.reader.Buffered() == 0 {
+	if c.isSealed() || c.reader.Buffered() == 0 && !c.hasArrived() {
 		return nil, errSealed
 	}
 	head, err := c.peekHead()
@@ -240,6 +242,15 @@
 	return parseHead(c.reader, hasHost(head))
 }
 
+// hasArrived reports whether a request has arrived that was not read when the wait for it was
+// interrupted. A close would drop it without an answer.
+func (c *connection) hasArrived() bool {
+	_ = c.conn.SetReadDeadline(time.Now().Add(arrivalTimeout))
+	_, err := c.reader.Peek(1)
+	_ = c.conn.SetReadDeadline(time.Time{})
+	return err == nil
+}
+
 // peekHead waits until the next request's head is buffered completely, and returns it.
 func (c *connection) peekHead() ([]byte, error) {
 	searched := 0
