assembler: a stopping node asks callers of its own interface to close their connections

What callers saw: a node that stops refused requests for the whole drain time on kept connections, and callers that went on using them had a request cross the end of the process.

Cause: only the platform's interface had its answers say Connection: close while the node drains; see TestStoppingNodeKeepsConnections, which failed before.

The fix: the same for both listeners of the project's own interface.

--- a/assembler/serving.go
+++ b/assembler/serving.go
@@ -175,10 +175,10 @@
 	entry.Get("/v1/entry-points", p.entryPoints.ServeHTTP)
 	entry.NotFound(p.interests.WaitForServers(f.Entry()).ServeHTTP)
 	entry.MethodNotAllowed(p.interests.WaitForServers(f.Entry()).ServeHTTP)
-	if err := p.serveCallers(ctx, group, p.settings.Node.EntryAddress, entry); err != nil {
+	if err := p.serveCallers(ctx, group, p.settings.Node.EntryAddress, p.closeConnectionsOnDrain(entry)); err != nil {
 		return err
 	}
-	return p.serveCallers(ctx, group, p.settings.Node.OutboundAddress, p.interests.WaitForServers(f.Outbound()))
+	return p.serveCallers(ctx, group, p.settings.Node.OutboundAddress, p.closeConnectionsOnDrain(p.interests.WaitForServers(f.Outbound())))
 }
 
 // serveCallers serves the callers at an address until the context is done.
--- /dev/null
+++ b/launcher/stopping_test.go
@@ -0,0 +1,43 @@
+package launcher_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"waxwingseam.example/waxwingseam/launcher"
+)
+
+// TestStoppingNodeKeepsConnections stops a node while it carries a call. What it refuses from
+// then on must ask the caller to close the connection: a request on a kept connection could
+// cross the end of the process.
+func TestStoppingNodeKeepsConnections(t *testing.T) {
+	t.Parallel()
+	fleet := startEndingFleet(t, time.Second)
+	go request(fleet, 0, http.MethodGet, "long", "")
+	time.Sleep(100 * time.Millisecond)
+	fleet.StandIns[0].Stop()
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	refused := 0
+	for refused < 3 {
+		response := get(t, client, fleet, "refused")
+		if response.StatusCode != http.StatusServiceUnavailable {
+			continue
+		}
+		refused++
+		qt.Assert(t, response.Close, qt.IsTrue)
+	}
+}
+
+// get sends a request to the first node and returns the answer without its body.
+func get(t *testing.T, client *http.Client, fleet *launcher.Fleet, path string) *http.Response {
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+fleet.StandIns[0].Entry.String()+"/echo/"+path, nil)
+	qt.Assert(t, err, qt.IsNil)
+	response, err := client.Do(r)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, response.Body.Close(), qt.IsNil)
+	return response
+}
