quarantiner, publisher, administrator: operators see, lift and set quarantines

A quarantine is a decision of the nodes about callers' requests. Operators had the log lines and the metric of one node only, and no way to end it before its time.

Nodes report the requests that they refuse to the control replica that they watch; status and the new command quarantine list them with the inputs of the decision. An order goes to the nodes that watch the replica, and from these to the others, like ends do: TestOperatorsOrderStaysAtOneNode. An order to refuse takes a request that was at a server that ended; of others nothing is known by which they could be recognized.

--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -48,6 +48,11 @@
 	RevisionSummaries() []publisher.RevisionSummary
 	// Registrations returns the registrations of all backend servers.
 	Registrations() []waxwingseam.Registration
+	// Quarantined returns the requests that nodes refuse as they end backend servers.
+	Quarantined() []waxwingseam.QuarantinedRequest
+	// OrderQuarantine passes an operator's decision on such a request to nodes and returns
+	// their number.
+	OrderQuarantine(o waxwingseam.QuarantineOrder) (nodes int)
 	// ReplicaStatus returns the status of the replica of the log.
 	ReplicaStatus() waxwingseam.ReplicaStatus
 }
@@ -88,6 +93,7 @@
 		r.Use(config.Guard.Require(authenticator.RightWrite))
 		r.Post("/v1/submissions", a.submit)
 		r.Post("/v1/drains", a.drain)
+		r.Post("/v1/quarantines", a.quarantine)
 	})
 	return r
 }
--- a/administrator/reading.go
+++ b/administrator/reading.go
@@ -55,6 +55,8 @@
 	// Nodes summarizes the nodes of each replica.
 	Nodes   []publisher.RevisionSummary `json:"nodes"`
 	Servers []ServerStatus              `json:"servers"`
+	// Quarantined lists the requests that the nodes of this replica refuse.
+	Quarantined []waxwingseam.QuarantinedRequest `json:"quarantined,omitempty"`
 }
 
 // ServerStatus describes one announced backend server.
@@ -166,6 +168,8 @@
 		Log:      a.config.Cluster.ReplicaStatus(),
 		Nodes:    a.config.Cluster.RevisionSummaries(),
 		Servers:  ServerStatuses(head, a.config.Cluster.Registrations()),
+
+		Quarantined: a.config.Cluster.Quarantined(),
 	})
 }
 
--- a/assembler/announcer.go
+++ b/assembler/announcer.go
@@ -9,8 +9,8 @@
 	"waxwingseam.example/waxwingseam/subscriber"
 )
 
-// announcer passes changes of the node's own state to the forwarder and the
-// subscriber.
+// announcer passes changes of the node's own state, and of the requests that it refuses,
+// to the forwarder and the subscriber.
 type announcer struct {
 	subscriber subscriber.Subscriber
 	forwarder  *forwarder.Forwarder
@@ -18,14 +18,17 @@
 
 // Kinds implements runner.Executor.
 func (announcer) Kinds() []waxwingseam.Kind {
-	return []waxwingseam.Kind{waxwingseam.KindAnnounce}
+	return []waxwingseam.Kind{waxwingseam.KindAnnounce, waxwingseam.KindQuarantineChanged}
 }
 
 // Execute implements runner.Executor.
 func (a announcer) Execute(e waxwingseam.Effect) {
-	if v, ok := e.(waxwingseam.Announce); ok {
+	switch v := e.(type) {
+	case waxwingseam.Announce:
 		a.forwarder.SetIncarnation(v.Self.Incarnation)
 		a.subscriber.Announce(v.Self)
+	case waxwingseam.QuarantineChanged:
+		a.subscriber.NoteQuarantine(v.Request)
 	}
 }
 
--- a/cmd/waxwingseam/examples.go
+++ b/cmd/waxwingseam/examples.go
@@ -54,3 +54,8 @@
 func (explainCommand) Help() string {
 	return "Example: waxwingseam explain 9c41d07be2a35f68 node-1.log node-2.log"
 }
+
+// Help implements kong.HelpProvider with an example.
+func (quarantineCommand) Help() string {
+	return "Example: waxwingseam quarantine --control 10.0.0.1:7403 --lift 5e0b7c1d9a2f48c6b3e17d5520f9a841"
+}
--- a/cmd/waxwingseam/status.go
+++ b/cmd/waxwingseam/status.go
@@ -89,5 +89,9 @@
 			string(v.Name), string(v.Service), string(v.DataCentre), v.Node, v.State, v.Finding,
 		})
 	}
-	return printTable(os.Stdout, serverRows)
+	if err := printTable(os.Stdout, serverRows); err != nil || len(s.Quarantined) == 0 {
+		return err
+	}
+	fmt.Println()
+	return printQuarantined(s.Quarantined)
 }
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -281,6 +281,16 @@
 	return c.publisher.Registrations()
 }
 
+// Quarantined implements administrator.Cluster.
+func (c *controller) Quarantined() []waxwingseam.QuarantinedRequest {
+	return c.publisher.Quarantined()
+}
+
+// OrderQuarantine implements administrator.Cluster.
+func (c *controller) OrderQuarantine(o waxwingseam.QuarantineOrder) (nodes int) {
+	return c.publisher.OrderQuarantine(o)
+}
+
 // ReplicaStatus implements administrator.Cluster.
 func (c *controller) ReplicaStatus() waxwingseam.ReplicaStatus {
 	return c.log.Status()
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -45,6 +45,8 @@
 	Submit(ctx context.Context, s administrator.Submission) (historian.Answer, error)
 	// Drain drains a backend server or undoes its drain.
 	Drain(ctx context.Context, d administrator.DrainRequest) (historian.Answer, error)
+	// OrderQuarantine lifts or sets the quarantine of a request that ends backend servers.
+	OrderQuarantine(ctx context.Context, o waxwingseam.QuarantineOrder) (administrator.QuarantineAnswer, error)
 	// Set returns the set of a revision; 0 selects the newest.
 	Set(ctx context.Context, r waxwingseam.Revision) (administrator.SetAnswer, error)
 	// Format returns the set of a revision in canonical INI; 0 selects the newest.
@@ -125,6 +127,12 @@
 	return a, err
 }
 
+// OrderQuarantine implements Client.
+func (c *client) OrderQuarantine(ctx context.Context, o waxwingseam.QuarantineOrder) (a administrator.QuarantineAnswer, err error) {
+	err = c.call(ctx, http.MethodPost, "/v1/quarantines", o, &a)
+	return a, err
+}
+
 // Set implements Client.
 func (c *client) Set(ctx context.Context, r waxwingseam.Revision) (a administrator.SetAnswer, err error) {
 	err = c.call(ctx, http.MethodGet, "/v1/set"+revisionQuery("revision", r), nil, &a)
--- a/publisher/message.go
+++ b/publisher/message.go
@@ -41,6 +41,8 @@
 	Held *HeldRevision `cbor:"3,keyasint,omitempty"`
 	// Interest is set in the first report, and when it changes.
 	Interest *Interest `cbor:"4,keyasint,omitempty"`
+	// Quarantine is set when the requests that the watcher refuses have changed.
+	Quarantine *QuarantineReport `cbor:"5,keyasint,omitempty"`
 }
 
 // HeldRevision identifies the set that a watcher holds.
@@ -83,6 +85,8 @@
 	// LatestIncarnation is the latest known incarnation of the watcher; set
 	// only if the watcher announced an earlier one.
 	LatestIncarnation waxwingseam.Incarnation `cbor:"9,keyasint,omitempty"`
+	// Orders are operators' decisions on requests that end backend servers.
+	Orders []waxwingseam.QuarantineOrder `cbor:"10,keyasint,omitempty"`
 }
 
 // Step is the change from the previous revision to Revision.
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -76,6 +76,11 @@
 	Summary() RevisionSummary
 	// Registrations returns the table of servers, ordered by name.
 	Registrations() []waxwingseam.Registration
+	// Quarantined returns the requests that watching nodes refuse, ordered by digest.
+	Quarantined() []waxwingseam.QuarantinedRequest
+	// OrderQuarantine passes an operator's decision to the watching nodes and returns their
+	// number.
+	OrderQuarantine(o waxwingseam.QuarantineOrder) (nodes int)
 	// Watchers returns the nodes that watch the replica, ordered by name.
 	Watchers() []Watcher
 }
--- a/publisher/session.go
+++ b/publisher/session.go
@@ -42,6 +42,10 @@
 	// latestIncarnation is a later incarnation of the watcher that has not been
 	// sent to it yet; 0 if there is none.
 	latestIncarnation waxwingseam.Incarnation
+	// quarantined are the requests that the watcher refuses, and orders the operators'
+	// decisions that were not sent to it yet.
+	quarantined []waxwingseam.QuarantinedRequest
+	orders      []waxwingseam.QuarantineOrder
 	// sentComplete is set once a complete list of servers was sent.
 	sentComplete bool
 }
@@ -147,6 +151,9 @@
 			p.config.Logger.Error("a node holds a different set under the newest revision", "server", s.server)
 		}
 	}
+	if r.Quarantine != nil {
+		s.quarantined = r.Quarantine.Requests
+	}
 	if r.Interest != nil {
 		p.setInterest(s, *r.Interest)
 	}
--- a/quarantine.go
+++ b/quarantine.go
@@ -13,6 +13,7 @@
 const (
 	KindBackendProbed     Kind = "backend-probed"
 	KindEndsReceived      Kind = "ends-received"
+	KindQuarantineOrdered Kind = "quarantine-ordered"
 	KindProbeBackend      Kind = "probe-backend"
 	KindSendEnds          Kind = "send-ends"
 	KindWatchRequests     Kind = "watch-requests"
@@ -100,6 +101,8 @@
 	// Proven is set if the server had completed another run since its start, so that
 	// it does not end whatever it runs.
 	Proven bool `cbor:"4,keyasint,omitempty"`
+	// Ordered is set if an operator has a request refused. No server has ended then.
+	Ordered bool `cbor:"6,keyasint,omitempty"`
 	// Requests are the requests that the server was running.
 	Requests []EndedRequest `cbor:"5,keyasint"`
 }
@@ -132,6 +135,19 @@
 	Refused bool
 }
 
+// QuarantineOrder is an operator's decision on one request.
+type QuarantineOrder struct {
+	Digest RequestDigest `cbor:"1,keyasint" json:"digest"`
+	// Lift is set to let the request run again, and unset to refuse it.
+	Lift bool `cbor:"2,keyasint,omitempty" json:"lift"`
+}
+
+// QuarantineOrdered is an operator's decision, passed on by control.
+type QuarantineOrdered struct {
+	Stamp
+	Order QuarantineOrder
+}
+
 // EndsReceived is a message from another node.
 type EndsReceived struct {
 	Stamp
@@ -224,6 +240,9 @@
 // Kind implements Event.
 func (EndsReceived) Kind() Kind { return KindEndsReceived }
 
+// Kind implements Event.
+func (QuarantineOrdered) Kind() Kind { return KindQuarantineOrdered }
+
 // Kind implements Effect.
 func (ProbeBackend) Kind() Kind { return KindProbeBackend }
 
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -66,6 +66,7 @@
 		waxwingseam.KindBackendProbed,
 		waxwingseam.KindBackendReported,
 		waxwingseam.KindEndsReceived,
+		waxwingseam.KindQuarantineOrdered,
 		waxwingseam.KindServersUpdated,
 		waxwingseam.KindTimerFired,
 	}
@@ -82,6 +83,8 @@
 		q.backendReported(c)
 	case waxwingseam.EndsReceived:
 		q.endsReceived(c, v.Message)
+	case waxwingseam.QuarantineOrdered:
+		q.ordered(c, v.Order)
 	case waxwingseam.ServersUpdated:
 		q.serversUpdated(c, v)
 	case waxwingseam.TimerFired:
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -273,3 +273,23 @@
 	// Two comparisons a second and node, and their answers.
 	qt.Assert(t, w.messages-before <= 10*4*2, qt.IsTrue, qt.Commentf("%d messages", w.messages-before))
 }
+
+// order has an operator lift or set a quarantine at one node.
+func (v *node) order(request string, lift bool) {
+	v.step(func(s waxwingseam.Stamp) waxwingseam.Event {
+		return waxwingseam.QuarantineOrdered{Stamp: s, Order: waxwingseam.QuarantineOrder{Digest: fingerprint(request).Digest, Lift: lift}}
+	})
+}
+
+// TestOperatorsOrderStaysAtOneNode lifts and sets a quarantine at one node.
+func TestOperatorsOrderStaysAtOneNode(t *testing.T) {
+	w := newWorld(6)
+	w.endThree()
+	w.pass(time.Second)
+	w.nodes[4].order(killer, true)
+	w.pass(time.Second)
+	qt.Assert(t, w.allowing(killer), qt.Equals, 6)
+	w.nodes[2].order(killer, false)
+	w.pass(time.Second)
+	qt.Assert(t, w.allowing(killer), qt.Equals, 0)
+}
--- a/quarantiner/share.go
+++ b/quarantiner/share.go
@@ -172,6 +172,7 @@
 		Service:  e.service,
 		Age:      max(now.Sub(e.at), 0),
 		Proven:   e.proven,
+		Ordered:  e.ordered,
 		Requests: requests,
 	}
 }
--- a/quarantiner/table.go
+++ b/quarantiner/table.go
@@ -33,6 +33,7 @@
 	service waxwingseam.ServiceName
 	at      time.Time
 	proven  bool
+	ordered bool
 	// cleared holds the requests that were running, and whether they are cleared.
 	cleared map[waxwingseam.RequestDigest]bool
 }
@@ -72,6 +73,7 @@
 			service: v.Service,
 			at:      now.Add(-max(v.Age, 0)),
 			proven:  v.Proven,
+			ordered: v.Ordered,
 			cleared: map[waxwingseam.RequestDigest]bool{},
 		}
 		t.ends[v.ID] = e
@@ -148,6 +150,7 @@
 		Service:  e.service,
 		Age:      max(now.Sub(e.at), 0),
 		Proven:   e.proven,
+		Ordered:  e.ordered,
 		Requests: make([]waxwingseam.EndedRequest, 0, len(e.cleared)),
 	}
 	for digest, cleared := range e.cleared {
--- a/quarantiner/verdict.go
+++ b/quarantiner/verdict.go
@@ -38,6 +38,8 @@
 	service waxwingseam.ServiceName
 	// latest is the latest end that the request explains.
 	latest time.Time
+	// ordered is set if an operator has the request refused.
+	ordered bool
 	// trial is the call that tries the request here, and trialSince when it was
 	// allowed.
 	trial      waxwingseam.CallID
@@ -46,7 +48,7 @@
 
 // hold returns how long the request is refused, and then on trial.
 func (v *verdict) hold() time.Duration {
-	if v.request.Proven < threshold {
+	if v.request.Proven < threshold && !v.ordered {
 		return unprovenHoldTime
 	}
 	return holdTime
@@ -149,6 +151,9 @@
 // ends of one server, that server may be at fault, unless the request has no other.
 func (q *quarantiner) suffices(a account) bool {
 	proven := a.proven()
+	if slices.ContainsFunc(a.ends, func(e *end) bool { return e.ordered }) {
+		return true
+	}
 	if 2*proven+(len(a.ends)-proven) < 2*threshold {
 		return false
 	}
@@ -173,7 +178,7 @@
 		times = append(times, e.at)
 	}
 	slices.SortFunc(times, time.Time.Compare)
-	return times[threshold-1]
+	return times[min(threshold, len(times))-1]
 }
 
 // judge decides which requests are refused. The request that is at most ends explains
@@ -278,6 +283,7 @@
 	v.request.Ends, v.request.Servers, v.request.Proven = len(a.ends), a.servers(), a.proven()
 	latest := slices.MaxFunc(a.ends, func(a, b *end) int { return a.at.Compare(b.at) })
 	v.latest, v.service = latest.at, latest.service
+	v.ordered = slices.ContainsFunc(a.ends, func(e *end) bool { return e.ordered })
 }
 
 // watch has the requests with a verdict reported with their digests.
--- a/recorder/catalog.go
+++ b/recorder/catalog.go
@@ -45,5 +45,6 @@
 		waxwingseam.FoundingGranted{},
 		waxwingseam.BackendProbed{},
 		waxwingseam.EndsReceived{},
+		waxwingseam.QuarantineOrdered{},
 	)
 }
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -75,6 +75,8 @@
 	Run(ctx context.Context) error
 	// Announce replaces the announced description of the backend server.
 	Announce(self waxwingseam.Server)
+	// NoteQuarantine reports to control that the node refuses a request, or no longer.
+	NoteQuarantine(r waxwingseam.QuarantinedRequest)
 	// AddInterest adds a service whose servers are requested.
 	AddInterest(service waxwingseam.ServiceName)
 	// NoteRevision records that another node holds a revision. A higher revision
@@ -119,6 +121,8 @@
 	gone         goneServers
 	control      netip.AddrPort
 	noted        notedRevision
+	// quarantined holds the requests that the node refuses.
+	quarantined map[waxwingseam.RequestDigest]waxwingseam.QuarantinedRequest
 	// replicas are the control replicas in the latest push that listed any.
 	replicas    []netip.AddrPort
 	unconfirmed unconfirmedCounts
@@ -141,6 +145,7 @@
 	announcement bool
 	interest     bool
 	held         bool
+	quarantine   bool
 }
 
 // New returns a subscriber without a set.
@@ -157,6 +162,7 @@
 		interest:     publisher.Interest{Services: slices.Clone(config.Services), All: config.All},
 		servers:      map[waxwingseam.ServerName]waxwingseam.Announcement{},
 		gone:         goneServers{},
+		quarantined:  map[waxwingseam.RequestDigest]waxwingseam.QuarantinedRequest{},
 	}
 }
 
@@ -184,6 +190,19 @@
 	}
 }
 
+// NoteQuarantine implements Subscriber.
+func (s *subscriber) NoteQuarantine(r waxwingseam.QuarantinedRequest) {
+	s.mu.Lock()
+	if r.State == waxwingseam.QuarantineLifted {
+		delete(s.quarantined, r.Digest)
+	} else {
+		s.quarantined[r.Digest] = r
+	}
+	s.changed.quarantine = true
+	s.mu.Unlock()
+	s.wake()
+}
+
 // Status implements Subscriber.
 func (s *subscriber) Status() Status {
 	s.mu.Lock()
--- a/subscriber/watch.go
+++ b/subscriber/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -56,7 +57,7 @@
 	s.control = address
 	s.announcement.Sequence++
 	s.unconfirmed.pushes = 0
-	s.changed = changes{announcement: true, interest: true, held: true}
+	s.changed = changes{announcement: true, interest: true, held: true, quarantine: len(s.quarantined) > 0}
 	s.wake()
 }
 
@@ -122,6 +123,9 @@
 	if s.changed.held {
 		r.Held = &publisher.HeldRevision{Revision: s.held.Revision, Digest: s.digest}
 	}
+	if s.changed.quarantine {
+		r.Quarantine = &publisher.QuarantineReport{Requests: slices.Collect(maps.Values(s.quarantined))}
+	}
 	s.changed = changes{}
 	return r
 }
@@ -165,6 +169,11 @@
 			return waxwingseam.IncarnationSuperseded{Stamp: stamp, Incarnation: p.LatestIncarnation}
 		})
 	}
+	for _, o := range p.Orders {
+		s.config.Step(func(stamp waxwingseam.Stamp) waxwingseam.Event {
+			return waxwingseam.QuarantineOrdered{Stamp: stamp, Order: o}
+		})
+	}
 	if len(p.Present)+len(p.Gone) > 0 || p.Complete {
 		s.updateServers(p)
 	}
