soaker, imitator: requests that end their servers

Two requests come again and again: one ends the servers of the desk, one has a call that ends those of the ledger; their callers leave at once, later or not at all, beside the other faults. The new check ends-few-servers allows three arrivals from 3 s after the third end on, at nodes that were not disturbed. The number of servers can be set.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -23,6 +23,7 @@
 	Seed    uint64        `default:"1" help:"First seed."`
 	Seeds   int           `default:"1" help:"Number of seeds to run, one after the other."`
 	Length  time.Duration `default:"15s" help:"Time during which faults are started."`
+	Servers int           `default:"3" help:"Number of backend servers of each of the two services."`
 	Folder  string        `type:"path" help:"Folder for settings, logs and data; a temporary folder by default."`
 	Unsafe  bool          `help:"Declare requests that must not run twice as repeatable, so that the checks fail."`
 }
@@ -46,7 +47,7 @@
 			return trace.ConvertSystemError(err)
 		}
 		report, err := soaker.Run(ctx, soaker.Config{
-			Program: c.Program, Folder: seedFolder, Seed: seed, Duration: c.Length, Unsafe: c.Unsafe,
+			Program: c.Program, Folder: seedFolder, Seed: seed, Duration: c.Length, ServersPerService: c.Servers, Unsafe: c.Unsafe,
 		})
 		fmt.Print(report)
 		if err != nil {
@@ -54,7 +55,7 @@
 		}
 		if len(report.Findings) > 0 {
 			failed++
-			fmt.Printf("repeat with: soak --program %s --seed %d --length %v; logs in %s\n", c.Program, seed, c.Length, seedFolder)
+			fmt.Printf("repeat with: soak --program %s --seed %d --length %v --servers %d; logs in %s\n", c.Program, seed, c.Length, c.Servers, seedFolder)
 		}
 	}
 	if failed > 0 {
--- a/imitator/ending.go
+++ b/imitator/ending.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -18,7 +19,7 @@
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
 	down  bool
-	ends  int
+	ends  []time.Time
 	// arrivals counts the requests that end the stand-in.
 	arrivals int
 	// restart is closed when the stand-in is to listen again.
@@ -45,7 +46,14 @@
 func (i *Imitator) Ends() (ends, arrivals int) {
 	i.ending.mu.Lock()
 	defer i.ending.mu.Unlock()
-	return i.ending.ends, i.ending.arrivals
+	return len(i.ending.ends), i.ending.arrivals
+}
+
+// EndTimes returns when the stand-in has ended.
+func (i *Imitator) EndTimes() []time.Time {
+	i.ending.mu.Lock()
+	defer i.ending.mu.Unlock()
+	return slices.Clone(i.ending.ends)
 }
 
 // End closes the listener and resets all connections. The stand-in listens again after a
@@ -58,7 +66,7 @@
 		return
 	}
 	e.down = true
-	e.ends++
+	e.ends = append(e.ends, time.Now())
 	e.restart = make(chan struct{})
 	_ = i.listener.Close()
 	for c := range e.conns {
@@ -67,6 +75,9 @@
 		}
 		_ = c.Close()
 	}
+	if i.config.OnEnd != nil {
+		go i.config.OnEnd(downTime)
+	}
 	restart := e.restart
 	time.AfterFunc(downTime, func() { close(restart) })
 }
--- a/imitator/imitator.go
+++ b/imitator/imitator.go
@@ -82,6 +82,9 @@
 	EndText  string
 	EndDelay time.Duration
 	DownTime time.Duration
+	// OnEnd, unless it is nil, is called when the stand-in ends, with the time for which it
+	// will not listen.
+	OnEnd func(downTime time.Duration)
 	// Seed is the seed of the random service times and of the random choice among
 	// direct peers.
 	Seed uint64
--- a/soaker/deployment.go
+++ b/soaker/deployment.go
@@ -16,10 +16,9 @@
 
 const (
 	replicaCount = 3
-	// serversPerService is the number of desk servers and of ledger servers. The desk
-	// calls the ledger.
-	serversPerService = 3
-	slotsPerServer    = 40
+	// defaultServersPerService is the default of Config.ServersPerService.
+	defaultServersPerService = 3
+	slotsPerServer           = 40
 	// serviceTime is the mean time that a backend server works on one request.
 	serviceTime = 15 * time.Millisecond
 	// drainLimit bounds the time from SIGTERM to the exit of a process.
@@ -68,7 +67,7 @@
 
 func newDeployment(ctx context.Context, config Config) (*deployment, error) {
 	d := &deployment{config: config}
-	port, err := findFreePorts(ctx)
+	port, err := findFreePorts(ctx, 2*config.ServersPerService)
 	if err != nil {
 		return nil, err
 	}
@@ -79,7 +78,7 @@
 		}
 		d.replicas = append(d.replicas, r)
 	}
-	for n := range 2 * serversPerService {
+	for n := range 2 * config.ServersPerService {
 		h, err := newHost(ctx, config, n, port)
 		if err != nil {
 			return nil, err
@@ -97,13 +96,14 @@
 func newHost(ctx context.Context, config Config, n int, port uint16) (*host, error) {
 	h := &host{number: n, service: serviceDesk, entryAddress: netip.AddrPortFrom(hostIP(n), port+1)}
 	name := fmt.Sprintf("desk-%d", n+1)
-	if n >= serversPerService {
+	if n >= config.ServersPerService {
 		h.service = serviceLedger
-		name = fmt.Sprintf("ledger-%d", n+1-serversPerService)
+		name = fmt.Sprintf("ledger-%d", n+1-config.ServersPerService)
 	}
 	var routes []imitator.Route
 	if h.service == serviceDesk {
 		routes = []imitator.Route{
+			{Prefix: endingLedger, Children: []imitator.Child{{Service: serviceLedger, Path: endingDesk}}},
 			{Prefix: prefixNotRepeatable, Children: []imitator.Child{{Service: serviceLedger, Method: "POST", Path: prefixNotRepeatable + "entry"}}},
 			{Prefix: prefixRepeatable, Children: []imitator.Child{{Service: serviceLedger, Path: prefixRepeatable + "read"}}},
 		}
@@ -114,6 +114,8 @@
 		Name: waxwingseam.ServerName(name), Service: h.service,
 		Address: netip.MustParseAddrPort("127.0.0.1:0"), Outbound: outbound,
 		Slots: slotsPerServer, ServiceTime: serviceTime, Routes: routes, Seed: uint64(n),
+		EndText: endText, EndDelay: endDelay, DownTime: downTime,
+		OnEnd: func(d time.Duration) { h.path.refuse(ctx, d) },
 	}); err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/soaker/promises.go
+++ b/soaker/promises.go
@@ -18,6 +18,8 @@
 	runs []imitator.Run
 	// spans are the times in which backend servers stated something.
 	spans []statedSpan
+	// endings is what servers saw of the requests that end them.
+	endings map[waxwingseam.ServiceName]endingEvidence
 	// acknowledged are the changes that replicas reported to operators as accepted,
 	// recorded the changes in the history at the end.
 	acknowledged, recorded map[waxwingseam.SubmissionID]waxwingseam.Revision
@@ -55,6 +57,7 @@
 		{"acknowledged-changes", acknowledgedChanges},
 		{"kept-limits", keptLimits},
 		{"kept-leaving", keptLeaving},
+		{"ends-few-servers", endsFewServers},
 	}
 }
 
--- a/soaker/relay.go
+++ b/soaker/relay.go
@@ -23,12 +23,13 @@
 
 // relay forwards connections to a target, and can delay, block or reset them.
 type relay struct {
-	listener net.Listener
-	target   netip.AddrPort
+	target netip.AddrPort
+	bound  netip.AddrPort
 
-	mu    sync.Mutex
-	conns map[net.Conn]struct{}
-	delay time.Duration
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[net.Conn]struct{}
+	delay    time.Duration
 	// blocked contains a channel for each blocked direction, which is closed when
 	// the block ends; nil otherwise.
 	blocked [2]chan struct{}
@@ -41,22 +42,22 @@
 	if err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
-	r := &relay{listener: listener, target: target, conns: map[net.Conn]struct{}{}}
+	r := &relay{listener: listener, bound: netip.MustParseAddrPort(listener.Addr().String()), target: target, conns: map[net.Conn]struct{}{}}
 	context.AfterFunc(ctx, func() {
 		_ = listener.Close()
 		r.reset()
 	})
-	go r.accept(ctx)
+	go r.accept(ctx, listener)
 	return r, nil
 }
 
 func (r *relay) address() netip.AddrPort {
-	return netip.MustParseAddrPort(r.listener.Addr().String())
+	return r.bound
 }
 
-func (r *relay) accept(ctx context.Context) {
+func (r *relay) accept(ctx context.Context, listener net.Listener) {
 	for {
-		conn, err := r.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -170,6 +171,29 @@
 	}
 }
 
+// refuse resets all connections and listens to none for a time.
+func (r *relay) refuse(ctx context.Context, d time.Duration) {
+	r.mu.Lock()
+	listener := r.listener
+	r.mu.Unlock()
+	_ = listener.Close()
+	r.reset()
+	time.Sleep(d)
+	if ctx.Err() != nil {
+		return
+	}
+	var lc net.ListenConfig
+	listener, err := lc.Listen(ctx, "tcp", r.address().String())
+	if err != nil {
+		return
+	}
+	r.mu.Lock()
+	r.listener = listener
+	r.mu.Unlock()
+	context.AfterFunc(ctx, func() { _ = listener.Close() })
+	go r.accept(ctx, listener)
+}
+
 // block blocks the given directions for a time.
 func (r *relay) block(d time.Duration, dirs ...direction) {
 	unblocked := make(chan struct{})
--- a/soaker/settings.go
+++ b/soaker/settings.go
@@ -96,12 +96,12 @@
 
 // findFreePorts returns the first of portsPerProcess consecutive ports that are
 // free on all addresses.
-func findFreePorts(ctx context.Context) (uint16, error) {
-	ips := make([]netip.Addr, 0, replicaCount+2*serversPerService)
+func findFreePorts(ctx context.Context, hosts int) (uint16, error) {
+	ips := make([]netip.Addr, 0, replicaCount+hosts)
 	for n := range replicaCount {
 		ips = append(ips, replicaIP(n))
 	}
-	for n := range 2 * serversPerService {
+	for n := range hosts {
 		ips = append(ips, hostIP(n))
 	}
 	for n := range maxPortTries {
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -38,6 +38,9 @@
 	Seed uint64
 	// Duration is the time during which faults are started.
 	Duration time.Duration
+	// ServersPerService is the number of desk servers and of ledger servers; 0 means 3. The
+	// desk calls the ledger.
+	ServersPerService int
 	// Unsafe declares requests that must not run twice as repeatable, to show that
 	// the at-most-once check reports requests that run twice.
 	Unsafe bool
@@ -76,9 +79,12 @@
 // Run runs one soak. Violations of guarantees are findings of the report; an error
 // means that the soak could not be completed.
 func Run(ctx context.Context, config Config) (Report, error) {
+	if config.ServersPerService == 0 {
+		config.ServersPerService = defaultServersPerService
+	}
 	report := Report{Seed: config.Seed, Steps: slices.Concat(
-		Plan(config.Seed, config.Duration, 2*serversPerService, replicaCount),
-		PlanStatements(config.Seed, config.Duration, serversPerService),
+		Plan(config.Seed, config.Duration, 2*config.ServersPerService, replicaCount),
+		PlanStatements(config.Seed, config.Duration, config.ServersPerService),
 	)}
 	slices.SortStableFunc(report.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	// The backend servers outlive the processes, which may still answer requests.
@@ -138,6 +144,9 @@
 	var load, faults sync.WaitGroup
 	load.Go(func() { s.callers.run(loadCtx) })
 	load.Go(func() { s.operators.run(loadCtx) })
+	endingsCtx, stopEndings := context.WithCancel(loadCtx)
+	defer stopEndings()
+	load.Go(func() { s.deployment.sendEndings(endingsCtx) })
 	start := time.Now()
 	for _, step := range report.Steps {
 		select {
@@ -152,6 +161,7 @@
 		})
 	}
 	faults.Wait()
+	stopEndings()
 	s.awaitRecovery(ctx)
 	stop()
 	load.Wait()
@@ -195,6 +205,7 @@
 		acknowledged: s.operators.acknowledged,
 		recorded:     s.recorded,
 		spans:        s.deployment.spans,
+		endings:      s.deployment.endings(),
 	}
 	for i := range e.spans {
 		e.spans[i].runs = e.spans[i].host.server.Ledger().Runs()
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -62,6 +62,17 @@
 			evidence{requests: []*request{{status: 200, answer: auditor.Answer{Want: 1, Got: 2}}}},
 			evidence{requests: []*request{{status: 200, answer: auditor.Answer{Want: 1, Got: 1}}, {status: 503, answer: auditor.Answer{Want: 1}}}},
 		},
+		{
+			"ends-few-servers",
+			evidence{endings: map[waxwingseam.ServiceName]endingEvidence{serviceDesk: {
+				ends:     []time.Time{at(1), at(2), at(3)},
+				arrivals: []endingArrival{{desk, at(7)}, {desk, at(7)}, {desk, at(8)}, {desk, at(9)}},
+			}}},
+			evidence{endings: map[waxwingseam.ServiceName]endingEvidence{serviceDesk: {
+				ends:     []time.Time{at(1), at(2), at(3)},
+				arrivals: []endingArrival{{desk, at(5)}, {desk, at(7)}, {desk, at(8)}, {killedHost, at(6)}, {desk, at(9)}},
+			}, serviceLedger: {ends: []time.Time{at(1), at(2)}, arrivals: []endingArrival{{desk, at(7)}, {desk, at(8)}, {desk, at(9)}, {desk, at(10)}}}}},
+		},
 		{
 			"answered-in-time",
 			evidence{requests: []*request{{host: stoppingHost, sent: at(0), ended: at(15)}}},
