quarantiner: a request that comes to one server each time is kept from that server

Cause: that the server might be at fault was taken as a reason to let the request come to it again and again. The balancer sends a resend to the same server while it is near and has room.

The fix: after three ends of one server its own node refuses the request as not run, with a reason on which senders redirect it. If it runs well elsewhere, it is cleared; if it ends another server, it is refused everywhere.

--- a/cmd/waxwingseam/quarantine.go
+++ b/cmd/waxwingseam/quarantine.go
@@ -54,7 +54,8 @@
 
 // printQuarantined prints the requests that are refused.
 func printQuarantined(requests []waxwingseam.QuarantinedRequest) error {
-	rows := [][]string{{"REQUEST", "STATE", "ENDS", "PROVEN", "SERVERS", "RUNNER-UP", "UNTIL"}}
+	rows := make([][]string, 0, 1+len(requests))
+	rows = append(rows, []string{"REQUEST", "STATE", "ENDS", "PROVEN", "SERVERS", "RUNNER-UP", "UNTIL"})
 	for _, r := range requests {
 		rows = append(rows, []string{
 			r.Digest.String(), string(r.State), strconv.Itoa(r.Ends), strconv.Itoa(r.Proven),
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -185,7 +185,7 @@
 	case waxwingseam.ReasonConnectionFailed, waxwingseam.ReasonDraining, waxwingseam.ReasonUnknownService,
 		waxwingseam.ReasonIncarnation, waxwingseam.ReasonFenced, waxwingseam.ReasonOverloaded,
 		waxwingseam.ReasonEvicted, waxwingseam.ReasonWaitLimit, waxwingseam.ReasonRetryBudget,
-		waxwingseam.ReasonRateLimited:
+		waxwingseam.ReasonRateLimited, waxwingseam.ReasonEndsServer:
 		return true
 	}
 	return false
--- a/launcher/stopping_test.go
+++ b/launcher/stopping_test.go
@@ -23,21 +23,22 @@
 	defer client.CloseIdleConnections()
 	refused := 0
 	for refused < 3 {
-		response := get(t, client, fleet, "refused")
-		if response.StatusCode != http.StatusServiceUnavailable {
+		status, closes := get(t, client, fleet, "refused")
+		if status != http.StatusServiceUnavailable {
 			continue
 		}
 		refused++
-		qt.Assert(t, response.Close, qt.IsTrue)
+		qt.Assert(t, closes, qt.IsTrue)
 	}
 }
 
-// get sends a request to the first node and returns the answer without its body.
-func get(t *testing.T, client *http.Client, fleet *launcher.Fleet, path string) *http.Response {
+// get sends a request to the first node and returns the status of the answer, and whether it
+// says that the connection closes.
+func get(t *testing.T, client *http.Client, fleet *launcher.Fleet, path string) (status int, closes bool) {
 	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+fleet.StandIns[0].Entry.String()+"/echo/"+path, nil)
 	qt.Assert(t, err, qt.IsNil)
 	response, err := client.Do(r)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, response.Body.Close(), qt.IsNil)
-	return response
+	return response.StatusCode, response.Close
 }
--- a/narrator/narrator.go
+++ b/narrator/narrator.go
@@ -258,8 +258,9 @@
 
 // backendEnded writes a line for an end of the own backend server that was not planned.
 func (n *Narrator) backendEnded(now time.Time, v waxwingseam.BackendEnded) {
-	var digests []string
-	for _, r := range v.End.Requests[:min(len(v.End.Requests), maxNamedRequests)] {
+	named := v.End.Requests[:min(len(v.End.Requests), maxNamedRequests)]
+	digests := make([]string, 0, len(named))
+	for _, r := range named {
 		digests = append(digests, r.Fingerprint.Digest.String())
 	}
 	n.write(now, EventBackendEnded, slog.LevelWarn,
--- a/outcome.go
+++ b/outcome.go
@@ -67,4 +67,5 @@
 	ReasonRetryBudget      Reason = "retry-budget"
 	ReasonRateLimited      Reason = "rate-limited"
 	ReasonQuarantined      Reason = "quarantined"
+	ReasonEndsServer       Reason = "ends-server"
 )
--- a/quarantine.go
+++ b/quarantine.go
@@ -227,9 +227,9 @@
 // servers.
 type Quarantine interface {
 	Worker
-	// Check reports whether the request of a call may run now at the node's own backend
-	// server, and if not, when it may be sent again.
-	Check(c *Context, id CallID, f Fingerprint) (allowed bool, retryAfter time.Duration)
+	// Check returns why the request of a call may not run now at the node's own backend
+	// server, and when it may be sent again; ReasonNone if it may run.
+	Check(c *Context, id CallID, f Fingerprint) (reason Reason, retryAfter time.Duration)
 	// Quarantined lists the requests that are refused or on trial, ordered by digest.
 	Quarantined(now time.Time) []QuarantinedRequest
 }
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -79,12 +80,12 @@
 func TestRequestsBesideTheCauseAreRefused(t *testing.T) {
 	w := newWorld(6)
 	w.prove()
-	var beside []string
+	beside := make([]string, 0, 90)
 	for n := range 90 {
 		beside = append(beside, fmt.Sprintf("beside-%d", n))
 	}
 	for _, v := range w.nodes[:3] {
-		v.end(append(beside, killer)...)
+		v.end(slices.Concat(beside, []string{killer})...)
 		w.pass(60 * time.Millisecond)
 	}
 	w.nodes[3].end(killer)
@@ -122,9 +123,9 @@
 	qt.Assert(t, last.State, qt.Equals, waxwingseam.QuarantineLifted)
 }
 
-// TestFaultyServerHasCallersRefused has one server end of all that it runs, while its
-// callers' requests are not tried elsewhere.
-func TestFaultyServerHasCallersRefused(t *testing.T) {
+// TestFaultyServerHasCallersRefusedElsewhere has one server end of all that it runs, while its
+// callers' requests are not tried elsewhere. They must be, and run well there.
+func TestFaultyServerHasCallersRefusedElsewhere(t *testing.T) {
 	w := newWorld(6)
 	w.prove()
 	for range 20 {
@@ -132,9 +133,33 @@
 		w.nodes[2].end("sound")
 		w.pass(time.Second)
 	}
+	qt.Assert(t, w.nodes[2].allows("sound"), qt.IsFalse)
+	qt.Assert(t, w.allowing("sound"), qt.Equals, 5)
+	w.nodes[3].serve("sound")
+	w.pass(time.Second)
 	qt.Assert(t, w.allowing("sound"), qt.Equals, 6)
 }
 
+// TestRequestGoesOnEndingOneServer has a request come to the same server each time. It must be
+// kept from that server after three ends, and from all after it has ended another one.
+func TestRequestGoesOnEndingOneServer(t *testing.T) {
+	w := newWorld(6)
+	w.prove()
+	ends := 0
+	for range 20 {
+		w.nodes[2].serve("usual")
+		if w.nodes[2].allows(killer) {
+			w.nodes[2].end(killer)
+			ends++
+		}
+		w.pass(time.Second)
+	}
+	qt.Assert(t, ends, qt.Equals, 3)
+	w.nodes[4].end(killer)
+	w.pass(time.Second)
+	qt.Assert(t, w.allowing(killer), qt.Equals, 0)
+}
+
 // TestFaultyServerHidesTheCause has one server end of all that it runs, while a request ends
 // the others.
 func TestFaultyServerHidesTheCause(t *testing.T) {
--- a/quarantiner/table.go
+++ b/quarantiner/table.go
@@ -167,7 +167,7 @@
 
 // reports returns all ends as they are sent to other nodes.
 func (t *table) reports(now time.Time) []waxwingseam.ServerEnd {
-	var out []waxwingseam.ServerEnd
+	out := make([]waxwingseam.ServerEnd, 0, len(t.ends))
 	for _, e := range t.sorted() {
 		out = append(out, t.report(now, e))
 	}
--- a/quarantiner/verdict.go
+++ b/quarantiner/verdict.go
@@ -35,7 +35,9 @@
 // verdict is the decision to refuse a request.
 type verdict struct {
 	request waxwingseam.QuarantinedRequest
-	service waxwingseam.ServiceName
+	// server is set if all ends are of this server, which may be at fault: only its node
+	// refuses the request, so that another server tries it.
+	server waxwingseam.ServerName
 	// latest is the latest end that the request explains.
 	latest time.Time
 	// ordered is set if an operator has the request refused.
@@ -63,25 +65,32 @@
 }
 
 // Check implements waxwingseam.Quarantine.
-func (q *quarantiner) Check(c *waxwingseam.Context, id waxwingseam.CallID, f waxwingseam.Fingerprint) (allowed bool, retryAfter time.Duration) {
+func (q *quarantiner) Check(c *waxwingseam.Context, id waxwingseam.CallID, f waxwingseam.Fingerprint) (reason waxwingseam.Reason, retryAfter time.Duration) {
 	v, ok := q.verdicts[f.Digest]
-	if !ok {
-		return true, 0
+	if !ok || v.server != "" && v.server != c.Self.Name {
+		return waxwingseam.ReasonNone, 0
 	}
 	v.update(c.Now)
+	reason = waxwingseam.ReasonQuarantined
+	if v.server != "" {
+		reason = waxwingseam.ReasonEndsServer
+	}
 	if v.request.State == waxwingseam.QuarantineSet {
-		return false, v.request.Until.Sub(c.Now)
+		return reason, v.request.Until.Sub(c.Now)
 	}
 	trying := !v.trial.IsZero() && c.Now.Sub(v.trialSince) < trialTimeout
 	if trying || !q.triesHere(c, v) {
-		return false, trialRetryAfter
+		return reason, trialRetryAfter
 	}
 	v.trial, v.trialSince = id, c.Now
-	return true, 0
+	return waxwingseam.ReasonNone, 0
 }
 
 // triesHere reports whether the node is the one of its service that tries a request again.
 func (q *quarantiner) triesHere(c *waxwingseam.Context, v *verdict) bool {
+	if v.server != "" {
+		return v.server == c.Self.Name
+	}
 	key := v.request.Digest.String()
 	own := rendezvous(key, c.Self.Name)
 	for name, s := range q.servers {
@@ -147,17 +156,23 @@
 	return len(names)
 }
 
-// suffices reports whether the ends are enough to refuse the request. If all of them are
-// ends of one server, that server may be at fault, unless the request has no other.
-func (q *quarantiner) suffices(a account) bool {
-	proven := a.proven()
+// suffices reports whether the ends are enough to refuse the request.
+func (a account) suffices() bool {
 	if slices.ContainsFunc(a.ends, func(e *end) bool { return e.ordered }) {
 		return true
 	}
-	if 2*proven+(len(a.ends)-proven) < 2*threshold {
-		return false
+	proven := a.proven()
+	return 2*proven+(len(a.ends)-proven) >= 2*threshold
+}
+
+// onlyServer returns the server that has ended if it is the only one and its service has
+// others; empty otherwise.
+func (q *quarantiner) onlyServer(a account) waxwingseam.ServerName {
+	first := a.ends[0]
+	if first.ordered || a.servers() > 1 || q.serversOf(first.service) < 2 {
+		return ""
 	}
-	return a.servers() > 1 || q.serversOf(a.ends[0].service) == 1 && proven >= threshold
+	return first.id.Server
 }
 
 // serversOf counts the known servers of a service.
@@ -216,8 +231,8 @@
 func (q *quarantiner) review(c *waxwingseam.Context, digest waxwingseam.RequestDigest, explained map[*end]bool) {
 	v := q.verdicts[digest]
 	if s, ok := q.table.suspects[digest]; ok {
-		if a := (account{s, s.open()}); len(a.ends) > 0 && q.suffices(a) {
-			v.set(a)
+		if a := (account{s, s.open()}); len(a.ends) > 0 && a.suffices() {
+			q.base(v, a)
 			explain(a.ends, explained)
 			return
 		}
@@ -247,13 +262,13 @@
 			continue
 		}
 		switch {
-		case !q.suffices(a):
+		case !a.suffices():
 			runnerUp = max(runnerUp, len(a.ends))
 		case len(leaders) == 0 || len(a.ends) > len(leaders[0].ends):
 			if len(leaders) > 0 {
 				runnerUp = max(runnerUp, len(leaders[0].ends))
 			}
-			leaders = []account{a}
+			leaders = append(leaders[:0], a)
 		case len(a.ends) == len(leaders[0].ends):
 			leaders = append(leaders, a)
 		default:
@@ -272,18 +287,19 @@
 		Digest:   a.suspect.fingerprint.Digest,
 		RunnerUp: runnerUp,
 	}}
-	v.set(a)
+	q.base(v, a)
 	v.update(c.Now)
 	q.verdicts[v.request.Digest] = v
 	c.Emit(waxwingseam.QuarantineChanged{Request: v.request})
 }
 
-// set bases the verdict on ends.
-func (v *verdict) set(a account) {
+// base bases a verdict on ends.
+func (q *quarantiner) base(v *verdict, a account) {
 	v.request.Ends, v.request.Servers, v.request.Proven = len(a.ends), a.servers(), a.proven()
 	latest := slices.MaxFunc(a.ends, func(a, b *end) int { return a.at.Compare(b.at) })
-	v.latest, v.service = latest.at, latest.service
+	v.latest = latest.at
 	v.ordered = slices.ContainsFunc(a.ends, func(e *end) bool { return e.ordered })
+	v.server = q.onlyServer(a)
 }
 
 // watch has the requests with a verdict reported with their digests.
--- a/quarantiner/world_test.go
+++ b/quarantiner/world_test.go
@@ -76,7 +76,7 @@
 
 // introduce tells all nodes the servers.
 func (w *world) introduce() {
-	var servers []waxwingseam.Server
+	servers := make([]waxwingseam.Server, 0, len(w.nodes))
 	for _, v := range w.nodes {
 		servers = append(servers, v.context.Self)
 	}
@@ -167,8 +167,8 @@
 func (v *node) allows(request string) bool {
 	v.calls++
 	v.context.Begin(waxwingseam.Stamp{Now: v.world.now})
-	allowed, _ := v.quarantine.Check(v.context, waxwingseam.NewCallID(1, v.calls), fingerprint(request))
-	return allowed
+	reason, _ := v.quarantine.Check(v.context, waxwingseam.NewCallID(1, v.calls), fingerprint(request))
+	return reason == waxwingseam.ReasonNone
 }
 
 // serve has the node's server complete a request.
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -246,13 +246,10 @@
 	if r.quarantine == nil || e.Fingerprint.Digest.IsZero() {
 		return result, false
 	}
-	allowed, retryAfter := r.quarantine.Check(c, e.Call.ID, e.Fingerprint)
-	if allowed {
-		return result, false
-	}
-	result = didNotRun(waxwingseam.ReasonQuarantined)
+	reason, retryAfter := r.quarantine.Check(c, e.Call.ID, e.Fingerprint)
+	result = didNotRun(reason)
 	result.RetryAfter = retryAfter
-	return result, true
+	return result, reason != waxwingseam.ReasonNone
 }
 
 // refusalReason returns why a new call is refused regardless of load;
--- a/soaker/ending.go
+++ b/soaker/ending.go
@@ -1,7 +1,6 @@
 package soaker
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -20,7 +19,7 @@
 	// request, and endingLedger one whose call ends the servers of the ledger.
 	endText      = "ends-its-server"
 	endingDesk   = prefixRepeatable + endText
-	endingLedger = prefixRepeatable + "has-a-call-that-ends-its-server"
+	endingLedger = prefixRepeatable + "calls-the-ledger-to-its-end"
 	// endDelay passes from the arrival of such a request to the end, and downTime from
 	// there to the restart.
 	endDelay = 30 * time.Millisecond
@@ -66,7 +65,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stay)
 	defer cancel()
 	url := fmt.Sprintf("http://%s/%s%s", h.entryAddress, serviceDesk, path)
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader([]byte(endText)))
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return
 	}
