--- a/forwarder/fingerprint.go
+++ b/forwarder/fingerprint.go
@@ -57,9 +57,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.ended {
-		quick := binary.BigEndian.AppendUint64(nil, out.Head)
-		quick = binary.BigEndian.AppendUint64(quick, bodyDigest)
-		out.Quick = xxhash.Sum64(quick)
+		var whole [16]byte
+		binary.BigEndian.PutUint64(whole[:8], out.Head)
+		binary.BigEndian.PutUint64(whole[8:], bodyDigest)
+		out.Quick = xxhash.Sum64(whole[:])
 	}
 	if !wantDigest || !b.prefixKnown() {
 		return out
--- a/quarantine.go
+++ b/quarantine.go
@@ -194,7 +194,8 @@
 const (
 	// QuarantineSet means that the request is refused.
 	QuarantineSet QuarantineState = "set"
-	// QuarantineTrial means that one node at a time may run the request.
+	// QuarantineTrial means that one node of the service may run the request, one run at a
+	// time.
 	QuarantineTrial QuarantineState = "trial"
 	// QuarantineLifted means that the request runs like any other.
 	QuarantineLifted QuarantineState = "lifted"
@@ -230,8 +231,6 @@
 	// Check returns why the request of a call may not run now at the node's own backend
 	// server, and when it may be sent again; ReasonNone if it may run.
 	Check(c *Context, id CallID, f Fingerprint) (reason Reason, retryAfter time.Duration)
-	// Quarantined lists the requests that are refused or on trial, ordered by digest.
-	Quarantined(now time.Time) []QuarantinedRequest
 }
 
 // Kind implements Event.
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -11,6 +11,18 @@
 	"waxwingseam.example/waxwingseam"
 )
 
+// ExampleNew ends three servers of a service with one request.
+func ExampleNew() {
+	w := newWorld(4)
+	w.prove()
+	for _, v := range w.nodes[:3] {
+		v.end("GET /lots/5")
+		w.pass(time.Second)
+	}
+	fmt.Println(w.nodes[3].allows("GET /lots/5"), w.nodes[3].allows("GET /lots/6"))
+	// Output: false true
+}
+
 // killer is a request that ends each server that runs it.
 const killer = "killer"
 
--- a/quarantiner/verdict.go
+++ b/quarantiner/verdict.go
@@ -110,17 +110,6 @@
 	}
 }
 
-// Quarantined implements waxwingseam.Quarantine.
-func (q *quarantiner) Quarantined(now time.Time) []waxwingseam.QuarantinedRequest {
-	out := make([]waxwingseam.QuarantinedRequest, 0, len(q.verdicts))
-	for _, digest := range q.convicted() {
-		v := q.verdicts[digest]
-		v.update(now)
-		out = append(out, v.request)
-	}
-	return out
-}
-
 // convicted returns the requests with a verdict in order.
 func (q *quarantiner) convicted() []waxwingseam.RequestDigest {
 	return slices.SortedFunc(maps.Keys(q.verdicts), compareDigests)
