--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -330,3 +331,52 @@
 	w.pass(time.Second)
 	qt.Assert(t, w.allowing(killer), qt.Equals, 0)
 }
+
+// TestNodesDisagree has servers end and requests run well at random, while nodes are cut off and
+// restart. Half a minute after that, all nodes must decide alike on each request.
+func TestNodesDisagree(t *testing.T) {
+	const requests = 8
+	for seed := range uint64(20) {
+		w := newWorld(6)
+		w.random = rand.New(rand.NewPCG(seed, 1))
+		for range 150 {
+			v := w.nodes[w.random.IntN(len(w.nodes))]
+			request := fmt.Sprintf("request-%d", w.random.IntN(requests))
+			switch w.random.IntN(8) {
+			case 0:
+				v.serve(request)
+			case 1:
+				v.cut = !v.cut
+			case 2:
+				self := v.context.Self
+				self.Incarnation++
+				v.start(self)
+				w.introduce()
+			case 3:
+				v.serve("usual")
+			default:
+				v.end(request, fmt.Sprintf("request-%d", w.random.IntN(requests)))
+			}
+			w.pass(time.Duration(w.random.Int64N(int64(time.Second))))
+		}
+		for _, v := range w.nodes {
+			v.cut = false
+		}
+		w.introduce()
+		w.pass(30 * time.Second)
+		for n := range requests {
+			request := fmt.Sprintf("request-%d", n)
+			first := w.nodes[0].refusesEverywhere(request)
+			for _, v := range w.nodes {
+				qt.Assert(t, v.refusesEverywhere(request), qt.Equals, first, qt.Commentf("seed %d, %s at %s", seed, request, v.context.Self.Name))
+			}
+		}
+	}
+}
+
+// refusesEverywhere reports whether the node refuses a request on behalf of all servers.
+func (v *node) refusesEverywhere(request string) bool {
+	v.context.Begin(waxwingseam.Stamp{Now: v.world.now})
+	reason, _ := v.quarantine.Check(v.context, waxwingseam.NewCallID(2, 1), fingerprint(request))
+	return reason == waxwingseam.ReasonQuarantined
+}
