quarantiner: an old end that overflows a full table does not take the process down

What would have been seen: a process that ends, once a node with 128 known ends gets an older one of a request that has run well there.

Cause: the new end is the first to be removed, and the answer to its sender was taken from the table. TestOldEndOverflowsTable panicked before. The answer is now taken from the message.

--- a/quarantine.go
+++ b/quarantine.go
@@ -64,8 +64,8 @@
 	// Head is a fast hash of the request without its body. It selects the requests
 	// whose digest is computed.
 	Head uint64 `cbor:"2,keyasint,omitempty"`
-	// Quick is a fast hash of the whole request. As it can be forged, it only ever speaks
-	// for a request.
+	// Quick is a fast hash of the whole request. As it can be forged, it can clear a
+	// request but not accuse it.
 	Quick uint64 `cbor:"3,keyasint,omitempty"`
 }
 
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -380,3 +380,26 @@
 	reason, _ := v.quarantine.Check(v.context, waxwingseam.NewCallID(2, 1), fingerprint(request))
 	return reason == waxwingseam.ReasonQuarantined
 }
+
+// TestOldEndOverflowsTable has a node with a full table receive an older end of a request that
+// has run well there. The end is forgotten at once, and the node must go on.
+func TestOldEndOverflowsTable(t *testing.T) {
+	w := newWorld(2)
+	v := w.nodes[0]
+	for n := range 200 {
+		v.end(fmt.Sprintf("%d-once", n))
+		w.pass(60 * time.Millisecond)
+	}
+	v.serve("usual")
+	v.step(func(s waxwingseam.Stamp) waxwingseam.Event {
+		return waxwingseam.EndsReceived{Stamp: s, Message: waxwingseam.EndsMessage{
+			From: w.nodes[1].context.Self.Node,
+			Ends: []waxwingseam.ServerEnd{{
+				ID: waxwingseam.ServerEndID{Server: "desk-9", Incarnation: 1, Number: 1}, Service: "desk", Age: time.Hour,
+				Requests: []waxwingseam.EndedRequest{{Fingerprint: fingerprint("usual")}, {}},
+			}},
+		}}
+	})
+	w.pass(time.Second)
+	qt.Assert(t, v.allows("usual"), qt.IsTrue)
+}
--- a/quarantiner/share.go
+++ b/quarantiner/share.go
@@ -184,7 +184,9 @@
 	for _, v := range m.Ends {
 		before := q.clearedAt(v.ID)
 		if cleared := q.add(c, v); len(cleared) > 0 {
-			answer = append(answer, partOf(c.Now, q.table.ends[v.ID], cleared))
+			part := v
+			part.Requests = cleared
+			answer = append(answer, part)
 		}
 		if v.ID.Server == c.Self.Name {
 			q.markDirty(c, v.ID, newlyCleared(before, v.Requests))
