--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins of the cases: clients, backends, operators and the platform.
+set -e
+cd "$(dirname "$0")/.."
+go build -trimpath -tags review -o target/review-stand ./review/stand
