--- a/review/stand/installation.go
+++ b/review/stand/installation.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -89,10 +90,13 @@
 	list []answered
 }
 
-// startLoad starts eight clients, spread over the machines.
+// loadClients is the number of clients that send requests all the time.
+const loadClients = 32
+
+// startLoad starts the clients, spread over the machines.
 func startLoad(machines []*machine) *load {
 	l := &load{stop: make(chan struct{})}
-	for i := range 8 {
+	for i := range loadClients {
 		m := machines[i%len(machines)]
 		l.wg.Go(func() {
 			for {
@@ -134,10 +138,10 @@
 	return lost
 }
 
-// workFor returns the work of a backend that takes a time.
+// workFor returns the work of a backend that takes a time, give or take a quarter.
 func workFor(d time.Duration) func(*backend, http.ResponseWriter, *http.Request) {
 	return func(_ *backend, w http.ResponseWriter, r *http.Request) {
-		time.Sleep(d)
+		time.Sleep(d*3/4 + rand.N(d/2))
 		fmt.Fprint(w, "done ", r.Header.Get("X-Request-Id"))
 	}
 }
