root, forwarder: types for client accounts, pace and remaining work; requirements

The parts of this work meet in the root package: accounts travel with calls, tickets and queries, nodes state the pace and the remaining work of their backend servers, and frames carry both (version 3). No decision uses them yet.

--- a/admission.go
+++ b/admission.go
@@ -8,7 +8,9 @@
 	// Root identifies the root request that the call belongs to.
 	Root  RootID
 	Class ClassName
-	Rank  Rank
+	// Account is the client account of the root; empty without one.
+	Account AccountName
+	Rank    Rank
 	// Depth is the call's depth; see Call.Depth.
 	Depth    uint8
 	Deadline time.Time
--- a/balance.go
+++ b/balance.go
@@ -50,6 +50,8 @@
 type Query struct {
 	Service ServiceName
 	Class   ClassName
+	// Account is the client account of the root; empty without one.
+	Account AccountName
 	Rank    Rank
 	Depth   uint8
 	// Root is set for the first attempt of a root, which may be refused for the share
--- a/call.go
+++ b/call.go
@@ -29,6 +29,8 @@
 	Service ServiceName
 	// Class is the call's own request class, which may differ from its root's.
 	Class ClassName
+	// Account is the client account of the root; empty without one.
+	Account AccountName
 	// Rank is the root's place in the order of service.
 	Rank Rank
 	// Depth counts the hops above the call; 0 for a root. An outbound call without
--- a/callevent.go
+++ b/callevent.go
@@ -48,6 +48,8 @@
 	Replayable bool
 	// Trace is the caller's trace context; zero without one.
 	Trace TraceContext
+	// KeyDigest is the digest of the client account's key; zero without a key.
+	KeyDigest KeyDigest `cbor:",omitzero"`
 }
 
 // CallerLeft says that the caller of a call has left and needs no answer.
--- a/dispatcher/arrival.go
+++ b/dispatcher/arrival.go
@@ -115,6 +115,7 @@
 		return waxwingseam.ReasonUnknownContext
 	}
 	f.call.Root = parent.Root
+	f.call.Account = parent.Account
 	f.call.Trace = parent.Trace
 	f.call.Parent = parent.ID
 	f.call.Rank = parent.Rank
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -12,6 +12,7 @@
 	query := waxwingseam.Query{
 		Service:      f.call.Service,
 		Class:        f.call.Class,
+		Account:      f.call.Account,
 		Rank:         f.call.Rank,
 		Depth:        f.call.Depth,
 		Root:         f.refusable && len(f.attempts) == 0,
--- a/forwarder/badserver_test.go
+++ b/forwarder/badserver_test.go
@@ -203,6 +203,8 @@
 	return waxwingseam.ReplyDidNotRun, waxwingseam.ReasonServerRefused
 }
 
+func (refusals) ParseLoad(http.Header) waxwingseam.BackendLoad { return waxwingseam.BackendLoad{} }
+
 func (refusals) ParseStatement(http.Header) waxwingseam.Statement {
 	return waxwingseam.Statement{}
 }
--- a/forwarder/codec.go
+++ b/forwarder/codec.go
@@ -17,7 +17,7 @@
 )
 
 // frameVersion is the first byte of each frame. Any change of the layout changes it.
-const frameVersion = 2
+const frameVersion = 3
 
 // frameEncoding encodes frames in a fixed layout: the fields in order, numbers as
 // variable-length integers, texts behind their length.
@@ -277,7 +277,8 @@
 
 func (c *codec) opening(o *opening) {
 	known, parent, traced := o.Known != nil, !o.Parent.IsZero(), o.Trace != waxwingseam.TraceContext{}
-	c.flags(&known, &parent, &traced, &o.Resumed, &o.Relayed, &o.Repeated, &o.Patient)
+	account := o.Account != ""
+	c.flags(&known, &parent, &traced, &o.Resumed, &o.Relayed, &o.Repeated, &o.Patient, &account)
 	c.array(o.Root[:])
 	c.array(o.ID[:])
 	if parent {
@@ -285,6 +286,9 @@
 	}
 	name(c, &o.Service)
 	name(c, &o.Class)
+	if account {
+		repeated(c, &accountNames, &o.Account)
+	}
 	c.rank(&o.Rank)
 	unsigned(c, &o.Depth)
 	unsigned(c, &o.RefusedPermille)
@@ -340,7 +344,8 @@
 
 func (c *codec) load(l *waxwingseam.Load) {
 	statement, threshold := l.Statement != nil, l.Threshold != waxwingseam.Rank{}
-	c.flags(&statement, &threshold, &l.Shedding, &l.Leaving)
+	pace, work := l.Pace != 0, l.WorkLeft != 0
+	c.flags(&statement, &threshold, &l.Shedding, &l.Leaving, &pace, &work)
 	unsigned(c, &l.InFlight)
 	unsigned(c, &l.Waiting)
 	unsigned(c, &l.Limit)
@@ -349,6 +354,12 @@
 	}
 	signed(c, &l.ServiceTime)
 	signed(c, &l.RateDelay)
+	if pace {
+		unsigned(c, &l.Pace)
+	}
+	if work {
+		signed(c, &l.WorkLeft)
+	}
 	if statement {
 		c.known(allocated(c, &l.Statement))
 	}
@@ -438,8 +449,9 @@
 )
 
 // names holds names from configurations and from the project, and fieldNames the
-// names of header fields and methods, which callers choose.
-var names, fieldNames interner
+// names of header fields and methods, which callers choose. accountNames holds names of
+// client accounts, which may be many.
+var names, fieldNames, accountNames interner
 
 // interner holds one copy of each text that occurs often. Its map is copied when it
 // grows, so that reading takes no lock.
--- a/forwarder/codec_test.go
+++ b/forwarder/codec_test.go
@@ -108,7 +108,7 @@
 		_ = frameEncoding.Unmarshal(damaged, &got)
 	}
 	data[0]++
-	qt.Assert(t, frameEncoding.Unmarshal(data, &got), qt.ErrorMatches, "frame: version 3, want 2")
+	qt.Assert(t, frameEncoding.Unmarshal(data, &got), qt.ErrorMatches, "frame: version 4, want 3")
 }
 
 // TestInternerIsBounded checks that texts of callers can't fill the memory.
--- a/forwarder/frame.go
+++ b/forwarder/frame.go
@@ -76,6 +76,7 @@
 	Parent         waxwingseam.CallID
 	Service        waxwingseam.ServiceName
 	Class          waxwingseam.ClassName
+	Account        waxwingseam.AccountName
 	Rank           waxwingseam.Rank
 	Depth          uint8
 	Repeat         waxwingseam.Repeat
@@ -138,6 +139,7 @@
 		Parent:          call.Parent,
 		Service:         call.Service,
 		Class:           call.Class,
+		Account:         call.Account,
 		Rank:            call.Rank,
 		Depth:           call.Depth,
 		RefusedPermille: call.RefusedPermille,
@@ -179,6 +181,7 @@
 		Parent:          o.Parent,
 		Service:         o.Service,
 		Class:           o.Class,
+		Account:         o.Account,
 		Rank:            o.Rank,
 		Depth:           o.Depth,
 		RefusedPermille: o.RefusedPermille,
--- a/forwarder/headers.go
+++ b/forwarder/headers.go
@@ -33,6 +33,10 @@
 	// HeaderLeaving is set to 1 by a backend server that takes no new work.
 	HeaderLeaving = "Waxwingseam-Leaving"
 
+	// HeaderLoad is a backend server's load: running and waiting requests, slots, and
+	// how long work takes at this moment, in hundredths of the usual time.
+	HeaderLoad = "Waxwingseam-Load"
+
 	headerTraceParent = "Traceparent"
 )
 
--- a/forwarder/native.go
+++ b/forwarder/native.go
@@ -90,6 +90,11 @@
 	return waxwingseam.ReplyMatched, waxwingseam.ReasonNone
 }
 
+// ParseLoad implements waxwingseam.BackendProtocol.
+func (nativeBackend) ParseLoad(reply http.Header) waxwingseam.BackendLoad {
+	return waxwingseam.ParseBackendLoad(reply.Get(HeaderLoad))
+}
+
 // ParseStatement implements waxwingseam.BackendProtocol.
 func (nativeBackend) ParseStatement(reply http.Header) waxwingseam.Statement {
 	return waxwingseam.NewStatement(strings.Join(reply.Values(HeaderRateLimit), ","), reply.Get(HeaderLeaving))
--- a/forwarder/refusal_test.go
+++ b/forwarder/refusal_test.go
@@ -35,6 +35,10 @@
 	return waxwingseam.ReplyMatched, waxwingseam.ReasonNone
 }
 
+func (contextRefusals) ParseLoad(http.Header) waxwingseam.BackendLoad {
+	return waxwingseam.BackendLoad{}
+}
+
 func (contextRefusals) ParseStatement(http.Header) waxwingseam.Statement {
 	return waxwingseam.Statement{}
 }
--- a/object.go
+++ b/object.go
@@ -13,6 +13,7 @@
 	KindRetryLimit    Kind = "retry-limit"
 	KindWaitLimit     Kind = "wait-limit"
 	KindCallerLimit   Kind = "caller-limit"
+	KindClientAccount Kind = "client-account"
 )
 
 // Service is a service object. It holds the defaults of its backend servers.
@@ -97,6 +98,9 @@
 	// LargeReplies is set if replies are so large that they are kept out of the
 	// traffic between data centres where possible.
 	LargeReplies bool
+	// Unauthenticated exempts the calls from authentication, which roots need if the
+	// set has client accounts.
+	Unauthenticated bool
 	// RetryLimit and WaitLimit name the limits that apply to the class.
 	RetryLimit string
 	WaitLimit  string
@@ -162,6 +166,36 @@
 	IdleTimeout   time.Duration
 }
 
+// ClientAccount identifies the callers that hold one of its keys, and bounds their use.
+type ClientAccount struct {
+	Name AccountName
+	// Keys are secrets. Only control replicas hold them; nodes hold KeyDigests.
+	Keys []string
+	// KeyDigests are the digests of the keys, in the same order.
+	KeyDigests []KeyDigest
+	// Importance replaces that of the request class if HasImportance is set.
+	Importance    Importance
+	HasImportance bool
+	// Rate limits the roots per second over all nodes, and Burst is how many may come
+	// at once in addition. A Rate of 0 means no limit.
+	Rate  float64
+	Burst float64
+	// Weight is the account's share of room that is short, relative to other
+	// accounts; 0 selects Rate, or 1 if that is 0 too.
+	Weight float64
+}
+
+// ShareWeight returns the weight that is in force.
+func (a *ClientAccount) ShareWeight() float64 {
+	switch {
+	case a.Weight > 0:
+		return a.Weight
+	case a.Rate > 0:
+		return a.Rate
+	}
+	return 1
+}
+
 // Set is a complete set of objects: the content of one revision.
 type Set struct {
 	Revision Revision
@@ -175,6 +209,7 @@
 	RetryLimits    []RetryLimit
 	WaitLimits     []WaitLimit
 	CallerLimits   []CallerLimit
+	ClientAccounts []ClientAccount `cbor:",omitempty"`
 }
 
 // Service returns the service with a name; false if there is none.
--- a/outcome.go
+++ b/outcome.go
@@ -68,4 +68,6 @@
 	ReasonRateLimited      Reason = "rate-limited"
 	ReasonQuarantined      Reason = "quarantined"
 	ReasonEndsServer       Reason = "ends-server"
+	ReasonUnauthenticated  Reason = "unauthenticated"
+	ReasonAccountLimit     Reason = "account-limit"
 )
--- a/protocol.go
+++ b/protocol.go
@@ -75,4 +75,6 @@
 	CheckReply(request http.Header, status int, reply http.Header) (ReplyVerdict, Reason)
 	// ParseStatement returns what the backend server says of itself in a reply.
 	ParseStatement(reply http.Header) Statement
+	// ParseLoad returns what the backend server says of its load in a reply.
+	ParseLoad(reply http.Header) BackendLoad
 }
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -227,6 +227,7 @@
 		ID:              e.Call.ID,
 		Root:            e.Call.Root,
 		Class:           e.Call.Class,
+		Account:         e.Call.Account,
 		Rank:            e.Call.Rank,
 		Depth:           e.Call.Depth,
 		RefusedPermille: e.Call.RefusedPermille,
--- a/server.go
+++ b/server.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/netip"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -57,9 +59,54 @@
 	// Statement is what the node's backend server says of itself; nil if it names no
 	// limit and is not leaving, as far as the node knows.
 	Statement *KnownStatement `cbor:"9,keyasint,omitempty"`
+	// Pace is how long work takes at the backend server at this moment, in hundredths of
+	// the usual time; 0 if unknown.
+	Pace uint16 `cbor:"10,keyasint,omitempty"`
+	// WorkLeft is the expected time until the backend server would have ended the
+	// running and waiting calls; 0 if unknown.
+	WorkLeft time.Duration `cbor:"11,keyasint,omitempty"`
 	// RootLimit is the limit on running roots in force. It is not sent to other
 	// nodes.
 	RootLimit uint32 `cbor:"-"`
 	// Revision is the revision in force at the node.
 	Revision Revision `cbor:"15,keyasint,omitempty"`
 }
+
+// BackendLoad is what a backend server says of its load in the header of an answer.
+type BackendLoad struct {
+	// Stated is set if the answer names a load.
+	Stated  bool
+	Running int
+	Waiting int
+	Slots   int
+	// Pace is that of Load.
+	Pace uint16
+}
+
+// maxPace bounds the pace that a backend server may state.
+const maxPace = 10_000
+
+// ParseBackendLoad parses a load of the form "running,waiting,slots" or
+// "running,waiting,slots,pace". The result is not stated if the text has another form.
+func ParseBackendLoad(text string) BackendLoad {
+	if text == "" {
+		return BackendLoad{}
+	}
+	var figures [4]int
+	n := 0
+	for part := range strings.SplitSeq(text, ",") {
+		v, err := strconv.ParseUint(strings.TrimSpace(part), 10, 31)
+		if err != nil || n == len(figures) {
+			return BackendLoad{}
+		}
+		figures[n] = int(v)
+		n++
+	}
+	if n < len(figures)-1 {
+		return BackendLoad{}
+	}
+	return BackendLoad{
+		Stated: true, Running: figures[0], Waiting: figures[1], Slots: figures[2],
+		Pace: uint16(min(figures[3], maxPace)),
+	}
+}
