platform, supervisor: only a complete report changes the state of a backend server

The supervisor also took a ready report after a draining one, a leave with a later start of any instance, and a drain without a start.

Draining is final for an incarnation, a leave concerns the current instance only, and reports without a start are ignored once the current incarnation has named one. Incarnations that have ended are kept in the supervisor, so that a late heartbeat does not bring them back.

--- a/report.go
+++ b/report.go
@@ -47,6 +47,16 @@
 	ColdFor time.Duration
 }
 
+// Ending states that an incarnation of a backend server has reported that it is draining
+// or gone. It is never used again.
+type Ending struct {
+	Instance string `cbor:"1,keyasint"`
+	// Started is that of the report; zero if not reported.
+	Started time.Time `cbor:"2,keyasint,omitzero"`
+	// At is when the node received the report, on its clock.
+	At time.Time `cbor:"3,keyasint"`
+}
+
 // Reporter receives the reports of the node's own backend server. A report is
 // in force when Report returns.
 type Reporter interface {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -3,7 +3,10 @@
 // new work.
 package supervisor
 
-import "waxwingseam.example/waxwingseam"
+import (
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/registrar"
+)
 
 // Priority is the supervisor's place among the workers: before the receiver,
 // which depends on the state that the supervisor updates.
@@ -17,6 +20,7 @@
 type supervisor struct {
 	drainer waxwingseam.Drainer
 	latest  waxwingseam.BackendReport
+	endings registrar.Endings
 }
 
 // New returns a supervisor that has not received a report.
@@ -33,9 +37,7 @@
 func (s *supervisor) Reduce(c *waxwingseam.Context, e waxwingseam.Event) {
 	switch v := e.(type) {
 	case waxwingseam.BackendReported:
-		if supersedes(v.Report, s.latest) {
-			s.applyReport(c, v.Report)
-		}
+		s.receive(c, v.Report)
 	case waxwingseam.IncarnationSuperseded:
 		advanceIncarnation(c, v.Incarnation)
 	}
@@ -52,31 +54,55 @@
 	c.Emit(waxwingseam.Announce{Self: c.Self})
 }
 
-// supersedes reports whether a report is newer than the latest one.
-// BackendGone is final for an incarnation of the backend server: its late
-// heartbeats are ignored.
+// receive applies a report if it is newer than the latest one, and records the end of an
+// incarnation. A leave of an incarnation that is not the current one is recorded as well,
+// because its heartbeats may still arrive.
+func (s *supervisor) receive(c *waxwingseam.Context, r waxwingseam.BackendReport) {
+	if r.Started.IsZero() && r.Instance == s.latest.Instance && r.State == waxwingseam.BackendGone {
+		r.Started = s.latest.Started
+	}
+	newer := supersedes(r, s.latest)
+	if newer && r.State == waxwingseam.BackendReady && s.endings.Covers(r.Instance, r.Started) {
+		return
+	}
+	if r.State == waxwingseam.BackendGone || newer && r.State == waxwingseam.BackendDraining {
+		s.endings.Add(c.Now, waxwingseam.Ending{Instance: r.Instance, Started: r.Started, At: c.Now})
+	}
+	if newer {
+		s.applyReport(c, r)
+	}
+}
+
+// supersedes reports whether a report is newer than the latest one. A leave names neither a
+// service nor an address, so that it concerns the current instance only.
 func supersedes(r, latest waxwingseam.BackendReport) bool {
+	gone := r.State == waxwingseam.BackendGone
 	switch {
 	case latest.Instance == "":
-		return true
-	case !r.Started.Equal(latest.Started) && !r.Started.IsZero() && !latest.Started.IsZero():
+		return !gone
+	case gone && r.Instance != latest.Instance:
+		return false
+	case r.Started.IsZero() && !latest.Started.IsZero():
+		// A backend server that has reported its start does so in each heartbeat.
+		return false
+	case !r.Started.Equal(latest.Started) && !latest.Started.IsZero():
 		return r.Started.After(latest.Started)
 	case r.Instance != latest.Instance:
-		return r.State != waxwingseam.BackendGone
-	case latest.State == waxwingseam.BackendGone:
-		return false
-	case r.State == waxwingseam.BackendGone:
-		return true
+		// Two instances with the same start can't be ordered.
+		return latest.Started.IsZero()
 	}
-	return r.Sequence > latest.Sequence
+	return gone || !r.Started.Equal(latest.Started) || continues(r, latest)
+}
+
+// continues reports whether a heartbeat follows the latest report of the same incarnation.
+// An incarnation that drains or is gone never becomes ready again.
+func continues(r, latest waxwingseam.BackendReport) bool {
+	return r.State >= latest.State && r.Sequence > latest.Sequence
 }
 
 // applyReport makes a report the latest one, tells the drainer whether the
 // server is ready, and announces the node if the report changed it.
 func (s *supervisor) applyReport(c *waxwingseam.Context, r waxwingseam.BackendReport) {
-	if r.Started.IsZero() && r.Instance == s.latest.Instance {
-		r.Started = s.latest.Started
-	}
 	restarted := r.Instance != s.latest.Instance || !r.Started.Equal(s.latest.Started)
 	s.latest = r
 	before := c.Self
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -61,6 +61,40 @@
 		{"leave of the previous incarnation", []waxwingseam.BackendReport{
 			ready("b", secondStart, 1), state(ready("a", firstStart, 0), waxwingseam.BackendGone),
 		}, false, "b"},
+		{"ready again while draining", []waxwingseam.BackendReport{
+			ready("a", firstStart, 1), state(ready("a", firstStart, 2), waxwingseam.BackendDraining), ready("a", firstStart, 9),
+		}, true, "a"},
+		{"heartbeat without a start of a draining incarnation", []waxwingseam.BackendReport{
+			ready("a", firstStart, 1), state(ready("a", firstStart, 2), waxwingseam.BackendDraining), ready("a", time.Time{}, 9),
+		}, true, "a"},
+		{"drain without a start", []waxwingseam.BackendReport{
+			ready("a", firstStart, 1), state(ready("a", time.Time{}, 9), waxwingseam.BackendDraining),
+		}, false, "a"},
+		{"heartbeat without a start of another instance", []waxwingseam.BackendReport{
+			ready("a", firstStart, 1), state(ready("b", time.Time{}, 9), waxwingseam.BackendDraining),
+		}, false, "a"},
+		{"late drain", []waxwingseam.BackendReport{
+			ready("a", firstStart, 3), state(ready("a", firstStart, 2), waxwingseam.BackendDraining),
+		}, false, "a"},
+		{"leave without a start of another instance", []waxwingseam.BackendReport{
+			ready("a", firstStart, 1), state(ready("b", time.Time{}, 0), waxwingseam.BackendGone),
+		}, false, "a"},
+		{"leave of a later incarnation of another instance", []waxwingseam.BackendReport{
+			ready("a", firstStart, 1), state(ready("b", secondStart, 0), waxwingseam.BackendGone),
+		}, false, "a"},
+		{"heartbeat after the leave of a later incarnation", []waxwingseam.BackendReport{
+			ready("a", firstStart, 1), state(ready("b", secondStart, 0), waxwingseam.BackendGone), ready("b", secondStart, 9),
+		}, false, "a"},
+		{"leave before the first heartbeat", []waxwingseam.BackendReport{
+			state(ready("b", secondStart, 0), waxwingseam.BackendGone), ready("a", firstStart, 1),
+		}, false, "a"},
+		{"late heartbeat of a replaced instance without a start that drained", []waxwingseam.BackendReport{
+			ready("a", time.Time{}, 1), state(ready("a", time.Time{}, 2), waxwingseam.BackendDraining),
+			ready("b", time.Time{}, 1), ready("a", time.Time{}, 9),
+		}, false, "b"},
+		{"another instance without a start", []waxwingseam.BackendReport{
+			ready("a", time.Time{}, 5), ready("b", time.Time{}, 1),
+		}, false, "b"},
 	} {
 		t.Run(v.name, func(t *testing.T) {
 			c := waxwingseam.NewContext(waxwingseam.Server{Name: "fees-1", Service: "fees"})
