starter: only the first signal to stop has an effect

SIGHUPs in a row could also fill the signals' only channel, so that a SIGTERM was dropped.

Change: further signals to stop, and SIGHUP during a drain, have no effect. The signals to stop have a channel of their own.

--- a/starter/starter.go
+++ b/starter/starter.go
@@ -32,9 +32,11 @@
 	NewExporter tracer.NewExporter
 }
 
-// Serve serves until a signal stops the process. The first SIGTERM or interrupt
-// starts a drain and the second one aborts it; SIGHUP reloads the log level. It returns
-// the findings of an invalid settings file.
+// Serve serves until a signal stops the process. The first SIGTERM or interrupt starts a
+// drain; further ones have no effect, because several operators or platforms may stop a
+// process at the same time, and work that runs must end within the drain limit. SIGHUP
+// reloads the log level unless the process drains. Serve returns the findings of an invalid
+// settings file.
 func Serve(c Config) error {
 	settings, findings := loader.Load(c.Settings)
 	if err := findings.OrNil(); err != nil {
@@ -55,7 +57,7 @@
 	defer abort()
 	drainContext, drain := context.WithCancel(abortContext)
 	defer drain()
-	go watchSignals(c.Settings, l, drain, abort)
+	watchSignals(c.Settings, l, drain)
 	go collector.Run(abortContext)
 	processInterface, err := buildInterface(settings)
 	if err != nil {
@@ -115,21 +117,25 @@
 	return build(settings), nil
 }
 
-func watchSignals(settingsFile string, l *logger.Logger, drain, abort context.CancelFunc) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	stopping := false
-	for s := range signals {
-		switch {
-		case s == syscall.SIGHUP:
-			reload(settingsFile, l)
-		case stopping:
-			abort()
-		default:
-			stopping = true
-			drain()
+// watchSignals calls drain at the first signal to stop, and reloads the log level at each
+// SIGHUP before that. The signals stay caught until the process exits.
+func watchSignals(settingsFile string, l *logger.Logger, drain context.CancelFunc) {
+	// A signal that finds its channel full is dropped. The channels are apart, so that
+	// SIGHUPs in a row can't displace a signal to stop.
+	stops, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(reloads, syscall.SIGHUP)
+	go func() {
+		for {
+			select {
+			case <-stops:
+				drain()
+				return
+			case <-reloads:
+				reload(settingsFile, l)
+			}
 		}
-	}
+	}()
 }
 
 // reload sets the log level from the settings file. If the file has findings, it
