--- a/account.go
+++ b/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/hex"
 	"net/netip"
 	"time"
 )
@@ -26,6 +27,16 @@
 	return KeyDigest(sum[:IDSize])
 }
 
+// IsZero reports whether the digest is unset.
+func (d KeyDigest) IsZero() bool {
+	return d == KeyDigest{}
+}
+
+// String returns the hexadecimal form of the digest.
+func (d KeyDigest) String() string {
+	return hex.EncodeToString(d[:])
+}
+
 // Authenticator identifies the client account of a root at its first node.
 type Authenticator interface {
 	// Adopt puts a configuration in force.
--- a/administrator/reading.go
+++ b/administrator/reading.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/authenticator"
 	"waxwingseam.example/waxwingseam/checker"
 	"waxwingseam.example/waxwingseam/historian"
 	"waxwingseam.example/waxwingseam/publisher"
@@ -84,6 +85,7 @@
 	if !ok {
 		return
 	}
+	set = shownTo(r, set)
 	w.Header().Set(RevisionHeader, strconv.FormatUint(uint64(set.Revision), 10))
 	if r.URL.Query().Get("output") == "ini" {
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
@@ -149,10 +151,19 @@
 	head, _ := a.config.Historian.Head()
 	writeJSON(w, DifferencesAnswer{
 		Revision:    head.Revision,
-		Differences: checker.Differences(head, set),
+		Differences: checker.Differences(shownTo(r, head), shownTo(r, set)),
 	})
 }
 
+// shownTo returns a set as the operator of a request may see it: keys are secrets, shown
+// only to operators who may change them.
+func shownTo(r *http.Request, set *waxwingseam.Set) *waxwingseam.Set {
+	if authenticator.OperatorOf(r.Context()).May(authenticator.RightWrite) {
+		return set
+	}
+	return checker.WithoutKeys(set)
+}
+
 // status serves the status of the cluster. Without a quorum, the answer is marked
 // as not current.
 func (a *administrator) status(w http.ResponseWriter, r *http.Request) {
--- a/checker/change.go
+++ b/checker/change.go
@@ -62,6 +62,11 @@
 	return c
 }
 
+// WithoutKeys returns a change with the digests of keys in place of the keys.
+func (c *Change) WithoutKeys() Change {
+	return Change{Put: *WithoutKeys(&c.Put), Gone: c.Gone}
+}
+
 // IDs returns the IDs of the changed objects, ordered by kind and name.
 func (c *Change) IDs() []ID {
 	ids := slices.Clone(c.Gone)
@@ -95,15 +100,16 @@
 // Digest returns the digest of a set after the change. The arguments are the set
 // before the change, in canonical order, and its digest.
 func (c *Change) Digest(set *waxwingseam.Set, digest uint64) uint64 {
+	put := WithoutKeys(&c.Put)
 	for _, id := range c.IDs() {
 		k := findKind(id.Kind)
 		if k == nil {
 			continue
 		}
-		if before, ok := k.object(set, id.Name); ok {
+		if before, ok := k.objectWithoutKeys(set, id.Name); ok {
 			digest -= before.digest()
 		}
-		if after, ok := k.object(&c.Put, id.Name); ok {
+		if after, ok := k.object(put, id.Name); ok {
 			digest += after.digest()
 		}
 	}
@@ -123,6 +129,7 @@
 		RetryLimits:    slices.Clone(set.RetryLimits),
 		WaitLimits:     slices.Clone(set.WaitLimits),
 		CallerLimits:   slices.Clone(set.CallerLimits),
+		ClientAccounts: slices.Clone(set.ClientAccounts),
 	}
 }
 
--- a/checker/checker.go
+++ b/checker/checker.go
@@ -20,6 +20,7 @@
 		waitLimit,
 		callerLimit,
 		requestClass,
+		clientAccount,
 	}
 }
 
@@ -31,6 +32,7 @@
 		sizes{},
 		limits{},
 		overlaps{},
+		accountKeys{},
 	}
 }
 
@@ -131,11 +133,28 @@
 }
 
 // Digest returns the sum of the xxhash digests of a set's objects. A sum can be
-// updated for a change without hashing the whole set.
+// updated for a change without hashing the whole set. It is the same for a set and for
+// the set WithoutKeys.
 func Digest(set *waxwingseam.Set) uint64 {
 	var sum uint64
-	for _, o := range Objects(set) {
+	for _, o := range Objects(WithoutKeys(set)) {
 		sum += o.digest()
 	}
 	return sum
 }
+
+// WithoutKeys returns a set with the digests of keys in place of the keys.
+func WithoutKeys(set *waxwingseam.Set) *waxwingseam.Set {
+	if !hasKeys(set) {
+		return set
+	}
+	out := Clone(set)
+	for i, a := range out.ClientAccounts {
+		out.ClientAccounts[i] = a.WithoutKeys()
+	}
+	return out
+}
+
+func hasKeys(set *waxwingseam.Set) bool {
+	return slices.ContainsFunc(set.ClientAccounts, func(a waxwingseam.ClientAccount) bool { return len(a.Keys) > 0 })
+}
--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -51,7 +51,7 @@
 	files, err := filepath.Glob("../examples/*/objects.ini")
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, len(files), qt.Equals, 2)
-	for _, path := range append(files, "testdata/good/defaults.ini") {
+	for _, path := range append(files, "testdata/good/defaults.ini", "testdata/accounts/accounts.ini") {
 		t.Run(path, func(t *testing.T) {
 			set, findings := Parse(readFile(t, path))
 			qt.Assert(t, findings.OrNil(), qt.IsNil)
@@ -68,7 +68,7 @@
 // FuzzParse checks that no input makes Parse panic, and that parsing the
 // canonical form of a valid set preserves that form.
 func FuzzParse(f *testing.F) {
-	for _, pattern := range []string{"testdata/faulty/*.ini", "testdata/good/*.ini", "../examples/*/objects.ini"} {
+	for _, pattern := range []string{"testdata/faulty/*.ini", "testdata/good/*.ini", "testdata/accounts/*.ini", "../examples/*/objects.ini"} {
 		files, err := filepath.Glob(pattern)
 		qt.Assert(f, err, qt.IsNil)
 		for _, path := range files {
@@ -132,3 +132,29 @@
 	qt.Assert(t, change.Digest(before, Digest(before)), qt.Equals, Digest(after))
 	qt.Assert(t, len(Differences(before, after)), qt.Equals, len(change.IDs()))
 }
+
+// TestKeysAreNotShown checks that neither findings nor the set for nodes and readers
+// contain a key, and that control and nodes compute equal digests over a change of keys.
+func TestKeysAreNotShown(t *testing.T) {
+	_, findings := Parse(readFile(t, "testdata/faulty/accounts.ini"))
+	qt.Assert(t, strings.Contains(findings.Error(), "secret"), qt.IsFalse)
+
+	full := parse(t, string(readFile(t, "testdata/accounts/accounts.ini").Data))
+	without := WithoutKeys(full)
+	qt.Assert(t, strings.Contains(string(Format(without)), "archive-key"), qt.IsFalse)
+	qt.Assert(t, without.ClientAccounts[0].Keys, qt.HasLen, 0)
+	qt.Assert(t, without.ClientAccounts[0].KeyDigests, qt.DeepEquals, []waxwingseam.KeyDigest{waxwingseam.DigestKey("archive-key")})
+	qt.Assert(t, Digest(without), qt.Equals, Digest(full))
+	_, findings = Parse(File{Name: "shown.ini", Data: Format(without)})
+	qt.Assert(t, len(findings) > 0, qt.IsTrue)
+
+	next := Clone(full)
+	next.ClientAccounts[0].Keys = []string{"archive-key", "another-key"}
+	change := ChangeOf(full, next)
+	redacted := change.WithoutKeys()
+	qt.Assert(t, change.IDs(), qt.HasLen, 1)
+	qt.Assert(t, change.Digest(full, Digest(full)), qt.Equals, Digest(next))
+	qt.Assert(t, redacted.Digest(without, Digest(without)), qt.Equals, Digest(next))
+	qt.Assert(t, redacted.Apply(without), qt.DeepEquals, WithoutKeys(next))
+	qt.Assert(t, Digest(next) == Digest(full), qt.IsFalse)
+}
--- a/checker/element.go
+++ b/checker/element.go
@@ -30,6 +30,8 @@
 	objects(set *waxwingseam.Set) []Object
 	// object returns the named object and whether the set contains it.
 	object(set *waxwingseam.Set, name string) (Object, bool)
+	// objectWithoutKeys returns the named object of the set without keys.
+	objectWithoutKeys(set *waxwingseam.Set, name string) (Object, bool)
 	// put adds the objects of other to set, replacing those of the same name.
 	put(set, other *waxwingseam.Set)
 	// remove deletes the named object if the set contains it.
@@ -47,6 +49,8 @@
 	newObject func(name string) T
 	// nameOf returns an object's name.
 	nameOf func(object T) string
+	// withoutKeys returns an object without secrets; nil if the kind has none.
+	withoutKeys func(object T) T
 	// list returns a pointer to the set's list of objects of the kind.
 	list func(set *waxwingseam.Set) *[]T
 }
@@ -137,6 +141,18 @@
 	return k.objectOf(list[i]), true
 }
 
+func (k *typedKind[T]) objectWithoutKeys(set *waxwingseam.Set, name string) (Object, bool) {
+	list := *k.list(set)
+	i, ok := k.find(list, name)
+	if !ok {
+		return Object{}, false
+	}
+	if k.withoutKeys == nil {
+		return k.objectOf(list[i]), true
+	}
+	return k.objectOf(k.withoutKeys(list[i])), true
+}
+
 func (k *typedKind[T]) put(set, other *waxwingseam.Set) {
 	list := k.list(set)
 	for _, v := range *k.list(other) {
--- a/checker/requestclass.go
+++ b/checker/requestclass.go
@@ -38,6 +38,7 @@
 		required(duration("deadline", minDeadline, maxDeadline, func(c *waxwingseam.RequestClass) *time.Duration { return &c.Deadline })),
 		duration("objective", 0, maxDeadline, func(c *waxwingseam.RequestClass) *time.Duration { return &c.Objective }),
 		boolean("large-replies", func(c *waxwingseam.RequestClass) *bool { return &c.LargeReplies }),
+		authentication(),
 		text("retry-limit", nil, func(c *waxwingseam.RequestClass) *string { return &c.RetryLimit }),
 		text("wait-limit", nil, func(c *waxwingseam.RequestClass) *string { return &c.WaitLimit }),
 	},
@@ -125,3 +126,31 @@
 		},
 	}
 }
+
+const (
+	authenticationRequired = "required"
+	authenticationExempt   = "exempt"
+)
+
+// authentication returns a field for whether calls need the key of a client account.
+func authentication() field[waxwingseam.RequestClass] {
+	return field[waxwingseam.RequestClass]{
+		key: "authentication",
+		read: func(c *waxwingseam.RequestClass, text string) error {
+			if text != authenticationRequired && text != authenticationExempt {
+				return trace.BadParameter("is %q, want %s or %s", text, authenticationRequired, authenticationExempt)
+			}
+			c.Unauthenticated, c.StatesAuthentication = text == authenticationExempt, true
+			return nil
+		},
+		write: func(c *waxwingseam.RequestClass) string {
+			switch {
+			case c.Unauthenticated:
+				return authenticationExempt
+			case c.StatesAuthentication:
+				return authenticationRequired
+			}
+			return ""
+		},
+	}
+}
--- a/object.go
+++ b/object.go
@@ -99,8 +99,10 @@
 	// traffic between data centres where possible.
 	LargeReplies bool
 	// Unauthenticated exempts the calls from authentication, which roots need if the
-	// set has client accounts.
-	Unauthenticated bool
+	// set has client accounts. StatesAuthentication is set if the object says so or
+	// the contrary, rather than leaving it to the default.
+	Unauthenticated      bool
+	StatesAuthentication bool `cbor:",omitempty"`
 	// RetryLimit and WaitLimit name the limits that apply to the class.
 	RetryLimit string
 	WaitLimit  string
@@ -170,21 +172,43 @@
 type ClientAccount struct {
 	Name AccountName
 	// Keys are secrets. Only control replicas hold them; nodes hold KeyDigests.
-	Keys []string
-	// KeyDigests are the digests of the keys, in the same order.
-	KeyDigests []KeyDigest
+	Keys []string `cbor:",omitempty"`
+	// KeyDigests are the digests of the keys, in the same order, in a set without
+	// keys.
+	KeyDigests []KeyDigest `cbor:",omitempty"`
 	// Importance replaces that of the request class if HasImportance is set.
 	Importance    Importance
 	HasImportance bool
 	// Rate limits the roots per second over all nodes, and Burst is how many may come
-	// at once in addition. A Rate of 0 means no limit.
-	Rate  float64
-	Burst float64
+	// at once in addition. A Rate of 0 means no limit. StatesRate and StatesBurst are
+	// set if the object names them, which may be as 0.
+	Rate        float64
+	Burst       float64
+	StatesRate  bool `cbor:",omitempty"`
+	StatesBurst bool `cbor:",omitempty"`
 	// Weight is the account's share of room that is short, relative to other
 	// accounts; 0 selects Rate, or 1 if that is 0 too.
 	Weight float64
 }
 
+// Digests returns the digests of the account's keys.
+func (a *ClientAccount) Digests() []KeyDigest {
+	if len(a.Keys) == 0 {
+		return a.KeyDigests
+	}
+	digests := make([]KeyDigest, len(a.Keys))
+	for i, k := range a.Keys {
+		digests[i] = DigestKey(k)
+	}
+	return digests
+}
+
+// WithoutKeys returns the account with the digests of its keys in place of the keys.
+func (a ClientAccount) WithoutKeys() ClientAccount {
+	a.Keys, a.KeyDigests = nil, a.Digests()
+	return a
+}
+
 // ShareWeight returns the weight that is in force.
 func (a *ClientAccount) ShareWeight() float64 {
 	switch {
--- a/publisher/message.go
+++ b/publisher/message.go
@@ -64,7 +64,7 @@
 	// Steps are the changes that follow the latest revision that the watcher
 	// reported or was sent, up to the newest revision.
 	Steps []Step `cbor:"1,keyasint,omitempty"`
-	// Set is the newest set, encoded with Pack. It is sent if the watcher has no
+	// Set is the newest set, without keys, encoded with Pack. It is sent if the watcher has no
 	// set or some of the steps are no longer kept.
 	Set []byte `cbor:"2,keyasint,omitempty"`
 	// Present and Gone list changes to the servers.
@@ -93,7 +93,8 @@
 type Step struct {
 	Revision waxwingseam.Revision `cbor:"1,keyasint"`
 	Digest   uint64               `cbor:"2,keyasint"`
-	Change   checker.Change       `cbor:"3,keyasint"`
+	// Change contains no keys.
+	Change checker.Change `cbor:"3,keyasint"`
 }
 
 // RevisionSummary summarizes the revisions held by the nodes that watch one
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -134,7 +134,7 @@
 	if !follows {
 		p.steps = nil
 	} else {
-		p.steps = append(p.steps, Step{Revision: u.Set.Revision, Digest: u.Digest, Change: u.Change})
+		p.steps = append(p.steps, Step{Revision: u.Set.Revision, Digest: u.Digest, Change: u.Change.WithoutKeys()})
 		p.steps = p.steps[max(0, len(p.steps)-maxSteps):]
 	}
 	for s := range p.sessions {
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/checker"
 	"waxwingseam.example/waxwingseam/historian"
 	"waxwingseam.example/waxwingseam/messenger"
 	"waxwingseam.example/waxwingseam/publisher"
@@ -196,3 +197,48 @@
 	isolated.setQuorum(false)
 	qt.Assert(t, next(t, revisions), qt.Equals, waxwingseam.Revision(2))
 }
+
+// TestNodesGetNoKeys checks that neither a set nor a step that is sent to nodes contains
+// a key of a client account, and that the nodes report the digest that the replica has.
+func TestNodesGetNoKeys(t *testing.T) {
+	log := &confirmer{quorum: true}
+	h, address := serve(t, log, loopback)
+	submit := func(base waxwingseam.Revision, keys ...string) {
+		c := historian.Command{Submission: waxwingseam.SubmissionID(keys[0]), Base: base}
+		c.Change.Put.ClientAccounts = []waxwingseam.ClientAccount{{Name: "archive", Keys: keys}}
+		data, err := historian.Encode(c)
+		qt.Assert(t, err, qt.IsNil)
+		h.Apply(0, data)
+	}
+	submit(0, "first-key")
+	sets := make(chan *waxwingseam.Set, 8)
+	s := subscriber.New(subscriber.Config{
+		Control: []netip.AddrPort{address},
+		Self:    waxwingseam.Server{Name: "fees-1", Service: "fees"},
+		Logger:  quiet,
+		Step: func(build func(waxwingseam.Stamp) waxwingseam.Event) {
+			if v, ok := build(waxwingseam.Stamp{}).(waxwingseam.SetAdopted); ok {
+				sets <- v.Set
+			}
+		},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	group.Go(func() { _ = s.Run(ctx) })
+	t.Cleanup(func() { cancel(); group.Wait() })
+	check := func(keys ...string) {
+		a := next(t, sets).ClientAccounts[0]
+		want := waxwingseam.ClientAccount{Name: "archive", Keys: keys}
+		qt.Assert(t, a.Keys, qt.HasLen, 0)
+		qt.Assert(t, a.KeyDigests, qt.DeepEquals, want.Digests())
+	}
+	check("first-key")
+	submit(1, "second-key", "first-key")
+	check("second-key", "first-key")
+	held, err := s.Held(t.Context(), &subscriber.HeldQuery{})
+	qt.Assert(t, err, qt.IsNil)
+	set, err := publisher.Unpack(held.Set)
+	qt.Assert(t, err, qt.IsNil)
+	_, digest := h.Head()
+	qt.Assert(t, checker.Digest(set), qt.Equals, digest)
+}
--- a/publisher/push.go
+++ b/publisher/push.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/checker"
 )
 
 // nextPush returns what is to be sent to a watcher and marks it as sent. empty is
@@ -83,12 +84,12 @@
 	})
 }
 
-// pack packs the newest set once for all watchers.
+// pack packs the newest set, without keys, once for all watchers.
 func (p *publisher) pack() error {
 	if p.packed != nil {
 		return nil
 	}
-	packed, err := Pack(p.head.Set)
+	packed, err := Pack(checker.WithoutKeys(p.head.Set))
 	p.packed = packed
 	return err
 }
