--- a/checker/clientaccount.go
+++ b/checker/clientaccount.go
@@ -27,7 +27,7 @@
 var clientAccount = &typedKind[waxwingseam.ClientAccount]{
 	name: waxwingseam.KindClientAccount,
 	fields: []field[waxwingseam.ClientAccount]{
-		required(keys()),
+		keys(),
 		accountImportance(),
 		decimal("rate", func(a *waxwingseam.ClientAccount) (*float64, *bool) { return &a.Rate, &a.StatesRate }),
 		decimal("burst", func(a *waxwingseam.ClientAccount) (*float64, *bool) { return &a.Burst, &a.StatesBurst }),
@@ -41,7 +41,8 @@
 	list:        func(set *waxwingseam.Set) *[]waxwingseam.ClientAccount { return &set.ClientAccounts },
 }
 
-// keys returns a field for a list of keys, separated by commas. Characters other than
+// keys returns a field for a list of keys, separated by commas. An account without keys is
+// suspended: no request has it. Characters other than
 // letters, digits and -._~+/= are written as % and two hexadecimal digits a byte. No
 // error names a key.
 func keys() field[waxwingseam.ClientAccount] {
