root, forwarder, platform, assembler, recorder: request targets stay as they were sent

Cause: routes were matched, and requests forwarded, by URL.EscapedPath and URL.RequestURI, which decode and encode a path anew where it has a byte that net/url escapes. The receiving node did the same once more; the wait for first servers took the service from the decoded path; a log with a path or an identifier that is not UTF-8 could not be replayed.

Change: RequestTarget takes the target from the request line; of the absolute form, scheme and authority are left out (RFC 9112, 3.2.1). A target that can't be written in a request line, such as an HTTP/2 path with a space, is refused as a bad request. Refusals are logged with the target as sent.

--- a/assembler/interests.go
+++ b/assembler/interests.go
@@ -3,11 +3,11 @@
 import (
 	"net/http"
 	"net/netip"
-	"strings"
 	"sync"
 	"time"
 
 	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/forwarder"
 	"waxwingseam.example/waxwingseam/subscriber"
 )
 
@@ -69,8 +69,7 @@
 // the service that its path names is known or firstServersTimeout has passed.
 func (i *interests) WaitForServers(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-		if in := i.interestIn(waxwingseam.ServiceName(name)); in != nil {
+		if in := i.interestOf(r); in != nil {
 			select {
 			case <-in.ready:
 			case <-r.Context().Done():
@@ -80,6 +79,16 @@
 	})
 }
 
+// interestOf returns the interest in the service that a request's path names; nil if it names
+// none.
+func (i *interests) interestOf(r *http.Request) *interest {
+	target, err := waxwingseam.RequestTarget(r)
+	if err != nil {
+		return nil
+	}
+	return i.interestIn(waxwingseam.ServiceName(forwarder.ServiceSegment(target)))
+}
+
 // interestIn returns the interest in a service, which it creates on the first
 // call; nil if the set has no such service.
 func (i *interests) interestIn(service waxwingseam.ServiceName) *interest {
--- a/assembler/refusals.go
+++ b/assembler/refusals.go
@@ -28,7 +28,7 @@
 	wrapped.Tee(cause)
 	h.next.ServeHTTP(wrapped, r)
 	if wrapped.Status() == http.StatusBadRequest {
-		h.logger.Warn("malformed request refused", "method", r.Method, "path", r.URL.Path, "cause", cause.String())
+		h.logger.Warn("malformed request refused", "method", r.Method, "path", r.RequestURI, "cause", cause.String())
 	}
 }
 
--- a/forwarder/backendrequest.go
+++ b/forwarder/backendrequest.go
@@ -5,13 +5,14 @@
 	"io"
 	"net/http"
 	"net/http/httputil"
-	"net/url"
 	"strconv"
 	"strings"
 	"sync/atomic"
 
 	"github.com/gravitational/trace"
 	"golang.org/x/net/http/httpguts"
+
+	"waxwingseam.example/waxwingseam"
 )
 
 // backendRequest is a request to the backend server. Its body is written with its
@@ -31,13 +32,16 @@
 	o := h.opening
 	q := &backendRequest{
 		call:   h,
-		target: requestTarget(o.Target),
+		target: o.Target,
 		host:   o.Host,
 		header: header,
 	}
 	if q.host == "" {
 		q.host = h.forwarder.backend.address
 	}
+	if !waxwingseam.ValidTarget(o.Target) {
+		return nil, trace.BadParameter("the target %q is invalid", o.Target)
+	}
 	if !httpguts.ValidHeaderFieldName(o.Method) {
 		return nil, trace.BadParameter("the method %q is invalid", o.Method)
 	}
@@ -57,23 +61,6 @@
 	return q, nil
 }
 
-// requestTarget returns a target as it is written.
-func requestTarget(target string) string {
-	if !strings.ContainsFunc(target, needsEscape) {
-		return target
-	}
-	u, err := url.ParseRequestURI(target)
-	if err != nil {
-		return "/"
-	}
-	return u.RequestURI()
-}
-
-// needsEscape reports whether a target with the character may be written differently.
-func needsEscape(r rune) bool {
-	return (r < 'a' || r > 'z') && (r < 'A' || r > 'Z') && (r < '0' || r > '9') && !strings.ContainsRune("/-._~?=&", r)
-}
-
 // write writes the head of the request, and the body or its beginning. It returns how
 // many bytes were written.
 func (q *backendRequest) write(c *backendConn) (int, error) {
--- a/forwarder/native.go
+++ b/forwarder/native.go
@@ -16,19 +16,21 @@
 
 // ParseRequest implements waxwingseam.CallerProtocol.
 func (nativeCallers) ParseRequest(r *http.Request) (waxwingseam.CallArrived, string, error) {
-	service, target := splitTarget(r)
+	service, target, err := splitTarget(r)
+	if err != nil {
+		return waxwingseam.CallArrived{}, "", err
+	}
 	timeout, err1 := parseTimeout(r.Header)
 	key, err2 := parseKey(r.Header)
 	parent, err3 := parseContext(r.Header)
 	if err := errors.Join(err1, err2, err3); err != nil {
 		return waxwingseam.CallArrived{}, "", trace.BadParameter("%s", err.Error())
 	}
-	path, _, _ := strings.Cut(target, "?")
 	return waxwingseam.CallArrived{
 		Parent:     parent,
 		Service:    waxwingseam.ServiceName(service),
 		Method:     r.Method,
-		Path:       path,
+		Path:       waxwingseam.TargetPath(target),
 		Timeout:    timeout,
 		Key:        key,
 		Replayable: true,
@@ -38,20 +40,31 @@
 
 // MatchRequest implements waxwingseam.CallerProtocol.
 func (nativeCallers) MatchRequest(r *http.Request) waxwingseam.Request {
-	service, target := splitTarget(r)
-	path, _, _ := strings.Cut(target, "?")
-	return waxwingseam.Request{Service: waxwingseam.ServiceName(service), Method: r.Method, Path: path}
+	service, target, err := splitTarget(r)
+	if err != nil {
+		return waxwingseam.Request{}
+	}
+	return waxwingseam.Request{Service: waxwingseam.ServiceName(service), Method: r.Method, Path: waxwingseam.TargetPath(target)}
 }
 
 // splitTarget returns the service's name and the target for the backend server.
-func splitTarget(r *http.Request) (service, target string) {
-	path := strings.TrimPrefix(r.URL.EscapedPath(), "/")
-	service, rest, _ := strings.Cut(path, "/")
-	target = "/" + rest
-	if r.URL.RawQuery != "" {
-		target += "?" + r.URL.RawQuery
+func splitTarget(r *http.Request) (service, target string, err error) {
+	sent, err := waxwingseam.RequestTarget(r)
+	if err != nil {
+		return "", "", err
+	}
+	service = ServiceSegment(sent)
+	target = sent[1+len(service):]
+	if !strings.HasPrefix(target, "/") {
+		target = "/" + target
 	}
-	return service, target
+	return service, target, nil
+}
+
+// ServiceSegment returns the first segment of a target's path.
+func ServiceSegment(target string) string {
+	service, _, _ := strings.Cut(waxwingseam.TargetPath(target)[1:], "/")
+	return service
 }
 
 // AppendIdentity implements waxwingseam.CallerProtocol. The host is that of the node to which
--- a/forwarder/node.go
+++ b/forwarder/node.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net/url"
-	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -82,16 +80,12 @@
 		return trace.BadParameter("first frame: kind %d, want an opening", f.Kind)
 	case o.ID.IsZero() || o.Attempt == 0:
 		return trace.BadParameter("opening: no call id or attempt")
-	case o.Method == "" || !strings.HasPrefix(o.Target, "/"):
-		return trace.BadParameter("opening: no method or path")
+	case o.Method == "" || !waxwingseam.ValidTarget(o.Target):
+		return trace.BadParameter("opening: no method or target")
 	case o.Offset < 0 || o.Length < -1:
 		return trace.BadParameter("opening: negative offset or length")
 	}
-	if !strings.ContainsFunc(o.Target, needsEscape) {
-		return nil
-	}
-	_, err := url.ParseRequestURI(o.Target)
-	return trace.Wrap(err)
+	return nil
 }
 
 // Fence passes another node's request for a fence to the reducer and waits for the
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -89,3 +89,17 @@
 	_, err = recorder.Replay(recorder.NewReader(bytes.NewReader(log), recorder.NewCatalog()), newReducer(false))
 	qt.Assert(t, err, qt.ErrorMatches, `entry 1: unknown event "drain-asked"`)
 }
+
+// TestTargetIsNotReadBack guards against a log that can't be replayed because a caller sent a
+// path or an identifier that is not UTF-8.
+func TestTargetIsNotReadBack(t *testing.T) {
+	var log bytes.Buffer
+	r := recorder.New(recorder.Config{Writer: &log})
+	sent := waxwingseam.CallArrived{Path: "/lots/\xff|%2F", RequestID: "\xfe"}
+	r.Observe(sent, nil)
+	qt.Assert(t, r.Flush(), qt.IsNil)
+	_, event, err := recorder.NewReader(&log, recorder.DefaultCatalog()).Next()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, event.(waxwingseam.CallArrived).Path, qt.Equals, sent.Path)
+	qt.Assert(t, event.(waxwingseam.CallArrived).RequestID, qt.Equals, sent.RequestID)
+}
--- a/recorder/replay.go
+++ b/recorder/replay.go
@@ -13,6 +13,16 @@
 	"waxwingseam.example/waxwingseam"
 )
 
+// decoding accepts texts that are not UTF-8: request targets and header values are recorded as
+// they were sent.
+var decoding = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
 // Reader reads a log entry by entry.
 type Reader struct {
 	decoder *cbor.Decoder
@@ -23,7 +33,7 @@
 // NewReader returns a Reader that decodes events with the given catalog.
 func NewReader(r io.Reader, catalog Catalog) *Reader {
 	return &Reader{
-		decoder: cbor.NewDecoder(r),
+		decoder: decoding.NewDecoder(r),
 		catalog: catalog,
 	}
 }
@@ -53,7 +63,7 @@
 		return nil, trace.NotFound("unknown event %q", entry.Kind)
 	}
 	value := reflect.New(t)
-	if err := cbor.Unmarshal(entry.Event, value.Interface()); err != nil {
+	if err := decoding.Unmarshal(entry.Event, value.Interface()); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	return value.Elem().Interface().(waxwingseam.Event), nil
