controller: idle connections to the operator API keep no operator waiting

Change: when a connection beyond the bound arrives, the one that has been idle longest is closed: one that waits for a request, for the rest of one, or for an operator that does not read its answer.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -18,7 +18,6 @@
 
 	"github.com/gravitational/trace"
 	"github.com/prometheus/client_golang/prometheus"
-	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"waxwingseam.example/waxwingseam"
@@ -36,7 +35,8 @@
 )
 
 const (
-	// maxOperatorConnections bounds the connections to the operator API.
+	// maxOperatorConnections bounds the connections to the operator API. Beyond it, those that
+	// have been idle longest are closed.
 	maxOperatorConnections = 64
 	// headerTimeout bounds the time to read the header of a request.
 	headerTimeout = 5 * time.Second
@@ -236,14 +236,15 @@
 // serveOperators serves the operator API until the context ends.
 func (c *controller) serveOperators(ctx context.Context) error {
 	logger := c.config.Logger("operators")
-	listener := netutil.LimitListener(c.config.Operators, maxOperatorConnections)
+	var listener net.Listener = newBoundedListener(c.config.Operators, maxOperatorConnections)
 	if c.config.OperatorsTLS != nil {
 		listener = tls.NewListener(listener, c.config.OperatorsTLS)
 	} else {
 		logger.Warn("operator API is served in plain text", "address", c.config.Operators.Addr())
 	}
 	server := &http.Server{
-		Handler:           c.handler,
+		Handler:           markRequests(c.handler),
+		ConnContext:       withConnection,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
