--- a/administrator/configurer.go
+++ b/administrator/configurer.go
@@ -1,6 +1,7 @@
 package administrator
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"log/slog"
@@ -38,9 +39,14 @@
 	if f.accepted(id, content) {
 		return waxwingseam.ConfigurationAccepted, nil
 	}
-	if _, findings := checker.Parse(checker.File{Name: "set", Data: text}); len(findings) > 0 {
+	parsed, findings := checker.Parse(checker.File{Name: "set", Data: text})
+	if len(findings) > 0 {
 		return 0, findings
 	}
+	if !bytes.Equal(checker.Format(parsed), text) {
+		// The set in force would differ from the one that was checked.
+		return 0, waxwingseam.Findings{{File: "set", Line: 1, Text: "the set has a text that objects can't represent"}}
+	}
 	head, _ := f.config.Historian.Head()
 	if !canFollow(set, base, head) {
 		if err := f.config.Log.ReadIndex(ctx); err != nil {
--- a/administrator/configurer_test.go
+++ b/administrator/configurer_test.go
@@ -10,6 +10,7 @@
 
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/administrator"
+	"waxwingseam.example/waxwingseam/checker"
 	"waxwingseam.example/waxwingseam/historian"
 )
 
@@ -143,3 +144,24 @@
 	var findings waxwingseam.Findings
 	qt.Assert(t, errors.As(err, &findings), qt.IsTrue)
 }
+
+// TestSetDiffersFromItsObjects guards against a set in force with a text that its check read
+// differently, as the form of objects has a meaning for some characters.
+func TestSetDiffersFromItsObjects(t *testing.T) {
+	for _, prefix := range []string{"/a;b/", "/a#b/", "\"/a/\"", "`/a/`", "/a/\\"} {
+		c, _ := newConfigurer()
+		set := numberedSet(2, prefix)
+		verdict, err := c.Submit(t.Context(), set, 0)
+		var findings waxwingseam.Findings
+		if errors.As(err, &findings) {
+			continue
+		}
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, verdict, qt.Equals, waxwingseam.ConfigurationAccepted)
+		current, err := c.Current(t.Context())
+		qt.Assert(t, err, qt.IsNil)
+		again, found := checker.Parse(checker.File{Name: "set", Data: checker.Format(current)})
+		qt.Assert(t, found, qt.HasLen, 0)
+		qt.Assert(t, again.RequestClasses[0].Prefix, qt.Equals, prefix)
+	}
+}
--- a/scanner/scanner.go
+++ b/scanner/scanner.go
@@ -31,7 +31,12 @@
 	Sections []Section
 }
 
-// options preserves repeated sections and keys, so that they can be reported.
+// commentStarts are the characters that begin a comment.
+const commentStarts = ";#"
+
+// options preserves repeated sections and keys, so that they can be reported. A comment
+// behind a value needs a blank before it, so that a value with one of commentStarts can be
+// reported instead of being cut there.
 var options = ini.LoadOptions{
 	AllowNonUniqueSections:     true,
 	AllowShadows:               true,
@@ -39,11 +44,14 @@
 	SkipUnrecognizableLines:    true,
 	PreserveEmptyShadowValues:  true,
 	IgnoreContinuation:         true,
+	SpaceBeforeInlineComment:   true,
 }
 
 // Scan parses one file. It reports lines that are not a section, key or comment. It
 // also reports a file that the INI library cannot read, and sections or values that
-// span lines; the document has no sections then.
+// span lines; the document has no sections then. A title or value with a character that
+// begins comments is reported as well: without that, a name would be taken for the one that
+// ends before the character.
 func Scan(file string, data []byte) (Document, waxwingseam.Findings) {
 	positions, findings := locate(file, data)
 	loaded, err := ini.LoadSources(options, data)
@@ -59,7 +67,37 @@
 	for n, s := range loaded.Sections() {
 		document.Sections = append(document.Sections, positions[n].section(s))
 	}
-	return trimDefault(document), findings
+	return trimDefault(document), append(findings, document.commentFindings()...)
+}
+
+// commentFindings reports titles and values with a character that begins comments.
+func (d Document) commentFindings() waxwingseam.Findings {
+	var findings waxwingseam.Findings
+	report := func(line int, what, text string) {
+		if strings.ContainsAny(text, commentStarts) {
+			findings = append(findings, waxwingseam.Finding{
+				File: d.File, Line: line, Text: what + " contains ; or #, which begin comments",
+			})
+		}
+	}
+	for _, s := range d.Sections {
+		report(s.Line, "the title", s.Title)
+		for _, k := range s.Keys {
+			report(k.Line, k.Name, k.Value)
+		}
+	}
+	return findings
+}
+
+// withoutComment cuts a value before the first blank that a comment follows. The INI library
+// finds only one of several comments.
+func withoutComment(value string) string {
+	for i := 1; i < len(value); i++ {
+		if strings.IndexByte(commentStarts, value[i]) >= 0 && (value[i-1] == ' ' || value[i-1] == '\t') {
+			return strings.TrimSpace(value[:i])
+		}
+	}
+	return value
 }
 
 // aligned reports whether the INI library found the sections and keys that locate
@@ -106,7 +144,7 @@
 		n := seen[k.Name]
 		seen[k.Name]++
 		if n < len(values) {
-			k.Value = values[n]
+			k.Value = withoutComment(values[n])
 		}
 		section.Keys = append(section.Keys, k)
 	}
--- a/scanner/scanner_test.go
+++ b/scanner/scanner_test.go
@@ -54,3 +54,23 @@
 		{Name: "k", Value: "2", Line: 3},
 	})
 }
+
+// TestNameIsCutAtCommentCharacter guards against a name that is taken for the one before a
+// semicolon or a number sign in it. A comment behind a blank stays a comment.
+func TestNameIsCutAtCommentCharacter(t *testing.T) {
+	for text, want := range map[string]string{
+		"[a]\nk = beta ; see #4\n":    "beta",
+		"[a]\nk = beta\t# see; there": "beta",
+		"[a]\nk = beta # see ; there": "beta",
+		"[a]\nk = beta;gamma\n":       "",
+		"[a]\nk = beta#gamma ; why\n": "",
+		"[a]\nk = \"beta;gamma\"\n":   "",
+		"[a;b]\nk = beta\n":           "",
+	} {
+		document, findings := scanner.Scan("set.ini", []byte(text))
+		qt.Assert(t, len(findings) > 0, qt.Equals, want == "", qt.Commentf("%q", text))
+		if want != "" {
+			qt.Assert(t, document.Sections[0].Keys[0].Value, qt.Equals, want)
+		}
+	}
+}
