forwarder: a Connection header does not remove what the node sets

Cause: the fields that a Connection header names were removed after the node had set its own, so that X-Caller-Service was lost (caller).

Change: the named fields are collected before the request is parsed and removed after it, unless they were set anew meanwhile.

Result: TestConnectionRemovesCaller fails on the code before and passes now.

--- a/forwarder/entry.go
+++ b/forwarder/entry.go
@@ -96,10 +96,12 @@
 // parse parses the call in a request and assigns its identifiers. It also
 // returns the request target for the backend server.
 func (e *entry) parse(r *http.Request) (waxwingseam.CallArrived, string, error) {
+	options := connectionOptions(r.Header)
 	arrival, target, err := e.forwarder.config.Callers.ParseRequest(r)
 	if err != nil {
 		return arrival, "", err
 	}
+	dropOptions(r.Header, options)
 	arrival.Outbound = arrival.Outbound || e.outbound
 	subtractWait(&arrival, r)
 	_, _ = rand.Read(arrival.ID[:])
--- a/forwarder/headers.go
+++ b/forwarder/headers.go
@@ -63,10 +63,13 @@
 	HeaderOutcome,
 }
 
-// forwardable returns the headers that are forwarded. Their values are shared.
+// forwardable returns the headers of a request that are forwarded, without those that apply
+// to the connection only. Their values are shared.
 func forwardable(header http.Header) http.Header {
 	out := cloneShallow(header)
-	dropUnforwarded(out)
+	for _, name := range unforwardedHeaders {
+		delete(out, name)
+	}
 	return out
 }
 
@@ -79,16 +82,39 @@
 	return out
 }
 
-// dropUnforwarded removes the headers that are not forwarded. Their names are in the
-// canonical form.
+// dropUnforwarded removes the headers of a reply that are not forwarded. Their names are in
+// the canonical form.
 func dropUnforwarded(header http.Header) {
+	dropOptions(header, connectionOptions(header))
+	for _, name := range unforwardedHeaders {
+		delete(header, name)
+	}
+}
+
+// connectionOptions returns the headers that a Connection header names, with their values.
+func connectionOptions(header http.Header) http.Header {
+	var out http.Header
 	for _, v := range header["Connection"] {
 		for name := range strings.SplitSeq(v, ",") {
-			header.Del(strings.TrimSpace(name))
+			name = http.CanonicalHeaderKey(strings.TrimSpace(name))
+			if values, ok := header[name]; ok && len(values) > 0 {
+				if out == nil {
+					out = http.Header{}
+				}
+				out[name] = values
+			}
 		}
 	}
-	for _, name := range unforwardedHeaders {
-		delete(header, name)
+	return out
+}
+
+// dropOptions removes the headers that a Connection header named, unless they were set anew
+// since: a peer can't have a header removed that the node sets.
+func dropOptions(header, options http.Header) {
+	for name, values := range options {
+		if now := header[name]; len(now) > 0 && &now[0] == &values[0] {
+			delete(header, name)
+		}
 	}
 }
 
