forwarder: TestDrain waits until the receiving node has dropped its attempts

Cause: callers have their answers before the receiving node drops the attempts, and the test read its count of calls at once.

Change: the test waits until all goroutines of its bubble are blocked.

--- a/forwarder/failure_test.go
+++ b/forwarder/failure_test.go
@@ -402,6 +402,8 @@
 			nodes[0].drain(false)
 		})
 		calls(20)
+		// Callers have their answers before the receiving node drops the attempts.
+		synctest.Wait()
 		_, running := nodes[0].ActiveCalls()
 		qt.Assert(t, running, qt.Equals, 0)
 		before := backends[0].runsOfX()
