dispatcher, forwarder: client accounts of roots

Anybody who reached a node could call everything. Once the set in force has client accounts, a root needs a key of one of them: the forwarder passes the key's digest on with the arrival, the dispatcher looks it up in the set in force, and sets the account and its importance for the root and all calls below it. The key is removed at the first node, and the backend server is told the name of the account.

A node that has heard nothing confirmed from control for over 1 s, or of a later revision, answers an unknown key with 503. Control is heard by a new event; a push counts if it answers a report of the last second, so that a node that was stopped does not take old pushes for news.

The dispatcher takes roots from an account limiter, if there is one, and lets them wait for a pending decision.

--- a/account.go
+++ b/account.go
@@ -7,9 +7,10 @@
 	"time"
 )
 
-// The kinds of the event and the effect by which nodes keep the limits of client
-// accounts together.
+// The kinds of the events and effects about client accounts.
 const (
+	KindControlHeard           Kind = "control-heard"
+	KindRequireKeys            Kind = "require-keys"
 	KindAccountMessageReceived Kind = "account-message-received"
 	KindSendAccountMessage     Kind = "send-account-message"
 )
@@ -23,7 +24,9 @@
 // DigestKey returns the digest of a key: the beginning of its SHA-256. Keys are long
 // random texts, so that the digest needs no salt.
 func DigestKey(key string) KeyDigest {
-	sum := sha256.Sum256([]byte(key))
+	// The array keeps usual keys off the heap.
+	var usual [128]byte
+	sum := sha256.Sum256(append(usual[:0], key...))
 	return KeyDigest(sum[:IDSize])
 }
 
@@ -105,12 +108,30 @@
 	Message []byte
 }
 
+// ControlHeard says that a control replica has confirmed that the node's set is the
+// newest. It is reported only while the set has client accounts.
+type ControlHeard struct {
+	Stamp
+}
+
+// RequireKeys says whether the configuration in force has client accounts, so that keys
+// of roots are not passed on.
+type RequireKeys struct {
+	Required bool
+}
+
 // AccountMessageReceived is a message of another node about client accounts.
 type AccountMessageReceived struct {
 	Stamp
 	Message []byte
 }
 
+// Kind implements Event.
+func (ControlHeard) Kind() Kind { return KindControlHeard }
+
+// Kind implements Effect.
+func (RequireKeys) Kind() Kind { return KindRequireKeys }
+
 // Kind implements Event.
 func (AccountMessageReceived) Kind() Kind { return KindAccountMessageReceived }
 
--- a/assembler/workers.go
+++ b/assembler/workers.go
@@ -12,6 +12,7 @@
 	"waxwingseam.example/waxwingseam/deduplicator"
 	"waxwingseam.example/waxwingseam/dispatcher"
 	"waxwingseam.example/waxwingseam/drainer"
+	"waxwingseam.example/waxwingseam/identifier"
 	"waxwingseam.example/waxwingseam/limiter"
 	"waxwingseam.example/waxwingseam/pacer"
 	"waxwingseam.example/waxwingseam/quarantiner"
@@ -83,6 +84,8 @@
 				Retrier: retrier.New(retrier.Config{}),
 				Tracker: runTracker,
 				Routers: []waxwingseam.PrioritizedRouter{{Router: keyRouter}},
+
+				Authenticator: identifier.New(),
 			}),
 		},
 	}
--- a/balance.go
+++ b/balance.go
@@ -34,6 +34,8 @@
 	BasisThrottle RefusalBasis = "throttle"
 	// BasisServers means that no known server takes the call.
 	BasisServers RefusalBasis = "servers"
+	// BasisAccountLimit means that the client account is over its limit.
+	BasisAccountLimit RefusalBasis = "account-limit"
 )
 
 // Refusal describes a call that its sending node refused before its first attempt.
@@ -44,6 +46,10 @@
 	BasisAge time.Duration
 	// Late is set for a root that could not meet its latency objective any more.
 	Late bool
+	// Used and Limit are the requests per second of the client account over all nodes,
+	// with BasisAccountLimit.
+	Used  float64 `cbor:",omitempty"`
+	Limit float64 `cbor:",omitempty"`
 }
 
 // Query asks a balancer for a server.
--- a/dispatcher/arrival.go
+++ b/dispatcher/arrival.go
@@ -21,7 +21,9 @@
 		d.finish(c, f, waxwingseam.Result{Reason: waxwingseam.ReasonDeadline})
 		return
 	}
-	d.send(c, f)
+	if d.takeAccount(c, f) {
+		d.send(c, f)
+	}
 }
 
 // newFlight returns the flight of a new call, or the reason to refuse it.
@@ -30,6 +32,13 @@
 	if reason != waxwingseam.ReasonNone {
 		return nil, reason
 	}
+	parent := d.Tracker.ParentRun(e)
+	var account waxwingseam.ClientAccount
+	if parent.IsZero() {
+		if account, reason = d.authenticate(c, e, class); reason != waxwingseam.ReasonNone {
+			return nil, reason
+		}
+	}
 	limit, _ := c.Set.RetryLimit(class.RetryLimit)
 	f := &flight{
 		call: waxwingseam.Call{
@@ -47,9 +56,14 @@
 		arrived:    c.Now,
 		timeout:    e.Timeout,
 	}
-	parent := d.Tracker.ParentRun(e)
 	if parent.IsZero() {
+		f.call.Account = account.Name
+		// Calls of backend servers carry no key.
+		e.Outbound = e.Outbound && account.Name == ""
 		d.initRoot(c, f, e, class)
+		if account.HasImportance {
+			f.call.Rank.Importance = account.Importance
+		}
 		return f, waxwingseam.ReasonNone
 	}
 	return f, d.initChild(c, f, parent, e, class)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -28,6 +28,11 @@
 	// Routers narrow the choice of a server; the one with the lowest priority
 	// runs first.
 	Routers []waxwingseam.PrioritizedRouter
+	// Authenticator identifies the client accounts of roots; nil if sets have none.
+	Authenticator waxwingseam.Authenticator
+	// Limiter keeps the limits of client accounts; nil for no limits. If it is a worker
+	// too, that runs before the dispatcher.
+	Limiter waxwingseam.AccountLimiter
 }
 
 type dispatcher struct {
@@ -36,6 +41,11 @@
 	keyAllowances keyAllowances
 	roundRobins   roundRobins
 	lateness      lateness
+	// keysRequired is set if the set in force has client accounts.
+	keysRequired bool
+	setAge       setAge
+	// undecided counts the flights that wait for the decision on their account's limit.
+	undecided int
 }
 
 // New returns a dispatcher without calls.
@@ -68,6 +78,9 @@
 		waxwingseam.KindSetAdopted,
 		waxwingseam.KindAttemptCancelled,
 		waxwingseam.KindRunEnded,
+		waxwingseam.KindControlHeard,
+		waxwingseam.KindAttemptArrived,
+		waxwingseam.KindAccountMessageReceived,
 	}
 }
 
@@ -83,6 +96,7 @@
 	case waxwingseam.BodyConsumed:
 		d.markNotReplayable(v.ID)
 	case waxwingseam.AttemptEnded:
+		d.setAge.revisionNamed(v.Result.Load.Revision)
 		d.attemptEnded(c, v)
 	case waxwingseam.AttemptSilent:
 		d.attemptSilent(c, v)
@@ -90,6 +104,18 @@
 		d.fenceAnswered(c, v)
 	case waxwingseam.TimerFired:
 		d.timerFired(c, v)
+	case waxwingseam.RunEnded:
+		d.endRun(c, v.ID)
+	default:
+		d.noteNews(c, e)
+	}
+	d.resumeDecided(c)
+	d.endCancelledRuns(c)
+}
+
+// noteNews handles an event about the configuration, the servers or the other nodes.
+func (d *dispatcher) noteNews(c *waxwingseam.Context, e waxwingseam.Event) {
+	switch v := e.(type) {
 	case waxwingseam.ServersUpdated:
 		d.Balancer.UpdateServers(c, v.Servers, v.Gone)
 	case waxwingseam.SetAdopted:
@@ -97,10 +123,12 @@
 		d.Balancer.Adopt(c.Set)
 		d.roundRobins.adopt(c.Set)
 		d.lateness.adopt(c.Set)
-	case waxwingseam.RunEnded:
-		d.endRun(c, v.ID)
+		d.adoptAccounts(c)
+	case waxwingseam.ControlHeard:
+		d.setAge.controlHeard(c)
+	case waxwingseam.AttemptArrived:
+		d.setAge.revisionNamed(v.Call.Revision)
 	}
-	d.endCancelledRuns(c)
 }
 
 // endCancelledRuns ends the runs that the receiver cancelled in the same event.
--- a/dispatcher/flight.go
+++ b/dispatcher/flight.go
@@ -28,6 +28,12 @@
 	arrived    time.Time
 	timeout    time.Duration
 	backingOff bool
+	// deadlineArmed is set while the timer of the deadline is armed.
+	deadlineArmed bool
+	// undecided is set while the root waits for the decision on its account's limit, and
+	// admitted once it has been taken from the limit.
+	undecided bool
+	admitted  bool
 	// refusal is set once the call is refused before its first attempt.
 	refusal *waxwingseam.Refusal
 	// redirects counts the redirected attempts, which spend no allowance;
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -35,9 +35,7 @@
 	share := min(d.Retrier.Split(f.call, f.allowance.Remaining), f.allowance.Remaining)
 	f.allowance.Remaining -= share
 	number := waxwingseam.Attempt(len(f.attempts) + 1)
-	if number == 1 {
-		c.Emit(waxwingseam.ArmTimer{Timer: deadlineTimer(f.call.ID), At: f.call.Deadline})
-	}
+	d.armDeadline(c, f)
 	patient := choice.Patient || f.rateRedirects == maxRateRedirects
 	f.tried = append(f.tried, choice.Server.Name)
 	f.attempts = append(f.attempts, attempt{
@@ -54,6 +52,14 @@
 	c.Emit(waxwingseam.Dispatch{Call: call, Attempt: number, Server: choice.Server, Known: choice.Known, Patient: patient})
 }
 
+// armDeadline arms the timer of the call's deadline unless it is armed.
+func (d *dispatcher) armDeadline(c *waxwingseam.Context, f *flight) {
+	if !f.deadlineArmed {
+		f.deadlineArmed = true
+		c.Emit(waxwingseam.ArmTimer{Timer: deadlineTimer(f.call.ID), At: f.call.Deadline})
+	}
+}
+
 // finishUnsent finishes a call whose next attempt the balancer refuses. A call
 // with earlier attempts ends with their last result, and a retry that was
 // spent returns to the allowance.
@@ -240,16 +246,23 @@
 	return longest - time.Duration(c.Random().Int64N(int64(longest)/spreadDivisor+1))
 }
 
+// returnsAtFixedTime reports whether it is of no use to a refused caller to return before
+// the stated time, however long it would wait.
+func returnsAtFixedTime(r waxwingseam.Reason) bool {
+	return r == waxwingseam.ReasonQuarantined || r == waxwingseam.ReasonAccountLimit
+}
+
 // reply sends the result of a call to its caller and removes the call.
 func (d *dispatcher) reply(c *waxwingseam.Context, f *flight, result waxwingseam.Result, attempt waxwingseam.Attempt) {
 	id := f.call.ID
-	if result.RetryAfter > 0 && result.Reason != waxwingseam.ReasonQuarantined {
+	if result.RetryAfter > 0 && !returnsAtFixedTime(result.Reason) {
 		result.RetryAfter = boundRetryAfter(c, f, result.RetryAfter)
 	}
 	if f.refusable && result.Succeeded() && !f.late {
 		d.lateness.served(f.call.Class, c.Now.Sub(f.arrived))
 	}
-	if len(f.attempts) > 0 {
+	d.settleAccount(c, f, result)
+	if f.deadlineArmed {
 		c.Emit(waxwingseam.StopTimer{Timer: deadlineTimer(id)})
 	}
 	if f.backingOff {
--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -343,6 +343,7 @@
 	h.forwarder.config.BackendServer.SetRequestFields(header, waxwingseam.BackendRequest{
 		Call:           run.Call,
 		Instance:       run.Instance,
+		KeysRequired:   h.forwarder.keysRequired.Load(),
 		TimeToDeadline: time.Until(run.Call.Deadline),
 	})
 	return header
--- a/forwarder/entry.go
+++ b/forwarder/entry.go
@@ -101,6 +101,7 @@
 		return arrival, "", err
 	}
 	arrival.Outbound = arrival.Outbound || e.outbound
+	arrival.KeyDigest = waxwingseam.BearerDigest(r.Header)
 	subtractWait(&arrival, r)
 	_, _ = rand.Read(arrival.ID[:])
 	if arrival.Parent.IsZero() {
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -52,6 +52,7 @@
 		replied:   make(chan waxwingseam.Reply, 1),
 		started:   make(chan *attempt, 1),
 	}
+	x.removeAccount()
 	x.body = x.ownBody.init(&f.gauge)
 	x.body.onTrim = x.reportBodyConsumed
 	f.mu.Lock()
@@ -60,6 +61,14 @@
 	return x
 }
 
+// removeAccount removes the key of a client account from what is forwarded, if the
+// configuration has accounts.
+func (x *exchange) removeAccount() {
+	if x.forwarder.keysRequired.Load() {
+		x.forwarder.config.Callers.RemoveAccount(x.header)
+	}
+}
+
 // close removes the call and drops its bodies; its attempts end on their own.
 func (x *exchange) close() {
 	f := x.forwarder
@@ -135,6 +144,11 @@
 		f.endAttempt(e.Call.ID, e.Attempt, didNotRun(waxwingseam.ReasonCancelled))
 		return
 	}
+	if e.Attempt == 1 {
+		// The configuration may have got accounts since the call arrived. Later attempts
+		// share the header with the first.
+		x.removeAccount()
+	}
 	a := newAttempt(x, e)
 	x.mu.Lock()
 	x.attempts = append(x.attempts, a)
--- a/forwarder/fingerprint.go
+++ b/forwarder/fingerprint.go
@@ -42,7 +42,12 @@
 	b := make([]byte, 0, maxUsualIdentity)
 	b = waxwingseam.AppendText(b, o.Method)
 	b = waxwingseam.AppendText(b, o.Target)
-	return h.forwarder.config.Callers.AppendIdentity(b, o.Service, o.Host, o.Header)
+	b = h.forwarder.config.Callers.AppendIdentity(b, o.Service, o.Host, o.Header)
+	if o.Account != "" {
+		// The first node has removed the key, by which the caller is told otherwise.
+		b = waxwingseam.AppendText(b, string(o.Account))
+	}
+	return b
 }
 
 // fingerprint returns the fingerprint of the call's request, with its digest only if that
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -119,6 +119,8 @@
 	entryClosed atomic.Bool
 	// watched holds the hashes of the watched heads; see waxwingseam.WatchRequests.
 	watched atomic.Pointer[map[uint64]struct{}]
+	// keysRequired is that of the last RequireKeys.
+	keysRequired atomic.Bool
 	// arrivals counts the attempts that other nodes have sent.
 	arrivals atomic.Uint64
 	// pendingWitnessAsks counts the unanswered messages to witnesses.
@@ -233,6 +235,7 @@
 		waxwingseam.KindProbeBackend,
 		waxwingseam.KindSendEnds,
 		waxwingseam.KindWatchRequests,
+		waxwingseam.KindRequireKeys,
 	}
 }
 
@@ -300,6 +303,8 @@
 		f.sendEnds(v)
 	case waxwingseam.WatchRequests:
 		f.watchRequests(v)
+	case waxwingseam.RequireKeys:
+		f.keysRequired.Store(v.Required)
 	}
 }
 
--- a/forwarder/headers.go
+++ b/forwarder/headers.go
@@ -37,6 +37,9 @@
 	// how long work takes at this moment, in hundredths of the usual time.
 	HeaderLoad = "Waxwingseam-Load"
 
+	// HeaderAccount names the client account of a request to the backend server.
+	HeaderAccount = "Waxwingseam-Account"
+
 	headerTraceParent = "Traceparent"
 )
 
--- a/forwarder/native.go
+++ b/forwarder/native.go
@@ -60,6 +60,12 @@
 	return waxwingseam.AppendCaller(waxwingseam.AppendText(b, string(service)), header)
 }
 
+// RemoveAccount implements waxwingseam.CallerProtocol.
+func (nativeCallers) RemoveAccount(header http.Header) {
+	waxwingseam.RemoveCaller(header)
+	delete(header, HeaderAccount)
+}
+
 // WriteProblem implements waxwingseam.CallerProtocol.
 func (nativeCallers) WriteProblem(w http.ResponseWriter, result waxwingseam.Result, detail string) {
 	writeProblem(w, result, detail)
@@ -76,6 +82,11 @@
 // SetRequestFields implements waxwingseam.BackendProtocol.
 func (nativeBackend) SetRequestFields(header http.Header, r waxwingseam.BackendRequest) {
 	header.Set(HeaderContext, r.Call.ID.String())
+	if r.Call.Account != "" {
+		header.Set(HeaderAccount, string(r.Call.Account))
+	} else if r.KeysRequired {
+		delete(header, HeaderAccount)
+	}
 	if parent := formatTraceParent(r.Call.Trace); parent != "" {
 		header.Set(headerTraceParent, parent)
 	}
--- a/forwarder/problem.go
+++ b/forwarder/problem.go
@@ -36,6 +36,9 @@
 	waxwingseam.ReasonDeadline:       http.StatusGatewayTimeout,
 	waxwingseam.ReasonKeyConflict:    http.StatusConflict,
 	waxwingseam.ReasonEvicted:        http.StatusTooManyRequests,
+
+	waxwingseam.ReasonUnauthenticated: http.StatusUnauthorized,
+	waxwingseam.ReasonAccountLimit:    http.StatusTooManyRequests,
 }
 
 // titles maps each reason to the title of its problem.
@@ -64,6 +67,9 @@
 	waxwingseam.ReasonKeyUnproven:      "No witness can say whether the idempotency key was used before",
 	waxwingseam.ReasonEndsServer:       "The request has ended the only backend server that ran it",
 	waxwingseam.ReasonQuarantined:      "The request has ended the backend servers that ran it",
+	waxwingseam.ReasonUnauthenticated:  "The request has no key of a client account",
+	waxwingseam.ReasonAccountLimit:     "The client account is over its limit",
+	waxwingseam.ReasonSetUnconfirmed:   "The key is unknown to this node, whose configuration may not be the newest",
 	waxwingseam.ReasonBodyConsumed:     "The request body can't be sent a second time",
 }
 
@@ -85,6 +91,9 @@
 	header.Set("Content-Type", "application/problem+json")
 	header.Set("Cache-Control", "no-store")
 	header.Set(HeaderOutcome, result.Outcome.String())
+	if status == http.StatusUnauthorized {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		header.Set("Retry-After", retryAfter(result.RetryAfter))
 	}
--- a/outcome.go
+++ b/outcome.go
@@ -70,4 +70,5 @@
 	ReasonEndsServer       Reason = "ends-server"
 	ReasonUnauthenticated  Reason = "unauthenticated"
 	ReasonAccountLimit     Reason = "account-limit"
+	ReasonSetUnconfirmed   Reason = "set-unconfirmed"
 )
--- a/protocol.go
+++ b/protocol.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -18,6 +19,9 @@
 	// with the same method, target and body. It is equal for all resends of the request,
 	// at whatever node, and each part has its length before it.
 	AppendIdentity(b []byte, service ServiceName, host string, header http.Header) []byte
+	// RemoveAccount removes the key of a client account, and what names an account to
+	// backend servers, from the header of a request.
+	RemoveAccount(header http.Header)
 	// WriteProblem writes the system's own answer to a call without an answer of a
 	// backend server. The detail is a text for the caller; empty for none.
 	WriteProblem(w http.ResponseWriter, result Result, detail string)
@@ -29,6 +33,29 @@
 // callerField is the header field that identifies the caller, if there is any.
 const callerField = "Authorization"
 
+// bearerScheme is the authentication scheme of keys, in lower case.
+const bearerScheme = "bearer "
+
+// BearerDigest returns the digest of the key of a client account in the header of a
+// request: that of the only Authorization field, if its scheme is Bearer. It is zero
+// without a key.
+func BearerDigest(header http.Header) KeyDigest {
+	values := header[callerField]
+	if len(values) != 1 || len(values[0]) <= len(bearerScheme) {
+		return KeyDigest{}
+	}
+	scheme, key := values[0][:len(bearerScheme)], strings.Trim(values[0][len(bearerScheme):], " ")
+	if !strings.EqualFold(scheme, bearerScheme) || key == "" {
+		return KeyDigest{}
+	}
+	return DigestKey(key)
+}
+
+// RemoveCaller removes the caller's credentials, for CallerProtocol.RemoveAccount.
+func RemoveCaller(header http.Header) {
+	delete(header, callerField)
+}
+
 // AppendCaller appends the caller's credentials, for CallerProtocol.AppendIdentity.
 func AppendCaller(b []byte, header http.Header) []byte {
 	return AppendText(b, header.Get(callerField))
@@ -47,6 +74,9 @@
 	// Instance identifies the backend server's incarnation that must run the
 	// call; empty for any.
 	Instance string
+	// KeysRequired is set if the configuration has client accounts, so that only the
+	// call's account may be named in the header.
+	KeysRequired bool
 	// TimeToDeadline is the time left until the call's deadline.
 	TimeToDeadline time.Duration
 }
--- a/publisher/message.go
+++ b/publisher/message.go
@@ -43,6 +43,9 @@
 	Interest *Interest `cbor:"4,keyasint,omitempty"`
 	// Quarantine is set when the requests that the watcher refuses have changed.
 	Quarantine *QuarantineReport `cbor:"5,keyasint,omitempty"`
+	// Sent is when the report was sent, in milliseconds of the watcher's own clock. It is
+	// set while the watcher's set has client accounts.
+	Sent uint64 `cbor:"20,keyasint,omitempty"`
 }
 
 // HeldRevision identifies the set that a watcher holds.
@@ -87,6 +90,9 @@
 	LatestIncarnation waxwingseam.Incarnation `cbor:"9,keyasint,omitempty"`
 	// Orders are operators' decisions on requests that end backend servers.
 	Orders []waxwingseam.QuarantineOrder `cbor:"10,keyasint,omitempty"`
+	// Echo is Sent of the watcher's latest report. It shows a watcher that was stopped
+	// for a while that a push is not one from before.
+	Echo uint64 `cbor:"20,keyasint,omitempty"`
 }
 
 // Step is the change from the previous revision to Revision.
--- a/publisher/publisher_test.go
+++ b/publisher/publisher_test.go
@@ -212,13 +212,20 @@
 	}
 	submit(0, "first-key")
 	sets := make(chan *waxwingseam.Set, 8)
+	heard := make(chan struct{}, 1)
 	s := subscriber.New(subscriber.Config{
 		Control: []netip.AddrPort{address},
 		Self:    waxwingseam.Server{Name: "fees-1", Service: "fees"},
 		Logger:  quiet,
 		Step: func(build func(waxwingseam.Stamp) waxwingseam.Event) {
-			if v, ok := build(waxwingseam.Stamp{}).(waxwingseam.SetAdopted); ok {
+			switch v := build(waxwingseam.Stamp{}).(type) {
+			case waxwingseam.SetAdopted:
 				sets <- v.Set
+			case waxwingseam.ControlHeard:
+				select {
+				case heard <- struct{}{}:
+				default:
+				}
 			}
 		},
 	})
@@ -235,6 +242,7 @@
 	check("first-key")
 	submit(1, "second-key", "first-key")
 	check("second-key", "first-key")
+	next(t, heard)
 	held, err := s.Held(t.Context(), &subscriber.HeldQuery{})
 	qt.Assert(t, err, qt.IsNil)
 	set, err := publisher.Unpack(held.Set)
--- a/publisher/push.go
+++ b/publisher/push.go
@@ -23,6 +23,7 @@
 	p.addReplicas(s, &push)
 	push.LatestIncarnation, s.latestIncarnation = s.latestIncarnation, 0
 	push.Orders, s.orders = s.orders, nil
+	push.Echo = s.reportSent
 	push.Unconfirmed = push.Unconfirmed || !p.batcher.confirmed()
 	empty = len(push.Steps)+len(push.Set)+len(push.Present)+len(push.Gone) == 0 && !push.Complete && push.LatestIncarnation == 0 && len(push.Orders) == 0
 	return push, empty, nil
--- a/publisher/session.go
+++ b/publisher/session.go
@@ -46,6 +46,8 @@
 	// decisions that were not sent to it yet.
 	quarantined []waxwingseam.QuarantinedRequest
 	orders      []waxwingseam.QuarantineOrder
+	// reportSent is Sent of the watcher's latest report.
+	reportSent uint64
 	// sentComplete is set once a complete list of servers was sent.
 	sentComplete bool
 }
@@ -151,6 +153,7 @@
 			p.config.Logger.Error("a node holds a different set under the newest revision", "server", s.server)
 		}
 	}
+	s.reportSent = r.Sent
 	if r.Quarantine != nil {
 		s.quarantined = r.Quarantine.Requests
 	}
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -39,6 +39,10 @@
 	// is opened.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = time.Second
+	// maxEchoAge bounds the age of the report that a push answers, for the push to count
+	// as news from control. It spans two heartbeats in each direction; an older one was
+	// sent before this process was stopped.
+	maxEchoAge = time.Second
 )
 
 // errUnconfirmed ends a connection to a replica that lags or has no quorum.
@@ -101,8 +105,9 @@
 }
 
 type subscriber struct {
-	config Config
-	woken  chan struct{}
+	config  Config
+	woken   chan struct{}
+	started time.Time
 
 	// heldRevision equals held.Revision. NoteRevision, which runs for each arriving
 	// attempt, reads it without the lock.
@@ -156,6 +161,7 @@
 	return &subscriber{
 		config:       config,
 		woken:        make(chan struct{}, 1),
+		started:      time.Now(),
 		random:       rand.New(rand.NewPCG(config.Seed, config.Seed)),
 		held:         &waxwingseam.Set{},
 		announcement: waxwingseam.Announcement{Server: config.Self},
--- a/subscriber/subscriber_test.go
+++ b/subscriber/subscriber_test.go
@@ -177,3 +177,26 @@
 		qt.Assert(t, updated.Gone, qt.DeepEquals, v.gone)
 	}
 }
+
+// TestControlIsHeard guards against unknown keys that are refused for good by a node that
+// has not heard from control: a push counts only if it is confirmed and answers a recent
+// report. A node that was stopped reads pushes from before.
+func TestControlIsHeard(t *testing.T) {
+	s, events := start(t)
+	next(t, s.reports)
+	set := waxwingseam.Set{Revision: 1, ClientAccounts: []waxwingseam.ClientAccount{{Name: "archive"}}}
+	packed, err := publisher.Pack(&set)
+	qt.Assert(t, err, qt.IsNil)
+	s.pushes <- publisher.Push{Set: packed}
+	next(t, events)
+	sent := next(t, s.reports).Sent
+	qt.Assert(t, sent > 0, qt.IsTrue)
+	s.pushes <- publisher.Push{Echo: sent, Unconfirmed: true}
+	s.pushes <- publisher.Push{}
+	s.pushes <- publisher.Push{Echo: sent + uint64(time.Hour.Milliseconds())}
+	s.pushes <- publisher.Push{LatestIncarnation: 5}
+	qt.Assert(t, next(t, events).Kind(), qt.Equals, waxwingseam.KindIncarnationSuperseded)
+	for now, want := range map[uint64]bool{sent: true, sent + 1000: true, sent + 1001: false, sent - 1: false} {
+		qt.Assert(t, isRecent(sent, now), qt.Equals, want, qt.Commentf("%d", now))
+	}
+}
--- a/subscriber/watch.go
+++ b/subscriber/watch.go
@@ -126,6 +126,9 @@
 	if s.changed.quarantine {
 		r.Quarantine = &publisher.QuarantineReport{Requests: slices.Collect(maps.Values(s.quarantined))}
 	}
+	if len(s.held.ClientAccounts) > 0 {
+		r.Sent = s.clock()
+	}
 	s.changed = changes{}
 	return r
 }
@@ -177,9 +180,24 @@
 	if len(p.Present)+len(p.Gone) > 0 || p.Complete {
 		s.updateServers(p)
 	}
+	if !p.Unconfirmed && isRecent(p.Echo, s.clock()) {
+		s.config.Step(func(stamp waxwingseam.Stamp) waxwingseam.Event {
+			return waxwingseam.ControlHeard{Stamp: stamp}
+		})
+	}
 	return s.checkUnconfirmed(p.Unconfirmed)
 }
 
+// clock returns the milliseconds since shortly before the subscriber's start; never 0.
+func (s *subscriber) clock() uint64 {
+	return uint64(1 + time.Since(s.started).Milliseconds())
+}
+
+// isRecent reports whether a push answers a report that was sent within maxEchoAge.
+func isRecent(echo, now uint64) bool {
+	return echo > 0 && echo <= now && now-echo <= uint64(maxEchoAge.Milliseconds())
+}
+
 // checkUnconfirmed returns errUnconfirmed after too many unconfirmed pushes in a
 // row, if the settings list other replicas.
 func (s *subscriber) checkUnconfirmed(unconfirmed bool) error {
