narrator, meter, publisher, cmd: use of client accounts and their refusals

An operator could not see which account was refused, nor why, nor how near it was to its limit. The line of a refused call and the problem name the account, its use and its limit with the age of that knowledge. Nodes report the roots of each account to control, at most every 2 s; replicas add them up and pass the sums on, and waxwingseam accounts shows them beside the limits. Metrics name the 20 largest accounts.

--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -46,6 +46,9 @@
 type Cluster interface {
 	// RevisionSummaries returns the latest summary of each replica's nodes.
 	RevisionSummaries() []publisher.RevisionSummary
+	// AccountUsages returns the use of client accounts over the nodes of each replica that
+	// is connected to this one.
+	AccountUsages() []publisher.UsageSummary
 	// Registrations returns the registrations of all backend servers.
 	Registrations() []waxwingseam.Registration
 	// Quarantined returns the requests that nodes refuse as they end backend servers.
@@ -87,6 +90,7 @@
 		r.Get("/v1/set", a.set)
 		r.Get("/v1/history", a.history)
 		r.Get("/v1/status", a.status)
+		r.Get("/v1/accounts", a.accounts)
 		r.Post("/v1/differences", a.differences)
 	})
 	r.Group(func(r chi.Router) {
--- a/assembler/process.go
+++ b/assembler/process.go
@@ -24,6 +24,7 @@
 	"waxwingseam.example/waxwingseam/runner"
 	"waxwingseam.example/waxwingseam/sampler"
 	"waxwingseam.example/waxwingseam/subscriber"
+	"waxwingseam.example/waxwingseam/tallier"
 	"waxwingseam.example/waxwingseam/tracer"
 )
 
@@ -61,6 +62,7 @@
 	revisions      *revisionObserver
 	repeatability  *repeatability
 	entryPoints    *entryPoints
+	tallier        *tallier.Tallier
 	controller     controller.Controller
 }
 
@@ -199,6 +201,7 @@
 	p.revisions = newRevisionObserver()
 	p.repeatability = &repeatability{}
 	p.entryPoints = newEntryPoints()
+	p.tallier = tallier.New(tallier.Config{})
 	node, err := NewNode(NodeConfig{
 		Self:        self,
 		Backend:     settings.BackendAddress,
@@ -229,6 +232,7 @@
 		// The arbiter needs the other servers of its own service.
 		Services: []waxwingseam.ServiceName{settings.Service},
 		Step:     node.Runner.Step,
+		Tally:    p.tallier.Tally,
 		Logger:   p.logger.Part("subscriber"),
 		Seed:     newSeed(),
 	})
@@ -265,7 +269,7 @@
 		Logger: p.logger.Part("node"),
 		Usage:  sampler.New().Sample,
 	})
-	observers := []runner.Observer{p.meter, eventLog, p.interests, p.revisions, p.entryPoints, p.repeatability}
+	observers := []runner.Observer{p.meter, eventLog, p.interests, p.revisions, p.entryPoints, p.repeatability, p.tallier}
 	if p.tracer != nil {
 		observers = append(observers, p.tracer)
 	}
--- a/calleffect.go
+++ b/calleffect.go
@@ -44,6 +44,8 @@
 	Result  Result
 	// Refusal is set for a call that was refused before its first attempt.
 	Refusal *Refusal `cbor:",omitempty"`
+	// Account is the client account of a root; empty without one and for other calls.
+	Account AccountName `cbor:",omitempty"`
 }
 
 // CancelAttempt tells a receiving node that an attempt is no longer wanted.
--- a/cmd/waxwingseam/examples.go
+++ b/cmd/waxwingseam/examples.go
@@ -59,3 +59,8 @@
 func (quarantineCommand) Help() string {
 	return "Example: waxwingseam quarantine --control 10.0.0.1:7403 --lift 5e0b7c1d9a2f48c6b3e17d5520f9a841"
 }
+
+// Help implements kong.HelpProvider with an example.
+func (accountsCommand) Help() string {
+	return "Example: waxwingseam accounts --control 10.0.0.1:7403 -o json"
+}
--- a/cmd/waxwingseam/main.go
+++ b/cmd/waxwingseam/main.go
@@ -32,6 +32,7 @@
 	Status     statusCommand     `cmd:"" help:"Show replicas, nodes and backend servers."`
 	Drain      drainCommand      `cmd:"" help:"Drain a backend server, or undo its drain."`
 	Quarantine quarantineCommand `cmd:"" help:"List the requests that are refused as they end backend servers, or lift or set a quarantine."`
+	Accounts   accountsCommand   `cmd:"" help:"Show the use of client accounts against their limits, over all nodes."`
 	Initialize initializeCommand `cmd:"" help:"Create the identity of a new cluster; run it only once."`
 	Explain    explainCommand    `cmd:"" help:"Show the timeline of one request from the logs of several processes."`
 	Demo       demoCommand       `cmd:"" help:"Show a deployment under a surge, without the layer and with it."`
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -276,6 +276,20 @@
 	return summaries
 }
 
+// AccountUsages implements administrator.Cluster.
+func (c *controller) AccountUsages() []publisher.UsageSummary {
+	usages := []publisher.UsageSummary{c.publisher.AccountUsage()}
+	c.mu.Lock()
+	exchanges := slices.Collect(maps.Values(c.exchanges))
+	c.mu.Unlock()
+	for _, x := range exchanges {
+		if usage, ok := x.latestUsage(); ok {
+			usages = append(usages, usage)
+		}
+	}
+	return usages
+}
+
 // Registrations implements administrator.Cluster.
 func (c *controller) Registrations() []waxwingseam.Registration {
 	return c.publisher.Registrations()
--- a/controller/exchange.go
+++ b/controller/exchange.go
@@ -70,6 +70,7 @@
 
 	mu      sync.Mutex
 	summary *publisher.RevisionSummary
+	usage   *publisher.UsageSummary
 }
 
 func startExchange(ctx context.Context, c *controller, address netip.AddrPort) *exchange {
@@ -89,6 +90,17 @@
 	return *x.summary, true
 }
 
+// latestUsage returns the latest use of client accounts received on the current stream,
+// and whether there is a stream.
+func (x *exchange) latestUsage() (publisher.UsageSummary, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.usage == nil {
+		return publisher.UsageSummary{}, x.summary != nil
+	}
+	return *x.usage, true
+}
+
 // run opens streams to the other replica, one after another, until the context
 // ends.
 func (x *exchange) run(ctx context.Context) {
@@ -110,7 +122,7 @@
 func (x *exchange) clearSummary() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.summary = nil
+	x.summary, x.usage = nil, nil
 }
 
 func (x *exchange) step(build func(waxwingseam.Stamp) waxwingseam.Event) {
@@ -176,6 +188,11 @@
 		x.summary = p.Summary
 		x.mu.Unlock()
 	}
+	if p.Usage != nil {
+		x.mu.Lock()
+		x.usage = p.Usage
+		x.mu.Unlock()
+	}
 	if p.Complete {
 		x.controller.publisher.MarkPeerComplete(x.address.String())
 	}
--- a/dispatcher/account.go
+++ b/dispatcher/account.go
@@ -101,7 +101,7 @@
 // limit. It reports whether the root may be sent.
 func (d *dispatcher) accountDecided(c *waxwingseam.Context, f *flight, decision waxwingseam.AccountDecision) bool {
 	if decision.Admitted {
-		f.admitted = true
+		f.admittedAt = c.Now
 		return true
 	}
 	f.refusal = &waxwingseam.Refusal{
@@ -137,7 +137,7 @@
 		f.undecided = false
 		d.undecided--
 		d.Limiter.Withdraw(c, f.call.ID)
-	case f.admitted && result.Outcome == waxwingseam.OutcomeDidNotRun:
-		d.Limiter.Refund(c, f.call.Account)
+	case !f.admittedAt.IsZero() && result.Outcome == waxwingseam.OutcomeDidNotRun:
+		d.Limiter.Refund(c, f.call.Account, f.admittedAt)
 	}
 }
--- a/dispatcher/account_test.go
+++ b/dispatcher/account_test.go
@@ -46,7 +46,7 @@
 	l.withdrawn = append(l.withdrawn, call)
 }
 
-func (l *fakeLimiter) Refund(_ *waxwingseam.Context, a waxwingseam.AccountName) {
+func (l *fakeLimiter) Refund(_ *waxwingseam.Context, a waxwingseam.AccountName, _ time.Time) {
 	l.refunded = append(l.refunded, a)
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -65,7 +65,7 @@
 
 // Kinds implements waxwingseam.Worker.
 func (d *dispatcher) Kinds() []waxwingseam.Kind {
-	return []waxwingseam.Kind{
+	kinds := []waxwingseam.Kind{
 		waxwingseam.KindCallArrived,
 		waxwingseam.KindCallerLeft,
 		waxwingseam.KindReplyStarted,
@@ -82,6 +82,17 @@
 		waxwingseam.KindAttemptArrived,
 		waxwingseam.KindAccountMessageReceived,
 	}
+	w, ok := d.Limiter.(waxwingseam.Worker)
+	if !ok {
+		return kinds
+	}
+	// Any event that the limiter handles may bring a decision on a waiting root.
+	for _, k := range w.Kinds() {
+		if !slices.Contains(kinds, k) {
+			kinds = append(kinds, k)
+		}
+	}
+	return kinds
 }
 
 // Reduce implements waxwingseam.Worker.
--- a/dispatcher/flight.go
+++ b/dispatcher/flight.go
@@ -30,10 +30,10 @@
 	backingOff bool
 	// deadlineArmed is set while the timer of the deadline is armed.
 	deadlineArmed bool
-	// undecided is set while the root waits for the decision on its account's limit, and
-	// admitted once it has been taken from the limit.
+	// undecided is set while the root waits for the decision on its account's limit.
 	undecided bool
-	admitted  bool
+	// admittedAt is when the root was taken from the limit; zero for no limit.
+	admittedAt time.Time
 	// refusal is set once the call is refused before its first attempt.
 	refusal *waxwingseam.Refusal
 	// redirects counts the redirected attempts, which spend no allowance;
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -268,12 +268,16 @@
 	if f.backingOff {
 		c.Emit(waxwingseam.StopTimer{Timer: retryTimer(id)})
 	}
-	c.Emit(waxwingseam.Reply{
+	answer := waxwingseam.Reply{
 		ID:      id,
 		Attempt: attempt,
 		Result:  result,
 		Refusal: f.refusal,
-	})
+	}
+	if f.call.Parent.IsZero() {
+		answer.Account = f.call.Account
+	}
+	c.Emit(answer)
 	if !f.call.Parent.IsZero() {
 		if result.RefusedBelow || refusedForCapacity(result) {
 			d.Tracker.NoteRefusal(f.call.Parent)
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -48,6 +48,11 @@
 	// RateDelay is how long one more call would have waited for the rate limit.
 	RateDelay time.Duration `json:"rate-delay"`
 	Revision  uint64        `json:"revision"`
+	// Account is the client account. The others are those of a refusal for its limit.
+	Account      string        `json:"account"`
+	AccountUsed  float64       `json:"account-used"`
+	AccountLimit float64       `json:"account-limit"`
+	BasisAge     time.Duration `json:"basis-age"`
 }
 
 // Timeline holds the log lines about one request and the calls made for it.
@@ -130,8 +135,15 @@
 		}
 		return text
 	case narrator.EventCallAnswered:
-		return fmt.Sprintf("%s: answered after %v (servers: %s): %s, class %s, revision %d",
+		text := fmt.Sprintf("%s: answered after %v (servers: %s): %s, class %s, revision %d",
 			subject, l.Elapsed.Round(time.Millisecond), strings.Join(l.Servers, ", "), l.result(), l.Class, l.Revision)
+		if l.Account != "" {
+			text += ", account " + l.Account
+		}
+		if l.AccountLimit > 0 {
+			text += fmt.Sprintf(": %.1f of %.1f requests/s, as known %v before", l.AccountUsed, l.AccountLimit, l.BasisAge.Round(time.Millisecond))
+		}
+		return text
 	}
 	return subject + ": " + l.Text
 }
@@ -181,5 +193,9 @@
 	waxwingseam.ReasonServerReplaced:   "another backend server now has the address",
 	waxwingseam.ReasonRetryBudget:      "the retry budget of the service was used up",
 	waxwingseam.ReasonRateLimited:      "the backend server names a rate limit, and the call would have exceeded it or waited too long",
+	waxwingseam.ReasonUnauthenticated:  "the request had no key of a client account of the configuration in force at the node",
+	waxwingseam.ReasonSetUnconfirmed:   "the key was unknown to a node that could not tell whether its configuration was the newest",
+	waxwingseam.ReasonAccountLimit:     "the client account was over its limit",
+	waxwingseam.ReasonUnknownContext:   "no known run made the call, and it had no key of a client account",
 	waxwingseam.ReasonCancelled:        "the caller left, or the run that made the call ended",
 }
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -51,3 +51,16 @@
 	qt.Assert(t, timeline.Read("x", strings.NewReader("no log line\n")), qt.IsNil)
 	qt.Assert(t, timeline.Write(&bytes.Buffer{}), qt.ErrorMatches, "no log line mentions request none; unreadable lines: 1")
 }
+
+// TestAccountRefusal guards against a refused client account whose timeline lacks the
+// account, the figure that decided or its age.
+func TestAccountRefusal(t *testing.T) {
+	timeline := explainer.New("7be2a35f689c41d0")
+	line := `{"event":"call-answered","request-id":"7be2a35f689c41d0","class":"lots","service":"desk","outcome":"did-not-run","reason":"account-limit",` +
+		`"account":"archive","account-used":1024.5,"account-limit":842,"basis-age":120000000}`
+	qt.Assert(t, timeline.Read("node.log", strings.NewReader(line)), qt.IsNil)
+	var out bytes.Buffer
+	qt.Assert(t, timeline.Write(&out), qt.IsNil)
+	qt.Assert(t, out.String(), qt.Contains, "account archive: 1024.5 of 842.0 requests/s, as known 120ms before")
+	qt.Assert(t, out.String(), qt.Contains, "cause: the client account was over its limit")
+}
--- a/forwarder/entry.go
+++ b/forwarder/entry.go
@@ -243,7 +243,7 @@
 		result.Reason = waxwingseam.ReasonTooLarge
 	}
 	if !result.Completed() {
-		c.forwarder.config.Callers.WriteProblem(c.writer, result, "")
+		c.forwarder.config.Callers.WriteProblem(c.writer, result, refusalDetail(r.Refusal))
 		return
 	}
 	a := c.exchange.attempt(r.Attempt)
--- a/forwarder/problem.go
+++ b/forwarder/problem.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math"
 	"net/http"
 	"strconv"
@@ -108,6 +109,16 @@
 	})
 }
 
+// refusalDetail returns what decided the refusal of a client account's root; empty for
+// other calls.
+func refusalDetail(r *waxwingseam.Refusal) string {
+	if r == nil || r.Basis != waxwingseam.BasisAccountLimit {
+		return ""
+	}
+	return fmt.Sprintf("account %s uses %.1f of %.1f requests per second over all nodes, as known %v ago",
+		r.Call.Account, r.Used, r.Limit, r.BasisAge.Round(time.Millisecond))
+}
+
 // retryAfter formats a time in whole seconds, rounded up; at least minRetryAfter.
 func retryAfter(d time.Duration) string {
 	return strconv.Itoa(int(math.Ceil(max(d, minRetryAfter).Seconds())))
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -40,6 +40,7 @@
 	registry       *prometheus.Registry
 	calls          callMetrics
 	runs           runMetrics
+	accounts       accountMetrics
 	revision       prometheus.Gauge
 	accountant     *accountant.Accountant
 	eventHandlers  map[waxwingseam.Kind]func(e waxwingseam.Event)
@@ -52,6 +53,7 @@
 		registry: prometheus.NewRegistry(),
 		calls:    newCallMetrics(),
 		runs:     newRunMetrics(),
+		accounts: newAccountMetrics(),
 		revision: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "waxwingseam_configuration_revision",
 			Help: "Revision of the configuration in force.",
@@ -61,6 +63,7 @@
 	m.registry.MustRegister(m.revision)
 	m.registry.MustRegister(m.calls.collectors()...)
 	m.registry.MustRegister(m.runs.collectors()...)
+	m.registry.MustRegister(m.accounts.roots)
 	m.accountant = accountant.New(accountant.Config{Spend: m.runs.spent, Idle: m.runs.idled, Cancelled: m.runs.cancelledRun})
 	m.eventHandlers = map[waxwingseam.Kind]func(waxwingseam.Event){
 		waxwingseam.KindCallArrived:      m.calls.arrived,
@@ -72,7 +75,7 @@
 	}
 	m.effectHandlers = map[waxwingseam.Kind]func(time.Time, waxwingseam.Effect){
 		waxwingseam.KindDispatch:      m.calls.dispatched,
-		waxwingseam.KindReply:         m.calls.replied,
+		waxwingseam.KindReply:         m.replied,
 		waxwingseam.KindFence:         m.calls.fenced,
 		waxwingseam.KindResume:        m.calls.resumed,
 		waxwingseam.KindRun:           m.runs.started,
@@ -123,6 +126,13 @@
 	}
 }
 
+func (m *Meter) replied(now time.Time, e waxwingseam.Effect) {
+	m.calls.replied(now, e)
+	if v, ok := e.(waxwingseam.Reply); ok {
+		m.accounts.replied(now, v)
+	}
+}
+
 func (m *Meter) adopted(e waxwingseam.Event) {
 	v, ok := e.(waxwingseam.SetAdopted)
 	if !ok {
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -1,6 +1,7 @@
 package meter_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -88,3 +89,35 @@
 	}
 	return sums
 }
+
+// TestAccountLabelsAreBounded guards against a series for each of thousands of client
+// accounts, and against roots that are not counted when the largest accounts change.
+func TestAccountLabelsAreBounded(t *testing.T) {
+	m := meter.New()
+	now := time.Unix(100, 0)
+	answer := func(account string, n int, reason waxwingseam.Reason) {
+		for range n {
+			m.Observe(waxwingseam.TimerFired{Stamp: waxwingseam.Stamp{Now: now}}, []waxwingseam.Effect{waxwingseam.Reply{
+				Account: waxwingseam.AccountName(account),
+				Result:  waxwingseam.Result{Outcome: waxwingseam.OutcomeDidNotRun, Reason: reason},
+			}})
+		}
+	}
+	for i := range 1000 {
+		answer(fmt.Sprintf("small-%d", i), 1, waxwingseam.ReasonAccountLimit)
+	}
+	answer("large", 50, waxwingseam.ReasonAccountLimit)
+	series := func() int {
+		n, err := testutil.GatherAndCount(m.Registry(), "waxwingseam_account_roots_total")
+		qt.Assert(t, err, qt.IsNil)
+		return n
+	}
+	qt.Assert(t, series(), qt.Equals, 21)
+	qt.Assert(t, gather(t, m)["waxwingseam_account_roots_total"], qt.Equals, 1050.0)
+	now = now.Add(time.Minute)
+	answer("large", 1, waxwingseam.ReasonOverloaded)
+	qt.Assert(t, series() <= 21, qt.IsTrue)
+	problems, err := testutil.GatherAndLint(m.Registry())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, problems, qt.HasLen, 0)
+}
--- a/narrator/narrator.go
+++ b/narrator/narrator.go
@@ -372,12 +372,20 @@
 		slog.Duration("retry-after", v.Result.RetryAfter),
 		slog.Uint64("revision", uint64(c.revision)),
 	}
+	if c.call.Account != "" {
+		attributes = append(attributes, slog.String("account", string(c.call.Account)))
+	}
 	if v.Refusal != nil {
 		attributes = append(attributes,
 			slog.String("refusal-basis", string(v.Refusal.Basis)),
 			slog.Duration("basis-age", v.Refusal.BasisAge),
 			slog.Int("refused-permille", int(v.Refusal.Call.RefusedPermille)),
 			slog.Bool("late", v.Refusal.Late))
+		if v.Refusal.Basis == waxwingseam.BasisAccountLimit {
+			attributes = append(attributes,
+				slog.Float64("account-used", v.Refusal.Used),
+				slog.Float64("account-limit", v.Refusal.Limit))
+		}
 	}
 	n.line(EventCallAnswered, slog.LevelWarn, attributes...)
 }
--- a/narrator/narrator_test.go
+++ b/narrator/narrator_test.go
@@ -85,6 +85,17 @@
 			},
 		},
 	})
+	limited := waxwingseam.NewCallID(1, 5)
+	n.Observe(waxwingseam.CallArrived{Stamp: stamp(450 * time.Millisecond), ID: limited, RequestID: "7be2a35f689c41d0"}, []waxwingseam.Effect{
+		waxwingseam.Reply{
+			ID: limited, Account: "archive",
+			Result: waxwingseam.Result{Outcome: waxwingseam.OutcomeDidNotRun, Reason: waxwingseam.ReasonAccountLimit, RetryAfter: time.Second},
+			Refusal: &waxwingseam.Refusal{
+				Call:  waxwingseam.Call{Class: "lots", Service: "desk", Account: "archive", Revision: 7, Rank: waxwingseam.Rank{Importance: 8}, Deadline: start.Add(2 * time.Second)},
+				Basis: waxwingseam.BasisAccountLimit, BasisAge: 120 * time.Millisecond, Used: 1024.5, Limit: 842,
+			},
+		},
+	})
 	n.Observe(waxwingseam.BackendStated{Stamp: stamp(500 * time.Millisecond)}, []waxwingseam.Effect{waxwingseam.StatementChanged{
 		Server: "desk-1", Backend: waxwingseam.BackendIncarnation{Instance: "i-1", Started: start},
 		Statement: waxwingseam.Statement{Limited: true, Rate: 14.5}, Source: waxwingseam.StatementFromAnswer,
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -59,6 +59,8 @@
 	Differences(ctx context.Context, q administrator.DifferencesRequest) (administrator.DifferencesAnswer, error)
 	// Status returns the status of the cluster.
 	Status(ctx context.Context) (administrator.StatusAnswer, error)
+	// Accounts returns the use of client accounts over all nodes.
+	Accounts(ctx context.Context) (administrator.AccountsAnswer, error)
 }
 
 // Refusal is an error answer of the operator API. If its status is a server
@@ -166,6 +168,12 @@
 	return a, err
 }
 
+// Accounts implements Client.
+func (c *client) Accounts(ctx context.Context) (a administrator.AccountsAnswer, err error) {
+	err = c.call(ctx, http.MethodGet, "/v1/accounts", nil, &a)
+	return a, err
+}
+
 func revisionQuery(key string, r waxwingseam.Revision) string {
 	if r == 0 {
 		return ""
--- a/publisher/message.go
+++ b/publisher/message.go
@@ -46,6 +46,9 @@
 	// Sent is when the report was sent, in milliseconds of the watcher's own clock. It is
 	// set while the watcher's set has client accounts.
 	Sent uint64 `cbor:"20,keyasint,omitempty"`
+	// Tally is set when the watcher has answered roots of client accounts since its last
+	// tally.
+	Tally *waxwingseam.AccountTally `cbor:"21,keyasint,omitempty"`
 }
 
 // HeldRevision identifies the set that a watcher holds.
@@ -93,6 +96,9 @@
 	// Echo is Sent of the watcher's latest report. It shows a watcher that was stopped
 	// for a while that a push is not one from before.
 	Echo uint64 `cbor:"20,keyasint,omitempty"`
+	// Usage is the use of client accounts over the nodes that watch the replica; sent
+	// only to other control replicas.
+	Usage *UsageSummary `cbor:"21,keyasint,omitempty"`
 }
 
 // Step is the change from the previous revision to Revision.
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -78,6 +78,8 @@
 	Registrations() []waxwingseam.Registration
 	// Quarantined returns the requests that watching nodes refuse, ordered by digest.
 	Quarantined() []waxwingseam.QuarantinedRequest
+	// AccountUsage returns the use of client accounts over the watching nodes.
+	AccountUsage() UsageSummary
 	// OrderQuarantine passes an operator's decision to the watching nodes and returns their
 	// number.
 	OrderQuarantine(o waxwingseam.QuarantineOrder) (nodes int)
@@ -105,6 +107,9 @@
 	sessions      map[*session]struct{}
 	completePeers map[string]struct{}
 	started       time.Time
+	// usage is the sum at usageAt that is sent to other replicas.
+	usage   UsageSummary
+	usageAt time.Time
 }
 
 // New returns a publisher without watchers.
--- a/publisher/push.go
+++ b/publisher/push.go
@@ -15,7 +15,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s.peer {
-		p.addSummary(&push, heartbeatDue)
+		p.addSummary(s, &push, heartbeatDue)
 	} else if err := p.addRevision(s, &push); err != nil {
 		return push, false, err
 	}
@@ -39,10 +39,11 @@
 	}
 }
 
-func (p *publisher) addSummary(push *Push, heartbeatDue bool) {
+func (p *publisher) addSummary(s *session, push *Push, heartbeatDue bool) {
 	if heartbeatDue {
 		summary := p.summary()
 		push.Summary = &summary
+		p.addUsage(s, push)
 	}
 }
 
--- a/publisher/session.go
+++ b/publisher/session.go
@@ -48,6 +48,13 @@
 	orders      []waxwingseam.QuarantineOrder
 	// reportSent is Sent of the watcher's latest report.
 	reportSent uint64
+	// tally is the watcher's latest one, received at talliedAt.
+	tally     waxwingseam.AccountTally
+	talliedAt time.Time
+	// usageSentAt is when the use of client accounts was sent to the watcher last, and
+	// usageSent is set if there was any.
+	usageSentAt time.Time
+	usageSent   bool
 	// sentComplete is set once a complete list of servers was sent.
 	sentComplete bool
 }
@@ -154,6 +161,9 @@
 		}
 	}
 	s.reportSent = r.Sent
+	if r.Tally != nil {
+		s.tally, s.talliedAt = *r.Tally, time.Now()
+	}
 	if r.Quarantine != nil {
 		s.quarantined = r.Quarantine.Requests
 	}
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -64,7 +64,10 @@
 	// All is set to request the servers of all services.
 	All bool
 	// Step passes an event to the node's reducer.
-	Step   func(build func(waxwingseam.Stamp) waxwingseam.Event)
+	Step func(build func(waxwingseam.Stamp) waxwingseam.Event)
+	// Tally returns the roots of client accounts to report; false if no report is due. It
+	// may be nil.
+	Tally  func() (waxwingseam.AccountTally, bool)
 	Logger *slog.Logger
 	// ReturnAfter is the mean time after which a node that watches another
 	// replica returns to its preferred one; 0 means the default.
--- a/subscriber/watch.go
+++ b/subscriber/watch.go
@@ -129,6 +129,11 @@
 	if len(s.held.ClientAccounts) > 0 {
 		r.Sent = s.clock()
 	}
+	if s.config.Tally != nil {
+		if tally, ok := s.config.Tally(); ok {
+			r.Tally = &tally
+		}
+	}
 	s.changed = changes{}
 	return r
 }
