--- a/forwarder/entry.go
+++ b/forwarder/entry.go
@@ -103,6 +103,7 @@
 	}
 	dropOptions(r.Header, options)
 	arrival.Outbound = arrival.Outbound || e.outbound
+	arrival.KeyDigest = waxwingseam.BearerDigest(r.Header)
 	subtractWait(&arrival, r)
 	_, _ = rand.Read(arrival.ID[:])
 	if arrival.Parent.IsZero() {
@@ -244,7 +245,7 @@
 		result.Reason = waxwingseam.ReasonTooLarge
 	}
 	if !result.Completed() {
-		c.forwarder.config.Callers.WriteProblem(c.writer, result, "")
+		c.forwarder.config.Callers.WriteProblem(c.writer, result, refusalDetail(r.Refusal))
 		return
 	}
 	a := c.exchange.attempt(r.Attempt)
--- a/publisher/push.go
+++ b/publisher/push.go
@@ -15,7 +15,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s.peer {
-		p.addSummary(&push, heartbeatDue)
+		p.addSummary(s, &push, heartbeatDue)
 	} else if err := p.addRevision(s, &push); err != nil {
 		return push, false, err
 	}
@@ -23,6 +23,7 @@
 	p.addReplicas(s, &push)
 	push.LatestIncarnation, s.latestIncarnation = s.latestIncarnation, 0
 	push.Orders, s.orders = s.orders, nil
+	push.Echo = s.reportSent
 	push.Unconfirmed = push.Unconfirmed || !p.batcher.confirmed()
 	empty = len(push.Steps)+len(push.Set)+len(push.Present)+len(push.Gone) == 0 && !push.Complete && push.LatestIncarnation == 0 && len(push.Orders) == 0
 	return push, empty, nil
@@ -38,10 +39,11 @@
 	}
 }
 
-func (p *publisher) addSummary(push *Push, heartbeatDue bool) {
+func (p *publisher) addSummary(s *session, push *Push, heartbeatDue bool) {
 	if heartbeatDue {
 		summary := p.summary()
 		push.Summary = &summary
+		p.addUsage(s, push)
 	}
 }
 
