root: AccountLimiter.Refund has the time of the admission

A use that lies before the 5 s window of the rule no longer counts in it. Giving it back would let the account run more in a window than its limit.

--- a/account.go
+++ b/account.go
@@ -66,8 +66,9 @@
 	Decided(c *Context) []AccountDecision
 	// Withdraw ends a pending decision.
 	Withdraw(c *Context, id CallID)
-	// Refund gives back the use of an admitted root that did not run.
-	Refund(c *Context, account AccountName)
+	// Refund gives back the use of a root that was admitted at the given time and did
+	// not run. A use that is older than the window of the limit is not given back.
+	Refund(c *Context, account AccountName, admitted time.Time)
 	AccountDemands
 }
 
