forwarder, root: messages about client accounts between nodes

SendAccountMessage and AccountMessageReceived use a method of the nodes' drpc service, in the manner of SendEnds. AccountMessageRefused is new: a refused connection proves that the process of a node has ended, so that another node may grant what it granted at once.

--- a/account.go
+++ b/account.go
@@ -6,10 +6,11 @@
 	"time"
 )
 
-// The kinds of the event and the effect by which nodes keep the limits of client
+// The kinds of the events and the effect by which nodes keep the limits of client
 // accounts together.
 const (
 	KindAccountMessageReceived Kind = "account-message-received"
+	KindAccountMessageRefused  Kind = "account-message-refused"
 	KindSendAccountMessage     Kind = "send-account-message"
 )
 
@@ -101,8 +102,19 @@
 	Message []byte
 }
 
+// AccountMessageRefused says that nothing listens at the address of a node to which a
+// message about client accounts was sent: the node's process has ended. A node that is
+// frozen or can't be reached does not refuse connections.
+type AccountMessageRefused struct {
+	Stamp
+	To netip.AddrPort
+}
+
 // Kind implements Event.
 func (AccountMessageReceived) Kind() Kind { return KindAccountMessageReceived }
 
+// Kind implements Event.
+func (AccountMessageRefused) Kind() Kind { return KindAccountMessageRefused }
+
 // Kind implements Effect.
 func (SendAccountMessage) Kind() Kind { return KindSendAccountMessage }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -232,6 +232,7 @@
 		waxwingseam.KindAskFounding,
 		waxwingseam.KindProbeBackend,
 		waxwingseam.KindSendEnds,
+		waxwingseam.KindSendAccountMessage,
 		waxwingseam.KindWatchRequests,
 	}
 }
@@ -291,13 +292,16 @@
 	}
 }
 
-// executeQuarantine carries out an effect about requests that end their backend servers.
+// executeQuarantine carries out an effect about requests that end their backend servers, or
+// about client accounts.
 func (f *Forwarder) executeQuarantine(e waxwingseam.Effect) {
 	switch v := e.(type) {
 	case waxwingseam.ProbeBackend:
 		go f.probeBackend()
 	case waxwingseam.SendEnds:
 		f.sendEnds(v)
+	case waxwingseam.SendAccountMessage:
+		f.sendAccountMessage(v)
 	case waxwingseam.WatchRequests:
 		f.watchRequests(v)
 	}
--- a/forwarder/node.go
+++ b/forwarder/node.go
@@ -14,10 +14,11 @@
 )
 
 const (
-	methodCall  = "/waxwingseam.Node/Call"
-	methodFence = "/waxwingseam.Node/Fence"
-	methodAsk   = "/waxwingseam.Node/Ask"
-	methodTell  = "/waxwingseam.Node/Tell"
+	methodCall    = "/waxwingseam.Node/Call"
+	methodFence   = "/waxwingseam.Node/Fence"
+	methodAsk     = "/waxwingseam.Node/Ask"
+	methodTell    = "/waxwingseam.Node/Tell"
+	methodAccount = "/waxwingseam.Node/Account"
 )
 
 // fenceTimeout limits the wait for the answer to a fence.
@@ -29,6 +30,7 @@
 	Fence(ctx context.Context, q *fenceRequest) (*fenceReply, error)
 	Ask(ctx context.Context, m *waxwingseam.WitnessMessage) (*waxwingseam.WitnessAnswer, error)
 	Tell(ctx context.Context, m *waxwingseam.EndsMessage) (*endsReceipt, error)
+	Account(ctx context.Context, m *accountMessage) (*accountReceipt, error)
 }
 
 type nodeService struct {
@@ -66,6 +68,13 @@
 			},
 			Expression: nodeMethods.Tell,
 		},
+		{
+			Name: methodAccount,
+			Receiver: func(service any, ctx context.Context, in1, _ any) (drpc.Message, error) {
+				return service.(nodeMethods).Account(ctx, in1.(*accountMessage))
+			},
+			Expression: nodeMethods.Account,
+		},
 	}))
 }
 
--- a/object.go
+++ b/object.go
@@ -212,6 +212,16 @@
 	ClientAccounts []ClientAccount `cbor:",omitempty"`
 }
 
+// LimitsAccounts reports whether a client account has a limit.
+func (s *Set) LimitsAccounts() bool {
+	for _, v := range s.ClientAccounts {
+		if v.Rate > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Service returns the service with a name; false if there is none.
 func (s *Set) Service(name ServiceName) (Service, bool) {
 	for _, v := range s.Services {
--- a/recorder/catalog.go
+++ b/recorder/catalog.go
@@ -46,5 +46,7 @@
 		waxwingseam.BackendProbed{},
 		waxwingseam.EndsReceived{},
 		waxwingseam.QuarantineOrdered{},
+		waxwingseam.AccountMessageReceived{},
+		waxwingseam.AccountMessageRefused{},
 	)
 }
