allocator: limits of client accounts over all nodes

An owner for each shard of accounts holds token buckets. Nodes admit at once and report by samples while an account is far below its limit, and ask for credit otherwise. An owner grants the part of the rates that the nodes bring which it has heard from.

--- /dev/null
+++ b/allocator/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package allocator_test
+
+const raceDetector = false
--- /dev/null
+++ b/allocator/session.go
@@ -0,0 +1,490 @@
+package allocator
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+const (
+	// retryInterval is the time between two sendings of a request. A node may have to wait
+	// for its share of a processor for some tens of milliseconds.
+	retryInterval = 80 * time.Millisecond
+	// silentTries is after how many sendings without an answer an owner counts as silent,
+	// and maxTries after how many another owner is chosen.
+	silentTries = 2
+	maxTries    = 5
+	// minBeatInterval and beatNodes set the time between two requests to an owner if there
+	// is nothing to report: it grows with the number of nodes, so that an owner receives at
+	// most beatNodes of them each second.
+	minBeatInterval = 400 * time.Millisecond
+	maxBeatInterval = time.Minute
+	beatNodes       = 125
+	// beatJitter is the part of the interval that is random.
+	beatJitter = 0.2
+	// answerMargin is the time that a request and its answer may take.
+	answerMargin = 150 * time.Millisecond
+	// voiceMargin is the time beyond a beat interval for which an owner counts on the part
+	// of a node: the tries of a request.
+	voiceMargin = maxTries * retryInterval
+	// voiceDrift allows for clocks and numbers of nodes that differ: a node that leaves an
+	// owner waits for longer than the owner counts on its part.
+	voiceDrift = 1.25
+	// minRefusal and maxRefusal bound how long a node refuses roots without asking, and
+	// askingNodes bounds the requests for one account that an owner receives each second.
+	minRefusal  = 50 * time.Millisecond
+	maxRefusal  = time.Second
+	askingNodes = 400
+)
+
+// beatInterval returns the time between two requests to an owner for n nodes.
+func beatInterval(n int) time.Duration {
+	return min(max(minBeatInterval, time.Duration(n)*time.Second/beatNodes), maxBeatInterval)
+}
+
+// voiceTime returns how long an owner counts on the part of a node after the answer that
+// the node has last confirmed. The next confirmation comes with the request after the next.
+func voiceTime(n int) time.Duration {
+	return time.Duration(2*(1+beatJitter)*float64(beatInterval(n))) + voiceMargin
+}
+
+// session is what this node has with the owner of one shard. One request is open at a
+// time.
+type session struct {
+	key shardKey
+	// candidates are the nodes that own the shard in turn, as of changes.
+	candidates []netip.AddrPort
+	changes    uint64
+	owner      netip.AddrPort
+	// next is the owner that follows once the present one has confirmed that it no longer
+	// counts on this node's part; invalid if there is no change.
+	next netip.AddrPort
+	// voiced is set while the owner may count on this node's part, and voiceFrom is from
+	// when on this node may bring it to another owner.
+	voiced    bool
+	voiceFrom time.Time
+	ownerLife uint32
+	echo      uint32
+	// answeredAt is when the last answer came, and confirmedAt when its request was sent.
+	answeredAt, confirmedAt time.Time
+	version                 uint32
+	// scarce are the accounts that the owner has listed; allScarce is set while it does not
+	// know its accounts.
+	scarce    []*account
+	allScarce bool
+	// dirty are the accounts with something to report or to ask for.
+	dirty   []*account
+	sampled uint32
+	seq     uint32
+	open    *openRequest
+	// again is set if another request is to follow the open one.
+	again  bool
+	beatAt time.Time
+}
+
+// openRequest is a request without an answer.
+type openRequest struct {
+	message         []byte
+	seq             uint32
+	entries         []use
+	voice           bool
+	sentAt, triedAt time.Time
+	tries           int
+}
+
+// reshard makes the sessions for a number of shards. Unless the number has changed, they
+// go on.
+func (a *Allocator) reshard(count int) {
+	if count != len(a.shards) {
+		var voiceFrom time.Time
+		for _, s := range a.shards {
+			voiceFrom = later(voiceFrom, s.freeFrom(len(a.members.servers)))
+		}
+		a.shards = make([]*session, count)
+		a.owned = map[shardKey]*ledgers{}
+		for i := range a.shards {
+			a.shards[i] = &session{
+				key:       shardKey{Shards: uint16(count), Shard: uint16(i)},
+				allScarce: true,
+				voiceFrom: voiceFrom,
+			}
+		}
+	}
+	for _, s := range a.shards {
+		s.dirty = nil
+	}
+	for _, name := range sortedNames(a.accounts) {
+		v := a.accounts[name]
+		v.dirty = false
+		a.shards[v.shard].touch(v)
+	}
+}
+
+// freeFrom returns when the owner no longer counts on this node's part.
+func (s *session) freeFrom(nodes int) time.Time {
+	if !s.voiced {
+		return s.voiceFrom
+	}
+	return s.answeredAt.Add(time.Duration(voiceDrift * float64(voiceTime(nodes))))
+}
+
+func later(t, u time.Time) time.Time {
+	if t.After(u) {
+		return t
+	}
+	return u
+}
+
+// touch notes that the account has something to report.
+func (s *session) touch(v *account) {
+	if !v.dirty {
+		v.dirty = true
+		s.dirty = append(s.dirty, v)
+	}
+}
+
+// confirmed reports whether the node has recent news from the owner, and no sign that it
+// may be cut off.
+func (a *Allocator) confirmed(c *waxwingseam.Context, s *session) bool {
+	if s.confirmedAt.IsZero() || s.confirmedAt.Before(a.failedAt) {
+		return false
+	}
+	if s.open != nil && s.open.tries > silentTries {
+		return false
+	}
+	valid := time.Duration((1+beatJitter)*float64(beatInterval(a.nodes(c)))) + answerMargin
+	return clock(c).Sub(s.confirmedAt) <= valid
+}
+
+// flush sends what there is to report and to ask for to the owner, at once or after the
+// answer to the open request.
+func (a *Allocator) flush(c *waxwingseam.Context, s *session) {
+	if s.open != nil {
+		s.again = true
+		return
+	}
+	now := clock(c)
+	if !s.owner.IsValid() {
+		a.setOwner(c, s, a.preferred(c, s))
+	}
+	if !s.owner.IsValid() || !c.Self.Node.IsValid() {
+		return
+	}
+	s.again = false
+	s.seq++
+	m := request{
+		From: c.Self.Node, Nodes: uint32(a.nodes(c)), Shards: s.key.Shards, Shard: s.key.Shard,
+		Life: a.life, Seq: s.seq, OwnerLife: s.ownerLife, Echo: s.echo, Version: s.version, Sampled: s.sampled,
+		Voice: s.mayVoice(now),
+	}
+	for _, u := range s.collect(now) {
+		if u.plain() {
+			m.Plain = append(m.Plain, u.ID, u.Used)
+		} else {
+			m.Entries = append(m.Entries, u)
+		}
+	}
+	s.sampled = 0
+	s.open = &openRequest{
+		message: encode(kindRequest, m), seq: m.Seq, entries: m.uses(), voice: m.Voice,
+		sentAt: now, triedAt: now, tries: 1,
+	}
+	s.voiced = s.voiced || m.Voice
+	s.beatAt = now.Add(a.jittered(c, beatInterval(a.nodes(c))))
+	a.wake(c, now.Add(retryInterval))
+	a.send(c, s.owner, s.open.message)
+}
+
+// mayVoice reports whether the node may bring its part of the rates to the owner. An
+// answer of this owner is required, from which the owner counts.
+func (s *session) mayVoice(now time.Time) bool {
+	return s.ownerLife != 0 && !s.next.IsValid() && !now.Before(s.voiceFrom)
+}
+
+func (a *Allocator) jittered(c *waxwingseam.Context, d time.Duration) time.Duration {
+	return time.Duration((1 - beatJitter + 2*beatJitter*c.Random().Float64()) * float64(d))
+}
+
+// collect moves what there is to report into a request. Accounts with credit stay in the
+// list, as credit that expires is reported, too.
+func (s *session) collect(now time.Time) []use {
+	var out []use
+	kept := s.dirty[:0]
+	for _, v := range s.dirty {
+		if v.credit > 0 && !now.Before(v.creditUntil) {
+			v.returned += v.credit
+			v.credit = 0
+		}
+		u := use{
+			ID: v.id, Used: v.used, Returned: v.returned, Refunded: v.refunded, Refused: v.refused,
+			Waiting: uint32(len(v.waiting)),
+		}
+		if now.Before(v.askedUntil) && float64(v.credit) < v.ahead(now)/2 {
+			u.Ahead = uint32(v.ahead(now))
+		}
+		v.used, v.returned, v.refunded, v.refused = 0, 0, 0, 0
+		if u != (use{ID: v.id}) {
+			out = append(out, u)
+		}
+		v.dirty = v.credit > 0 || len(v.waiting) > 0
+		if v.dirty {
+			kept = append(kept, v)
+		}
+	}
+	s.dirty = kept
+	return out
+}
+
+// advance does what is due in a session, and returns when it is to be called again.
+func (a *Allocator) advance(c *waxwingseam.Context, s *session) time.Time {
+	now := clock(c)
+	if s.open != nil {
+		a.retry(c, s)
+	}
+	if s.open == nil {
+		a.retarget(c, s)
+		if joining := s.mayVoice(now) && !s.voiced; joining || !now.Before(s.beatAt) {
+			a.flush(c, s)
+		}
+	}
+	switch {
+	case s.open != nil:
+		return s.open.triedAt.Add(retryInterval)
+	case s.voiceFrom.After(now):
+		return earlier(s.beatAt, s.voiceFrom)
+	}
+	return later(s.beatAt, now.Add(minBeatInterval/4))
+}
+
+// retry sends the open request again if it is due, or gives its owner up.
+func (a *Allocator) retry(c *waxwingseam.Context, s *session) {
+	now := clock(c)
+	o := s.open
+	if now.Sub(o.triedAt) < retryInterval {
+		return
+	}
+	if o.tries >= maxTries {
+		a.abandon(c, s)
+		return
+	}
+	o.tries++
+	o.triedAt = now
+	if o.tries == silentTries+1 {
+		a.failedAt = now
+	}
+	a.send(c, s.owner, o.message)
+}
+
+// ownerEnded gives an owner up whose process has ended. What it counted on has ended with
+// it, so that this node may bring its part to another owner at once.
+func (a *Allocator) ownerEnded(c *waxwingseam.Context, node netip.AddrPort) {
+	for _, s := range a.shards {
+		if s.owner != node {
+			continue
+		}
+		if s.voiced {
+			s.voiced, s.voiceFrom = false, clock(c)
+		}
+		a.abandon(c, s)
+	}
+}
+
+// abandon gives an owner up that is silent or has ended. It may have counted the open
+// request or not: what was used is reported again, and what was returned is lost.
+func (a *Allocator) abandon(c *waxwingseam.Context, s *session) {
+	now := clock(c)
+	a.members.failed[s.owner] = now.Add(a.jittered(c, failureRetention))
+	for _, u := range s.reported() {
+		if v, ok := a.byID[u.ID]; ok {
+			v.used += u.Used
+			v.refused += u.Refused
+			s.touch(v)
+		}
+	}
+	s.open = nil
+	s.voiceFrom = s.freeFrom(a.nodes(c))
+	s.voiced = false
+	a.setOwner(c, s, a.preferred(c, s))
+	a.flush(c, s)
+}
+
+// reported returns the entries of the open request.
+func (s *session) reported() []use {
+	if s.open == nil {
+		return nil
+	}
+	return s.open.entries
+}
+
+// setOwner begins with another owner, of which nothing is known.
+func (a *Allocator) setOwner(c *waxwingseam.Context, s *session, owner netip.AddrPort) {
+	s.owner, s.next = owner, netip.AddrPort{}
+	s.ownerLife, s.echo, s.version = 0, 0, 0
+	s.allScarce = true
+	s.confirmedAt = time.Time{}
+	s.beatAt = clock(c)
+}
+
+// preferred returns the first node of the shard that is not known to be silent. If several
+// are, this node is likely cut off, and is its own owner. The result is invalid while no
+// nodes are known.
+func (a *Allocator) preferred(c *waxwingseam.Context, s *session) netip.AddrPort {
+	if a.members.started.IsZero() {
+		return netip.AddrPort{}
+	}
+	if s.candidates == nil || s.changes != a.members.version(clock(c), c.Self.Node) {
+		s.candidates = a.members.candidates(clock(c), c.Self.Node, s.key)
+		s.changes = a.members.changes
+	}
+	for _, n := range s.candidates {
+		if _, failed := a.members.failed[n]; !failed {
+			return n
+		}
+	}
+	return c.Self.Node
+}
+
+// retarget changes the owner if another one is preferred, and probes the silent nodes
+// before it.
+func (a *Allocator) retarget(c *waxwingseam.Context, s *session) {
+	now := clock(c)
+	target := a.preferred(c, s)
+	for _, n := range s.candidates {
+		if n == target {
+			break
+		}
+		if until, failed := a.members.failed[n]; failed && !now.Before(until) {
+			a.members.failed[n] = now.Add(a.jittered(c, failureRetention))
+			a.send(c, n, encode(kindProbe, probe{From: c.Self.Node, Nodes: uint32(a.nodes(c))}))
+		}
+	}
+	switch {
+	case target == s.owner || !target.IsValid():
+		s.next = netip.AddrPort{}
+	case !s.owner.IsValid() || !s.voiced:
+		a.setOwner(c, s, target)
+	case s.next != target:
+		// The present owner confirms first that it no longer counts on this node's part.
+		s.next = target
+		a.flush(c, s)
+	}
+}
+
+// probed handles a probe or the answer to one.
+func (a *Allocator) probed(c *waxwingseam.Context, m probe, asked bool) {
+	a.members.hear(clock(c), m.Nodes)
+	if asked {
+		a.send(c, m.From, encode(kindProbeAnswer, probe{From: c.Self.Node, Nodes: uint32(a.nodes(c))}))
+		return
+	}
+	if _, ok := a.members.failed[m.From]; ok {
+		delete(a.members.failed, m.From)
+		a.wakeSoon(c)
+	}
+}
+
+// session returns the session of a shard; nil if the sender has other shards.
+func (a *Allocator) session(k shardKey) *session {
+	if int(k.Shards) != len(a.shards) || int(k.Shard) >= len(a.shards) {
+		return nil
+	}
+	return a.shards[k.Shard]
+}
+
+// answered handles the answer to the open request.
+func (a *Allocator) answered(c *waxwingseam.Context, m answer) {
+	s := a.session(shardKey{Shards: m.Shards, Shard: m.Shard})
+	if s == nil || s.open == nil || m.Life != a.life || m.Seq != s.open.seq || m.From != s.owner {
+		return
+	}
+	now := clock(c)
+	a.members.hear(now, m.Nodes)
+	o := s.open
+	s.open = nil
+	s.answeredAt, s.confirmedAt = now, o.sentAt
+	s.ownerLife, s.echo = m.OwnerLife, m.Clock
+	s.voiced = o.voice
+	a.applyScarcity(s, m.Scarce)
+	grants := m.grants()
+	for i, u := range o.entries[:min(len(o.entries), len(grants))] {
+		if v, ok := a.byID[u.ID]; ok {
+			a.granted(c, s, v, grants[i], o.sentAt, u.Waiting)
+		}
+	}
+	for _, v := range slices.Clone(s.dirty) {
+		a.settle(c, s, v)
+		s.again = s.again || len(v.waiting) > 0
+	}
+	if s.next.IsValid() && !o.voice {
+		s.voiceFrom = now
+		a.setOwner(c, s, s.next)
+		s.again = true
+	}
+	if s.again || s.mayVoice(now) && !s.voiced {
+		a.flush(c, s)
+	}
+	a.wake(c, later(s.beatAt, now))
+}
+
+// granted takes in what the owner says of an account.
+func (a *Allocator) granted(c *waxwingseam.Context, s *session, v *account, g grant, sentAt time.Time, waiting uint32) {
+	now := clock(c)
+	v.admitted, v.knownAt = float64(g.Admitted)/10, now
+	v.offered = v.admitted + float64(g.Over)/10
+	if g.Granted > 0 {
+		v.returned += v.credit
+		v.credit, v.creditUntil = g.Granted, sentAt.Add(leaseTime)
+		s.touch(v)
+	}
+	a.settle(c, s, v)
+	if g.Granted < waiting {
+		wait := max(time.Duration(g.Retry)*time.Millisecond, minRefusal)
+		v.creditAt = now.Add(wait)
+		spread := time.Duration(a.nodes(c)) * time.Second / askingNodes
+		v.refusedUntil = now.Add(min(max(wait, spread), maxRefusal))
+		a.refuseWaiting(c, s, v)
+	}
+}
+
+// noticed handles the news that accounts have become scarce.
+func (a *Allocator) noticed(c *waxwingseam.Context, m notice) {
+	s := a.session(shardKey{Shards: m.Shards, Shard: m.Shard})
+	if s == nil {
+		return
+	}
+	if m.From != s.owner {
+		// Another node takes the owner for lost.
+		a.flush(c, s)
+		return
+	}
+	if m.OwnerLife != s.ownerLife || m.Scarce.Version <= s.version {
+		return
+	}
+	a.applyScarcity(s, m.Scarce)
+	for _, v := range s.dirty {
+		if v.scarce && v.used > 0 {
+			a.flush(c, s)
+			return
+		}
+	}
+}
+
+// applyScarcity takes in a list of scarce accounts.
+func (a *Allocator) applyScarcity(s *session, l scarcity) {
+	if !l.Listed {
+		return
+	}
+	s.version, s.allScarce = l.Version, l.All
+	for _, v := range s.scarce {
+		v.scarce = false
+	}
+	s.scarce = s.scarce[:0]
+	for _, id := range l.IDs {
+		if v, ok := a.byID[id]; ok {
+			v.scarce = true
+			s.scarce = append(s.scarce, v)
+		}
+	}
+}
