--- a/assembler/interests.go
+++ b/assembler/interests.go
@@ -56,6 +56,12 @@
 		i.subscriber.NoteRevision(v.Call.Revision, netip.AddrPort{})
 	case waxwingseam.SetAdopted:
 		i.set = v.Set
+		if v.Set.LimitsAccounts() {
+			// The limits are kept together with all nodes.
+			for _, o := range v.Set.Services {
+				i.add(o.Name)
+			}
+		}
 	case waxwingseam.ServersUpdated:
 		for _, s := range v.Servers {
 			if in, ok := i.byService[s.Service]; ok {
@@ -91,6 +97,14 @@
 	if _, ok := i.set.Service(service); !ok {
 		return nil
 	}
+	return i.add(service)
+}
+
+// add returns the interest in a service, and creates it if there is none.
+func (i *interests) add(service waxwingseam.ServiceName) *interest {
+	if in, ok := i.byService[service]; ok {
+		return in
+	}
 	in := newInterest()
 	i.byService[service] = in
 	i.subscriber.AddInterest(service)
--- a/assembler/workers.go
+++ b/assembler/workers.go
@@ -5,6 +5,7 @@
 import (
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/admitter"
+	"waxwingseam.example/waxwingseam/allocator"
 	"waxwingseam.example/waxwingseam/arbiter"
 	"waxwingseam.example/waxwingseam/balancer"
 	"waxwingseam.example/waxwingseam/budgeter"
@@ -46,6 +47,7 @@
 	keyRouter := arbiter.NewRouter()
 	drainState := drainer.New(drainer.Config{Withdrawn: self.Leaving})
 	callPacer := pacer.New()
+	accountLimiter := allocator.New()
 	quarantine := quarantiner.New(quarantiner.Config{Drainer: drainState})
 	return []waxwingseam.PrioritizedWorker{
 		{Priority: priorityRouter, Worker: keyRouter},
@@ -71,6 +73,7 @@
 			Priority: arbiter.Priority,
 			Worker:   arbiter.New(arbiter.Config{Deduplicator: callRecords}),
 		},
+		{Priority: allocator.Priority, Worker: accountLimiter},
 		{
 			Priority: priorityDispatcher,
 			Worker: dispatcher.New(dispatcher.Config{
