--- a/account.go
+++ b/account.go
@@ -12,6 +12,7 @@
 	KindControlHeard           Kind = "control-heard"
 	KindRequireKeys            Kind = "require-keys"
 	KindAccountMessageReceived Kind = "account-message-received"
+	KindAccountMessageRefused  Kind = "account-message-refused"
 	KindSendAccountMessage     Kind = "send-account-message"
 )
 
@@ -127,6 +128,14 @@
 	Message []byte
 }
 
+// AccountMessageRefused says that nothing listens at the address of a node to which a
+// message about client accounts was sent: the node's process has ended. A node that is
+// frozen or can't be reached does not refuse connections.
+type AccountMessageRefused struct {
+	Stamp
+	To netip.AddrPort
+}
+
 // Kind implements Event.
 func (ControlHeard) Kind() Kind { return KindControlHeard }
 
@@ -136,5 +145,8 @@
 // Kind implements Event.
 func (AccountMessageReceived) Kind() Kind { return KindAccountMessageReceived }
 
+// Kind implements Event.
+func (AccountMessageRefused) Kind() Kind { return KindAccountMessageRefused }
+
 // Kind implements Effect.
 func (SendAccountMessage) Kind() Kind { return KindSendAccountMessage }
--- a/recorder/catalog.go
+++ b/recorder/catalog.go
@@ -48,5 +48,6 @@
 		waxwingseam.QuarantineOrdered{},
 		waxwingseam.ControlHeard{},
 		waxwingseam.AccountMessageReceived{},
+		waxwingseam.AccountMessageRefused{},
 	)
 }
