supervisor, depositor, publisher, subscriber: a server that has left stays left

Cause: that an incarnation drains or is gone was known to the process of its node alone. Times lost their milliseconds between processes, so that two incarnations of an instance within a second could not be told apart.

A started node keeps ready reports back until its replica has named all endings, or for 1.5 s; the other nodes tell it every 250 ms.

--- a/assembler/node.go
+++ b/assembler/node.go
@@ -95,13 +95,6 @@
 	return n.state.draining.Load()
 }
 
-// Report implements waxwingseam.Reporter.
-func (n *Node) Report(r waxwingseam.BackendReport) {
-	n.Runner.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
-		return waxwingseam.BackendReported{Stamp: s, Report: r}
-	})
-}
-
 // NewNode returns a node and registers its drpc service with the messenger.
 func NewNode(config NodeConfig) (*Node, error) {
 	state := &nodeState{}
--- a/assembler/process.go
+++ b/assembler/process.go
@@ -14,6 +14,7 @@
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/authenticator"
 	"waxwingseam.example/waxwingseam/controller"
+	"waxwingseam.example/waxwingseam/depositor"
 	"waxwingseam.example/waxwingseam/founder"
 	"waxwingseam.example/waxwingseam/loader"
 	"waxwingseam.example/waxwingseam/logger"
@@ -57,6 +58,7 @@
 	tracer         *tracer.Tracer
 	node           *Node
 	subscriber     subscriber.Subscriber
+	depositor      *depositor.Depositor
 	interests      *interests
 	revisions      *revisionObserver
 	repeatability  *repeatability
@@ -235,6 +237,20 @@
 	p.interests.subscriber = p.subscriber
 	p.revisions.subscriber = p.subscriber
 	node.Runner.Attach(announcer{p.subscriber, node.Forwarder})
+	p.depositor = depositor.New(depositor.Config{
+		Self:            self,
+		Servers:         p.subscriber.Servers,
+		RecordAtControl: p.subscriber.RecordEnding,
+		Dial: func(ctx context.Context, address netip.AddrPort) (depositor.Conn, error) {
+			return p.dialer.Dial(ctx, address)
+		},
+		Step:   node.Runner.Step,
+		Logger: p.logger.Part("depositor"),
+	})
+	node.Runner.Attach(p.depositor)
+	if err := p.messenger.Register(p.depositor, depositor.Description); err != nil {
+		return trace.Wrap(err)
+	}
 	return p.messenger.Register(p.subscriber, subscriber.Description)
 }
 
--- a/assembler/serving.go
+++ b/assembler/serving.go
@@ -33,6 +33,7 @@
 	}
 	if p.node != nil {
 		group.Go(func() error { return p.subscriber.Run(ctx) })
+		group.Go(func() error { return p.depositor.Serve(ctx) })
 		if err := p.serveNode(ctx, group); err != nil {
 			return err
 		}
@@ -160,7 +161,7 @@
 func (p *Process) serveNode(ctx context.Context, group *errgroup.Group) error {
 	f := p.node.Forwarder
 	if address := p.settings.Node.HeartbeatAddress; address.IsValid() && p.external.Heartbeats != nil {
-		handler := refusalLogger{next: p.external.Heartbeats(p.node), logger: p.logger.Part("heartbeats")}
+		handler := refusalLogger{next: p.external.Heartbeats(p.depositor), logger: p.logger.Part("heartbeats")}
 		if err := serveHTTP(ctx, group, address, handler); err != nil {
 			return err
 		}
--- a/assembler/workers.go
+++ b/assembler/workers.go
@@ -49,7 +49,9 @@
 	quarantine := quarantiner.New(quarantiner.Config{Drainer: drainState})
 	return []waxwingseam.PrioritizedWorker{
 		{Priority: priorityRouter, Worker: keyRouter},
-		{Priority: supervisor.Priority, Worker: supervisor.New(supervisor.Config{Drainer: drainState})},
+		{Priority: supervisor.Priority, Worker: supervisor.New(supervisor.Config{
+			Drainer: drainState, AwaitEndings: self.Leaving,
+		})},
 		{Priority: quarantiner.Priority, Worker: quarantine},
 		{
 			Priority: receiver.Priority,
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -67,6 +67,8 @@
 	operators string
 	client    operator.Client
 	stop      func()
+	// knowsEnding reports whether the replica knows an ending of a server.
+	knowsEnding func(waxwingseam.ServerName) bool
 }
 
 // listen opens a drpc server on an address.
@@ -102,6 +104,9 @@
 		operators: operators.Addr().String(),
 		client:    operator.New(operator.Config{Address: operators.Addr().String(), Name: "dina"}),
 		stop:      stop,
+		knowsEnding: func(name waxwingseam.ServerName) bool {
+			return len(c.(*controller).publisher.Endings(name)) > 0
+		},
 	}
 }
 
@@ -156,6 +161,8 @@
 	mu        sync.Mutex
 	revisions []waxwingseam.Revision
 	servers   map[waxwingseam.ServerName]waxwingseam.Server
+	endings   []waxwingseam.Ending
+	complete  bool
 }
 
 // step records an event; it replaces the node's reducer.
@@ -166,6 +173,9 @@
 	switch v := build(waxwingseam.Stamp{}).(type) {
 	case waxwingseam.SetAdopted:
 		n.revisions = append(n.revisions, v.Set.Revision)
+	case waxwingseam.EndingsLearned:
+		n.endings = append(n.endings, v.Endings...)
+		n.complete = n.complete || v.Complete
 	case waxwingseam.ServersUpdated:
 		for _, s := range v.Servers {
 			n.servers[s.Name] = s
@@ -191,6 +201,13 @@
 	return last
 }
 
+// endingsComplete reports whether control has named all endings of the node's server.
+func (n *node) endingsComplete() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.complete
+}
+
 func (n *node) server(name waxwingseam.ServerName) (waxwingseam.Server, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/controller/exchange.go
+++ b/controller/exchange.go
@@ -179,6 +179,9 @@
 	if p.Complete {
 		x.controller.publisher.MarkPeerComplete(x.address.String())
 	}
+	if len(p.Endings) > 0 || p.EndingsComplete {
+		x.controller.publisher.AddEndings(x.address.String(), p.Endings, p.EndingsComplete)
+	}
 	if len(p.Present)+len(p.Gone) == 0 && !p.Complete {
 		return
 	}
--- /dev/null
+++ b/depositor/depositor.go
@@ -0,0 +1,198 @@
+// Package depositor records the endings of a node's backend server outside the node, which has
+// no disk, and holds those of other nodes for them.
+package depositor
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+	"storj.io/drpc"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/registrar"
+)
+
+const (
+	// wantedHolders is how many holders must have an ending for it to be recorded at once:
+	// one of them may be killed together with the node.
+	wantedHolders = 2
+	// holderCount is the number of nodes that an ending is sent to, besides control.
+	holderCount = 3
+	// depositTime is how long all holders are waited for. After it, one holder is enough. A
+	// report must be acknowledged within 1 s.
+	depositTime = 700 * time.Millisecond
+	// remindInterval is the time between two messages of a holder to the node. It is less
+	// than the time for which a started node keeps reports back.
+	remindInterval = 250 * time.Millisecond
+	// remindTime is how long a holder sends them. Backend servers that leave serve for
+	// seconds, and their heartbeats are late by seconds.
+	remindTime = 2 * time.Minute
+	// maxHeldServers bounds the backend servers whose endings a node holds. With three
+	// holders each, all servers of the largest deployment may leave at once.
+	maxHeldServers = 1000
+)
+
+// Config holds the dependencies of a depositor.
+type Config struct {
+	Self waxwingseam.Server
+	// Servers returns the backend servers that the node knows.
+	Servers func() []waxwingseam.Server
+	// RecordAtControl returns nil once the watched control replica has an ending.
+	RecordAtControl func(ctx context.Context, e waxwingseam.Ending) error
+	// Dial opens a connection to another node.
+	Dial func(ctx context.Context, node netip.AddrPort) (Conn, error)
+	// Step passes an event to the node's reducer.
+	Step   func(build func(waxwingseam.Stamp) waxwingseam.Event)
+	Logger *slog.Logger
+}
+
+// Conn is a connection to another node.
+type Conn = drpc.Conn
+
+// Depositor records endings outside the node. It executes RecordEnding.
+type Depositor struct {
+	config Config
+
+	mu      sync.Mutex
+	request uint64
+	// waiting holds the callers of Record by request.
+	waiting map[uint64]chan error
+	held    map[waxwingseam.ServerName]heldEndings
+	// stopped is closed when the depositor stops to send.
+	stopped chan struct{}
+}
+
+// heldEndings are the endings of another node's backend server.
+type heldEndings struct {
+	node    netip.AddrPort
+	endings registrar.Endings
+	// until is when the node is reminded last.
+	until time.Time
+}
+
+// New returns a depositor without endings.
+func New(config Config) *Depositor {
+	return &Depositor{
+		config:  config,
+		waiting: map[uint64]chan error{},
+		held:    map[waxwingseam.ServerName]heldEndings{},
+		stopped: make(chan struct{}),
+	}
+}
+
+// Report passes a report to the reducer, and waits until an ending that it tells is recorded.
+func (d *Depositor) Report(ctx context.Context, r waxwingseam.BackendReport) error {
+	if r.State == waxwingseam.BackendReady {
+		d.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
+			return waxwingseam.BackendReported{Stamp: s, Report: r}
+		})
+		return nil
+	}
+	recorded := make(chan error, 1)
+	d.mu.Lock()
+	d.request++
+	request := d.request
+	d.waiting[request] = recorded
+	d.mu.Unlock()
+	defer func() {
+		d.mu.Lock()
+		delete(d.waiting, request)
+		d.mu.Unlock()
+	}()
+	d.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
+		return waxwingseam.BackendReported{Stamp: s, Report: r, Request: request}
+	})
+	select {
+	case err := <-recorded:
+		return err
+	case <-ctx.Done():
+		return trace.Wrap(ctx.Err())
+	}
+}
+
+// Kinds implements runner.Executor.
+func (d *Depositor) Kinds() []waxwingseam.Kind {
+	return []waxwingseam.Kind{waxwingseam.KindRecordEnding}
+}
+
+// Execute implements runner.Executor.
+func (d *Depositor) Execute(e waxwingseam.Effect) {
+	v, ok := e.(waxwingseam.RecordEnding)
+	if !ok {
+		return
+	}
+	d.mu.Lock()
+	recorded := d.waiting[v.Request]
+	d.mu.Unlock()
+	if recorded == nil {
+		recorded = make(chan error, 1)
+	}
+	if v.Ending == (waxwingseam.Ending{}) {
+		recorded <- trace.BadParameter("the report is older than the state of the backend server, or incomplete")
+		return
+	}
+	go func() { recorded <- d.deposit(v.Ending) }()
+}
+
+// deposit sends an ending to control and to other nodes. It returns nil once enough of them
+// have it.
+func (d *Depositor) deposit(e waxwingseam.Ending) error {
+	ctx, cancel := context.WithTimeout(context.Background(), depositTime)
+	message := &waxwingseam.EndingsMessage{Server: d.config.Self.Name, Node: d.config.Self.Node, Endings: []waxwingseam.Ending{e}}
+	sends := make([]func() error, 0, 1+holderCount)
+	sends = append(sends, func() error { return d.config.RecordAtControl(ctx, e) })
+	for _, to := range d.holders() {
+		sends = append(sends, func() error { return d.hold(ctx, to, message) })
+	}
+	results := make(chan error, len(sends))
+	var group sync.WaitGroup
+	for _, send := range sends {
+		group.Go(func() { results <- send() })
+	}
+	// The sends that are still running when enough holders have the ending go on.
+	go func() { group.Wait(); cancel() }()
+	held := 0
+	var failures []error
+	for range sends {
+		if err := <-results; err != nil {
+			failures = append(failures, err)
+		} else if held++; held == wantedHolders {
+			return nil
+		}
+	}
+	if held > 0 {
+		return nil
+	}
+	err := trace.NewAggregate(failures...)
+	d.config.Logger.Warn("the end of the backend server was recorded nowhere", "instance", e.Instance, "cause", err)
+	return trace.ConnectionProblem(err, "the end of the backend server was recorded nowhere")
+}
+
+// holders returns the addresses of the nodes to which endings are sent: those with the highest
+// hash of both names.
+func (d *Depositor) holders() []netip.AddrPort {
+	type candidate struct {
+		hash uint64
+		node netip.AddrPort
+	}
+	var list []candidate
+	for _, s := range d.config.Servers() {
+		if s.Name != d.config.Self.Name && s.Node.IsValid() {
+			list = append(list, candidate{xxhash.Sum64String(string(d.config.Self.Name) + " " + string(s.Name)), s.Node})
+		}
+	}
+	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(b.hash, a.hash) })
+	list = list[:min(len(list), holderCount)]
+	out := make([]netip.AddrPort, len(list))
+	for i, v := range list {
+		out[i] = v.node
+	}
+	return out
+}
--- /dev/null
+++ b/depositor/depositor_test.go
@@ -0,0 +1,125 @@
+package depositor_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/depositor"
+	"waxwingseam.example/waxwingseam/messenger"
+)
+
+// waitTimeout is how long a test waits for a value before it fails.
+const waitTimeout = 20 * time.Second
+
+var errDown = errors.New("control is out of reach")
+
+// node is a depositor with its drpc server. Its events are collected.
+type node struct {
+	*depositor.Depositor
+	self   waxwingseam.Server
+	events chan waxwingseam.Event
+	stop   func()
+}
+
+// startNode starts a node at an address. Its reducer records each ending that is reported.
+func startNode(t *testing.T, self waxwingseam.Server, atControl error, others ...*node) *node {
+	server, err := messenger.Listen(t.Context(), messenger.ServerConfig{Address: self.Node})
+	qt.Assert(t, err, qt.IsNil)
+	self.Node = server.Address()
+	n := &node{self: self, events: make(chan waxwingseam.Event, 1024)}
+	n.Depositor = depositor.New(depositor.Config{
+		Self: self,
+		Servers: func() []waxwingseam.Server {
+			list := make([]waxwingseam.Server, 0, 1+len(others))
+			list = append(list, self)
+			for _, other := range others {
+				list = append(list, other.self)
+			}
+			return list
+		},
+		RecordAtControl: func(context.Context, waxwingseam.Ending) error { return atControl },
+		Dial: func(ctx context.Context, address netip.AddrPort) (depositor.Conn, error) {
+			return messenger.Dialer{}.Dial(ctx, address)
+		},
+		Step: func(build func(waxwingseam.Stamp) waxwingseam.Event) {
+			e := build(waxwingseam.Stamp{})
+			n.events <- e
+			if v, ok := e.(waxwingseam.BackendReported); ok {
+				n.Execute(waxwingseam.RecordEnding{Request: v.Request, Ending: waxwingseam.Ending{
+					Instance: v.Report.Instance, Started: v.Report.Started, At: time.Now(),
+				}})
+			}
+		},
+		Logger: slog.New(slog.DiscardHandler),
+	})
+	qt.Assert(t, server.Register(n.Depositor, depositor.Description), qt.IsNil)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = server.Serve(ctx)
+	}()
+	go func() { _ = n.Serve(ctx) }()
+	n.stop = func() { cancel(); <-done }
+	t.Cleanup(n.stop)
+	return n
+}
+
+func newSelf(name waxwingseam.ServerName) waxwingseam.Server {
+	return waxwingseam.Server{Name: name, Service: "fees", Node: netip.MustParseAddrPort("127.0.0.1:0")}
+}
+
+var left = waxwingseam.BackendReport{Instance: "i-1", State: waxwingseam.BackendGone, Started: time.UnixMilli(1_700_000_000_123)}
+
+// TestEndingIsAcknowledgedUnheld guards against an acknowledgement of a leave that nobody but
+// the node knows, and against a leave that needs control although another node holds it.
+func TestEndingIsAcknowledgedUnheld(t *testing.T) {
+	holder := startNode(t, newSelf("fees-2"), nil)
+	for _, v := range []struct {
+		name      string
+		atControl error
+		others    []*node
+		recorded  bool
+	}{
+		{"control and a node", nil, []*node{holder}, true},
+		{"control alone", nil, nil, true},
+		{"a node alone", errDown, []*node{holder}, true},
+		{"nobody", errDown, nil, false},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			n := startNode(t, newSelf("fees-1"), v.atControl, v.others...)
+			err := n.Report(t.Context(), left)
+			qt.Assert(t, err == nil, qt.Equals, v.recorded, qt.Commentf("%v", err))
+		})
+	}
+}
+
+// TestStartedNodeIsNotReminded guards against a node that starts anew beside a server that has
+// left, without control, and hears from no holder.
+func TestStartedNodeIsNotReminded(t *testing.T) {
+	holder := startNode(t, newSelf("fees-2"), nil)
+	n := startNode(t, newSelf("fees-1"), errDown, holder)
+	qt.Assert(t, n.Report(t.Context(), left), qt.IsNil)
+	n.stop()
+	again := newSelf("fees-1")
+	again.Node = n.self.Node
+	n = startNode(t, again, errDown)
+	select {
+	case e := <-n.events:
+		learned, ok := e.(waxwingseam.EndingsLearned)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, learned.Endings, qt.HasLen, 1)
+		qt.Assert(t, learned.Endings[0].Instance, qt.Equals, left.Instance)
+		qt.Assert(t, learned.Endings[0].Started.Equal(left.Started), qt.IsTrue)
+		qt.Assert(t, learned.Complete, qt.IsFalse)
+	case <-time.After(waitTimeout):
+		t.Fatal("no holder told the node")
+	}
+}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -13,9 +13,19 @@
 
 type encoding struct{}
 
+// encMode keeps the fractions of times, which tell the starts of backend servers apart. The
+// default of the library cuts them off.
+var encMode = func() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339NanoUTC}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
 // Marshal implements drpc.Encoding.
 func (encoding) Marshal(msg drpc.Message) ([]byte, error) {
-	data, err := cbor.Marshal(msg)
+	data, err := encMode.Marshal(msg)
 	return data, trace.Wrap(err)
 }
 
--- a/publisher/message.go
+++ b/publisher/message.go
@@ -43,6 +43,9 @@
 	Interest *Interest `cbor:"4,keyasint,omitempty"`
 	// Quarantine is set when the requests that the watcher refuses have changed.
 	Quarantine *QuarantineReport `cbor:"5,keyasint,omitempty"`
+	// Endings are those of the announced server that the watcher has recorded; set in the
+	// first report of a server that has any, and when they change.
+	Endings []waxwingseam.Ending `cbor:"6,keyasint,omitempty"`
 }
 
 // HeldRevision identifies the set that a watcher holds.
@@ -87,6 +90,12 @@
 	LatestIncarnation waxwingseam.Incarnation `cbor:"9,keyasint,omitempty"`
 	// Orders are operators' decisions on requests that end backend servers.
 	Orders []waxwingseam.QuarantineOrder `cbor:"10,keyasint,omitempty"`
+	// Endings are all known endings of the watcher's server or, to another control replica,
+	// of the named servers. They are sent when they have changed.
+	Endings map[waxwingseam.ServerName][]waxwingseam.Ending `cbor:"11,keyasint,omitempty"`
+	// EndingsComplete is set once in each stream, with or after all endings of the watcher's
+	// server that any replica knows or, to another control replica, all that this one knows.
+	EndingsComplete bool `cbor:"12,keyasint,omitempty"`
 }
 
 // Step is the change from the previous revision to Revision.
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -67,6 +67,11 @@
 	// MarkPeerComplete records that another control replica has listed all its
 	// servers.
 	MarkPeerComplete(address string)
+	// AddEndings adds endings that another control replica sent; complete is set if it
+	// has sent all that it knows.
+	AddEndings(peer string, all map[waxwingseam.ServerName][]waxwingseam.Ending, complete bool)
+	// Endings returns the known endings of a server.
+	Endings(server waxwingseam.ServerName) []waxwingseam.Ending
 	// Watch serves one watcher over a stream of Reports and Pushes.
 	Watch(stream drpc.Stream) error
 	// Serve confirms the local state regularly and on request until the context
@@ -104,6 +109,7 @@
 	services      map[waxwingseam.ServiceName]map[waxwingseam.ServerName]struct{}
 	sessions      map[*session]struct{}
 	completePeers map[string]struct{}
+	endings       endings
 	started       time.Time
 }
 
@@ -119,6 +125,7 @@
 		services:      map[waxwingseam.ServiceName]map[waxwingseam.ServerName]struct{}{},
 		sessions:      map[*session]struct{}{},
 		completePeers: map[string]struct{}{},
+		endings:       newEndings(),
 		started:       time.Now(),
 	}
 	p.head.Set, p.head.Digest = config.Historian.Head()
--- a/publisher/push.go
+++ b/publisher/push.go
@@ -20,10 +20,12 @@
 	}
 	p.addServers(s, &push)
 	p.addReplicas(s, &push)
+	p.addEndingsTo(s, &push)
 	push.LatestIncarnation, s.latestIncarnation = s.latestIncarnation, 0
 	push.Orders, s.orders = s.orders, nil
 	push.Unconfirmed = push.Unconfirmed || !p.batcher.confirmed()
-	empty = len(push.Steps)+len(push.Set)+len(push.Present)+len(push.Gone) == 0 && !push.Complete && push.LatestIncarnation == 0 && len(push.Orders) == 0
+	empty = len(push.Steps)+len(push.Set)+len(push.Present)+len(push.Gone) == 0 && !push.Complete && push.LatestIncarnation == 0 && len(push.Orders) == 0 &&
+		len(push.Endings) == 0 && !push.EndingsComplete
 	return push, empty, nil
 }
 
--- a/publisher/session.go
+++ b/publisher/session.go
@@ -46,6 +46,10 @@
 	// decisions that were not sent to it yet.
 	quarantined []waxwingseam.QuarantinedRequest
 	orders      []waxwingseam.QuarantineOrder
+	// dirtyEndings names the servers whose endings are to be sent; sentEndings is set once
+	// all of them were.
+	dirtyEndings map[waxwingseam.ServerName]struct{}
+	sentEndings  bool
 	// sentComplete is set once a complete list of servers was sent.
 	sentComplete bool
 }
@@ -73,6 +77,8 @@
 		woken:     make(chan struct{}, 1),
 		ended:     make(chan error, 1),
 		dirty:     map[waxwingseam.ServerName]waxwingseam.Announcement{},
+
+		dirtyEndings: map[waxwingseam.ServerName]struct{}{},
 	}
 	var first Report
 	watchdog := NewWatchdog(func() { closeTransport(stream) })
@@ -161,6 +167,9 @@
 		s.announcement = r.Announcement
 		s.server = r.Announcement.Server.Name
 	}
+	if len(r.Endings) > 0 && s.server != "" && !s.peer {
+		p.addEndings(s.server, r.Endings, true)
+	}
 	announcement := s.announcement
 	p.mu.Unlock()
 	if announcement == nil {
--- a/recorder/catalog.go
+++ b/recorder/catalog.go
@@ -37,6 +37,7 @@
 		waxwingseam.FenceAsked{},
 		waxwingseam.DrainAsked{},
 		waxwingseam.BackendReported{},
+		waxwingseam.EndingsLearned{},
 		waxwingseam.BackendStated{},
 		waxwingseam.IncarnationSuperseded{},
 		waxwingseam.KeyedAttemptArrived{},
--- a/registrar/endings.go
+++ b/registrar/endings.go
@@ -38,21 +38,27 @@
 }
 
 // Add adds an ending and returns whether it was new. It drops endings that are older than
-// EndingTime, and the oldest beyond the bound.
+// EndingTime, and the oldest beyond the bound. Of several endings without a start, the latest
+// is kept.
 func (l *Endings) Add(now time.Time, e waxwingseam.Ending) bool {
 	*l = slices.DeleteFunc(*l, func(known waxwingseam.Ending) bool { return now.Sub(known.At) > EndingTime })
 	if l.Has(e) || now.Sub(e.At) > EndingTime {
 		return false
 	}
+	*l = slices.DeleteFunc(*l, func(known waxwingseam.Ending) bool { return sameIncarnation(known, e) })
 	*l = append(*l, e)
 	*l = (*l)[max(0, len(*l)-maxEndings):]
 	return true
 }
 
-// Has reports whether the list names the incarnation of an ending. Endings without a start
-// are told apart by their time as well.
+// Has reports whether an ending is in the list, or a later one of the same instance if it has
+// no start.
 func (l Endings) Has(e waxwingseam.Ending) bool {
 	return slices.ContainsFunc(l, func(known waxwingseam.Ending) bool {
-		return known.Instance == e.Instance && known.Started.Equal(e.Started) && (!e.Started.IsZero() || !known.At.Before(e.At))
+		return sameIncarnation(known, e) && (!e.Started.IsZero() || !known.At.Before(e.At))
 	})
 }
+
+func sameIncarnation(a, b waxwingseam.Ending) bool {
+	return a.Instance == b.Instance && a.Started.Equal(b.Started)
+}
--- a/report.go
+++ b/report.go
@@ -1,6 +1,17 @@
 package waxwingseam
 
-import "time"
+import (
+	"context"
+	"net/netip"
+	"time"
+)
+
+// The kinds of the event and the effect by which a backend server that has left stays left
+// when the node beside it starts anew.
+const (
+	KindEndingsLearned Kind = "endings-learned"
+	KindRecordEnding   Kind = "record-ending"
+)
 
 // BackendState is the state that a backend server reports.
 type BackendState uint8
@@ -57,8 +68,40 @@
 	At time.Time `cbor:"3,keyasint"`
 }
 
-// Reporter receives the reports of the node's own backend server. A report is
-// in force when Report returns.
+// EndingsMessage tells of endings of one node's backend server.
+type EndingsMessage struct {
+	Server ServerName `cbor:"1,keyasint"`
+	// Node is the address of the node beside the server.
+	Node    netip.AddrPort `cbor:"2,keyasint"`
+	Endings []Ending       `cbor:"3,keyasint"`
+}
+
+// EndingsLearned tells a node of endings of its backend server that it may have forgotten.
+type EndingsLearned struct {
+	Stamp
+	Endings []Ending
+	// Complete is set if no other endings are known to control.
+	Complete bool
+}
+
+// Kind implements Event.
+func (EndingsLearned) Kind() Kind { return KindEndingsLearned }
+
+// RecordEnding has an ending recorded outside the node. It answers each report that an
+// incarnation drains or is gone.
+type RecordEnding struct {
+	// Request is that of the report.
+	Request uint64
+	// Ending is zero if the report changed nothing.
+	Ending Ending
+}
+
+// Kind implements Effect.
+func (RecordEnding) Kind() Kind { return KindRecordEnding }
+
+// Reporter receives the reports of the node's own backend server. A report is in force when
+// Report returns. A report that an incarnation drains or is gone is also recorded outside the
+// node, unless an error is returned.
 type Reporter interface {
-	Report(r BackendReport)
+	Report(ctx context.Context, r BackendReport) error
 }
--- a/runevent.go
+++ b/runevent.go
@@ -79,6 +79,8 @@
 type BackendReported struct {
 	Stamp
 	Report BackendReport
+	// Request identifies the report in RecordEnding; 0 if nobody waits for that.
+	Request uint64 `cbor:",omitempty"`
 }
 
 // Kind implements Event.
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -77,6 +77,10 @@
 	Announce(self waxwingseam.Server)
 	// NoteQuarantine reports to control that the node refuses a request, or no longer.
 	NoteQuarantine(r waxwingseam.QuarantinedRequest)
+	// RecordEnding returns nil once the watched replica has an ending of the backend server.
+	RecordEnding(ctx context.Context, e waxwingseam.Ending) error
+	// Servers returns the known backend servers.
+	Servers() []waxwingseam.Server
 	// AddInterest adds a service whose servers are requested.
 	AddInterest(service waxwingseam.ServiceName)
 	// NoteRevision records that another node holds a revision. A higher revision
@@ -123,6 +127,7 @@
 	noted        notedRevision
 	// quarantined holds the requests that the node refuses.
 	quarantined map[waxwingseam.RequestDigest]waxwingseam.QuarantinedRequest
+	endings     ownEndings
 	// replicas are the control replicas in the latest push that listed any.
 	replicas    []netip.AddrPort
 	unconfirmed unconfirmedCounts
@@ -146,6 +151,7 @@
 	interest     bool
 	held         bool
 	quarantine   bool
+	endings      bool
 }
 
 // New returns a subscriber without a set.
@@ -163,6 +169,7 @@
 		servers:      map[waxwingseam.ServerName]waxwingseam.Announcement{},
 		gone:         goneServers{},
 		quarantined:  map[waxwingseam.RequestDigest]waxwingseam.QuarantinedRequest{},
+		endings:      ownEndings{changed: make(chan struct{})},
 	}
 }
 
--- a/subscriber/watch.go
+++ b/subscriber/watch.go
@@ -57,7 +57,8 @@
 	s.control = address
 	s.announcement.Sequence++
 	s.unconfirmed.pushes = 0
-	s.changed = changes{announcement: true, interest: true, held: true, quarantine: len(s.quarantined) > 0}
+	s.changed = changes{announcement: true, interest: true, held: true, quarantine: len(s.quarantined) > 0, endings: len(s.endings.list) > 0}
+	s.endings.confirmed = nil
 	s.wake()
 }
 
@@ -126,6 +127,9 @@
 	if s.changed.quarantine {
 		r.Quarantine = &publisher.QuarantineReport{Requests: slices.Collect(maps.Values(s.quarantined))}
 	}
+	if s.changed.endings {
+		r.Endings = slices.Clone(s.endings.list)
+	}
 	s.changed = changes{}
 	return r
 }
@@ -174,6 +178,9 @@
 			return waxwingseam.QuarantineOrdered{Stamp: stamp, Order: o}
 		})
 	}
+	if len(p.Endings) > 0 || p.EndingsComplete {
+		s.receiveEndings(p)
+	}
 	if len(p.Present)+len(p.Gone) > 0 || p.Complete {
 		s.updateServers(p)
 	}
--- /dev/null
+++ b/supervisor/start.go
@@ -0,0 +1,60 @@
+package supervisor
+
+import (
+	"time"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+const (
+	// PurposeStarted is the purpose of the timer that ends the wait for endings.
+	PurposeStarted waxwingseam.TimerPurpose = "backend-started"
+	// startWait is how long after its start a node waits for endings of its server that
+	// an earlier process of the node has recorded. A sound server must be in use within
+	// 3 s of the start, and sends a heartbeat every 1.5 s.
+	startWait = 1500 * time.Millisecond
+	// minStartWait is the least time between the first report and its use. Holders of
+	// endings send them every 250 ms.
+	minStartWait = 300 * time.Millisecond
+)
+
+// maxHeld bounds the reports that are kept back. A backend server sends one or two while a
+// node starts.
+const maxHeld = 16
+
+// hold keeps a ready report back and starts the wait.
+func (s *supervisor) hold(c *waxwingseam.Context, r waxwingseam.BackendReport) {
+	if len(s.held) == 0 {
+		at := c.Self.Since.Add(startWait)
+		if earliest := c.Now.Add(minStartWait); at.Before(earliest) {
+			at = earliest
+		}
+		c.Emit(waxwingseam.ArmTimer{Timer: waxwingseam.TimerID{Purpose: PurposeStarted}, At: at})
+	}
+	s.held = append(s.held, r)
+	s.held = s.held[max(0, len(s.held)-maxHeld):]
+}
+
+// endWait applies the reports that were kept back, unless their incarnations have ended.
+func (s *supervisor) endWait(c *waxwingseam.Context) {
+	s.waiting = false
+	for _, r := range s.held {
+		s.receive(c, r)
+	}
+	s.held = nil
+}
+
+// learn adds endings that an earlier process of the node has recorded.
+func (s *supervisor) learn(c *waxwingseam.Context, e waxwingseam.EndingsLearned) {
+	for _, v := range e.Endings {
+		s.endings.Add(c.Now, v)
+	}
+	if s.latest.State == waxwingseam.BackendReady && s.endings.Covers(s.latest.Instance, s.latest.Started) {
+		gone := s.latest
+		gone.State = waxwingseam.BackendGone
+		s.applyReport(c, gone)
+	}
+	if e.Complete {
+		s.endWait(c)
+	}
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -15,22 +15,31 @@
 // Config holds the dependencies of a supervisor.
 type Config struct {
 	Drainer waxwingseam.Drainer
+	// AwaitEndings keeps the backend server out of use after the start of the node until
+	// it is known which of its incarnations have ended, for at most startWait.
+	AwaitEndings bool
 }
 
 type supervisor struct {
 	drainer waxwingseam.Drainer
 	latest  waxwingseam.BackendReport
 	endings registrar.Endings
+	// waiting is set while ready reports are kept back; held are these.
+	waiting bool
+	held    []waxwingseam.BackendReport
 }
 
 // New returns a supervisor that has not received a report.
 func New(config Config) waxwingseam.Worker {
-	return &supervisor{drainer: config.Drainer}
+	return &supervisor{drainer: config.Drainer, waiting: config.AwaitEndings}
 }
 
 // Kinds implements waxwingseam.Worker.
 func (s *supervisor) Kinds() []waxwingseam.Kind {
-	return []waxwingseam.Kind{waxwingseam.KindBackendReported, waxwingseam.KindIncarnationSuperseded}
+	return []waxwingseam.Kind{
+		waxwingseam.KindBackendReported, waxwingseam.KindIncarnationSuperseded,
+		waxwingseam.KindEndingsLearned, waxwingseam.KindTimerFired,
+	}
 }
 
 // Reduce implements waxwingseam.Worker.
@@ -38,6 +47,13 @@
 	switch v := e.(type) {
 	case waxwingseam.BackendReported:
 		s.receive(c, v.Report)
+		s.recordEnding(c, v)
+	case waxwingseam.EndingsLearned:
+		s.learn(c, v)
+	case waxwingseam.TimerFired:
+		if v.Timer.Purpose == PurposeStarted && s.waiting {
+			s.endWait(c)
+		}
 	case waxwingseam.IncarnationSuperseded:
 		advanceIncarnation(c, v.Incarnation)
 	}
@@ -62,10 +78,15 @@
 		r.Started = s.latest.Started
 	}
 	newer := supersedes(r, s.latest)
-	if newer && r.State == waxwingseam.BackendReady && s.endings.Covers(r.Instance, r.Started) {
-		return
-	}
-	if r.State == waxwingseam.BackendGone || newer && r.State == waxwingseam.BackendDraining {
+	if r.State == waxwingseam.BackendReady {
+		if s.endings.Covers(r.Instance, r.Started) {
+			return
+		}
+		if s.waiting {
+			s.hold(c, r)
+			return
+		}
+	} else if newer || s.endsAnother(r) {
 		s.endings.Add(c.Now, waxwingseam.Ending{Instance: r.Instance, Started: r.Started, At: c.Now})
 	}
 	if newer {
@@ -73,6 +94,28 @@
 	}
 }
 
+// endsAnother reports whether a report that is not newer than the latest one tells that an
+// incarnation other than the current one drains or is gone.
+func (s *supervisor) endsAnother(r waxwingseam.BackendReport) bool {
+	current := r.Instance == s.latest.Instance && r.Started.Equal(s.latest.Started)
+	return r.State == waxwingseam.BackendGone || r.State == waxwingseam.BackendDraining && !r.Started.IsZero() && !current
+}
+
+// recordEnding has the ending of a report that drains or leaves recorded, also when it was
+// recorded before: its holders may have started anew.
+func (s *supervisor) recordEnding(c *waxwingseam.Context, e waxwingseam.BackendReported) {
+	if e.Report.State == waxwingseam.BackendReady {
+		return
+	}
+	out := waxwingseam.RecordEnding{Request: e.Request}
+	for _, v := range s.endings {
+		if v.Instance == e.Report.Instance && (e.Report.Started.IsZero() || v.Started.Equal(e.Report.Started)) {
+			out.Ending = v
+		}
+	}
+	c.Emit(out)
+}
+
 // supersedes reports whether a report is newer than the latest one. A leave names neither a
 // service nor an address, so that it concerns the current instance only.
 func supersedes(r, latest waxwingseam.BackendReport) bool {
