receiver, quarantiner: follow a backend server that changes without a report

Cause: a started node takes its server into use, or out of it, when it hears of endings or its wait is over. The receiver and the quarantiner looked at the server's state only when it reported.

Change: they look at it at these events as well.

--- a/depositor/depositor.go
+++ b/depositor/depositor.go
@@ -34,9 +34,9 @@
 	// remindTime is how long a holder sends them. Backend servers that leave serve for
 	// seconds, and their heartbeats are late by seconds.
 	remindTime = 2 * time.Minute
-	// maxHeldServers bounds the backend servers whose endings a node holds. With three
-	// holders each, all servers of the largest deployment may leave at once.
-	maxHeldServers = 1000
+	// maxHeldServers bounds the backend servers whose endings a node holds, each with a
+	// connection. If all servers of a deployment leave at once, a node holds three on average.
+	maxHeldServers = 200
 )
 
 // Config holds the dependencies of a depositor.
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -65,6 +65,7 @@
 		waxwingseam.KindRunEnded,
 		waxwingseam.KindBackendProbed,
 		waxwingseam.KindBackendReported,
+		waxwingseam.KindEndingsLearned,
 		waxwingseam.KindEndsReceived,
 		waxwingseam.KindQuarantineOrdered,
 		waxwingseam.KindServersUpdated,
@@ -79,7 +80,7 @@
 		q.runEnded(c, v)
 	case waxwingseam.BackendProbed:
 		q.backendProbed(c, v)
-	case waxwingseam.BackendReported:
+	case waxwingseam.BackendReported, waxwingseam.EndingsLearned:
 		q.backendReported(c)
 	case waxwingseam.EndsReceived:
 		q.endsReceived(c, v.Message)
@@ -94,6 +95,8 @@
 
 func (q *quarantiner) fire(c *waxwingseam.Context, purpose waxwingseam.TimerPurpose) {
 	switch purpose {
+	case waxwingseam.PurposeBackendStarted:
+		q.backendReported(c)
 	case TimerEnd:
 		q.recordEnd(c, waxwingseam.EndProofRefused)
 	case TimerJudge:
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -125,6 +125,7 @@
 		waxwingseam.KindTimerFired,
 		waxwingseam.KindSetAdopted,
 		waxwingseam.KindBackendReported,
+		waxwingseam.KindEndingsLearned,
 		waxwingseam.KindBackendStated,
 		waxwingseam.KindServersUpdated,
 	}
@@ -151,12 +152,8 @@
 	case waxwingseam.DrainAsked:
 		r.drainer.Drain(c, v.Undo)
 		r.refuseWaiting(c)
-	case waxwingseam.BackendReported:
-		if r.settings.service != c.Self.Service || r.settings.reportedSlots != c.Self.Slots {
-			r.adopt(c)
-		}
-		r.forgetStatement(c)
-		r.refuseWaiting(c)
+	case waxwingseam.BackendReported, waxwingseam.EndingsLearned:
+		r.backendChanged(c)
 	case waxwingseam.BackendStated:
 		r.backendStated(c, v)
 	case waxwingseam.TimerFired:
--- a/receiver/settings.go
+++ b/receiver/settings.go
@@ -111,9 +111,20 @@
 	}
 }
 
+// backendChanged follows a change of the own backend server, which the supervisor has applied.
+func (r *receiver) backendChanged(c *waxwingseam.Context) {
+	if r.settings.service != c.Self.Service || r.settings.reportedSlots != c.Self.Slots {
+		r.adopt(c)
+	}
+	r.forgetStatement(c)
+	r.refuseWaiting(c)
+}
+
 // fire handles the receiver's timers.
 func (r *receiver) fire(c *waxwingseam.Context, timer waxwingseam.TimerID) {
 	switch timer.Purpose {
+	case waxwingseam.PurposeBackendStarted:
+		r.backendChanged(c)
 	case TimerAdmission:
 		r.admissionDue = time.Time{}
 		r.apply(c, r.admitter.Expire(c))
--- a/report.go
+++ b/report.go
@@ -13,6 +13,10 @@
 	KindRecordEnding   Kind = "record-ending"
 )
 
+// PurposeBackendStarted is the purpose of the timer after which a started node uses its
+// backend server although it may not have heard of all endings.
+const PurposeBackendStarted TimerPurpose = "backend-started"
+
 // BackendState is the state that a backend server reports.
 type BackendState uint8
 
--- a/supervisor/start.go
+++ b/supervisor/start.go
@@ -7,8 +7,6 @@
 )
 
 const (
-	// PurposeStarted is the purpose of the timer that ends the wait for endings.
-	PurposeStarted waxwingseam.TimerPurpose = "backend-started"
 	// startWait is how long after its start a node waits for endings of its server that
 	// an earlier process of the node has recorded. A sound server must be in use within
 	// 3 s of the start, and sends a heartbeat every 1.5 s.
@@ -29,7 +27,7 @@
 		if earliest := c.Now.Add(minStartWait); at.Before(earliest) {
 			at = earliest
 		}
-		c.Emit(waxwingseam.ArmTimer{Timer: waxwingseam.TimerID{Purpose: PurposeStarted}, At: at})
+		c.Emit(waxwingseam.ArmTimer{Timer: waxwingseam.TimerID{Purpose: waxwingseam.PurposeBackendStarted}, At: at})
 	}
 	s.held = append(s.held, r)
 	s.held = s.held[max(0, len(s.held)-maxHeld):]
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -51,7 +51,7 @@
 	case waxwingseam.EndingsLearned:
 		s.learn(c, v)
 	case waxwingseam.TimerFired:
-		if v.Timer.Purpose == PurposeStarted && s.waiting {
+		if v.Timer.Purpose == waxwingseam.PurposeBackendStarted && s.waiting {
 			s.endWait(c)
 		}
 	case waxwingseam.IncarnationSuperseded:
