supervisor, narrator: a line when a ready backend server is kept out of use

Change: a ready report of an incarnation that has ended, and an ending that is learned of the server in use, emit server-kept-out, which the node logs.

--- a/narrator/narrator.go
+++ b/narrator/narrator.go
@@ -21,6 +21,7 @@
 	EventConfiguration   = "configuration-adopted"
 	EventServers         = "servers-learned"
 	EventBackend         = "backend-server-reported"
+	EventKeptOut         = "backend-server-kept-out"
 	EventRunCancelled    = "run-cancelled"
 	EventStatement       = "backend-server-stated"
 	EventDrain           = "drain-asked"
@@ -248,6 +249,9 @@
 		n.statementChanged(now, v)
 	case waxwingseam.BackendEnded:
 		n.backendEnded(now, v)
+	case waxwingseam.ServerKeptOut:
+		n.write(now, EventKeptOut, slog.LevelWarn, slog.String("instance", v.Instance),
+			slog.Time("started", v.Started), slog.Uint64("sequence", v.Sequence))
 	case waxwingseam.QuarantineChanged:
 		n.quarantineChanged(now, v.Request)
 	}
--- a/report.go
+++ b/report.go
@@ -11,6 +11,7 @@
 const (
 	KindEndingsLearned Kind = "endings-learned"
 	KindRecordEnding   Kind = "record-ending"
+	KindServerKeptOut  Kind = "server-kept-out"
 )
 
 // PurposeBackendStarted is the purpose of the timer after which a started node uses its
@@ -103,6 +104,17 @@
 // Kind implements Effect.
 func (RecordEnding) Kind() Kind { return KindRecordEnding }
 
+// ServerKeptOut tells that a ready backend server is not used, as its incarnation has reported
+// before that it drains or is gone.
+type ServerKeptOut struct {
+	Instance string
+	Started  time.Time
+	Sequence uint64
+}
+
+// Kind implements Effect.
+func (ServerKeptOut) Kind() Kind { return KindServerKeptOut }
+
 // Reporter receives the reports of the node's own backend server. A report is in force when
 // Report returns. A report that an incarnation drains or is gone is also recorded outside the
 // node, unless an error is returned.
--- a/supervisor/start.go
+++ b/supervisor/start.go
@@ -42,12 +42,18 @@
 	s.held = nil
 }
 
+// keepOut tells that a report of an ended incarnation is not followed.
+func keepOut(c *waxwingseam.Context, r waxwingseam.BackendReport) {
+	c.Emit(waxwingseam.ServerKeptOut{Instance: r.Instance, Started: r.Started, Sequence: r.Sequence})
+}
+
 // learn adds endings that an earlier process of the node has recorded.
 func (s *supervisor) learn(c *waxwingseam.Context, e waxwingseam.EndingsLearned) {
 	for _, v := range e.Endings {
 		s.endings.Add(c.Now, v)
 	}
 	if s.latest.State == waxwingseam.BackendReady && s.endings.Covers(s.latest.Instance, s.latest.Started) {
+		keepOut(c, s.latest)
 		gone := s.latest
 		gone.State = waxwingseam.BackendGone
 		s.applyReport(c, gone)
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -80,6 +80,7 @@
 	newer := supersedes(r, s.latest)
 	if r.State == waxwingseam.BackendReady {
 		if s.endings.Covers(r.Instance, r.Started) {
+			keepOut(c, r)
 			return
 		}
 		if s.waiting {
