--- a/publisher/message.go
+++ b/publisher/message.go
@@ -49,6 +49,9 @@
 	// Tally is set when the watcher has answered roots of client accounts since its last
 	// tally.
 	Tally *waxwingseam.AccountTally `cbor:"21,keyasint,omitempty"`
+	// Endings are those of the announced server that the watcher has recorded; set in the
+	// first report of a server that has any, and when they change.
+	Endings []waxwingseam.Ending `cbor:"6,keyasint,omitempty"`
 }
 
 // HeldRevision identifies the set that a watcher holds.
@@ -99,6 +102,12 @@
 	// Usage is the use of client accounts over the nodes that watch the replica; sent
 	// only to other control replicas.
 	Usage *UsageSummary `cbor:"21,keyasint,omitempty"`
+	// Endings are all known endings of the watcher's server or, to another control replica,
+	// of the named servers. They are sent when they have changed.
+	Endings map[waxwingseam.ServerName][]waxwingseam.Ending `cbor:"11,keyasint,omitempty"`
+	// EndingsComplete is set once in each stream, with or after all endings of the watcher's
+	// server that any replica knows or, to another control replica, all that this one knows.
+	EndingsComplete bool `cbor:"12,keyasint,omitempty"`
 }
 
 // Step is the change from the previous revision to Revision.
