allocator: votes after a refused connection, requests of other sets, earlier credit

A node whose owner refuses a connection votes for another owner at once; the new owner counts such early votes once at most one node is missing. An owner serves the shards of senders with another set.

--- a/allocator/account.go
+++ b/allocator/account.go
@@ -57,6 +57,8 @@
 	askedUntil time.Time
 	// refusedUntil is until when roots are refused, as the owner has no credit.
 	refusedUntil time.Time
+	// shortSince is since when the owner has not granted what was needed; zero if it has.
+	shortSince time.Time
 	// creditAt is when the owner will have credit again.
 	creditAt time.Time
 	waiting  []*waiter
--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -29,7 +29,7 @@
 	// shards holds, for each shard, what this node has with its owner.
 	shards []*session
 	// owned holds the shards that other nodes or this one take to be owned here.
-	owned   map[shardKey]*ledgers
+	owned   []*ledgers
 	members members
 	// life identifies this process in messages; 0 until the first one.
 	life    uint32
@@ -49,7 +49,6 @@
 // New returns an allocator without accounts.
 func New() *Allocator {
 	return &Allocator{
-		owned:   map[shardKey]*ledgers{},
 		members: newMembers(),
 		waiting: map[waxwingseam.CallID]*waiter{},
 	}
@@ -185,14 +184,12 @@
 	}
 	a.begin(c)
 	a.expireWaiting(c)
-	next := clock(c).Add(maxBeatInterval)
+	next := clock(c).Add(maxHeartbeat)
 	for _, s := range a.shards {
 		next = earlier(next, a.advance(c, s))
 	}
-	for _, s := range a.shards {
-		if l, ok := a.owned[s.key]; ok {
-			next = earlier(next, a.sendNotice(c, l))
-		}
+	for _, l := range a.owned {
+		next = earlier(next, a.sendNotice(c, l))
 	}
 	for _, w := range a.waiting {
 		next = earlier(next, w.until)
--- a/allocator/ledger.go
+++ b/allocator/ledger.go
@@ -22,12 +22,20 @@
 	// knownAfter is the time with the whole rate after which an owner knows its accounts:
 	// what came before may be reported by then, and its buckets are partly filled.
 	knownAfter = time.Second
+	// startRate and startBurst are what an account has at a new owner at once: the use in a
+	// part of a second, and some requests. The slack of the rule covers two changes of the
+	// owner in one window.
+	startRate  = 0.05
+	startBurst = 2.5
+	// retryFraction is the least fraction by which the time until there is credit is
+	// estimated: a new owner has few parts at first, and nearly all soon.
+	retryFraction = 0.5
 	// demandMemory and sampleMemory are the time constants of the rates over all nodes and
 	// of the sampled use.
 	demandMemory = 2 * time.Second
 	sampleMemory = 500 * time.Millisecond
 	// fractionInterval is the time between two summations of the parts of the nodes.
-	fractionInterval = 100 * time.Millisecond
+	fractionInterval = 50 * time.Millisecond
 	// noticeInterval is the least time between two notices. A node that a notice does not
 	// reach learns of scarce accounts with the answer to its next request.
 	noticeInterval = 20 * time.Millisecond
@@ -39,7 +47,9 @@
 
 // ledgers is what the owner of a shard keeps.
 type ledgers struct {
-	key      shardKey
+	key shardKey
+	// usedAt is when the last request came.
+	usedAt   time.Time
 	accounts map[uint32]*ledger
 	clients  map[netip.AddrPort]*client
 	// fraction is the part of the rates that the nodes bring, as of fractionAt, and granted
@@ -62,9 +72,10 @@
 	seq    uint32
 	answer []byte
 	seenAt time.Time
-	// part is what the node brings until voiceUntil.
-	part       int64
-	voiceUntil time.Time
+	// part is what the node brings until voteUntil.
+	part      int64
+	early     bool
+	voteUntil time.Time
 }
 
 // ledger is what the owner keeps of one account.
@@ -73,8 +84,10 @@
 	level float64
 	// filledAt is the value of granted up to which the bucket was filled.
 	filledAt time.Duration
-	counts   [slots]float64
-	slot     int64
+	// started is the largest fraction so far.
+	started float64
+	counts  [slots]float64
+	slot    int64
 	// sampled is the use that is known by samples only.
 	sampled decayed
 	// admitted and over count the roots over all nodes within the limit and beyond it.
@@ -86,18 +99,8 @@
 
 // requested handles a request to this node as the owner of a shard.
 func (a *Allocator) requested(c *waxwingseam.Context, m request) {
-	k := shardKey{Shards: m.Shards, Shard: m.Shard}
-	if a.session(k) == nil {
-		return
-	}
-	l := a.owned[k]
-	if l == nil {
-		l = &ledgers{key: k, accounts: map[uint32]*ledger{}, clients: map[netip.AddrPort]*client{}, version: 1}
-		a.owned[k] = l
-		// Nodes with another owner check whether it still answers.
-		l.noticeAt = clock(c)
-	}
 	now := clock(c)
+	l := a.ledgers(now, shardKey{Shards: m.Shards, Shard: m.Shard})
 	v := l.clients[m.From]
 	if v == nil || v.life != m.Life {
 		v = &client{life: m.Life}
@@ -111,8 +114,8 @@
 	}
 	v.seq, v.seenAt = m.Seq, now
 	a.members.hear(now, m.Nodes)
-	a.hearVoice(c, v, m)
-	l.advance(now, a.members.settled(now))
+	a.countVote(c, v, m)
+	l.advance(now, a.members.settled(now), a.nodes(c))
 	reply := answer{
 		From: c.Self.Node, Nodes: uint32(a.nodes(c)), Shards: m.Shards, Shard: m.Shard,
 		Life: m.Life, Seq: m.Seq, OwnerLife: a.life, Clock: a.milliseconds(now),
@@ -138,40 +141,65 @@
 	l.forget(now, a.nodes(c))
 }
 
+// ledgers returns the ledgers of a shard, which this node owns from the first request on. The
+// shards of a sender with another set than this node's differ, and are kept, too.
+func (a *Allocator) ledgers(now time.Time, k shardKey) *ledgers {
+	a.owned = slices.DeleteFunc(a.owned, func(l *ledgers) bool { return now.Sub(l.usedAt) > idleSession })
+	i := slices.IndexFunc(a.owned, func(l *ledgers) bool { return l.key == k })
+	if i < 0 {
+		i = len(a.owned)
+		a.owned = append(a.owned, &ledgers{
+			key: k, accounts: map[uint32]*ledger{}, clients: map[netip.AddrPort]*client{}, version: 1,
+			// Nodes with another owner check whether it still answers.
+			noticeAt: now,
+		})
+	}
+	a.owned[i].usedAt = now
+	return a.owned[i]
+}
+
 // milliseconds returns the time of this process in messages.
 func (a *Allocator) milliseconds(now time.Time) uint32 {
 	return uint32(now.Sub(a.born).Milliseconds())
 }
 
-// hearVoice notes the part of the rates that a node brings. It counts from the time of the
+// countVote notes the part of the rates that a node brings. It counts from the time of the
 // answer that the node has confirmed, so that a request that was held up on its way does
 // not count for longer.
-func (a *Allocator) hearVoice(c *waxwingseam.Context, v *client, m request) {
-	if !m.Voice || m.OwnerLife != a.life {
+func (a *Allocator) countVote(c *waxwingseam.Context, v *client, m request) {
+	if m.Vote == voteNone || m.OwnerLife != a.life {
 		v.part = 0
 		return
 	}
 	now := clock(c)
 	n := max(a.nodes(c), int(m.Nodes))
 	age := time.Duration(a.milliseconds(now)-m.Echo) * time.Millisecond
-	v.part = int64(wholePart / n)
-	v.voiceUntil = now.Add(voiceTime(n) - age)
+	v.part, v.early = int64(wholePart/n), m.Vote == voteEarly
+	v.voteUntil = now.Add(voteTime(n) - age)
 }
 
 // advance sums the parts of the nodes and credits the time that has passed.
-func (l *ledgers) advance(now time.Time, settled bool) {
+func (l *ledgers) advance(now time.Time, settled bool, nodes int) {
 	passed := now.Sub(l.fractionAt)
 	if l.fractionAt.IsZero() {
 		passed = 0
 	} else if passed < fractionInterval {
 		return
 	}
-	var sum int64
+	var sum, early int64
 	for _, v := range l.clients {
-		if now.Before(v.voiceUntil) {
+		switch {
+		case !now.Before(v.voteUntil):
+		case v.early:
+			early += v.part
+		default:
 			sum += v.part
 		}
 	}
+	// Only the node that has ended may be missing.
+	if float64(sum+early) >= wholePart*(1-1.5/float64(nodes)) {
+		sum += early
+	}
 	before := l.fraction
 	l.fraction = 0
 	if settled {
@@ -256,6 +284,10 @@
 func (v *ledger) fill(o *account, l *ledgers) {
 	v.level += o.rate * (l.granted - v.filledAt).Seconds()
 	v.filledAt = l.granted
+	if l.fraction > v.started {
+		v.level += (l.fraction - v.started) * (startRate*o.rate + startBurst)
+		v.started = l.fraction
+	}
 	v.level = min(v.level, o.depth()*l.fraction)
 }
 
@@ -318,7 +350,7 @@
 
 // retry returns the milliseconds until there is credit.
 func (v *ledger) retry(o *account, fraction float64) uint32 {
-	rate := o.rate * max(fraction, 0.01)
+	rate := o.rate * max(fraction, retryFraction)
 	wait := (1 - min(v.level, 0)) / rate
 	if over := v.sum() + 1 - o.windowLimit(); over > 0 {
 		wait = max(wait, over/rate)
--- a/allocator/message.go
+++ b/allocator/message.go
@@ -24,6 +24,17 @@
 	Shard  uint16
 }
 
+// vote says whether a node brings its part of the rates to an owner.
+type vote uint8
+
+const (
+	voteNone vote = iota
+	voteFull
+	// voteEarly is that of a node whose former owner refused its connection. It has ended
+	// if all nodes say so; if some don't, it may only be out of reach.
+	voteEarly
+)
+
 // request is a message from a node to the owner of a shard. It is repeated unchanged until
 // it is answered, and the owner counts it once.
 type request struct {
@@ -39,9 +50,9 @@
 	// OwnerLife and Echo repeat the Life and the Clock of the owner's last answer.
 	OwnerLife uint32
 	Echo      uint32
-	// Voice is set if the sender brings its part of the rates to this owner. It is unset
-	// in the request that takes the part back.
-	Voice bool
+	// Vote says whether the sender brings its part of the rates to this owner. The request
+	// that takes the part back has none.
+	Vote vote
 	// Version is the version of the list of scarce accounts that the sender has.
 	Version uint32
 	// Sampled is the account whose admission caused the request by sampling; 0 without one.
--- a/allocator/session.go
+++ b/allocator/session.go
@@ -16,38 +16,42 @@
 	// and maxTries after how many another owner is chosen.
 	silentTries = 2
 	maxTries    = 5
-	// minBeatInterval and beatNodes set the time between two requests to an owner if there
+	// minHeartbeat and heartbeatNodes set the time between two requests to an owner if there
 	// is nothing to report: it grows with the number of nodes, so that an owner receives at
-	// most beatNodes of them each second.
-	minBeatInterval = 400 * time.Millisecond
-	maxBeatInterval = time.Minute
-	beatNodes       = 125
-	// beatJitter is the part of the interval that is random.
-	beatJitter = 0.2
+	// most heartbeatNodes of them each second.
+	minHeartbeat   = 400 * time.Millisecond
+	maxHeartbeat   = time.Minute
+	heartbeatNodes = 125
+	// heartbeatJitter is the part of the interval that is random.
+	heartbeatJitter = 0.2
 	// answerMargin is the time that a request and its answer may take.
 	answerMargin = 150 * time.Millisecond
-	// voiceMargin is the time beyond a beat interval for which an owner counts on the part
+	// voteMargin is the time beyond a heartbeat interval for which an owner counts on the part
 	// of a node: the tries of a request.
-	voiceMargin = maxTries * retryInterval
-	// voiceDrift allows for clocks and numbers of nodes that differ: a node that leaves an
+	voteMargin = maxTries * retryInterval
+	// voteDrift allows for clocks and numbers of nodes that differ: a node that leaves an
 	// owner waits for longer than the owner counts on its part.
-	voiceDrift = 1.25
-	// minRefusal and maxRefusal bound how long a node refuses roots without asking, and
-	// askingNodes bounds the requests for one account that an owner receives each second.
+	voteDrift = 1.25
+	// recentAnswer is longer than a refusal of a connection takes to be reported, and shorter
+	// than a process takes to start.
+	recentAnswer = 20 * time.Millisecond
+	// minRefusal and maxRefusal bound how long a node refuses roots without asking. The time
+	// grows while an account is short, until an owner receives at most askingNodes requests
+	// for it each second.
 	minRefusal  = 50 * time.Millisecond
 	maxRefusal  = time.Second
 	askingNodes = 400
 )
 
-// beatInterval returns the time between two requests to an owner for n nodes.
-func beatInterval(n int) time.Duration {
-	return min(max(minBeatInterval, time.Duration(n)*time.Second/beatNodes), maxBeatInterval)
+// heartbeatInterval returns the time between two requests to an owner for n nodes.
+func heartbeatInterval(n int) time.Duration {
+	return min(max(minHeartbeat, time.Duration(n)*time.Second/heartbeatNodes), maxHeartbeat)
 }
 
-// voiceTime returns how long an owner counts on the part of a node after the answer that
+// voteTime returns how long an owner counts on the part of a node after the answer that
 // the node has last confirmed. The next confirmation comes with the request after the next.
-func voiceTime(n int) time.Duration {
-	return time.Duration(2*(1+beatJitter)*float64(beatInterval(n))) + voiceMargin
+func voteTime(n int) time.Duration {
+	return time.Duration(2*(1+heartbeatJitter)*float64(heartbeatInterval(n))) + voteMargin
 }
 
 // session is what this node has with the owner of one shard. One request is open at a
@@ -61,12 +65,15 @@
 	// next is the owner that follows once the present one has confirmed that it no longer
 	// counts on this node's part; invalid if there is no change.
 	next netip.AddrPort
-	// voiced is set while the owner may count on this node's part, and voiceFrom is from
+	// voted is set while the owner may count on this node's part, and voteFrom is from
 	// when on this node may bring it to another owner.
-	voiced    bool
-	voiceFrom time.Time
-	ownerLife uint32
-	echo      uint32
+	voted    bool
+	voteFrom time.Time
+	// earlyUntil is until when a former owner that has ended could count on this node's
+	// part if it had not.
+	earlyUntil time.Time
+	ownerLife  uint32
+	echo       uint32
 	// answeredAt is when the last answer came, and confirmedAt when its request was sent.
 	answeredAt, confirmedAt time.Time
 	version                 uint32
@@ -80,8 +87,8 @@
 	seq     uint32
 	open    *openRequest
 	// again is set if another request is to follow the open one.
-	again  bool
-	beatAt time.Time
+	again       bool
+	heartbeatAt time.Time
 }
 
 // openRequest is a request without an answer.
@@ -89,7 +96,7 @@
 	message         []byte
 	seq             uint32
 	entries         []use
-	voice           bool
+	vote            bool
 	sentAt, triedAt time.Time
 	tries           int
 }
@@ -98,17 +105,16 @@
 // go on.
 func (a *Allocator) reshard(count int) {
 	if count != len(a.shards) {
-		var voiceFrom time.Time
+		var voteFrom time.Time
 		for _, s := range a.shards {
-			voiceFrom = later(voiceFrom, s.freeFrom(len(a.members.servers)))
+			voteFrom = later(voteFrom, s.freeFrom(len(a.members.servers)))
 		}
 		a.shards = make([]*session, count)
-		a.owned = map[shardKey]*ledgers{}
 		for i := range a.shards {
 			a.shards[i] = &session{
 				key:       shardKey{Shards: uint16(count), Shard: uint16(i)},
 				allScarce: true,
-				voiceFrom: voiceFrom,
+				voteFrom:  voteFrom,
 			}
 		}
 	}
@@ -124,10 +130,10 @@
 
 // freeFrom returns when the owner no longer counts on this node's part.
 func (s *session) freeFrom(nodes int) time.Time {
-	if !s.voiced {
-		return s.voiceFrom
+	if !s.voted {
+		return s.voteFrom
 	}
-	return s.answeredAt.Add(time.Duration(voiceDrift * float64(voiceTime(nodes))))
+	return s.answeredAt.Add(time.Duration(voteDrift * float64(voteTime(nodes))))
 }
 
 func later(t, u time.Time) time.Time {
@@ -154,7 +160,7 @@
 	if s.open != nil && s.open.tries > silentTries {
 		return false
 	}
-	valid := time.Duration((1+beatJitter)*float64(beatInterval(a.nodes(c)))) + answerMargin
+	valid := time.Duration((1+heartbeatJitter)*float64(heartbeatInterval(a.nodes(c)))) + answerMargin
 	return clock(c).Sub(s.confirmedAt) <= valid
 }
 
@@ -177,7 +183,7 @@
 	m := request{
 		From: c.Self.Node, Nodes: uint32(a.nodes(c)), Shards: s.key.Shards, Shard: s.key.Shard,
 		Life: a.life, Seq: s.seq, OwnerLife: s.ownerLife, Echo: s.echo, Version: s.version, Sampled: s.sampled,
-		Voice: s.mayVoice(now),
+		Vote: s.vote(now),
 	}
 	for _, u := range s.collect(now) {
 		if u.plain() {
@@ -188,23 +194,34 @@
 	}
 	s.sampled = 0
 	s.open = &openRequest{
-		message: encode(kindRequest, m), seq: m.Seq, entries: m.uses(), voice: m.Voice,
+		message: encode(kindRequest, m), seq: m.Seq, entries: m.uses(), vote: m.Vote != voteNone,
 		sentAt: now, triedAt: now, tries: 1,
 	}
-	s.voiced = s.voiced || m.Voice
-	s.beatAt = now.Add(a.jittered(c, beatInterval(a.nodes(c))))
+	s.voted = s.voted || m.Vote != voteNone
+	s.heartbeatAt = now.Add(a.jittered(c, heartbeatInterval(a.nodes(c))))
 	a.wake(c, now.Add(retryInterval))
 	a.send(c, s.owner, s.open.message)
 }
 
-// mayVoice reports whether the node may bring its part of the rates to the owner. An
+// mayVote reports whether the node may bring its part of the rates to the owner. An
 // answer of this owner is required, from which the owner counts.
-func (s *session) mayVoice(now time.Time) bool {
-	return s.ownerLife != 0 && !s.next.IsValid() && !now.Before(s.voiceFrom)
+func (s *session) mayVote(now time.Time) bool {
+	return s.ownerLife != 0 && !s.next.IsValid() && !now.Before(s.voteFrom)
+}
+
+// vote returns the vote for the next request.
+func (s *session) vote(now time.Time) vote {
+	switch {
+	case !s.mayVote(now):
+		return voteNone
+	case now.Before(s.earlyUntil):
+		return voteEarly
+	}
+	return voteFull
 }
 
 func (a *Allocator) jittered(c *waxwingseam.Context, d time.Duration) time.Duration {
-	return time.Duration((1 - beatJitter + 2*beatJitter*c.Random().Float64()) * float64(d))
+	return time.Duration((1 - heartbeatJitter + 2*heartbeatJitter*c.Random().Float64()) * float64(d))
 }
 
 // collect moves what there is to report into a request. Accounts with credit stay in the
@@ -245,17 +262,17 @@
 	}
 	if s.open == nil {
 		a.retarget(c, s)
-		if joining := s.mayVoice(now) && !s.voiced; joining || !now.Before(s.beatAt) {
+		if joining := s.mayVote(now) && !s.voted; joining || !now.Before(s.heartbeatAt) {
 			a.flush(c, s)
 		}
 	}
 	switch {
 	case s.open != nil:
 		return s.open.triedAt.Add(retryInterval)
-	case s.voiceFrom.After(now):
-		return earlier(s.beatAt, s.voiceFrom)
+	case s.voteFrom.After(now):
+		return earlier(s.heartbeatAt, s.voteFrom)
 	}
-	return later(s.beatAt, now.Add(minBeatInterval/4))
+	return later(s.heartbeatAt, now.Add(minHeartbeat/4))
 }
 
 // retry sends the open request again if it is due, or gives its owner up.
@@ -277,15 +294,18 @@
 	a.send(c, s.owner, o.message)
 }
 
-// ownerEnded gives an owner up whose process has ended. What it counted on has ended with
-// it, so that this node may bring its part to another owner at once.
+// ownerEnded gives an owner up that has refused a connection. Its process has likely ended,
+// and this node may bring its part to another owner at once, as an early vote. An answer
+// that came shortly before is of a later process.
 func (a *Allocator) ownerEnded(c *waxwingseam.Context, node netip.AddrPort) {
+	now := clock(c)
 	for _, s := range a.shards {
-		if s.owner != node {
+		if s.owner != node || now.Sub(s.answeredAt) < recentAnswer {
 			continue
 		}
-		if s.voiced {
-			s.voiced, s.voiceFrom = false, clock(c)
+		if s.voted {
+			s.earlyUntil = later(s.earlyUntil, s.freeFrom(a.nodes(c)))
+			s.voted, s.voteFrom = false, now
 		}
 		a.abandon(c, s)
 	}
@@ -304,8 +324,8 @@
 		}
 	}
 	s.open = nil
-	s.voiceFrom = s.freeFrom(a.nodes(c))
-	s.voiced = false
+	s.voteFrom = s.freeFrom(a.nodes(c))
+	s.voted = false
 	a.setOwner(c, s, a.preferred(c, s))
 	a.flush(c, s)
 }
@@ -324,7 +344,7 @@
 	s.ownerLife, s.echo, s.version = 0, 0, 0
 	s.allScarce = true
 	s.confirmedAt = time.Time{}
-	s.beatAt = clock(c)
+	s.heartbeatAt = clock(c)
 }
 
 // preferred returns the first node of the shard that is not known to be silent. If several
@@ -363,7 +383,7 @@
 	switch {
 	case target == s.owner || !target.IsValid():
 		s.next = netip.AddrPort{}
-	case !s.owner.IsValid() || !s.voiced:
+	case !s.owner.IsValid() || !s.voted:
 		a.setOwner(c, s, target)
 	case s.next != target:
 		// The present owner confirms first that it no longer counts on this node's part.
@@ -405,7 +425,7 @@
 	s.open = nil
 	s.answeredAt, s.confirmedAt = now, o.sentAt
 	s.ownerLife, s.echo = m.OwnerLife, m.Clock
-	s.voiced = o.voice
+	s.voted = o.vote
 	a.applyScarcity(s, m.Scarce)
 	grants := m.grants()
 	for i, u := range o.entries[:min(len(o.entries), len(grants))] {
@@ -417,15 +437,15 @@
 		a.settle(c, s, v)
 		s.again = s.again || len(v.waiting) > 0
 	}
-	if s.next.IsValid() && !o.voice {
-		s.voiceFrom = now
+	if s.next.IsValid() && !o.vote {
+		s.voteFrom = now
 		a.setOwner(c, s, s.next)
 		s.again = true
 	}
-	if s.again || s.mayVoice(now) && !s.voiced {
+	if s.again || s.mayVote(now) && !s.voted {
 		a.flush(c, s)
 	}
-	a.wake(c, later(s.beatAt, now))
+	a.wake(c, later(s.heartbeatAt, now))
 }
 
 // granted takes in what the owner says of an account.
@@ -442,9 +462,14 @@
 	if g.Granted < waiting {
 		wait := max(time.Duration(g.Retry)*time.Millisecond, minRefusal)
 		v.creditAt = now.Add(wait)
-		spread := time.Duration(a.nodes(c)) * time.Second / askingNodes
-		v.refusedUntil = now.Add(min(max(wait, spread), maxRefusal))
+		if v.shortSince.IsZero() {
+			v.shortSince = now
+		}
+		pause := min(now.Sub(v.shortSince)/4, time.Duration(a.nodes(c))*time.Second/askingNodes)
+		v.refusedUntil = now.Add(min(max(wait, pause), maxRefusal))
 		a.refuseWaiting(c, s, v)
+	} else if waiting > 0 {
+		v.shortSince = time.Time{}
 	}
 }
 
