--- a/launcher/fleet.go
+++ b/launcher/fleet.go
@@ -122,6 +122,12 @@
 	return trace.Wrap(f.group.Wait())
 }
 
+// Operator returns a client of the control replica's operator API. Config.WithLayer must
+// be set.
+func (f *Fleet) Operator() operator.Client {
+	return operator.New(operator.Config{Address: f.operatorAddress.String(), Name: "launcher"})
+}
+
 // Audit checks the guarantees against the event logs of the nodes, the runs of
 // the stand-ins and the answers that callers received. It returns violations as
 // findings. Config.WithLayer and Config.Record must be set.
@@ -248,8 +254,7 @@
 func (f *Fleet) configure(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	client := operator.New(operator.Config{Address: f.operatorAddress.String(), Name: "launcher"})
-	return trace.Wrap(operator.Establish(ctx, client, administrator.Submission{
+	return trace.Wrap(operator.Establish(ctx, f.Operator(), administrator.Submission{
 		ID:    waxwingseam.SubmissionID(uuid.NewString()),
 		Files: []checker.File{{Name: "objects.ini", Data: f.config.Objects}},
 	}, len(f.StandIns)))
