--- a/publisher/account_test.go
+++ b/publisher/account_test.go
@@ -7,9 +7,12 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 
 	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/checker"
 	"waxwingseam.example/waxwingseam/historian"
+	"waxwingseam.example/waxwingseam/identifier"
 )
 
 // TestUsageOverNodesAndReplicas guards against roots of client accounts that are counted
@@ -63,3 +66,71 @@
 	}
 	qt.Assert(t, total, qt.Equals, 2000+1000*2+3.0)
 }
+
+// manyAccounts returns a set of nodes with 10,000 client accounts of two keys each.
+func manyAccounts() *waxwingseam.Set {
+	set := &waxwingseam.Set{Revision: 1}
+	for i := range 10_000 {
+		name := fmt.Sprintf("account-%05d", i)
+		set.ClientAccounts = append(set.ClientAccounts, waxwingseam.ClientAccount{
+			Name: waxwingseam.AccountName(name), Keys: []string{name + "-first", name + "-second"},
+			Importance: waxwingseam.Importance(i % 10), HasImportance: true,
+			Rate: float64(i), StatesRate: true, Burst: float64(i), StatesBurst: true,
+		}.WithoutKeys())
+	}
+	return set
+}
+
+// BenchmarkAccounts measures what 10,000 client accounts cost when a node starts (pack,
+// unpack, digest, identify) and when one of them changes (change).
+func BenchmarkAccounts(b *testing.B) {
+	set := manyAccounts()
+	packed, err := Pack(set)
+	qt.Assert(b, err, qt.IsNil)
+	run := func(name string, do func()) {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				do()
+			}
+		})
+	}
+	b.Run("bytes", func(b *testing.B) {
+		change := checker.Change{Put: waxwingseam.Set{ClientAccounts: set.ClientAccounts[:1]}}
+		empty, err := cbor.Marshal(Push{Steps: []Step{{Revision: 2, Digest: 1 << 63}}})
+		qt.Assert(b, err, qt.IsNil)
+		step, err := cbor.Marshal(Push{Steps: []Step{{Revision: 2, Digest: 1 << 63, Change: change}}})
+		qt.Assert(b, err, qt.IsNil)
+		tally := waxwingseam.AccountTally{Over: 2 * time.Second}
+		var usage UsageSummary
+		for i := range maxUsages {
+			name := set.ClientAccounts[i].Name
+			usage.Accounts = append(usage.Accounts, waxwingseam.AccountUsage{Account: name, Ran: 1.0 / 3, Refused: 1.0 / 3, Nodes: 100})
+			if i <= 200 {
+				tally.Accounts = append(tally.Accounts, waxwingseam.AccountCount{Account: name, Ran: 300, Refused: 30, NotRun: 3})
+			}
+		}
+		largest, err := cbor.Marshal(Report{Tally: &tally})
+		qt.Assert(b, err, qt.IsNil)
+		tally.Accounts = tally.Accounts[:10]
+		usual, err := cbor.Marshal(Report{Tally: &tally})
+		qt.Assert(b, err, qt.IsNil)
+		sum, err := cbor.Marshal(Push{Usage: &usage})
+		qt.Assert(b, err, qt.IsNil)
+		b.ReportMetric(float64(len(packed)), "packed-B")
+		b.ReportMetric(float64(len(step)-len(empty)), "changed-account-B")
+		b.ReportMetric(float64(len(largest)), "largest-tally-B")
+		b.ReportMetric(float64(len(usual)), "tally-of-10-B")
+		b.ReportMetric(float64(len(sum)), "largest-sum-B")
+	})
+	run("pack", func() { _, _ = Pack(set) })
+	run("unpack", func() { _, _ = Unpack(packed) })
+	run("digest", func() { checker.Digest(set) })
+	run("identify", func() { identifier.New().Adopt(set) })
+	change := checker.Change{Put: waxwingseam.Set{ClientAccounts: set.ClientAccounts[:1]}}
+	digest := checker.Digest(set)
+	run("change", func() {
+		change.Apply(set)
+		change.Digest(set, digest)
+	})
+}
