parser, charger, pipeliner: heads without an allocation per field, memory charged to one budget

Cause: a head of 16 KiB with 3,000 fields costs 1 MB once parsed, and nothing bounds the sum of what is held for callers. Change: parser copies a head once and takes names and values from the copy; pipeliner refuses heads of more than 256 fields with 431 and charges connections, heads, bodies and early requests to a budget, whose reclaiming closes the stalled ones that hold most. Bodies can be held until they are whole; bodies, heads and the reading of answers have a least rate.

--- a/pipeliner/body.go
+++ b/pipeliner/body.go
@@ -22,6 +22,14 @@
 	over chan struct{}
 	end  func()
 	eof  atomic.Bool
+	// held is the part of the body that was read before the request was handled, and
+	// heldBytes is what is charged for it.
+	held      [][]byte
+	heldBytes int64
+	// streaming is set while the body takes one of the places for bodies that are handled
+	// before they are whole.
+	streaming bool
+	mu        sync.Mutex
 }
 
 func newRequestBody(c *connection, r *http.Request) *requestBody {
@@ -42,6 +50,17 @@
 
 // Read implements io.Reader.
 func (b *requestBody) Read(p []byte) (int, error) {
+	if n, ok := b.readHeld(p); ok {
+		return n, nil
+	}
+	if b.whole() {
+		return 0, io.EOF
+	}
+	return b.readSource(p)
+}
+
+// readSource reads what was not held.
+func (b *requestBody) readSource(p []byte) (int, error) {
 	if b.expected {
 		b.expected = false
 		// All earlier answers are written, as requests with a body are not handled early.
@@ -49,7 +68,9 @@
 			return 0, trace.Wrap(err)
 		}
 	}
+	b.connection.reading.Store(true)
 	n, err := b.source.Read(p)
+	b.connection.reading.Store(false)
 	if errors.Is(err, io.EOF) {
 		b.eof.Store(true)
 	}
--- a/pipeliner/connection.go
+++ b/pipeliner/connection.go
@@ -8,11 +8,16 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam/charger"
+	"waxwingseam.example/waxwingseam/parser"
 )
 
 const (
@@ -41,10 +46,14 @@
 // aLongTimeAgo is a deadline that interrupts a blocked read.
 var aLongTimeAgo = time.Unix(1, 0)
 
-// receivingConn notes when bytes were last received.
+// receivingConn notes when bytes were last received, and counts them.
 type receivingConn struct {
 	net.Conn
 	received time.Time
+	count    atomic.Int64
+	// writes is odd while a write is under way, and written counts the bytes written.
+	writes  atomic.Uint64
+	written atomic.Int64
 }
 
 // Read implements net.Conn.
@@ -52,17 +61,31 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.received = time.Now()
+		c.count.Add(int64(n))
 	}
 	return n, err
 }
 
+// Write implements net.Conn. Only one write is under way at a time.
+func (c *receivingConn) Write(p []byte) (int, error) {
+	c.writes.Add(1)
+	n, err := c.Conn.Write(p)
+	c.writes.Add(1)
+	c.written.Add(int64(n))
+	return n, err
+}
+
 // connection is one connection of a caller. Its own goroutine reads the requests; others
 // handle them.
 type connection struct {
 	server *Server
 	conn   *receivingConn
 	reader *bufio.Reader
-	remote string
+	// smaller are the readers beneath the reader; see enlarge.
+	smaller []*bufio.Reader
+	remote  string
+	// address is the caller's address; invalid if unknown.
+	address netip.Addr
 	// ctx ends when the caller leaves.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -86,6 +109,21 @@
 	watching bool
 	// woken wakes a watch that can't read ahead.
 	woken chan struct{}
+	// permits is how many requests may be handled that were sent before the answers to
+	// earlier ones; queued is set while the connection waits for a permit.
+	permits int
+	queued  bool
+
+	account *charger.Account
+	// acknowledged returns how many bytes the caller has acknowledged; nil if unknown.
+	acknowledged func() int64
+	// phase is what the reading goroutine does, and cause is why it is to give up.
+	phase atomic.Int32
+	// reading is set while a body is read from the connection.
+	reading atomic.Bool
+	cause   atomic.Pointer[refusal]
+	// progress is used by the server's supervision only.
+	progress progress
 }
 
 func newConnection(s *Server, conn net.Conn) *connection {
@@ -95,29 +133,38 @@
 		remote: conn.RemoteAddr().String(),
 		woken:  make(chan struct{}, 1),
 
-		departed: newDeparture(conn),
+		departed:     newDeparture(conn),
+		acknowledged: newAcknowledged(conn),
 	}
 	c.reader = bufio.NewReaderSize(c.conn, readBufferSize)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
+	if a, ok := conn.RemoteAddr().(*net.TCPAddr); ok {
+		c.address = a.AddrPort().Addr()
+	}
+	c.account = s.config.Budget.Open(c, connectionCost)
 	return c
 }
 
 // serve reads and starts requests until the connection ends.
 func (c *connection) serve() {
 	defer c.server.remove(c)
+	defer c.release()
 	defer c.cancel()
 	err := c.serveRequests()
+	if cause := c.cause.Load(); cause != nil && err != nil {
+		err = cause
+	}
 	switch {
 	case err == nil, errors.Is(err, errSealed), errors.Is(err, os.ErrDeadlineExceeded):
 		c.countUnserved()
 		c.shutDown()
 		err = c.watch(func() bool { return c.active == 0 })
 	case errors.Is(err, errHTTP2):
-		c.server.http2.take(c.conn.Conn, c.reader, func(err error) {
+		c.server.http2.take(c.conn, c.reader, func(err error) {
 			c.server.config.Logger.Error("serving HTTP/2 failed", "error", err)
 		})
 		return
-	case trace.IsBadParameter(err), trace.IsLimitExceeded(err):
+	case trace.IsBadParameter(err), trace.IsLimitExceeded(err), c.cause.Load() != nil:
 		err = c.refuse(err)
 	}
 	if err != nil {
@@ -140,7 +187,7 @@
 		if err != nil || n == 0 {
 			return
 		}
-		r, err := parseHead(c.reader, hasHost(data[:n]))
+		r, err := parseHead(c.reader, data[:n])
 		if err != nil {
 			return
 		}
@@ -161,23 +208,13 @@
 			return err
 		}
 		w := newResponse(c, r)
-		if err := c.watch(func() bool { return c.mayStart(w) }); err != nil {
-			w.cancel()
+		if err := c.prepare(w); err != nil {
+			w.giveUp()
 			c.server.config.Unserved(r)
 			return err
 		}
-		if c.hasLeft() {
-			w.cancel()
-			c.server.config.Unserved(r)
-			return errLeft
-		}
-		if !c.start(w) {
-			w.cancel()
-			c.server.config.Unserved(r)
-			return errSealed
-		}
 		if w.body != nil {
-			if !c.await(w.body.over) {
+			if !c.awaitBody(w.body) {
 				return errLeft
 			}
 			if !w.body.whole() {
@@ -192,6 +229,26 @@
 	}
 }
 
+// prepare starts a request once it may be handled and its body is there.
+func (c *connection) prepare(w *response) error {
+	if err := c.watch(func() bool { return c.mayStart(w) }); err != nil {
+		return err
+	}
+	if c.hasLeft() {
+		return errLeft
+	}
+	if c.isSealed() {
+		return errSealed
+	}
+	if err := c.hold(w); err != nil {
+		return err
+	}
+	if !c.start(w) {
+		return errSealed
+	}
+	return nil
+}
+
 // hasLeft reports whether the caller is known to have left, although what it sent before
 // was not read yet.
 func (c *connection) hasLeft() bool {
@@ -220,8 +277,16 @@
 	}
 }
 
+// awaitBody waits until a body is over, while its request is handled.
+func (c *connection) awaitBody(b *requestBody) bool {
+	c.phase.Store(phaseStream)
+	defer c.phase.Store(phaseIdle)
+	return c.await(b.over)
+}
+
 // readRequest reads the next request's head.
 func (c *connection) readRequest() (*http.Request, error) {
+	c.shrink()
 	err := c.watch(func() bool { return c.reader.Buffered() > 0 || c.sealed || c.closing && c.active == 0 })
 	if err != nil {
 		return nil, err
@@ -229,17 +294,20 @@
 	if c.isSealed() || c.reader.Buffered() == 0 && !c.hasArrived() {
 		return nil, errSealed
 	}
-	head, err := c.peekHead()
+	limits := c.server.limits()
+	c.phase.Store(phaseHead)
+	defer c.phase.Store(phaseIdle)
+	head, err := c.peekHead(limits)
 	if err != nil {
 		return nil, err
 	}
-	if len(head) > c.server.config.MaxHeaderBytes {
+	if len(head) > limits.HeaderBytes || parser.CountFields(head) > limits.Fields {
 		return nil, errHeadTooLarge
 	}
 	if c.server.http2 != nil && c.last == nil && bytes.HasPrefix(head, []byte(preface)) {
 		return nil, errHTTP2
 	}
-	return parseHead(c.reader, hasHost(head))
+	return parseHead(c.reader, head)
 }
 
 // hasArrived reports whether a request has arrived that was not read when the wait for it was
@@ -252,7 +320,7 @@
 }
 
 // peekHead waits until the next request's head is buffered completely, and returns it.
-func (c *connection) peekHead() ([]byte, error) {
+func (c *connection) peekHead(limits Limits) ([]byte, error) {
 	searched := 0
 	limited := false
 	for {
@@ -264,19 +332,24 @@
 			return data[:n], nil
 		}
 		searched = len(data)
-		if searched > c.server.config.MaxHeaderBytes {
+		if searched > limits.HeaderBytes {
 			return nil, errHeadTooLarge
 		}
 		if searched == c.reader.Size() {
-			c.reader = bufio.NewReaderSize(c.reader, 2*searched)
+			if !c.enlarge(limits.HeaderBytes + 1) {
+				return nil, errLeft
+			}
 			searched = 0
 		}
 		if !limited {
 			limited = true
-			_ = c.conn.SetReadDeadline(time.Now().Add(c.server.config.HeaderTimeout))
+			_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 			defer func() { _ = c.conn.SetReadDeadline(time.Time{}) }()
 		}
 		if _, err := c.reader.Peek(searched + 1); err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				c.cause.CompareAndSwap(nil, refusedSlowHead)
+			}
 			return nil, trace.Wrap(err)
 		}
 	}
@@ -347,12 +420,14 @@
 // mayStart reports whether a request can be handled now, or never. The lock is held.
 func (c *connection) mayStart(w *response) bool {
 	switch {
-	case c.sealed || c.active == 0:
+	case c.sealed || c.active == 0 && !w.behind:
 		return true
-	case c.closing || c.active >= c.server.config.MaxConcurrent:
+	case c.closing && c.active > 0 || c.active >= c.server.config.MaxConcurrent:
+		return false
+	case c.active > 0 && !w.mayStartEarly():
 		return false
 	}
-	return w.mayStartEarly()
+	return c.hasPermit() && (c.active == 0 || w.takeEarly())
 }
 
 // start handles a request. It returns false if the connection is closing.
@@ -367,6 +442,10 @@
 	}
 	c.last = w
 	c.active++
+	if w.behind {
+		w.permitted = true
+		c.permits--
+	}
 	c.handlers.Add(1)
 	c.server.handlers.Do(w.serve)
 	return true
@@ -447,12 +526,10 @@
 	if !c.sealNow() {
 		return nil
 	}
-	status := "400 Bad Request"
-	if errors.Is(cause, errHeadTooLarge) {
-		status = "431 Request Header Fields Too Large"
-	}
-	c.server.config.Logger.Debug("malformed request refused", "cause", cause, "status", status)
-	_, err := io.WriteString(c.conn, "HTTP/1.1 "+status+"\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"+status)
+	r := refusalFor(cause)
+	c.server.noteRefused(c, r)
+	_ = c.conn.SetWriteDeadline(time.Now().Add(leftWriteTimeout))
+	_, err := io.WriteString(c.conn, "HTTP/1.1 "+r.status+"\r\n"+r.fields+"Content-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"+r.status)
 	return trace.Wrap(err)
 }
 
@@ -463,5 +540,7 @@
 		return
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, _ = io.Copy(io.Discard, c.reader)
+	chunk := chunks.Get().(*[]byte)
+	defer chunks.Put(chunk)
+	_, _ = io.CopyBuffer(io.Discard, onlyReader{c.conn}, *chunk)
 }
--- a/pipeliner/departure_linux.go
+++ b/pipeliner/departure_linux.go
@@ -12,6 +12,23 @@
 // connection, also if there are bytes to read before the end; nil if that can't be
 // determined.
 func newDeparture(conn net.Conn) func() bool {
+	control := newControl(conn)
+	if control == nil {
+		return nil
+	}
+	left := false
+	check := func(fd uintptr) {
+		info, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		left = err == nil && hasEnded(info)
+	}
+	return func() bool {
+		// An error means that this end is closed.
+		return control.Control(check) == nil && left
+	}
+}
+
+// newControl returns the access to the socket of a connection; nil if there is none.
+func newControl(conn net.Conn) syscall.RawConn {
 	if secured, ok := conn.(interface{ NetConn() net.Conn }); ok {
 		conn = secured.NetConn()
 	}
@@ -23,14 +40,24 @@
 	if err != nil {
 		return nil
 	}
-	left := false
-	check := func(fd uintptr) {
-		info, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		left = err == nil && hasEnded(info)
+	return control
+}
+
+// newAcknowledged returns a function that returns how many bytes the caller's kernel has
+// acknowledged; nil if that can't be determined.
+func newAcknowledged(conn net.Conn) func() int64 {
+	control := newControl(conn)
+	if control == nil {
+		return nil
 	}
-	return func() bool {
-		// An error means that this end is closed.
-		return control.Control(check) == nil && left
+	return func() int64 {
+		var out int64
+		_ = control.Control(func(fd uintptr) {
+			if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+				out = int64(info.Bytes_acked)
+			}
+		})
+		return out
 	}
 }
 
--- a/pipeliner/departure_other.go
+++ b/pipeliner/departure_other.go
@@ -8,3 +8,8 @@
 func newDeparture(net.Conn) func() bool {
 	return nil
 }
+
+// newAcknowledged returns nil: what the caller has acknowledged can't be determined.
+func newAcknowledged(net.Conn) func() int64 {
+	return nil
+}
--- a/pipeliner/handover.go
+++ b/pipeliner/handover.go
@@ -6,6 +6,19 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
+
+	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam/charger"
+)
+
+const (
+	// maxHTTP2Connections limits the open HTTP/2 connections. Each carries several requests.
+	maxHTTP2Connections = 64
+	// http2Cost is the estimated memory of an HTTP/2 connection in bytes: its buffers for
+	// frames and header compression, and its goroutines.
+	http2Cost = 128 << 10
 )
 
 // preface is the beginning of an HTTP/2 connection (RFC 9113, section 3.4).
@@ -14,15 +27,18 @@
 // handOver passes accepted connections to another server. It is that server's listener.
 type handOver struct {
 	server *http.Server
+	budget *charger.Budget
+	open   atomic.Int64
 	once   sync.Once
 	conns  chan net.Conn
 	closed chan struct{}
 	close  func()
 }
 
-func newHandOver(server *http.Server) *handOver {
+func newHandOver(server *http.Server, budget *charger.Budget) *handOver {
 	h := &handOver{
 		server: server,
+		budget: budget,
 		conns:  make(chan net.Conn),
 		closed: make(chan struct{}),
 	}
@@ -31,7 +47,7 @@
 }
 
 // take makes the other server serve a connection of which some bytes were read already.
-func (h *handOver) take(conn net.Conn, read *bufio.Reader, failed func(error)) {
+func (h *handOver) take(conn *receivingConn, read *bufio.Reader, failed func(error)) {
 	h.once.Do(func() {
 		go func() {
 			if err := h.server.Serve(h); err != nil && !errors.Is(err, http.ErrServerClosed) {
@@ -40,10 +56,17 @@
 			h.close()
 		}()
 	})
+	if h.open.Add(1) > maxHTTP2Connections {
+		h.open.Add(-1)
+		_ = conn.Close()
+		return
+	}
+	c := &replayedConn{receivingConn: conn, read: read, hand: h}
+	c.account = h.budget.Open(c, http2Cost)
 	select {
-	case h.conns <- replayedConn{Conn: conn, read: read}:
+	case h.conns <- c:
 	case <-h.closed:
-		_ = conn.Close()
+		_ = c.Close()
 	}
 }
 
@@ -68,13 +91,43 @@
 	return &net.TCPAddr{}
 }
 
-// replayedConn reads through a buffer that was filled from the connection before.
+// replayedConn is a connection that is passed on. It reads through a buffer that was filled
+// from the connection before.
 type replayedConn struct {
-	net.Conn
-	read *bufio.Reader
+	*receivingConn
+	read    *bufio.Reader
+	hand    *handOver
+	account *charger.Account
+	// active counts the requests that are being handled.
+	active atomic.Int64
+	once   sync.Once
 }
 
 // Read implements net.Conn.
-func (c replayedConn) Read(p []byte) (int, error) {
+func (c *replayedConn) Read(p []byte) (int, error) {
 	return c.read.Read(p)
 }
+
+// Close implements net.Conn.
+func (c *replayedConn) Close() error {
+	c.once.Do(func() {
+		c.hand.open.Add(-1)
+		c.account.Close(http2Cost)
+	})
+	return trace.Wrap(c.receivingConn.Close())
+}
+
+// State implements charger.Peer.
+func (c *replayedConn) State() charger.State {
+	active := c.active.Load() > 0
+	return charger.State{
+		Moved: c.count.Load() + c.written.Load(),
+		Waits: active && c.writes.Load()%2 == 0,
+		Idle:  !active,
+	}
+}
+
+// Evict implements charger.Peer.
+func (c *replayedConn) Evict() {
+	_ = c.Close()
+}
--- a/pipeliner/head.go
+++ b/pipeliner/head.go
@@ -6,7 +6,8 @@
 	"net/http"
 
 	"github.com/gravitational/trace"
-	"golang.org/x/net/http/httpguts"
+
+	"waxwingseam.example/waxwingseam/parser"
 )
 
 // headLength returns the length of the request head at the beginning of data, with its
@@ -29,36 +30,15 @@
 	}
 }
 
-// hasHost reports whether a request head has a host field, which may be empty.
-// http.ReadRequest refuses a head with several, and accepts one without any.
-func hasHost(head []byte) bool {
-	for line := range bytes.Lines(head) {
-		name, _, ok := bytes.Cut(line, []byte(":"))
-		if ok && bytes.EqualFold(name, []byte("host")) {
-			return true
-		}
-	}
-	return false
-}
-
 // parseHead parses the request of which the reader has buffered the whole head.
-func parseHead(reader *bufio.Reader, hasHost bool) (*http.Request, error) {
-	r, err := http.ReadRequest(reader)
+func parseHead(reader *bufio.Reader, head []byte) (*http.Request, error) {
+	r, err := parser.Parse(head)
 	if err != nil {
-		return nil, trace.BadParameter("%s", err.Error())
-	}
-	switch {
-	case r.ProtoMajor != 1:
-		return nil, trace.BadParameter("the version of the protocol is not supported")
-	case !hasHost && r.ProtoAtLeast(1, 1):
-		return nil, trace.BadParameter("the request has no host field")
-	case !httpguts.ValidHostHeader(r.Host):
-		return nil, trace.BadParameter("the host field is malformed")
+		return nil, err
 	}
-	for name := range r.Header {
-		if !httpguts.ValidHeaderFieldName(name) {
-			return nil, trace.BadParameter("a header name is malformed")
-		}
+	if _, err := reader.Discard(len(head)); err != nil {
+		return nil, trace.Wrap(err)
 	}
+	r.Body = parser.NewBody(r, reader)
 	return r, nil
 }
--- a/pipeliner/response.go
+++ b/pipeliner/response.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam/charger"
 )
 
 // holdLimit is how many bytes of a body are held until its length is known or the turn
@@ -34,6 +36,13 @@
 	body *requestBody
 	// early caches mayStartEarly.
 	early *bool
+	// behind is set if the request was sent before an earlier one was answered, and
+	// permitted while it holds a permit for that.
+	behind    bool
+	permitted bool
+	// reserved is what the request holds for being handled early, and cost what its head
+	// and its handling hold.
+	reserved, cost int64
 	// turn is closed once the earlier answers are written; nil if they are already.
 	turn <-chan struct{}
 
@@ -58,7 +67,7 @@
 		header:     http.Header{},
 		length:     -1,
 	}
-	ctx := context.Context(&requestContext{Context: c.ctx, received: c.conn.received})
+	ctx := context.Context(&requestContext{Context: c.ctx, received: c.conn.received, account: c.account})
 	ctx, w.cancel = context.WithCancel(ctx)
 	r.RemoteAddr = c.remote
 	if r.ContentLength != 0 {
@@ -66,9 +75,38 @@
 		r.Body = w.body
 	}
 	w.request = r.WithContext(ctx)
+	w.cost = handlingCost + headCost(r)
+	c.account.Add(w.cost)
+	c.mu.Lock()
+	w.behind = c.active > 0
+	c.mu.Unlock()
 	return w
 }
 
+// giveUp ends a request that is not handled.
+func (w *response) giveUp() {
+	w.cancel()
+	w.settle()
+}
+
+// settle releases what the request holds.
+func (w *response) settle() {
+	w.connection.account.Add(-w.cost - w.reserved)
+	w.cost, w.reserved = 0, 0
+	if w.body != nil {
+		w.body.drop()
+	}
+	w.releasePermit()
+}
+
+// takeEarly takes memory for the answer of a request that is handled early.
+func (w *response) takeEarly() bool {
+	if w.reserved == 0 && w.connection.account.Take(charger.UseEarly, earlyCost) {
+		w.reserved = earlyCost
+	}
+	return w.reserved > 0
+}
+
 // mayStartEarly reports whether the request may be handled before earlier ones are
 // answered.
 func (w *response) mayStartEarly() bool {
@@ -83,18 +121,31 @@
 type requestContext struct {
 	context.Context
 	received time.Time
+	account  *charger.Account
 }
 
 type receivedKey struct{}
 
+type accountKey struct{}
+
 // Value implements context.Context.
 func (c *requestContext) Value(key any) any {
-	if key == (receivedKey{}) {
+	switch key {
+	case receivedKey{}:
 		return c.received
+	case accountKey{}:
+		return c.account
 	}
 	return c.Context.Value(key)
 }
 
+// Account returns the account of the connection that a request came over; nil if there is
+// none.
+func Account(r *http.Request) *charger.Account {
+	a, _ := r.Context().Value(accountKey{}).(*charger.Account)
+	return a
+}
+
 // Received returns when a request was received, which may be earlier than its handling;
 // false if that is unknown.
 func Received(r *http.Request) (time.Time, bool) {
@@ -117,6 +168,7 @@
 	c := w.connection
 	defer c.handlers.Done()
 	defer c.answered(w)
+	defer w.settle()
 	defer w.cancel()
 	defer func() {
 		if p := recover(); p != nil {
@@ -248,13 +300,14 @@
 	if w.begun {
 		return nil
 	}
+	w.releasePermit()
 	if err := w.waitTurn(); err != nil {
 		return err
 	}
 	w.begun = true
 	c := w.connection
 	c.writer = writers.Get().(*bufio.Writer)
-	c.writer.Reset(c.conn.Conn)
+	c.writer.Reset(c.conn)
 	w.writeHead(c.writer)
 	held := w.held
 	w.held = nil
--- a/pipeliner/server.go
+++ b/pipeliner/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/gravitational/trace"
 
+	"waxwingseam.example/waxwingseam/charger"
 	"waxwingseam.example/waxwingseam/worker"
 )
 
@@ -43,6 +44,22 @@
 	HeaderTimeout time.Duration
 	// MaxHeaderBytes limits the length of a request's header; 0 means 64 KiB.
 	MaxHeaderBytes int
+	// Limits returns the limits that are in force; nil for the defaults. Its zero fields
+	// select MaxHeaderBytes, HeaderTimeout, or the default.
+	Limits func() Limits
+	// HoldsBody reports whether the body of a request is read before the request is
+	// handled, as far as it can be held. Otherwise the handler is called at once. If it is
+	// nil, no body is held.
+	HoldsBody func(*http.Request) bool
+	// MaxConnections limits the open connections; 0 means 2,000. At the limit, a connection
+	// without progress makes room for a new one.
+	MaxConnections int
+	// Budget bounds the memory that is held for callers; nil selects one of this server's
+	// own with the default bound.
+	Budget *charger.Budget
+	// Refused is called with a reason for each connection that is refused or closed because
+	// of a limit; it may be nil.
+	Refused func(reason string)
 	// Unserved is called for each request that was read but not handled, because its
 	// connection was closed first; it may be nil.
 	Unserved func(*http.Request)
@@ -57,6 +74,10 @@
 	config   Config
 	handlers worker.Pool
 	http2    *handOver
+	// streams has an element for each body that is handled before it is whole.
+	streams chan struct{}
+	permits permits
+	refused refusals
 
 	mu          sync.Mutex
 	listeners   map[net.Listener]struct{}
@@ -64,6 +85,8 @@
 	closing     bool
 	// empty is closed once the server is closing and has no connection.
 	empty chan struct{}
+	// supervised is set once the connections are supervised.
+	supervised bool
 }
 
 // New returns a server without listeners.
@@ -80,6 +103,15 @@
 	if config.Repeatable == nil {
 		config.Repeatable = func(*http.Request) bool { return false }
 	}
+	if config.HoldsBody == nil {
+		config.HoldsBody = func(*http.Request) bool { return false }
+	}
+	if config.MaxConnections == 0 {
+		config.MaxConnections = defaultMaxConnections
+	}
+	if config.Budget == nil {
+		config.Budget = charger.New(0)
+	}
 	if config.Unserved == nil {
 		config.Unserved = func(*http.Request) {}
 	}
@@ -92,9 +124,11 @@
 		listeners:   map[net.Listener]struct{}{},
 		connections: map[*connection]struct{}{},
 		empty:       make(chan struct{}),
+		streams:     make(chan struct{}, maxStreamed),
 	}
+	s.permits.free = maxBehind
 	if config.HTTP2 != nil {
-		s.http2 = newHandOver(config.HTTP2)
+		s.http2 = newHandOver(config.HTTP2, config.Budget)
 	}
 	return s
 }
@@ -107,6 +141,7 @@
 		return http.ErrServerClosed
 	}
 	defer s.removeListener(listener)
+	s.startSupervision()
 	delay := time.Duration(0)
 	for {
 		conn, err := listener.Accept()
@@ -127,10 +162,12 @@
 }
 
 func (s *Server) serve(conn net.Conn) {
+	s.makeRoom()
 	c := newConnection(s, conn)
 	s.mu.Lock()
 	if s.closing {
 		s.mu.Unlock()
+		c.account.Close(connectionCost)
 		_ = conn.Close()
 		return
 	}
@@ -221,6 +258,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.connections, c)
+	s.permits.forget(c)
 	if s.closing && len(s.connections) == 0 {
 		close(s.empty)
 	}
