forwarder, assembler: bodies and replies charged to the budget, caller limits in force at the entry

Cause: buffers of bodies had no bound in all; the caller limit of the set was not applied. Change: buffers, attempts and replies are charged; a reply behind its first 32 KiB is read no further while memory is short; an attempt without memory is answered as one that did not run. Heads, bodies and idle times follow the set's caller limit; bodies are held until whole; 413 is answered only for what did not run. Readiness, heartbeats and metrics have servers of their own with small limits. Metrics waxwingseam_held_bytes, waxwingseam_clients_refused_total.

--- a/assembler/node.go
+++ b/assembler/node.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/charger"
 	"waxwingseam.example/waxwingseam/forwarder"
 	"waxwingseam.example/waxwingseam/logger"
 	"waxwingseam.example/waxwingseam/messenger"
@@ -38,8 +39,13 @@
 	// Connections bounds the connections to the backend server; 0 selects the
 	// forwarder's default.
 	Connections int
-	Messenger   *messenger.Server
-	Dialer      messenger.Dialer
+	// Budget bounds the memory that is held for peers; nil for no bound.
+	Budget *charger.Budget
+	// BodyLimit returns the limit in force of the length of a request body in bytes, 0 for
+	// none; it may be nil.
+	BodyLimit func() int64
+	Messenger *messenger.Server
+	Dialer    messenger.Dialer
 	// Founding asks control whether a server incarnation may found the view of
 	// its service; nil if every incarnation may.
 	Founding  func(ctx context.Context, e waxwingseam.AskFounding) bool
@@ -129,6 +135,8 @@
 		NewTrace:    config.NewTrace,
 		BadRequest:  config.BadRequest,
 		Arbitrated:  true,
+		Budget:      config.Budget,
+		BodyLimit:   config.BodyLimit,
 
 		Callers:       config.Interface.Callers,
 		BackendServer: config.Interface.Backend,
--- a/assembler/process.go
+++ b/assembler/process.go
@@ -13,6 +13,7 @@
 
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/authenticator"
+	"waxwingseam.example/waxwingseam/charger"
 	"waxwingseam.example/waxwingseam/controller"
 	"waxwingseam.example/waxwingseam/founder"
 	"waxwingseam.example/waxwingseam/loader"
@@ -60,8 +61,11 @@
 	interests      *interests
 	revisions      *revisionObserver
 	repeatability  *repeatability
-	entryPoints    *entryPoints
-	controller     controller.Controller
+	limits         *callerLimits
+	// budget bounds the memory that is held for peers.
+	budget      *charger.Budget
+	entryPoints *entryPoints
+	controller  controller.Controller
 }
 
 // tlsConfigs holds the TLS configurations of a process; all are nil for plain
@@ -81,7 +85,10 @@
 		extraObservers: config.Observers,
 		newExporter:    config.NewExporter,
 		meter:          meter.New(),
+		limits:         &callerLimits{},
+		budget:         charger.New(charger.Bound(config.Settings.Process.MemoryLimit)),
 	}
+	p.meter.WatchBudget(p.budget)
 	steps := []func(context.Context) error{
 		p.loadTLS,
 		p.openMessenger,
@@ -200,6 +207,8 @@
 	p.repeatability = &repeatability{}
 	p.entryPoints = newEntryPoints()
 	node, err := NewNode(NodeConfig{
+		Budget:      p.budget,
+		BodyLimit:   p.limits.bodyBytes,
 		Self:        self,
 		Backend:     settings.BackendAddress,
 		Messenger:   p.messenger,
@@ -265,7 +274,7 @@
 		Logger: p.logger.Part("node"),
 		Usage:  sampler.New().Sample,
 	})
-	observers := []runner.Observer{p.meter, eventLog, p.interests, p.revisions, p.entryPoints, p.repeatability}
+	observers := []runner.Observer{p.meter, eventLog, p.interests, p.revisions, p.entryPoints, p.repeatability, p.limits}
 	if p.tracer != nil {
 		observers = append(observers, p.tracer)
 	}
--- a/assembler/repeatability.go
+++ b/assembler/repeatability.go
@@ -23,6 +23,17 @@
 	}
 }
 
+// unknown reports whether the configuration in force has no class for a request. It is
+// false while there is no configuration.
+func (p *repeatability) unknown(r waxwingseam.Request) bool {
+	classes := p.classes.Load()
+	if classes == nil {
+		return false
+	}
+	_, ok := (*classes).Classify(r)
+	return !ok
+}
+
 // of returns a function that reports whether a request may run more than once, given
 // the function that returns the parts of a request by which its class is found. No
 // request may while there is no configuration.
--- a/assembler/serving.go
+++ b/assembler/serving.go
@@ -11,9 +11,6 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
-
-	"waxwingseam.example/waxwingseam/forwarder"
-	"waxwingseam.example/waxwingseam/pipeliner"
 )
 
 // errStopped is the cause with which the process ends in an orderly way.
@@ -161,7 +158,7 @@
 	f := p.node.Forwarder
 	if address := p.settings.Node.HeartbeatAddress; address.IsValid() && p.external.Heartbeats != nil {
 		handler := refusalLogger{next: p.external.Heartbeats(p.node), logger: p.logger.Part("heartbeats")}
-		if err := serveHTTP(ctx, group, address, handler); err != nil {
+		if err := p.serveChecks(ctx, group, address, handler); err != nil {
 			return err
 		}
 	}
@@ -187,13 +184,7 @@
 	if err != nil {
 		return err
 	}
-	serveListener(ctx, group, listener, pipeliner.New(pipeliner.Config{
-		Handler:    handler,
-		Repeatable: p.repeatability.of(p.node.Forwarder.MatchRequest),
-		Unserved:   func(*http.Request) { p.meter.Unserved() },
-		HTTP2:      forwarder.NewServer(handler),
-		Logger:     p.logger.Part("callers"),
-	}))
+	serveListener(ctx, group, listener, p.callerServer(handler))
 	return nil
 }
 
@@ -216,16 +207,17 @@
 		return nil
 	}
 	ready := func() bool { return p.node == nil || p.node.Ready() }
-	return serveHTTP(ctx, group, address, p.external.Readiness(ready))
+	return p.serveChecks(ctx, group, address, p.external.Readiness(ready))
 }
 
-// serveHTTP serves a handler at an address until the context is done.
-func serveHTTP(ctx context.Context, group *errgroup.Group, address netip.AddrPort, handler http.Handler) error {
+// serveChecks serves the handler of readiness, heartbeats or metrics at an address until
+// the context is done.
+func (p *Process) serveChecks(ctx context.Context, group *errgroup.Group, address netip.AddrPort, handler http.Handler) error {
 	listener, err := listen(ctx, address)
 	if err != nil {
 		return err
 	}
-	serveListener(ctx, group, listener, forwarder.NewServer(handler))
+	serveListener(ctx, group, listener, p.checkServer(handler))
 	return nil
 }
 
--- a/assembler/telemetry.go
+++ b/assembler/telemetry.go
@@ -31,7 +31,7 @@
 	r.Delete("/v1/drain", p.drain(true))
 	r.Get("/v1/log-level", p.logLevel)
 	r.Put("/v1/log-level", p.setLogLevel)
-	return serveHTTP(ctx, group, address, r)
+	return p.serveChecks(ctx, group, address, r)
 }
 
 // readiness answers 204 while the node is ready, and in a process without a node.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -61,6 +61,7 @@
 		incarnation: e.Server.Incarnation,
 	}
 	a.reply = a.ownReply.init(&x.forwarder.gauge)
+	a.reply.account = x.account
 	a.reply.withheld = 1
 	a.digest.Reset()
 	return a
--- a/forwarder/buffer.go
+++ b/forwarder/buffer.go
@@ -6,12 +6,16 @@
 	"sync/atomic"
 
 	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam/charger"
 )
 
 // gauge counts the body bytes that a forwarder buffers.
 type gauge struct {
 	held atomic.Int64
 	peak atomic.Int64
+	// budget is charged for buffers without an account; it may be nil.
+	budget *charger.Budget
 }
 
 func (g *gauge) add(n int) {
@@ -29,7 +33,9 @@
 // the limit stays buffered completely.
 type buffer struct {
 	gauge *gauge
-	limit int
+	// account is charged for the bytes; nil if the peer has none of its own.
+	account *charger.Account
+	limit   int
 
 	mu      sync.Mutex
 	changed sync.Cond
@@ -99,7 +105,7 @@
 
 func (b *buffer) put(p []byte) {
 	b.data = append(b.data, p...)
-	b.gauge.add(len(p))
+	b.charge(len(p))
 	b.changed.Broadcast()
 }
 
@@ -138,7 +144,7 @@
 	}
 	b.data = append(b.data[:0], b.data[n:]...)
 	b.base += int64(n)
-	b.gauge.add(-n)
+	b.charge(-n)
 }
 
 // end marks the body as whole.
@@ -164,7 +170,7 @@
 	b.fail(err)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.gauge.add(-len(b.data))
+	b.charge(-len(b.data))
 	b.base += int64(len(b.data))
 	b.data = nil
 }
--- a/forwarder/entry.go
+++ b/forwarder/entry.go
@@ -48,11 +48,35 @@
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxServerHeaderBytes,
 		Protocols:         protocols,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams:          maxStreams,
+			MaxReadFrameSize:              maxReadFrame,
+			MaxReceiveBufferPerConnection: maxStreams * streamWindow,
+			MaxReceiveBufferPerStream:     streamWindow,
+			MaxDecoderHeaderTableSize:     headerTable,
+			MaxEncoderHeaderTableSize:     headerTable,
+			SendPingTimeout:               pingTimeout,
+			PingTimeout:                   pingTimeout,
+			WriteByteTimeout:              writeTimeout,
+		},
 	}
 }
 
+// The bounds of an HTTP/2 connection. With them it holds 400 KB at most, besides answers.
+const (
+	maxStreams           = 16
+	streamWindow         = 16 << 10
+	maxReadFrame         = 16 << 10
+	headerTable          = 4 << 10
+	maxServerHeaderBytes = 16 << 10
+	pingTimeout          = 5 * time.Second
+	writeTimeout         = 5 * time.Second
+	idleTimeout          = 15 * time.Second
+)
+
 // headerTimeout limits how long reading a request's headers may take.
 const headerTimeout = 10 * time.Second
 
@@ -79,7 +103,7 @@
 		e.forwarder.badRequest(w, waxwingseam.ReasonDraining, "")
 		return
 	}
-	if r.ContentLength > e.forwarder.config.MaxBody {
+	if r.ContentLength > e.forwarder.maxBody() {
 		e.forwarder.badRequest(w, waxwingseam.ReasonTooLarge, "")
 		return
 	}
@@ -144,7 +168,7 @@
 	if c.request.ContentLength != 0 {
 		control = http.NewResponseController(c.writer)
 		_ = control.EnableFullDuplex()
-		body = http.MaxBytesReader(nil, c.request.Body, c.forwarder.config.MaxBody)
+		body = http.MaxBytesReader(nil, c.request.Body, c.forwarder.maxBody())
 	}
 	readAhead := c.request.ContentLength >= 0 && c.request.ContentLength <= readAheadLimit
 	if readAhead {
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -10,6 +10,8 @@
 	"github.com/gravitational/trace"
 
 	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/charger"
+	"waxwingseam.example/waxwingseam/pipeliner"
 )
 
 // errCallOver fails the bodies of a call that has ended or was abandoned.
@@ -25,7 +27,9 @@
 	host      string
 	header    http.Header
 	// length is the declared length of the request body; -1 if unknown.
-	length  int64
+	length int64
+	// account is that of the caller's connection; nil if it has none.
+	account *charger.Account
 	body    *buffer
 	ownBody buffer
 	// replied receives the answer of the call.
@@ -52,7 +56,9 @@
 		replied:   make(chan waxwingseam.Reply, 1),
 		started:   make(chan *attempt, 1),
 	}
+	x.account = pipeliner.Account(r)
 	x.body = x.ownBody.init(&f.gauge)
+	x.body.account = x.account
 	x.body.onTrim = x.reportBodyConsumed
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 	"storj.io/drpc/drpcconn"
 
 	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/charger"
 	"waxwingseam.example/waxwingseam/messenger"
 	"waxwingseam.example/waxwingseam/worker"
 )
@@ -85,8 +86,12 @@
 	// a key may run again after all nodes of a service were lost at once.
 	Founding func(ctx context.Context, e waxwingseam.AskFounding) bool
 	Logger   *slog.Logger
-	// MaxBody limits the length of a request body in bytes; 0 means 1 GiB.
-	MaxBody int64
+	// MaxBody limits the length of a request body in bytes; 0 means 1 GiB. BodyLimit
+	// returns the limit of the configuration in force, 0 for none; it may be nil.
+	MaxBody   int64
+	BodyLimit func() int64
+	// Budget is charged for what is held for peers; nil for no bound.
+	Budget *charger.Budget
 	// Callers and BackendServer are the HTTP protocols; they default to the
 	// project's own.
 	Callers       waxwingseam.CallerProtocol
@@ -159,6 +164,7 @@
 		fenceAnswers:   map[waxwingseam.CallID][]chan waxwingseam.AnswerFence{},
 		witnessAnswers: map[uint64]chan waxwingseam.WitnessAnswer{},
 	}
+	f.gauge.budget = config.Budget
 	f.SetIncarnation(config.Self.Incarnation)
 	return f
 }
--- a/forwarder/inbound.go
+++ b/forwarder/inbound.go
@@ -21,6 +21,8 @@
 	ownChannel channel
 	// received is when the opening frame was received.
 	received time.Time
+	// cost is what the attempt is charged with, besides its bodies.
+	cost int64
 
 	disconnected atomic.Bool
 	// unconfirmed is set while the sending node is asked whether the attempt, which
@@ -65,6 +67,8 @@
 		received:  time.Now(),
 	}
 	in.changed.L = &in.mu
+	in.cost = openingCost(o)
+	f.charge(in.cost)
 	in.call = f.hostedCallFor(o)
 	if first.Whole {
 		in.call.addWhole(first)
@@ -155,6 +159,7 @@
 	in.disconnect()
 	in.channel.stop()
 	f := in.forwarder
+	f.charge(-in.cost)
 	f.mu.Lock()
 	if f.inbounds[in.key()] == in {
 		delete(f.inbounds, in.key())
--- a/forwarder/reply.go
+++ b/forwarder/reply.go
@@ -12,11 +12,14 @@
 // reports whether the stream can carry another attempt.
 func (a *attempt) receiveReply(c *channel, f *frame) (result waxwingseam.Result, keep bool, err error) {
 	for {
-		if err := c.receive(f); err != nil {
-			return waxwingseam.Result{}, false, err
+		release := a.awaitMemory(c)
+		err := c.receive(f)
+		if err == nil {
+			a.exchange.body.release(f.Consumed)
+			err = a.handleFrame(*f)
 		}
-		a.exchange.body.release(f.Consumed)
-		if err := a.handleFrame(*f); err != nil {
+		release()
+		if err != nil {
 			return waxwingseam.Result{}, false, err
 		}
 		if f.Kind == frameResult && f.Result != nil {
--- a/forwarder/session.go
+++ b/forwarder/session.go
@@ -110,9 +110,11 @@
 	}
 	s.forgetDelivered()
 	s.current = s.forwarder.acceptAttempt(s.stream, f)
-	if s.late(f.Open) {
+	switch {
+	case s.current.refuseWithoutMemory():
+	case s.late(f.Open):
 		s.current.askConfirmation()
-	} else {
+	default:
 		s.current.report()
 	}
 	select {
--- a/loader/keys.go
+++ b/loader/keys.go
@@ -45,6 +45,11 @@
 	{sectionProcess, "drain-time", false, "", duration("drain-time", func(s *Settings) *time.Duration { return &s.Process.DrainTime })},
 	{sectionProcess, "drain-limit", false, "", duration("drain-limit", func(s *Settings) *time.Duration { return &s.Process.DrainLimit })},
 	{sectionProcess, "memory-limit", false, "", parseMemoryLimit},
+	{sectionProcess, "body-rate", false, "", wholeNumber("body-rate", maxRate, func(s *Settings) *int { return &s.Process.BodyRate })},
+	{sectionProcess, "reply-rate", false, "", wholeNumber("reply-rate", maxRate, func(s *Settings) *int { return &s.Process.ReplyRate })},
+	{sectionProcess, "progress-grace", false, "", duration("progress-grace", func(s *Settings) *time.Duration { return &s.Process.ProgressGrace })},
+	{sectionProcess, "header-fields", false, "", wholeNumber("header-fields", maxHeaderFields, func(s *Settings) *int { return &s.Process.HeaderFields })},
+	{sectionProcess, "caller-connections", false, "", wholeNumber("caller-connections", maxConnections, func(s *Settings) *int { return &s.Process.CallerConnections })},
 	{sectionProcess, "control-addresses", true, "control-seeds", parseControlAddresses},
 	{sectionProcess, "control-seeds", false, "", parseControlSeeds},
 	{sectionProcess, "log-level", false, "", parseLogLevel},
@@ -190,6 +195,12 @@
 const (
 	// maxToleratedLosses bounds the disk losses that a cluster is configured to tolerate.
 	maxToleratedLosses = 8
+	// maxRate bounds body-rate and reply-rate, in bytes per second.
+	maxRate = 1 << 20
+	// maxHeaderFields bounds header-fields.
+	maxHeaderFields = 4096
+	// maxConnections bounds caller-connections.
+	maxConnections = 1 << 20
 	// maxRetrySlack bounds retry-slack, the number of repeated calls allowed in
 	// addition to retry-ratio times the number of roots.
 	maxRetrySlack = 1_000_000
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -49,8 +49,18 @@
 	// MemoryLimit is the memory that the process may use, in bytes; 0 for no
 	// limit.
 	MemoryLimit int64
-	LogLevel    slog.Level
-	LogFormat   logger.Format
+	// BodyRate and ReplyRate are the least bytes per second that a caller has to send of a
+	// request body and to read of an answer, and ProgressGrace is how long either may take
+	// beyond that; 0 selects the defaults of pipeliner.Limits.
+	BodyRate      int
+	ReplyRate     int
+	ProgressGrace time.Duration
+	// HeaderFields is the most header fields of a request, and CallerConnections the most
+	// open connections of callers; 0 selects the defaults.
+	HeaderFields      int
+	CallerConnections int
+	LogLevel          slog.Level
+	LogFormat         logger.Format
 	// TraceEndpoint is the OTLP collector's URL; nil for none.
 	TraceEndpoint *url.URL
 	// TraceSamplePercent is the percentage of new traces that are recorded.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -41,6 +41,7 @@
 	calls          callMetrics
 	runs           runMetrics
 	revision       prometheus.Gauge
+	refusedClients *prometheus.CounterVec
 	accountant     *accountant.Accountant
 	eventHandlers  map[waxwingseam.Kind]func(e waxwingseam.Event)
 	effectHandlers map[waxwingseam.Kind]func(now time.Time, e waxwingseam.Effect)
@@ -58,7 +59,8 @@
 		}),
 	}
 	m.registry.MustRegister(collectors.NewGoCollector(collectors.WithGoCollectorRuntimeMetrics(collectors.MetricsScheduler)), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	m.registry.MustRegister(m.revision)
+	m.refusedClients = newRefusedClients()
+	m.registry.MustRegister(m.revision, m.refusedClients)
 	m.registry.MustRegister(m.calls.collectors()...)
 	m.registry.MustRegister(m.runs.collectors()...)
 	m.accountant = accountant.New(accountant.Config{Spend: m.runs.spent, Idle: m.runs.idled, Cancelled: m.runs.cancelledRun})
