--- a/soaker/deployment.go
+++ b/soaker/deployment.go
@@ -36,6 +36,9 @@
 	server       *imitator.Imitator
 	path         *relay
 	entryAddress netip.AddrPort
+	// telemetryAddress serves the readiness checks.
+	telemetryAddress netip.AddrPort
+	memoryMB         int
 	// faultMu serializes the faults of the node's process.
 	faultMu sync.Mutex
 }
@@ -94,7 +97,10 @@
 }
 
 func newHost(ctx context.Context, config Config, n int, port uint16) (*host, error) {
-	h := &host{number: n, service: serviceDesk, entryAddress: netip.AddrPortFrom(hostIP(n), port+1)}
+	h := &host{
+		number: n, service: serviceDesk, entryAddress: netip.AddrPortFrom(hostIP(n), port+1),
+		telemetryAddress: netip.AddrPortFrom(hostIP(n), port+3), memoryMB: config.MemoryMB,
+	}
 	name := fmt.Sprintf("desk-%d", n+1)
 	if n >= config.ServersPerService {
 		h.service = serviceLedger
--- a/soaker/settings.go
+++ b/soaker/settings.go
@@ -37,6 +37,11 @@
 [wait-limit usual]
 wait = 1s
 waiting = 100
+[caller-limit usual]
+header-bytes = 16384
+body-bytes = 67108864
+header-timeout = 3s
+idle-timeout = 15s
 `
 
 // serviceObjects are a service and its request classes. The arguments are the
@@ -87,10 +92,10 @@
 
 const (
 	// basePort is the first port that is tried. A process uses portsPerProcess
-	// ports: one for other processes, and up to two for callers, its backend server
-	// or operators.
+	// ports: one for other processes, and up to three for callers, its backend server,
+	// readiness or operators.
 	basePort        = 17000
-	portsPerProcess = 3
+	portsPerProcess = 4
 	maxPortTries    = 200
 )
 
@@ -154,7 +159,8 @@
 }
 
 func (h *host) settings(name string, outbound netip.AddrPort, port uint16) string {
-	return processSettings(hostIP(h.number), port, h.number%replicaCount) + fmt.Sprintf(`[node]
+	limits := fmt.Sprintf("memory-limit = %d\ntelemetry-address = %s\n", h.memoryMB, h.telemetryAddress)
+	return processSettings(hostIP(h.number), port, h.number%replicaCount) + limits + fmt.Sprintf(`[node]
 server-name = %s
 service = %s
 entry-address = %s
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -41,6 +41,8 @@
 	// ServersPerService is the number of desk servers and of ledger servers; 0 means 3. The
 	// desk calls the ledger.
 	ServersPerService int
+	// MemoryMB is the memory limit of the nodes in MB; 0 for none.
+	MemoryMB int
 	// Unsafe declares requests that must not run twice as repeatable, to show that
 	// the at-most-once check reports requests that run twice.
 	Unsafe bool
