--- a/assembler/callers.go
+++ b/assembler/callers.go
@@ -19,7 +19,7 @@
 	// listener. The rest is for other nodes, backend servers, heartbeats and readiness.
 	callerDescriptorShare = 0.5
 	// maxChecks limits the open connections for readiness, heartbeats and metrics.
-	maxChecks = 64
+	maxChecks = 256
 )
 
 // callerLimits holds the limits for callers of the configuration in force. It observes the
--- a/charger/charger.go
+++ b/charger/charger.go
@@ -5,6 +5,7 @@
 package charger
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -154,8 +155,8 @@
 	return false
 }
 
-// Reserve charges bytes for a use once there is memory for it; those that wait get it in
-// their order. It returns false if done is closed first.
+// Reserve charges bytes for a use once there is memory for it; of those that wait, those
+// that need the least get it first. It returns false if done is closed first.
 func (b *Budget) Reserve(u Use, n int64, done <-chan struct{}) bool {
 	b.mu.Lock()
 	if len(b.waiters[u]) == 0 && b.Take(u, n) {
@@ -163,7 +164,7 @@
 		return true
 	}
 	w := &waiter{need: n, ready: make(chan struct{})}
-	b.waiters[u] = append(b.waiters[u], w)
+	b.waiters[u] = insert(b.waiters[u], w)
 	b.waiting.Add(1)
 	b.startReclaiming()
 	b.mu.Unlock()
@@ -177,6 +178,18 @@
 	}
 }
 
+// insert adds a waiter behind those that need no more, so that short bodies don't wait for
+// many long ones.
+func insert(list []*waiter, w *waiter) []*waiter {
+	i, _ := slices.BinarySearchFunc(list, w.need, func(v *waiter, need int64) int {
+		if v.need <= need {
+			return -1
+		}
+		return 1
+	})
+	return slices.Insert(list, i, w)
+}
+
 // cancel ends a wait. It returns true if the memory was granted meanwhile.
 func (b *Budget) cancel(u Use, w *waiter) bool {
 	b.mu.Lock()
--- a/cmd/clients/main.go
+++ b/cmd/clients/main.go
@@ -21,7 +21,7 @@
 	Kind        []string      `help:"Behaviour of the clients; can be repeated; all by default."`
 	Connections int           `default:"300" help:"Number of untrusted clients."`
 	Length      time.Duration `default:"8s" help:"Time for each behaviour."`
-	Reopen      time.Duration `default:"200ms" help:"Time after which a client whose connection was closed opens another one."`
+	Reopen      time.Duration `default:"1s" help:"Time after which a client whose connection was closed opens another one."`
 	Seed        uint64        `default:"1" help:"Seed of the mix of behaviours."`
 	Folder      string        `type:"path" help:"Folder for settings, logs and data; a temporary folder by default."`
 }
--- a/pipeliner/connection.go
+++ b/pipeliner/connection.go
@@ -26,6 +26,11 @@
 	// the caller to close it. An earlier close would discard an answer that the caller
 	// has not read yet, if it has sent further requests.
 	lingerTimeout = 500 * time.Millisecond
+	// maxLingerBytes and maxRefusedBytes bound what is read meanwhile, behind an answer and
+	// behind the refusal of a malformed request. Without a bound, clients make a node read
+	// as fast as they send.
+	maxLingerBytes  = 1 << 20
+	maxRefusedBytes = 32 << 10
 	// leftWriteTimeout bounds a write that was blocked when the caller left.
 	leftWriteTimeout = time.Second
 	// arrivalTimeout bounds the last look for a request before an idle connection closes.
@@ -114,6 +119,9 @@
 	permits int
 	queued  bool
 
+	// refused is set once a request was refused before it was handled.
+	refused bool
+
 	account *charger.Account
 	// acknowledged returns how many bytes the caller has acknowledged; nil if unknown.
 	acknowledged func() int64
@@ -122,6 +130,8 @@
 	// reading is set while a body is read from the connection.
 	reading atomic.Bool
 	cause   atomic.Pointer[refusal]
+	// lastMoved is when the caller was last seen to make progress, in nanoseconds since 1970.
+	lastMoved atomic.Int64
 	// progress is used by the server's supervision only.
 	progress progress
 }
@@ -141,6 +151,7 @@
 	if a, ok := conn.RemoteAddr().(*net.TCPAddr); ok {
 		c.address = a.AddrPort().Addr()
 	}
+	c.lastMoved.Store(time.Now().UnixNano())
 	c.account = s.config.Budget.Open(c, connectionCost)
 	return c
 }
@@ -527,6 +538,7 @@
 		return nil
 	}
 	r := refusalFor(cause)
+	c.refused = true
 	c.server.noteRefused(c, r)
 	_ = c.conn.SetWriteDeadline(time.Now().Add(leftWriteTimeout))
 	_, err := io.WriteString(c.conn, "HTTP/1.1 "+r.status+"\r\n"+r.fields+"Content-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"+r.status)
@@ -542,5 +554,9 @@
 	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 	chunk := chunks.Get().(*[]byte)
 	defer chunks.Put(chunk)
-	_, _ = io.CopyBuffer(io.Discard, onlyReader{c.conn}, *chunk)
+	limit := int64(maxLingerBytes)
+	if c.refused {
+		limit = maxRefusedBytes
+	}
+	_, _ = io.CopyBuffer(io.Discard, io.LimitReader(c.conn, limit), *chunk)
 }
--- a/pipeliner/holding.go
+++ b/pipeliner/holding.go
@@ -37,6 +37,9 @@
 	chunkSize = 16 << 10
 	// reservation is taken at once for a body of unknown length.
 	reservation = 64 << 10
+	// streamStart is how much of a body that is too long to be held has arrived before its
+	// request is handled.
+	streamStart = 256 << 10
 	// maxStreamed limits the requests that are handled before their bodies are whole. They
 	// take slots of backend servers for as long as the callers send.
 	maxStreamed = 8
@@ -48,11 +51,6 @@
 	return &chunk
 }}
 
-// onlyReader hides the other methods of a reader, by which io.Copy would not use its buffer.
-type onlyReader struct {
-	io.Reader
-}
-
 // headCost returns the estimated memory of a parsed head.
 func headCost(r *http.Request) int64 {
 	n := int64(len(r.RequestURI))
@@ -67,7 +65,8 @@
 
 // hold reads the body of a request before the request is handled, so that an incomplete
 // request takes no capacity. A body that is too long to be held is handled before it is
-// whole, in one of maxStreamed places, once as much of it has arrived as can be held.
+// whole, in one of maxStreamed places: if its length is known, once streamStart has arrived,
+// and else once as much of it has arrived as can be held.
 func (c *connection) hold(w *response) error {
 	b := w.body
 	limits := c.server.limits()
@@ -77,8 +76,15 @@
 	c.phase.Store(phaseBody)
 	defer c.phase.Store(phaseIdle)
 	most := min(maxHeldBody, int64(float64(c.server.config.Budget.Bound())*heldShare))
+	if w.request.ContentLength > most {
+		// It waits for a place before it takes memory.
+		if err := c.takeStream(b); err != nil {
+			return err
+		}
+		most = min(most, streamStart)
+	}
 	for !b.whole() {
-		if b.total() >= most || b.total() >= limits.BodyBytes {
+		if b.total() >= min(most, limits.BodyBytes) {
 			return c.takeStream(b)
 		}
 		if err := c.holdChunk(b, w.request.ContentLength, most); err != nil {
@@ -147,6 +153,9 @@
 
 // takeStream waits for a place for a body that is handled before it is whole.
 func (c *connection) takeStream(b *requestBody) error {
+	if b.streaming {
+		return nil
+	}
 	c.phase.Store(phaseWaiting)
 	defer c.phase.Store(phaseBody)
 	select {
@@ -211,6 +220,8 @@
 // before there is memory for it.
 func (c *connection) enlarge(n int) bool {
 	n = max(n, 2*c.reader.Size())
+	c.phase.Store(phaseWaiting)
+	defer c.phase.Store(phaseHead)
 	if !c.account.Reserve(charger.UseHead, int64(n), c.ctx.Done()) {
 		return false
 	}
--- a/pipeliner/supervision.go
+++ b/pipeliner/supervision.go
@@ -1,6 +1,7 @@
 package pipeliner
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"sync"
@@ -27,7 +28,7 @@
 // progress is what the last look at a connection found.
 type progress struct {
 	phase int32
-	// moved is the count of State, and at is when it changed last.
+	// moved is the count of State, and at is when it or the phase changed last.
 	moved int64
 	at    time.Time
 	// blocked is for how long the caller was waited for while reading a body, and writing
@@ -73,6 +74,7 @@
 	if moved := c.State().Moved; moved != p.moved || p.at.IsZero() {
 		p.moved, p.at = moved, now
 	}
+	c.lastMoved.Store(p.at.UnixNano())
 	switch p.phase {
 	case phaseBody, phaseStream:
 		if c.reading.Load() {
@@ -214,7 +216,7 @@
 		if n := counts[b.address] - counts[a.address]; n != 0 {
 			return n
 		}
-		return int(a.conn.count.Load() - b.conn.count.Load())
+		return cmp.Compare(a.lastMoved.Load(), b.lastMoved.Load())
 	})
 	for _, c := range list[:min(len(list), evictedAtOnce)] {
 		c.evict(refusedQuota)
--- a/soaker/clientkinds.go
+++ b/soaker/clientkinds.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/netip"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -86,13 +87,23 @@
 	_, _ = io.Copy(io.Discard, conn)
 }
 
-func playFields(ctx context.Context, conn net.Conn, t clientTarget) {
+// shortFields returns many short header fields. They are made once, so that the clients take
+// little of the processor from ordinary callers beside them.
+var shortFields = sync.OnceValue(func() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "GET %s HTTP/1.1\r\nHost: a\r\n", t.path)
 	for i := range manyFields {
 		fmt.Fprintf(&b, "%x:\r\n", i)
 	}
-	_, _ = io.WriteString(conn, strings.Repeat(b.String()+"\r\n", fieldHeads))
+	return b.String() + "\r\n"
+})
+
+func playFields(ctx context.Context, conn net.Conn, t clientTarget) {
+	for range fieldHeads {
+		_, err := io.WriteString(conn, "GET "+t.path+" HTTP/1.1\r\nHost: a\r\n"+shortFields())
+		if err != nil {
+			break
+		}
+	}
 	drain(ctx, conn)
 }
 
--- a/soaker/clients.go
+++ b/soaker/clients.go
@@ -22,7 +22,7 @@
 const (
 	// ordinaryCallers is the number of ordinary callers beside untrusted clients.
 	ordinaryCallers = 20
-	ordinaryPause   = 100 * time.Millisecond
+	ordinaryPause   = 200 * time.Millisecond
 	ordinaryTimeout = 5 * time.Second
 	ordinaryBody    = 2000
 	// settleTime is how long memory may take to fall again.
