--- a/collector/collector.go
+++ b/collector/collector.go
@@ -40,6 +40,7 @@
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	last, percent := time.Now(), minPercent
+	unused := newReturner()
 	for {
 		select {
 		case <-ctx.Done():
@@ -47,6 +48,7 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
+		unused.look(now)
 		use := usage.Sample().ProcessorTime.Seconds() / max(now.Sub(last), time.Millisecond).Seconds()
 		last = now
 		if next := Percent(use); next != percent {
--- a/pipeliner/permits.go
+++ b/pipeliner/permits.go
@@ -8,7 +8,7 @@
 // maxBehind limits the requests of all connections that are handled although they were sent
 // before the answers to earlier ones. Without a limit, callers that send hundreds of
 // requests without reading take the slots from callers that wait for each answer.
-const maxBehind = 32
+const maxBehind = 16
 
 // permits are the permits for requests that were sent before the answers to earlier ones.
 type permits struct {
--- a/soaker/clients.go
+++ b/soaker/clients.go
@@ -6,11 +6,13 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -59,13 +61,15 @@
 	// time of a served one.
 	Sent, Served int
 	Slowest      time.Duration
+	// Refused counts the others by the status or the kind of error.
+	Refused map[string]int
 	// Ended describes processes that have ended.
 	Ended []string
 }
 
 // String returns the result as a row of a table.
 func (r ClientResult) String() string {
-	row := fmt.Sprintf("| %s, %d | %d, %d, %d | %d of %d | %v |", r.Kind, r.Connections, r.First, r.Receiving, r.Settled, r.Served, r.Sent, r.Slowest.Round(time.Millisecond))
+	row := fmt.Sprintf("| %s, %d | %d, %d, %d | %d of %d | %v | %s |", r.Kind, r.Connections, r.First, r.Receiving, r.Settled, r.Served, r.Sent, r.Slowest.Round(time.Millisecond), formatCounts(r.Refused))
 	for _, v := range r.Ended {
 		row += "\n" + v
 	}
@@ -73,8 +77,17 @@
 }
 
 // ClientTableHeader is the head of the table of results.
-const ClientTableHeader = `| clients | peak MB first node, receiving node, afterwards | ordinary callers served | slowest |
-| --- | --- | --- | --- |`
+const ClientTableHeader = `| clients | peak MB first node, receiving node, afterwards | ordinary callers served | slowest | others |
+| --- | --- | --- | --- | --- |`
+
+// formatCounts formats counts in the order of their names.
+func formatCounts(counts map[string]int) string {
+	var out []string
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		out = append(out, fmt.Sprintf("%s: %d", name, counts[name]))
+	}
+	return strings.Join(out, ", ")
+}
 
 // RunClients runs untrusted clients of each kind beside ordinary callers, after a run without
 // any. The clients call the desk's node; its own server and that of the ledger, behind
@@ -121,7 +134,7 @@
 			load.Go(func() { c.playClient(loadCtx, d.hosts[0], kind, n) })
 		}
 	}
-	var ordinary ordinaryLoad
+	ordinary := ordinaryLoad{refused: map[string]int{}}
 	for n := range ordinaryCallers {
 		load.Go(func() { ordinary.call(loadCtx, d.hosts[0].entryAddress, n) })
 	}
@@ -140,7 +153,7 @@
 		time.Sleep(settleTime)
 	}
 	r.Settled = max(residentMB(d.hosts[0].process), residentMB(d.hosts[1].process))
-	r.Sent, r.Served, r.Slowest = ordinary.sent, ordinary.served, ordinary.slowest
+	r.Sent, r.Served, r.Slowest, r.Refused = ordinary.sent, ordinary.served, ordinary.slowest, ordinary.refused
 	for _, p := range d.processes() {
 		_, _, ends := p.intervals()
 		r.Ended = append(r.Ended, ends...)
@@ -174,6 +187,7 @@
 	mu           sync.Mutex
 	sent, served int
 	slowest      time.Duration
+	refused      map[string]int
 }
 
 // call sends requests one after another over a kept connection. Every other caller calls
@@ -188,13 +202,15 @@
 			method, body = http.MethodPost, make([]byte, ordinaryBody)
 		}
 		began := time.Now()
-		ok := isServed(client, method, url, body)
+		failure := send(client, method, url, body)
 		took := time.Since(began)
 		l.mu.Lock()
 		l.sent++
-		if ok {
+		if failure == "" {
 			l.served++
 			l.slowest = max(l.slowest, took)
+		} else {
+			l.refused[failure]++
 		}
 		l.mu.Unlock()
 		select {
@@ -204,19 +220,27 @@
 	}
 }
 
-// isServed sends one request and reports whether it was served.
-func isServed(client *http.Client, method, url string, body []byte) bool {
+// send sends one request and returns why it was not served; empty if it was.
+func send(client *http.Client, method, url string, body []byte) string {
 	r, err := http.NewRequestWithContext(context.Background(), method, url, bytes.NewReader(body))
 	if err != nil {
-		return false
+		return "malformed"
 	}
 	response, err := client.Do(r)
-	if err != nil {
-		return false
+	switch {
+	case os.IsTimeout(err):
+		return "no answer in time"
+	case err != nil:
+		return "no answer"
 	}
 	defer func() { _ = response.Body.Close() }()
-	_, err = io.Copy(io.Discard, response.Body)
-	return err == nil && response.StatusCode == http.StatusOK
+	switch _, err = io.Copy(io.Discard, response.Body); {
+	case err != nil:
+		return "broken off"
+	case response.StatusCode != http.StatusOK:
+		return response.Status + " " + response.Header.Get("Waxwingseam-Reason")
+	}
+	return ""
 }
 
 // residentMB returns the resident memory of a process in MB; 0 if it is unknown.
