--- a/meter/meter.go
+++ b/meter/meter.go
@@ -42,6 +42,7 @@
 	runs           runMetrics
 	accounts       accountMetrics
 	revision       prometheus.Gauge
+	refusedClients *prometheus.CounterVec
 	accountant     *accountant.Accountant
 	eventHandlers  map[waxwingseam.Kind]func(e waxwingseam.Event)
 	effectHandlers map[waxwingseam.Kind]func(now time.Time, e waxwingseam.Effect)
@@ -60,7 +61,8 @@
 		}),
 	}
 	m.registry.MustRegister(collectors.NewGoCollector(collectors.WithGoCollectorRuntimeMetrics(collectors.MetricsScheduler)), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	m.registry.MustRegister(m.revision)
+	m.refusedClients = newRefusedClients()
+	m.registry.MustRegister(m.revision, m.refusedClients)
 	m.registry.MustRegister(m.calls.collectors()...)
 	m.registry.MustRegister(m.runs.collectors()...)
 	m.registry.MustRegister(m.accounts.roots)
