--- a/supervisor/start.go
+++ b/supervisor/start.go
@@ -8,9 +8,10 @@
 
 const (
 	// startWait is how long after its start a node waits for endings of its server that
-	// an earlier process of the node has recorded. A sound server must be in use within
-	// 3 s of the start, and sends a heartbeat every 1.5 s.
-	startWait = 1500 * time.Millisecond
+	// an earlier process of the node has recorded. A holder whose connection ended with that
+	// process reaches the node within two intervals of 250 ms. While all nodes start at
+	// once, a longer wait adds to the time without service.
+	startWait = 800 * time.Millisecond
 	// minStartWait is the least time between the first report and its use. Holders of
 	// endings send them every 250 ms.
 	minStartWait = 300 * time.Millisecond
