--- a/account.go
+++ b/account.go
@@ -7,10 +7,9 @@
 	"time"
 )
 
-// The kinds of the events and effects about client accounts.
+// The kinds of the event and the effect by which nodes keep the limits of client
+// accounts together.
 const (
-	KindControlHeard           Kind = "control-heard"
-	KindRequireKeys            Kind = "require-keys"
 	KindAccountMessageReceived Kind = "account-message-received"
 	KindSendAccountMessage     Kind = "send-account-message"
 )
@@ -109,30 +108,12 @@
 	Message []byte
 }
 
-// ControlHeard says that a control replica has confirmed that the node's set is the
-// newest. It is reported only while the set has client accounts.
-type ControlHeard struct {
-	Stamp
-}
-
-// RequireKeys says whether the configuration in force has client accounts, so that keys
-// of roots are not passed on.
-type RequireKeys struct {
-	Required bool
-}
-
 // AccountMessageReceived is a message of another node about client accounts.
 type AccountMessageReceived struct {
 	Stamp
 	Message []byte
 }
 
-// Kind implements Event.
-func (ControlHeard) Kind() Kind { return KindControlHeard }
-
-// Kind implements Effect.
-func (RequireKeys) Kind() Kind { return KindRequireKeys }
-
 // Kind implements Event.
 func (AccountMessageReceived) Kind() Kind { return KindAccountMessageReceived }
 
--- a/recorder/catalog.go
+++ b/recorder/catalog.go
@@ -31,6 +31,7 @@
 		waxwingseam.TimerFired{},
 		waxwingseam.ServersUpdated{},
 		waxwingseam.SetAdopted{},
+		waxwingseam.ControlHeard{},
 		waxwingseam.AttemptArrived{},
 		waxwingseam.AttemptCancelled{},
 		waxwingseam.RunEnded{},
@@ -46,7 +47,5 @@
 		waxwingseam.BackendProbed{},
 		waxwingseam.EndsReceived{},
 		waxwingseam.QuarantineOrdered{},
-		waxwingseam.ControlHeard{},
-		waxwingseam.AccountMessageReceived{},
 	)
 }
