allocator: numbers of nodes that were heard are not passed on

A node passed on the number of nodes that it had heard, so that no node forgot those that had left, and owners granted only a part of the limits for good. TestNodesLeave fails with the former code. Requests that are open when the number of shards changes are reported again.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -152,6 +152,12 @@
 	a.local = nil
 }
 
+// listed returns how many nodes this node knows. What it has heard from others is not passed
+// on, as it would never be forgotten then.
+func (a *Allocator) listed(c *waxwingseam.Context) uint32 {
+	return uint32(len(a.members.list(clock(c), c.Self.Node)))
+}
+
 // nodes returns how many nodes there are.
 func (a *Allocator) nodes(c *waxwingseam.Context) int {
 	return max(a.members.count(clock(c), c.Self.Node), 1)
--- a/allocator/decision_test.go
+++ b/allocator/decision_test.go
@@ -125,3 +125,26 @@
 	w.pass(5 * time.Second)
 	qt.Check(t, float64(u.refusedWithin) <= 0.001*float64(u.within), qt.IsTrue, qt.Commentf("%d of %d", u.refusedWithin, u.within))
 }
+
+// TestNodesLeave guards against owners that go on counting on nodes which have left: they
+// would grant only a part of the limits for good.
+func TestNodesLeave(t *testing.T) {
+	w := newWorld(10, 40, 10)
+	w.demand()
+	w.pass(4 * time.Second)
+	for _, n := range w.nodes[:20] {
+		n.kill(time.Second)
+	}
+	for _, u := range w.usage {
+		u.nodes = w.nodes[20:]
+	}
+	w.pass(20 * time.Second)
+	w.reset()
+	for _, u := range w.usage {
+		u.factor = 1.5
+		w.resume(u)
+	}
+	w.pass(10 * time.Second)
+	t.Log(w.report(10 * time.Second))
+	qt.Check(t, w.served() >= 0.99, qt.IsTrue)
+}
--- a/allocator/ledger.go
+++ b/allocator/ledger.go
@@ -117,7 +117,7 @@
 	a.countVote(c, v, m)
 	l.advance(now, a.members.settled(now), a.nodes(c))
 	reply := answer{
-		From: c.Self.Node, Nodes: uint32(a.nodes(c)), Shards: m.Shards, Shard: m.Shard,
+		From: c.Self.Node, Nodes: a.listed(c), Shards: m.Shards, Shard: m.Shard,
 		Life: m.Life, Seq: m.Seq, OwnerLife: a.life, Clock: a.milliseconds(now),
 	}
 	for _, u := range m.uses() {
--- a/allocator/session.go
+++ b/allocator/session.go
@@ -108,6 +108,7 @@
 		var voteFrom time.Time
 		for _, s := range a.shards {
 			voteFrom = later(voteFrom, s.freeFrom(len(a.members.servers)))
+			a.reportAgain(s)
 		}
 		a.shards = make([]*session, count)
 		for i := range a.shards {
@@ -181,7 +182,7 @@
 	s.again = false
 	s.seq++
 	m := request{
-		From: c.Self.Node, Nodes: uint32(a.nodes(c)), Shards: s.key.Shards, Shard: s.key.Shard,
+		From: c.Self.Node, Nodes: a.listed(c), Shards: s.key.Shards, Shard: s.key.Shard,
 		Life: a.life, Seq: s.seq, OwnerLife: s.ownerLife, Echo: s.echo, Version: s.version, Sampled: s.sampled,
 		Vote: s.vote(now),
 	}
@@ -311,31 +312,31 @@
 	}
 }
 
-// abandon gives an owner up that is silent or has ended. It may have counted the open
-// request or not: what was used is reported again, and what was returned is lost.
+// abandon gives an owner up that is silent or has ended.
 func (a *Allocator) abandon(c *waxwingseam.Context, s *session) {
 	now := clock(c)
 	a.members.failed[s.owner] = now.Add(a.jittered(c, failureRetention))
-	for _, u := range s.reported() {
-		if v, ok := a.byID[u.ID]; ok {
-			v.used += u.Used
-			v.refused += u.Refused
-			s.touch(v)
-		}
-	}
-	s.open = nil
+	a.reportAgain(s)
 	s.voteFrom = s.freeFrom(a.nodes(c))
 	s.voted = false
 	a.setOwner(c, s, a.preferred(c, s))
 	a.flush(c, s)
 }
 
-// reported returns the entries of the open request.
-func (s *session) reported() []use {
+// reportAgain takes the open request back, as the owner may not have counted it. What was
+// returned is lost, as it may have.
+func (a *Allocator) reportAgain(s *session) {
 	if s.open == nil {
-		return nil
+		return
+	}
+	for _, u := range s.open.entries {
+		if v, ok := a.byID[u.ID]; ok {
+			v.used += u.Used
+			v.refused += u.Refused
+			s.touch(v)
+		}
 	}
-	return s.open.entries
+	s.open = nil
 }
 
 // setOwner begins with another owner, of which nothing is known.
@@ -377,7 +378,7 @@
 		}
 		if until, failed := a.members.failed[n]; failed && !now.Before(until) {
 			a.members.failed[n] = now.Add(a.jittered(c, failureRetention))
-			a.send(c, n, encode(kindProbe, probe{From: c.Self.Node, Nodes: uint32(a.nodes(c))}))
+			a.send(c, n, encode(kindProbe, probe{From: c.Self.Node, Nodes: a.listed(c)}))
 		}
 	}
 	switch {
@@ -396,7 +397,7 @@
 func (a *Allocator) probed(c *waxwingseam.Context, m probe, asked bool) {
 	a.members.hear(clock(c), m.Nodes)
 	if asked {
-		a.send(c, m.From, encode(kindProbeAnswer, probe{From: c.Self.Node, Nodes: uint32(a.nodes(c))}))
+		a.send(c, m.From, encode(kindProbeAnswer, probe{From: c.Self.Node, Nodes: a.listed(c)}))
 		return
 	}
 	if _, ok := a.members.failed[m.From]; ok {
