pipeliner: HTTP/2 bodies held until whole, slow callers measured without credit for earlier speed

Cause: a reader that was fast once could then stop for hours; an evicted connection that became whole meanwhile was told 503 while idle (seen in the trials with 2,000 clients).

--- a/assembler/callers.go
+++ b/assembler/callers.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// maxCallerConnections limits the open connections of callers at each listener. At 14
-	// KB each, 2,000 hold half of the budget of a process with 184 MB.
+	// maxCallerConnections limits the open connections of callers at each listener. At 10
+	// KB each, 2,000 hold a third of the budget of a process with 184 MB.
 	maxCallerConnections = 2000
 	// callerDescriptorShare is the fraction of the file descriptors for the callers of one
 	// listener. The rest is for other nodes, backend servers, heartbeats and readiness.
--- a/collector/returning.go
+++ b/collector/returning.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// maxUnused is how much memory in bytes may be unused, or dead since the last collection,
-	// before it is returned to the operating system.
-	maxUnused = 24 << 20
+	// maxUnused is how much memory in bytes, besides half of the live heap, may be unused or
+	// dead since the last collection before it is returned to the operating system.
+	maxUnused = 12 << 20
 	// returnInterval is the least time between two returns, each of which collects once. With
 	// 25 MB alive that takes some 10 ms of a processor.
 	returnInterval = 4 * time.Second
@@ -39,7 +39,7 @@
 	metrics.Read(r.samples)
 	value := func(i int) int64 { return int64(r.samples[i].Value.Uint64()) }
 	live := value(3)
-	if value(0)+value(1)+value(2)-live > maxUnused+live {
+	if value(0)+value(1)+value(2)-live > maxUnused+live/2 {
 		r.returned = now
 		debug.FreeOSMemory()
 	}
--- a/pipeliner/clients_test.go
+++ b/pipeliner/clients_test.go
@@ -130,7 +130,8 @@
 	}).dial()
 	c.send(get("/"))
 	select {
-	case <-failed:
+	case err := <-failed:
+		qt.Assert(t, err, qt.IsNotNil)
 	case <-time.After(20 * time.Second):
 		t.Fatal("the answer is still being written")
 	}
--- a/pipeliner/connection.go
+++ b/pipeliner/connection.go
@@ -162,7 +162,7 @@
 	defer c.release()
 	defer c.cancel()
 	err := c.serveRequests()
-	if cause := c.cause.Load(); cause != nil && err != nil {
+	if cause := c.cause.Load(); cause != nil && (errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, errLeft)) {
 		err = cause
 	}
 	switch {
@@ -175,7 +175,7 @@
 			c.server.config.Logger.Error("serving HTTP/2 failed", "error", err)
 		})
 		return
-	case trace.IsBadParameter(err), trace.IsLimitExceeded(err), c.cause.Load() != nil:
+	case trace.IsBadParameter(err), trace.IsLimitExceeded(err), c.isRefusal(err):
 		err = c.refuse(err)
 	}
 	if err != nil {
@@ -190,6 +190,12 @@
 	_ = c.conn.Close()
 }
 
+// isRefusal reports whether an error is the cause for which the connection is refused.
+func (c *connection) isRefusal(err error) bool {
+	var r *refusal
+	return errors.As(err, &r)
+}
+
 // countUnserved reports the further requests whose heads were received.
 func (c *connection) countUnserved() {
 	for c.isSealed() {
@@ -254,6 +260,8 @@
 	if err := c.hold(w); err != nil {
 		return err
 	}
+	w.cost += handlingCost
+	c.account.Add(handlingCost)
 	if !c.start(w) {
 		return errSealed
 	}
@@ -448,6 +456,8 @@
 	if c.sealed {
 		return false
 	}
+	// The request became whole before it was refused.
+	c.cause.Store(nil)
 	if c.active > 0 {
 		w.turn = c.last.written()
 	}
@@ -541,7 +551,7 @@
 	c.refused = true
 	c.server.noteRefused(c, r)
 	_ = c.conn.SetWriteDeadline(time.Now().Add(leftWriteTimeout))
-	_, err := io.WriteString(c.conn, "HTTP/1.1 "+r.status+"\r\n"+r.fields+"Content-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"+r.status)
+	_, err := io.WriteString(c.conn, "HTTP/1.1 "+r.status()+"\r\n"+r.fields+"Content-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"+r.status())
 	return trace.Wrap(err)
 }
 
--- a/pipeliner/handover.go
+++ b/pipeliner/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -50,6 +51,7 @@
 func (h *handOver) take(conn *receivingConn, read *bufio.Reader, failed func(error)) {
 	h.once.Do(func() {
 		go func() {
+			h.countActive()
 			if err := h.server.Serve(h); err != nil && !errors.Is(err, http.ErrServerClosed) {
 				failed(err)
 			}
@@ -70,6 +72,25 @@
 	}
 }
 
+type replayedKey struct{}
+
+// countActive makes the server count the requests of each connection that are handled.
+func (h *handOver) countActive() {
+	next := h.server.Handler
+	h.server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, replayedKey{}, conn)
+	}
+	h.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(replayedKey{}).(*replayedConn); ok {
+			c.active.Add(1)
+			c.account.Add(handlingCost)
+			defer c.account.Add(-handlingCost)
+			defer c.active.Add(-1)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Accept implements net.Listener.
 func (h *handOver) Accept() (net.Conn, error) {
 	select {
--- a/pipeliner/holding.go
+++ b/pipeliner/holding.go
@@ -16,7 +16,7 @@
 const (
 	// connectionCost is the estimated memory of a connection without a request in bytes:
 	// its goroutine's stack, its buffer for reading, and its state here and in the runtime.
-	connectionCost = 14 << 10
+	connectionCost = 10 << 10
 	// handlingCost is the estimated memory of a request that is handled, besides its
 	// fields: the stacks of its goroutines and the state of its call.
 	handlingCost = 16 << 10
@@ -27,7 +27,7 @@
 	fieldCost = 80
 
 	// smallBody is the length in bytes up to which bodies wait for no memory.
-	smallBody = 8 << 10
+	smallBody = 4 << 10
 	// maxHeldBody is the longest part of a body that is held before its request is handled.
 	maxHeldBody = 2 << 20
 	// heldShare is the fraction of the budget that one held body may take, if that is less
--- a/pipeliner/limits.go
+++ b/pipeliner/limits.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"errors"
 	"math"
+	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -55,11 +57,16 @@
 // refusal is why a request is refused before it is handled, or a connection is closed.
 type refusal struct {
 	reason string
-	status string
+	code   int
 	// fields are further fields of the answer.
 	fields string
 }
 
+// status returns the status with its text.
+func (r *refusal) status() string {
+	return strconv.Itoa(r.code) + " " + http.StatusText(r.code)
+}
+
 // Error implements error.
 func (r *refusal) Error() string {
 	return r.reason
@@ -67,12 +74,12 @@
 
 // The refusals of requests that were not handled.
 var (
-	refusedMalformed = &refusal{reason: "malformed", status: "400 Bad Request"}
-	refusedHead      = &refusal{reason: "head-too-large", status: "431 Request Header Fields Too Large"}
-	refusedSlowHead  = &refusal{reason: "slow-head", status: "408 Request Timeout"}
-	refusedSlowBody  = &refusal{reason: "slow-body", status: "408 Request Timeout"}
-	refusedMemory    = &refusal{reason: "memory", status: "503 Service Unavailable", fields: "Retry-After: 1\r\n"}
-	refusedQuota     = &refusal{reason: "connections", status: "503 Service Unavailable", fields: "Retry-After: 1\r\n"}
+	refusedMalformed = &refusal{reason: "malformed", code: http.StatusBadRequest}
+	refusedHead      = &refusal{reason: "head-too-large", code: http.StatusRequestHeaderFieldsTooLarge}
+	refusedSlowHead  = &refusal{reason: "slow-head", code: http.StatusRequestTimeout}
+	refusedSlowBody  = &refusal{reason: "slow-body", code: http.StatusRequestTimeout}
+	refusedMemory    = &refusal{reason: "memory", code: http.StatusServiceUnavailable, fields: "Retry-After: 1\r\n"}
+	refusedQuota     = &refusal{reason: "connections", code: http.StatusServiceUnavailable, fields: "Retry-After: 1\r\n"}
 )
 
 // The causes of closing a connection without an answer.
--- a/pipeliner/response.go
+++ b/pipeliner/response.go
@@ -75,7 +75,7 @@
 		r.Body = w.body
 	}
 	w.request = r.WithContext(ctx)
-	w.cost = handlingCost + headCost(r)
+	w.cost = headCost(r)
 	c.account.Add(w.cost)
 	c.mu.Lock()
 	w.behind = c.active > 0
--- a/pipeliner/server.go
+++ b/pipeliner/server.go
@@ -64,7 +64,8 @@
 	// connection was closed first; it may be nil.
 	Unserved func(*http.Request)
 	// HTTP2 serves the connections that begin with the HTTP/2 preface. They are accepted
-	// by the listeners of this server. If HTTP2 is nil, such connections are refused.
+	// by the listeners of this server, which replaces its handler by one that holds bodies as
+	// HoldsBody tells. If HTTP2 is nil, such connections are refused.
 	HTTP2  *http.Server
 	Logger *slog.Logger
 }
@@ -128,6 +129,7 @@
 	}
 	s.permits.free = maxBehind
 	if config.HTTP2 != nil {
+		config.HTTP2.Handler = s.holdHTTP2(config.HTTP2.Handler)
 		s.http2 = newHandOver(config.HTTP2, config.Budget)
 	}
 	return s
--- a/pipeliner/supervision.go
+++ b/pipeliner/supervision.go
@@ -31,11 +31,11 @@
 	// moved is the count of State, and at is when it or the phase changed last.
 	moved int64
 	at    time.Time
-	// blocked is for how long the caller was waited for while reading a body, and writing
-	// for how long while writing an answer. from and writtenFrom are what was moved before.
-	blocked, writing  time.Duration
-	from, writtenFrom int64
-	writes            uint64
+	// body and reply are for how long the caller was waited for, less the time that what it
+	// sent or read may take; from and readFrom are what it had moved at the last look.
+	body, reply    time.Duration
+	from, readFrom int64
+	writes         uint64
 }
 
 // startSupervision starts looking at the connections, until the server is closed and the
@@ -68,7 +68,7 @@
 func (c *connection) supervise(now time.Time, limits Limits) {
 	p := &c.progress
 	if phase := c.phase.Load(); phase != p.phase {
-		p.phase, p.blocked, p.from = phase, 0, c.conn.count.Load()
+		p.phase, p.body, p.from = phase, 0, c.conn.count.Load()
 		p.at = now
 	}
 	if moved := c.State().Moved; moved != p.moved || p.at.IsZero() {
@@ -77,14 +77,19 @@
 	c.lastMoved.Store(p.at.UnixNano())
 	switch p.phase {
 	case phaseBody, phaseStream:
+		count := c.conn.count.Load()
 		if c.reading.Load() {
-			p.blocked += supervisionInterval
+			p.body = waited(p.body, supervisionInterval, count-p.from, limits.BodyRate)
 		}
-		if p.blocked > allowed(limits.Grace, limits.BodyRate, c.conn.count.Load()-p.from) {
+		p.from = count
+		if p.body > limits.Grace {
 			c.interrupt(refusedSlowBody)
 		}
 	case phaseWaiting:
-		if c.hasLeft() {
+		if now.Sub(p.at) > limits.Grace {
+			c.cause.CompareAndSwap(nil, refusedMemory)
+			c.cancel()
+		} else if c.hasLeft() {
 			c.cancel()
 		}
 	case phaseIdle:
@@ -102,24 +107,27 @@
 	writes := c.conn.writes.Load()
 	stuck := writes%2 == 1 && writes == p.writes
 	p.writes = writes
-	if !stuck {
-		p.writing = max(p.writing-supervisionInterval, 0)
-		if p.writing == 0 {
-			p.writtenFrom = c.read()
-		}
+	if !stuck && p.reply == 0 {
 		return
 	}
-	p.writing += supervisionInterval
-	if p.writing > allowed(limits.Grace, limits.ReplyRate, c.read()-p.writtenFrom) {
+	read := c.read()
+	took := time.Duration(0)
+	if stuck {
+		took = supervisionInterval
+	}
+	p.reply = waited(p.reply, took, read-p.readFrom, limits.ReplyRate)
+	p.readFrom = read
+	if p.reply > limits.Grace {
 		c.server.noteRefused(c, closedSlowReply)
 		c.reset()
 		c.abort()
 	}
 }
 
-// allowed returns for how long a caller may be waited for.
-func allowed(grace time.Duration, rate int, moved int64) time.Duration {
-	return grace + time.Duration(float64(moved)/float64(rate)*float64(time.Second))
+// waited adds the time for which a caller was waited for to that before, and subtracts the
+// time that what it has moved may take. What it moves fast is no credit for later.
+func waited(before, took time.Duration, moved int64, rate int) time.Duration {
+	return max(before+took-time.Duration(float64(moved)/float64(rate)*float64(time.Second)), 0)
 }
 
 // read returns how many bytes the caller has read: those that its kernel has acknowledged
@@ -233,12 +241,17 @@
 // logInterval is the least time between two log lines about refused callers.
 const logInterval = time.Second
 
-// noteRefused counts a refused request or a closed connection, and logs it unless another
-// one was logged lately.
-func (s *Server) noteRefused(c *connection, r *refusal) {
+// countRefused counts a refused request or a closed connection.
+func (s *Server) countRefused(r *refusal) {
 	if s.config.Refused != nil {
 		s.config.Refused(r.reason)
 	}
+}
+
+// noteRefused counts a refused request or a closed connection, and logs it unless another
+// one was logged lately.
+func (s *Server) noteRefused(c *connection, r *refusal) {
+	s.countRefused(r)
 	s.refused.mu.Lock()
 	defer s.refused.mu.Unlock()
 	if time.Since(s.refused.logged) < logInterval {
--- a/soaker/clients.go
+++ b/soaker/clients.go
@@ -82,7 +82,7 @@
 
 // formatCounts formats counts in the order of their names.
 func formatCounts(counts map[string]int) string {
-	var out []string
+	out := make([]string, 0, len(counts))
 	for _, name := range slices.Sorted(maps.Keys(counts)) {
 		out = append(out, fmt.Sprintf("%s: %d", name, counts[name]))
 	}
@@ -172,7 +172,9 @@
 	for ctx.Err() == nil {
 		conn, err := d.DialContext(ctx, "tcp", h.entryAddress.String())
 		if err == nil {
+			stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 			kind.play(ctx, conn, target)
+			stop()
 			_ = conn.Close()
 		}
 		select {
