--- a/soaker/disturb.go
+++ b/soaker/disturb.go
@@ -20,6 +20,9 @@
 		return disturbProcess(d.replicas[s.Target].process, s)
 	case FaultBackendLimited, FaultBackendLeaving:
 		return d.state(s)
+	case FaultClients:
+		d.playClients(s)
+		return ""
 	case FaultReload:
 		d.hosts[s.Target].signal(syscall.SIGHUP)
 		return ""
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -87,6 +87,7 @@
 	report := Report{Seed: config.Seed, Steps: slices.Concat(
 		Plan(config.Seed, config.Duration, 2*config.ServersPerService, replicaCount),
 		PlanStatements(config.Seed, config.Duration, config.ServersPerService),
+		PlanClients(config.Seed, config.Duration, config.ServersPerService),
 	)}
 	slices.SortStableFunc(report.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	// The backend servers outlive the processes, which may still answer requests.
