balancer, receiver, predictor: choice of servers by stated pace and remaining work

Cause: a sender sees few calls of its own to each server, so that it tells fast servers from slow ones late, and servers that are slow for a moment make first nodes refuse roots although others have room.

Change: a node learns the cost of calls by class and attribute, and states its server's pace and the expected rest of its running and waiting calls with each answer; RunEnded carries the load that the backend server states. Nothing changes for servers that state none. The experimenter has uneven servers and requests, and an oracle.

--- a/balance.go
+++ b/balance.go
@@ -9,6 +9,9 @@
 	Known *KnownStatement
 	// Patient is set if all servers that may take the call are at their rate limits.
 	Patient bool
+	// Expected is the time that a call of mean cost is expected to take at the server; 0 if
+	// the server states no figures for it.
+	Expected time.Duration
 	// Refused is set when there is no server to call.
 	Refused bool
 	Reason  Reason
@@ -92,6 +95,8 @@
 	Patient bool
 	// Elapsed is the time from the dispatch to the end of the attempt.
 	Elapsed time.Duration
+	// Expected is that of the choice.
+	Expected time.Duration
 }
 
 // Balancer chooses the backend server for each attempt, based on what its own
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -61,6 +61,7 @@
 	for _, p := range b.pools {
 		p.stale = true
 		p.shares.adopt(s)
+		p.adopt(s)
 	}
 }
 
@@ -122,8 +123,8 @@
 		return waxwingseam.Choice{Refused: true, Reason: waxwingseam.ReasonNoServer, Basis: waxwingseam.BasisServers}
 	}
 	place := waxwingseam.Place{Class: q.Class, Importance: q.Rank.Importance, Depth: q.Depth}
-	share := p.shares.refused(c.Now, place)
-	if q.Root && !p.shares.admits(c.Now, place, q.Rank, q.Late) {
+	share := p.refused(c, place)
+	if q.Root && !p.shares.admits(c.Now, place, q.Rank, q.Late, share) {
 		choice := p.refusal(c, 1/(1-share))
 		choice.Basis, choice.BasisAge = waxwingseam.BasisStatedShare, p.shares.age(c.Now, place)
 		choice.RefusedPermille = waxwingseam.PermilleOf(share)
@@ -140,7 +141,7 @@
 		choice.Basis = waxwingseam.BasisServers
 		return choice
 	}
-	choice := t.choose(c)
+	choice := t.choose(c, q.Class)
 	choice.RefusedPermille = waxwingseam.PermilleOf(share)
 	return choice
 }
@@ -188,7 +189,7 @@
 
 // Refused implements waxwingseam.Balancer.
 func (b *balancer) Refused(c *waxwingseam.Context, service waxwingseam.ServiceName, place waxwingseam.Place) waxwingseam.Permille {
-	return waxwingseam.PermilleOf(b.pool(service).shares.refused(c.Now, place))
+	return waxwingseam.PermilleOf(b.pool(service).refused(c, place))
 }
 
 // Server implements waxwingseam.Balancer.
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -51,7 +51,7 @@
 	choice := h.Choose(h.context, q)
 	if !choice.Refused {
 		result.Reached = true
-		h.Observe(h.context, waxwingseam.Feedback{Server: choice.Server.Name, Rank: q.Rank, Result: result, Elapsed: time.Millisecond})
+		h.Observe(h.context, waxwingseam.Feedback{Server: choice.Server.Name, Rank: q.Rank, Result: result, Elapsed: time.Millisecond, Expected: choice.Expected})
 	}
 	return choice
 }
--- a/balancer/pick.go
+++ b/balancer/pick.go
@@ -44,23 +44,57 @@
 // data centre while the first is lightly loaded and almost no calls are
 // rejected, because traffic between data centres is slow and expensive;
 // otherwise it is any server. At equal cost the first is chosen because it
-// answers sooner.
+// answers sooner. If the servers state figures, further random servers are
+// considered.
 func (s *selection) choose(p *pool) *target {
 	first := s.randomServer(p.near, nil)
 	if s.nearFirst && first != nil && p.withoutRejections(s.context) && first.lightlyLoaded(s.context) {
-		if other := s.randomServer(p.near, first); other != nil && other.cost(s.context) < first.cost(s.context) {
-			return other
-		}
-		return first
+		best := candidate{target: first}
+		best.improve(s, s.randomServer(p.near, first))
+		return best.target
 	}
 	second := s.randomServer(p.members, first)
 	if first == nil {
 		first = s.randomServer(p.members, second)
 	}
-	if first == nil || second != nil && second.cost(s.context) < first.cost(s.context) {
+	if first == nil {
 		return second
 	}
-	return first
+	best := candidate{target: first}
+	best.improve(s, second)
+	if best.figures.stated {
+		for range min(extraCandidates, len(p.members)-2) {
+			best.improve(s, s.randomServer(p.members, best.target))
+		}
+	}
+	return best.target
+}
+
+// candidate is a server with its cost by its figures, once that is known.
+type candidate struct {
+	*target
+	known bool
+	cost  float64
+}
+
+// improve replaces a candidate by a cheaper server, compared by their figures if both state
+// them, and otherwise by what this node has observed. other may be nil.
+func (v *candidate) improve(s *selection, other *target) {
+	if other == nil {
+		return
+	}
+	if !v.figures.stated || !other.figures.stated {
+		if other.cost(s.context) < v.target.cost(s.context) {
+			*v = candidate{target: other}
+		}
+		return
+	}
+	if !v.known {
+		v.cost, v.known = v.statedCost(s.context, s.query.Class), true
+	}
+	if cost := other.statedCost(s.context, s.query.Class); cost < v.cost {
+		*v = candidate{target: other, known: true, cost: cost}
+	}
 }
 
 // randomServer returns a random server of the list, except other, that passes
--- a/balancer/pool.go
+++ b/balancer/pool.go
@@ -22,6 +22,13 @@
 	meanLimit float64
 	// latency is the mean time of a successful call at any server, in seconds.
 	latency average
+	// pace, used and usual are the means of figures that servers state, classRatios those
+	// of the actual to the expected times of calls; see figures.
+	pace, used, usual, end average
+	classRatios            map[waxwingseam.ClassName]*average
+	// classCosts are the mean costs of the calls of each class, as multiples of the usual
+	// service time.
+	classCosts map[waxwingseam.ClassName]float64
 
 	throttle throttle
 	shares   shares
@@ -31,6 +38,9 @@
 	return &pool{
 		throttle: throttle{config: serviceThrottleConfig},
 		shares:   shares{},
+
+		classRatios: map[waxwingseam.ClassName]*average{},
+		classCosts:  map[waxwingseam.ClassName]float64{},
 	}
 }
 
@@ -70,6 +80,34 @@
 	p.members = slices.Concat(p.near, subset(config.Self, far, size))
 }
 
+const (
+	// shortFrom and shortAt are the mean queue times at the servers of a service from which
+	// and at which the shares that they state are refused.
+	shortFrom = 10 * time.Millisecond
+	shortAt   = 50 * time.Millisecond
+)
+
+// refused returns the share of roots of a place to refuse. Servers that state figures are
+// short together only once calls wait at them on average: one that is slow at the moment
+// asks to refuse roots although its calls go to the others.
+func (p *pool) refused(c *waxwingseam.Context, place waxwingseam.Place) float64 {
+	share := p.shares.refused(c.Now, place)
+	if p.used.updated.IsZero() {
+		return share
+	}
+	return share * min(max((p.queueTime()-shortFrom).Seconds()/(shortAt-shortFrom).Seconds(), 0), 1)
+}
+
+// queueTime returns the mean time for which a call waits at the servers, by their figures.
+func (p *pool) queueTime() time.Duration {
+	return time.Duration((p.used.value - 1) * p.usual.value * p.pace.value * float64(time.Second))
+}
+
+// hasRoom reports whether the servers state figures by which calls hardly wait on average.
+func (p *pool) hasRoom() bool {
+	return !p.used.updated.IsZero() && p.queueTime() < shortFrom
+}
+
 func weightOf(v waxwingseam.BackendServer) float64 {
 	if v.Weight <= 0 {
 		return 1
@@ -107,6 +145,8 @@
 		// Another server may take the call.
 	case f.Result.Reason == waxwingseam.ReasonServerRefused:
 		// A backend server may refuse calls whatever its load.
+	case f.Result.Reason.IsOverload() && p.hasRoom():
+		// The call was refused by a slow server while others have room.
 	case f.Result.Reason.IsOverload():
 		p.throttle.rejected(c.Now, f.Rank.Importance)
 	case f.Result.Completed(), f.Result.Reason == waxwingseam.ReasonCancelled:
--- a/balancer/shares.go
+++ b/balancer/shares.go
@@ -81,13 +81,13 @@
 }
 
 // admits reports whether the place of a root in the order, which is the same at all
-// nodes, lies outside the refused share. Late roots are refused first: of the share that
+// nodes, lies outside a refused share. Late roots are refused first: of the share that
 // is refused, they bear as much as they can, and the others the rest.
-func (s shares) admits(now time.Time, place waxwingseam.Place, rank waxwingseam.Rank, late bool) bool {
+func (s shares) admits(now time.Time, place waxwingseam.Place, rank waxwingseam.Rank, late bool, refused float64) bool {
 	v, ok := s[place]
 	if !ok {
 		return true
 	}
 	v.arrivals.observe(now, late)
-	return rankFraction(rank) < 1-v.arrivals.divide(s.refused(now, place), late)
+	return rankFraction(rank) < 1-v.arrivals.divide(refused, late)
 }
--- a/balancer/target.go
+++ b/balancer/target.go
@@ -44,6 +44,8 @@
 	// known is what answers said of the current incarnation of the server.
 	known *knownServer
 	pause pause
+	// figures is what the answers state of the server's load.
+	figures figures
 }
 
 func newTarget(c *waxwingseam.Context, p *pool, s waxwingseam.Server) *target {
@@ -55,10 +57,15 @@
 }
 
 // choose counts an attempt at the server and returns the server as the choice.
-func (t *target) choose(c *waxwingseam.Context) waxwingseam.Choice {
+func (t *target) choose(c *waxwingseam.Context, class waxwingseam.ClassName) waxwingseam.Choice {
+	choice := waxwingseam.Choice{Server: t.server, Known: t.known.report(c), Patient: t.paused(c)}
+	if t.figures.stated {
+		choice.Expected = time.Duration(t.expectedEnd(c, class) * float64(time.Second))
+		t.figures.sent++
+	}
 	t.inFlight++
 	t.health.startProbe(c.Now)
-	return waxwingseam.Choice{Server: t.server, Known: t.known.report(c), Patient: t.paused(c)}
+	return choice
 }
 
 // observe updates the server's state with an ended attempt.
@@ -72,6 +79,7 @@
 	t.observeFault(c, f.Result)
 	if f.Result.Succeeded() {
 		t.observeLatency(c, f.Elapsed)
+		t.observeError(c.Now, f)
 	}
 }
 
@@ -82,6 +90,7 @@
 	t.pool.observeLimit(load.Limit)
 	t.load = load
 	t.loadAt = c.Now
+	t.observeFigures(c, load)
 }
 
 func (t *target) observeLatency(c *waxwingseam.Context, elapsed time.Duration) {
--- a/dispatcher/flight.go
+++ b/dispatcher/flight.go
@@ -72,6 +72,8 @@
 	// share is the part of the allowance that was sent with the attempt.
 	share waxwingseam.Allowance
 	sent  time.Time
+	// expected is that of the choice; see waxwingseam.Choice.
+	expected time.Duration
 	// patient is that of the attempt; see waxwingseam.Dispatch.
 	patient   bool
 	state     attemptState
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -46,7 +46,8 @@
 		share:  share,
 		sent:   c.Now,
 
-		patient: patient,
+		patient:  patient,
+		expected: choice.Expected,
 	})
 	call := f.call
 	call.Allowance = share
@@ -87,6 +88,8 @@
 		Result:  result,
 		Patient: a.patient,
 		Elapsed: c.Now.Sub(a.sent),
+
+		Expected: a.expected,
 	})
 }
 
--- a/experimenter/backend.go
+++ b/experimenter/backend.go
@@ -39,6 +39,8 @@
 	contention float64
 	// speed scales the rate of all work; 1 is normal.
 	speed float64
+	// usualSpeed is the speed without a slowdown; see Uneven.
+	usualSpeed float64
 
 	jobs      map[waxwingseam.CallID]*job
 	queue     []*job
@@ -58,6 +60,8 @@
 	states    bool
 	statement waxwingseam.Statement
 	arrivals  []Arrival
+	// assigned holds the calls that an oracle has sent here and that have not begun.
+	assigned []*callState
 }
 
 // Arrival is the hand-over of one request to a backend server.
@@ -123,7 +127,11 @@
 	b.advanceClock()
 	b.heldSlots++
 	j.begun = b.node.world.scheduler.now
-	j.work = b.node.world.workTime(j.call.visit.Work)
+	j.call.begun = true
+	j.work = j.call.work
+	if j.work == 0 {
+		j.work = b.node.world.workTime(j.call.visit.Work)
+	}
 	j.finish = b.workClock + j.work
 	heap.Push(&b.working, j)
 	b.scheduleWorkEnd()
@@ -228,9 +236,29 @@
 		ID:      j.call.id,
 		Result:  result,
 		Elapsed: elapsed,
+		Load:    b.load(),
 	})
 }
 
+// load returns what the backend server says of its load; not stated unless
+// Uneven.StatesPace is set.
+func (b *backend) load() waxwingseam.BackendLoad {
+	u := b.node.world.uneven
+	if u == nil || !u.StatesPace {
+		return waxwingseam.BackendLoad{}
+	}
+	return waxwingseam.BackendLoad{
+		Stated:  true,
+		Running: b.heldSlots,
+		Waiting: len(b.queue),
+		Slots:   b.slots,
+		Pace:    uint16(usualPace * b.usualSpeed / b.speed),
+	}
+}
+
+// usualPace is the pace of a server that is as fast as usual.
+const usualPace = 100
+
 // remove removes a run from the queue, or frees its slot for the next one.
 func (b *backend) remove(j *job) {
 	j.ended = true
--- a/experimenter/callers.go
+++ b/experimenter/callers.go
@@ -132,7 +132,7 @@
 	if !w.config.Demand.AnyNode {
 		nodes = w.Service(plan.Service)
 	}
-	n := nodes[w.random.IntN(len(nodes))]
+	n := c.pickNode(nodes)
 	r := &root{callers: c, request: q, kind: kind, sent: w.scheduler.now}
 	r.call = w.newCall(r, plan, n, nil)
 	w.tally.addRoot(r)
@@ -155,6 +155,13 @@
 	c.scheduleLeave(r)
 }
 
+func (c *callers) pickNode(nodes []*Node) *Node {
+	if u := c.world.uneven; u != nil {
+		return nodes[u.nodeOf(len(nodes))]
+	}
+	return nodes[c.world.random.IntN(len(nodes))]
+}
+
 // timeLeft returns how long the caller of a request still waits; 0 if it does not say.
 func (c *callers) timeLeft(q *request) time.Duration {
 	if !c.world.config.Demand.Patient {
--- a/experimenter/layer.go
+++ b/experimenter/layer.go
@@ -29,6 +29,8 @@
 type Layer struct {
 	Name string
 	New  func(self waxwingseam.Server) waxwingseam.Reducer
+	// Bind, if set, is called with the world of a run before its nodes are made.
+	Bind func(w *World)
 }
 
 // NoLayer returns a baseline that admits every call and retries at each hop.
@@ -68,17 +70,47 @@
 // variant returns the project's layer with another admitter, which keeps to a pacer of
 // its node.
 func variant(name string, build func(waxwingseam.Pacer) waxwingseam.Admitter, newPacer func() waxwingseam.Pacer) Layer {
-	return Layer{Name: name, New: func(self waxwingseam.Server) waxwingseam.Reducer {
+	return variantWith(variantConfig{name: name, admitter: build, pacer: newPacer})
+}
+
+// variantConfig names the parts in which a layer differs from the project's; nil for the
+// project's own.
+type variantConfig struct {
+	name     string
+	admitter func(waxwingseam.Pacer) waxwingseam.Admitter
+	pacer    func() waxwingseam.Pacer
+	balancer func(self waxwingseam.Server) waxwingseam.Balancer
+	bind     func(w *World)
+}
+
+func (v variantConfig) withDefaults() variantConfig {
+	if v.admitter == nil {
+		v.admitter = newAdmitter
+	}
+	if v.pacer == nil {
+		v.pacer = pacer.New
+	}
+	if v.balancer == nil {
+		v.balancer = func(self waxwingseam.Server) waxwingseam.Balancer {
+			return balancer.New(balancer.Config{Self: self.Name, DataCentre: self.DataCentre})
+		}
+	}
+	return v
+}
+
+func variantWith(config variantConfig) Layer {
+	v := config.withDefaults()
+	return Layer{Name: v.name, Bind: v.bind, New: func(self waxwingseam.Server) waxwingseam.Reducer {
 		retries := retrier.New(retrier.Config{})
 		runs := tracker.New(tracker.Config{})
-		callPacer := newPacer()
+		callPacer := v.pacer()
 		drainState := drainer.New(drainer.Config{})
 		return reducer.New(reducer.Config{
 			Self: self,
 			Workers: []waxwingseam.PrioritizedWorker{
 				{Priority: supervisor.Priority, Worker: supervisor.New(supervisor.Config{Drainer: drainState})},
 				{Priority: receiver.Priority, Worker: receiver.New(receiver.Config{
-					Admitter:     build(callPacer),
+					Admitter:     v.admitter(callPacer),
 					Pacer:        callPacer,
 					Deduplicator: deduplicator.New(deduplicator.Config{}),
 					Drainer:      drainState,
@@ -86,7 +118,7 @@
 				})},
 				{Priority: senderPriority, Worker: dispatcher.New(dispatcher.Config{
 					Classifier: classifier.New(),
-					Balancer:   balancer.New(balancer.Config{Self: self.Name, DataCentre: self.DataCentre}),
+					Balancer:   v.balancer(self),
 					Retrier:    retries,
 					Tracker:    runs,
 				})},
--- a/experimenter/node.go
+++ b/experimenter/node.go
@@ -100,6 +100,7 @@
 		return
 	}
 	n.events++
+	n.world.noteChoice(e)
 	for _, x := range n.reducer.Reduce(e) {
 		n.execute(x)
 	}
--- a/experimenter/world.go
+++ b/experimenter/world.go
@@ -30,6 +30,9 @@
 // settleTime is how long a run continues after the end of the demand.
 const settleTime = 10 * time.Second
 
+// dataCentres is the number of data centres that the servers of a service are spread over.
+const dataCentres = 3
+
 // nodePort is the port in the addresses of all nodes.
 const nodePort = 7000
 
@@ -69,6 +72,8 @@
 	// RefusedShare, if set, returns the share of all requests that the backend servers
 	// of a service refuse at a time after the start, whatever their load.
 	RefusedShare func(service waxwingseam.ServiceName, at time.Duration) float64
+	// Uneven, if set, makes servers and requests differ.
+	Uneven *Uneven
 	// Prepare, if set, changes a node at the start of each incarnation.
 	Prepare func(n *Node)
 }
@@ -92,6 +97,11 @@
 	calls     map[waxwingseam.CallID]*callState
 	tally     tally
 	startTime time.Time
+	// choosing is the call that the current event is about, if it arrives or an attempt of
+	// it has ended; for an oracle.
+	choosing *callState
+	// uneven is nil unless Config.Uneven is set.
+	uneven *uneven
 }
 
 // callState is the state of one call.
@@ -105,6 +115,10 @@
 	parent *job
 	target waxwingseam.ServerName
 	issued time.Time
+	// work is the own work of the call's run; 0 if it is drawn when the run begins.
+	work time.Duration
+	// begun is set once the run has got a slot.
+	begun bool
 	// answered is set once the node has answered the call; a run may continue.
 	answered bool
 	// senderRestarted is set if the node restarted before the answer.
@@ -117,6 +131,9 @@
 	for _, f := range config.Faults {
 		w.scheduler.after(f.At, func() { f.Do(w) })
 	}
+	if w.uneven != nil {
+		w.uneven.start()
+	}
 	w.startSlotTally()
 	newCallers(w).start()
 	w.scheduler.runUntil(w.startTime.Add(config.Duration + settleTime))
@@ -133,6 +150,12 @@
 		startTime: time.Unix(1_000_000, 0),
 	}
 	w.scheduler.now = w.startTime
+	if config.Uneven != nil {
+		w.uneven = newUneven(w, *config.Uneven)
+	}
+	if config.Layer.Bind != nil {
+		config.Layer.Bind(w)
+	}
 	for i, t := range config.Deployment.Tiers {
 		for j := range t.Servers {
 			w.addNode(t, byte(i), byte(j))
@@ -150,7 +173,7 @@
 		Name:        waxwingseam.ServerName(fmt.Sprintf("%s-%d", t.Service, number+1)),
 		Service:     t.Service,
 		Node:        netip.AddrPortFrom(address, nodePort),
-		DataCentre:  waxwingseam.DataCentre(fmt.Sprintf("dc-%d", number%3+1)),
+		DataCentre:  waxwingseam.DataCentre(fmt.Sprintf("dc-%d", number%dataCentres+1)),
 		Incarnation: 1,
 		Instance:    fmt.Sprintf("%s-%d-0", t.Service, number+1),
 		Since:       w.startTime.Add(-time.Hour),
@@ -208,6 +231,9 @@
 		parent: j,
 		issued: w.scheduler.now,
 	}
+	if w.uneven != nil {
+		call.work = w.uneven.workOf(v)
+	}
 	w.calls[call.id] = call
 	return call
 }
@@ -278,6 +304,18 @@
 	return n
 }
 
+// noteChoice records the call for which an event may make a node choose a server.
+func (w *World) noteChoice(e waxwingseam.Event) {
+	switch v := e.(type) {
+	case waxwingseam.CallArrived:
+		w.choosing = w.calls[v.ID]
+	case waxwingseam.AttemptEnded:
+		w.choosing = w.calls[v.ID]
+	case waxwingseam.TimerFired:
+		w.choosing = w.calls[v.Timer.Call]
+	}
+}
+
 // succeeded reports whether a backend server served the call in full.
 func succeeded(r waxwingseam.Result) bool {
 	return r.Completed() && r.Status < 400
--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -43,6 +43,8 @@
 	stopped waxwingseam.Reason
 	// connectionEnd is set once the run has ended.
 	connectionEnd waxwingseam.ConnectionEnd
+	// load is what the answer says of the backend server's load.
+	load waxwingseam.BackendLoad
 }
 
 func newBackendRun(h *hostedCall, deadline time.Time) *backendRun {
@@ -237,6 +239,7 @@
 		Elapsed:     time.Since(began),
 		Fingerprint: fingerprint,
 		Connection:  r.connectionEnd,
+		Load:        r.load,
 	})
 }
 
@@ -264,7 +267,7 @@
 	if err != nil {
 		return r.failed(r.end(), err)
 	}
-	result, keep, err := h.readReply(c, header, run)
+	result, keep, err := h.readReply(c, r, header, run)
 	stopped := r.end()
 	if err != nil {
 		c.abort()
@@ -280,7 +283,7 @@
 
 // readReply reads the reply. It also reports whether the connection can carry
 // another request.
-func (h *hostedCall) readReply(c *backendConn, header http.Header, run waxwingseam.Run) (result waxwingseam.Result, keep bool, err error) {
+func (h *hostedCall) readReply(c *backendConn, r *backendRun, header http.Header, run waxwingseam.Run) (result waxwingseam.Result, keep bool, err error) {
 	reply, err := c.readReplyHead(h.opening.Method)
 	if err != nil {
 		return result, false, err
@@ -288,6 +291,7 @@
 	verdict, reason := h.forwarder.config.BackendServer.CheckReply(header, reply.head.Status, reply.head.Header)
 	if verdict != waxwingseam.ReplyMismatched && reason != waxwingseam.ReasonServerReplaced {
 		h.forwarder.reportStatement(run, reply.head.Header)
+		r.load = h.forwarder.config.BackendServer.ParseLoad(reply.head.Header)
 	}
 	switch verdict {
 	case waxwingseam.ReplyDidNotRun:
--- a/forwarder/inbound.go
+++ b/forwarder/inbound.go
@@ -2,10 +2,13 @@
 
 import (
 	"errors"
+	"math/bits"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"storj.io/drpc"
 
 	"waxwingseam.example/waxwingseam"
@@ -123,10 +126,18 @@
 			Received:    in.received,
 			Sent:        o.sent(),
 			Fingerprint: fingerprint,
+			PathDigest:  pathDigest(o.Target),
+			BodySize:    uint8(bits.Len64(uint64(max(o.Length, 0)))),
 		}
 	})
 }
 
+// pathDigest returns a digest of the path of a request target, without the query.
+func pathDigest(target string) uint64 {
+	path, _, _ := strings.Cut(target, "?")
+	return xxhash.Sum64String(path)
+}
+
 // disconnect ends the attempt's connection; the run continues.
 func (in *inbound) disconnect() {
 	if in.disconnected.CompareAndSwap(false, true) {
--- a/receiver/answer.go
+++ b/receiver/answer.go
@@ -12,6 +12,7 @@
 	result.Reached = true
 	result.Load = r.admitter.Load()
 	result.Load.Leaving = r.drainer.Leaving() || r.settings.drained
+	r.workload.report(c.Now, &result.Load)
 	result.Load.Revision = c.Set.Revision
 	result.Load.Statement = r.knownStatement(c)
 	c.Emit(waxwingseam.AnswerAttempt{ID: w.id, Attempt: w.attempt, Result: result})
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -10,6 +10,7 @@
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/budgeter"
 	"waxwingseam.example/waxwingseam/pacer"
+	"waxwingseam.example/waxwingseam/predictor"
 )
 
 // Priority orders the receiver among the workers: before those that remove the
@@ -61,6 +62,7 @@
 	// handOvers counts the runs handed to the backend server.
 	handOvers    uint64
 	rootRefusals rootRefusals
+	workload     workload
 	calls        map[waxwingseam.CallID]*call
 	// owners maps a call that joined another call to that other call.
 	owners map[waxwingseam.CallID]waxwingseam.CallID
@@ -81,6 +83,9 @@
 	// waited is the time spent in the queue.
 	waited   time.Duration
 	children childCalls
+	// values are the attributes of the call that may predict its cost.
+	values [predictor.AttributeCount]uint64
+	work   callWork
 }
 
 // waiter identifies an attempt that is to be answered.
@@ -106,6 +111,7 @@
 		pacer:        config.Pacer,
 		quarantine:   config.Quarantine,
 		rootRefusals: rootRefusals{},
+		workload:     newWorkload(),
 		calls:        map[waxwingseam.CallID]*call{},
 		owners:       map[waxwingseam.CallID]waxwingseam.CallID{},
 		parents:      map[waxwingseam.CallID]*call{},
@@ -213,6 +219,7 @@
 	r.calls[e.Call.ID] = &call{
 		header:   e.Call,
 		attempts: []waiter{w},
+		values:   attributes(&e),
 	}
 	limit := r.settings.waitLimits[e.Call.Class]
 	refusedInAll := e.Call.RefusedPermille
@@ -303,12 +310,14 @@
 			live.waited = v.Waited
 			r.refuse(c, live, v.Reason)
 		case waxwingseam.VerdictWait:
+			r.workload.wait(live)
 		}
 	}
 }
 
 func (r *receiver) start(c *waxwingseam.Context, live *call) {
 	live.running = true
+	r.workload.start(c.Now, live)
 	if live.header.Depth == 0 {
 		r.rootRefusals.observe(c.Now, live.header.Class, false)
 		if r.rootRefusals.known(live.header.Class) {
@@ -353,6 +362,7 @@
 // refuse removes a call that has not started and answers its attempts.
 func (r *receiver) refuse(c *waxwingseam.Context, live *call, reason waxwingseam.Reason) {
 	delete(r.calls, live.header.ID)
+	r.workload.leave(live)
 	if live.header.Depth == 0 && reason.IsOverload() {
 		r.rootRefusals.observe(c.Now, live.header.Class, true)
 	}
@@ -390,6 +400,7 @@
 	r.admitter.Withdraw(id)
 	r.deduplicator.Refuse(c, id)
 	r.gate.Refund(c, live.header)
+	r.workload.leave(live)
 	delete(r.calls, id)
 }
 
@@ -412,6 +423,7 @@
 	end := r.endChildren(c, live, e)
 	end.RefusedBelow = r.tracker.Refused(c.Now, live.header.Place())
 	result.Waited = live.waited + end.WaitedBelow
+	r.workload.finish(c, live, e, end)
 	admissions := r.admitter.Finish(c, end)
 	r.answerAll(c, live, result)
 	r.apply(c, admissions)
@@ -442,6 +454,7 @@
 	if ok && !live.running {
 		r.admitter.Withdraw(e.ID)
 		r.gate.Refund(c, live.header)
+		r.workload.leave(live)
 		delete(r.calls, e.ID)
 		r.answerAll(c, live, didNotRun(waxwingseam.ReasonFenced))
 	}
--- a/receiver/settings.go
+++ b/receiver/settings.go
@@ -100,6 +100,7 @@
 // arms the records timer the first time.
 func (r *receiver) adopt(c *waxwingseam.Context) {
 	r.rootRefusals.adopt(c.Set)
+	r.workload.predictor.Adopt(c.Set)
 	before := r.settings.slots
 	r.settings = newSettings(c.Set, c.Self)
 	if r.settings.slots != before && r.settings.slots > 0 {
--- a/receiver/statement.go
+++ b/receiver/statement.go
@@ -84,6 +84,7 @@
 	if r.statement.backend.Equal(current) {
 		return
 	}
+	r.workload.reset()
 	r.setStatement(c, statement{backend: current, at: c.Now}, waxwingseam.StatementFromRestart)
 }
 
--- a/runevent.go
+++ b/runevent.go
@@ -34,6 +34,10 @@
 	// Fingerprint is that of the request. Its digest is set if the request is watched; see
 	// WatchRequests.
 	Fingerprint Fingerprint `cbor:",omitzero"`
+	// PathDigest is a digest of the path, and BodySize the number of bits in the length of
+	// the request body; 0 if unknown or empty.
+	PathDigest uint64 `cbor:",omitempty"`
+	BodySize   uint8  `cbor:",omitempty"`
 }
 
 // AttemptCancelled says that the sender has cancelled an attempt.
@@ -56,6 +60,8 @@
 	Fingerprint Fingerprint `cbor:",omitzero"`
 	// Connection says how the connection to the backend server ended.
 	Connection ConnectionEnd `cbor:",omitempty"`
+	// Load is what the backend server said of its load in the header of its answer.
+	Load BackendLoad `cbor:",omitzero"`
 }
 
 // FenceAsked asks to keep a call from starting.
