budgeter, retrier, dispatcher: tries after refusals go to the same roots; roots without a chance are refused

Cause: while backend servers refuse a share of all calls whatever their load, roots that make several calls fail at one of them after most of their work. Senders charge further tries to a budget of their own, which such refusals use up within a second and spend on all roots.

Change: where receiving nodes bound repeats, they alone charge tries after such refusals, and give them to the first roots in the order that is the same at all hops. RetryBudget.CountCalls lets calls of runs earn repeats; no setting sets it.

--- a/assembler/workers.go
+++ b/assembler/workers.go
@@ -80,7 +80,7 @@
 					DataCentre: self.DataCentre,
 					NearFirst:  config.NearFirst,
 				}),
-				Retrier: retrier.New(retrier.Config{}),
+				Retrier: retrier.New(retrier.Config{Gated: config.RetryBudget.Window > 0}),
 				Tracker: runTracker,
 				Routers: []waxwingseam.PrioritizedRouter{{Router: keyRouter}},
 			}),
--- a/balance.go
+++ b/balance.go
@@ -37,6 +37,9 @@
 	BasisThrottle RefusalBasis = "throttle"
 	// BasisServers means that no known server takes the call.
 	BasisServers RefusalBasis = "servers"
+	// BasisChance means that the roots of the class have next to no chance of success,
+	// because backend servers refuse calls that they make.
+	BasisChance RefusalBasis = "chance"
 )
 
 // Refusal describes a call that its sending node refused before its first attempt.
--- a/balancer/shares.go
+++ b/balancer/shares.go
@@ -89,5 +89,5 @@
 		return true
 	}
 	v.arrivals.observe(now, late)
-	return rankFraction(rank) < 1-v.arrivals.divide(refused, late)
+	return rank.Fraction() < 1-v.arrivals.divide(refused, late)
 }
--- a/balancer/throttle.go
+++ b/balancer/throttle.go
@@ -100,7 +100,7 @@
 	for i := importanceLevels - 1; i > level; i-- {
 		room -= t.offersByLevel[i]
 	}
-	return rankFraction(r)*t.offersByLevel[level] < room
+	return r.Fraction()*t.offersByLevel[level] < room
 }
 
 // fewRejections reports whether too few calls are rejected to refuse any.
@@ -117,15 +117,3 @@
 func (t *throttle) offerRatio() float64 {
 	return t.totalOffers / t.capacity()
 }
-
-// rankFraction maps the order of a rank evenly to a number between 0 and 1,
-// which is the same at every hop.
-func rankFraction(r waxwingseam.Rank) float64 {
-	const (
-		multiplier = 0x9e3779b97f4a7c15
-		bits       = 53
-	)
-	mixed := r.Order * multiplier
-	mixed = (mixed ^ mixed>>29) * multiplier
-	return float64(mixed>>(64-bits)) / (1 << bits)
-}
--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -21,6 +21,7 @@
 type budgeter struct {
 	budget waxwingseam.RetryBudget
 	counts window
+	order  order
 	// services maps each known backend server to its service.
 	services map[waxwingseam.ServerName]waxwingseam.ServiceName
 }
@@ -47,7 +48,8 @@
 // arise when servers crash, close connections or fail a share of their requests
 // while many nodes call them. Each receiving node admits repeated calls up to
 // knownServersShare of the sum of its part of the slack and Ratio times the
-// roots that it received itself. All nodes together thus stay within the bound
+// roots that it received itself. While the backend server refuses a
+// share of all calls, the repeats go to the same roots at every hop. All nodes together thus stay within the bound
 // without exchanging messages.
 func (b *budgeter) Admit(c *waxwingseam.Context, call waxwingseam.Call) bool {
 	if b.budget.Window <= 0 {
@@ -55,20 +57,26 @@
 	}
 	now := b.counts.currentPart(c.Now, b.budget.Window)
 	if !call.Repeated {
-		if call.Depth == 0 {
+		if call.Depth == 0 || b.budget.CountCalls {
 			now.roots++
 		}
 		return true
 	}
 	roots, repeats := b.counts.sums(c.Now, b.budget.Window)
 	slack := float64(b.budget.Slack) / float64(b.countServers(c.Self))
-	if float64(repeats+1) > knownServersShare*(slack+b.budget.Ratio*float64(roots)) {
+	left := knownServersShare*(slack+b.budget.Ratio*float64(roots)) - float64(repeats)
+	if !b.order.admits(c.Now, call.Rank, left, b.budget.Window) || left < 1 {
 		return false
 	}
 	now.repeats++
 	return true
 }
 
+// ObserveRun implements waxwingseam.RetryGate.
+func (b *budgeter) ObserveRun(c *waxwingseam.Context, refused bool) {
+	b.order.observeRun(c.Now, refused)
+}
+
 // Refund implements waxwingseam.RetryGate.
 func (b *budgeter) Refund(c *waxwingseam.Context, call waxwingseam.Call) {
 	if b.budget.Window <= 0 || !call.Repeated {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -36,6 +36,7 @@
 	keyAllowances keyAllowances
 	roundRobins   roundRobins
 	lateness      lateness
+	chances       chances
 }
 
 // New returns a dispatcher without calls.
@@ -50,6 +51,7 @@
 		keyAllowances: keyAllowances{byKey: map[rootKey]*keyAllowance{}},
 		roundRobins:   roundRobins{},
 		lateness:      lateness{},
+		chances:       chances{},
 	}
 }
 
@@ -97,6 +99,7 @@
 		d.Balancer.Adopt(c.Set)
 		d.roundRobins.adopt(c.Set)
 		d.lateness.adopt(c.Set)
+		d.chances.adopt(c.Set)
 	case waxwingseam.RunEnded:
 		d.endRun(c, v.ID)
 	}
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -24,7 +24,10 @@
 	for _, p := range d.Routers {
 		p.Router.Route(c, f.call, &query)
 	}
-	choice := d.Balancer.Choose(c, query)
+	choice, refused := d.refusal(c, &query)
+	if !refused {
+		choice = d.Balancer.Choose(c, query)
+	}
 	if choice.Refused {
 		d.finishUnsent(c, f, choice)
 		return
@@ -55,6 +58,23 @@
 	c.Emit(waxwingseam.Dispatch{Call: call, Attempt: number, Server: choice.Server, Known: choice.Known, Patient: patient})
 }
 
+// refusal refuses a root whose class has next to no chance of success at present.
+func (d *dispatcher) refusal(c *waxwingseam.Context, q *waxwingseam.Query) (choice waxwingseam.Choice, refused bool) {
+	if !q.Root || d.chances.admits(c.Now, q.Class) {
+		return choice, false
+	}
+	return waxwingseam.Choice{
+		Refused:    true,
+		Reason:     waxwingseam.ReasonOverloaded,
+		Basis:      waxwingseam.BasisChance,
+		RetryAfter: chanceRetryAfter + time.Duration(c.Random().Int64N(int64(chanceRetryAfter))),
+	}, true
+}
+
+// chanceRetryAfter is the least time after which the caller of a root without a chance may
+// retry; up to the same time is added at random, so that callers do not return together.
+const chanceRetryAfter = time.Second
+
 // finishUnsent finishes a call whose next attempt the balancer refuses. A call
 // with earlier attempts ends with their last result, and a retry that was
 // spent returns to the allowance.
@@ -253,6 +273,9 @@
 		d.lateness.served(f.call.Class, c.Now.Sub(f.arrived))
 	}
 	if len(f.attempts) > 0 {
+		if f.refusable {
+			d.chances.observe(c.Now, f.call.Class, result, d.Balancer.Refused(c, f.call.Service, f.call.Place()) > 0)
+		}
 		c.Emit(waxwingseam.StopTimer{Timer: deadlineTimer(id)})
 	}
 	if f.backingOff {
--- a/experimenter/backend.go
+++ b/experimenter/backend.go
@@ -74,6 +74,8 @@
 	ToldLeaving time.Time
 	// Issued is when the caller or run sent the request.
 	Issued time.Time
+	// Repeated is that of the call.
+	Repeated bool
 }
 
 func newBackend(n *Node, t Tier) *backend {
@@ -98,6 +100,7 @@
 		Told:        told.limited,
 		ToldLeaving: told.leaving,
 		Issued:      call.issued,
+		Repeated:    order.Call.Repeated,
 	})
 	b.jobs[call.id] = j
 	switch {
--- a/experimenter/deployment.go
+++ b/experimenter/deployment.go
@@ -52,6 +52,8 @@
 	// Redirects bounds how often a call that reached no backend server is sent to
 	// another one.
 	Redirects int
+	// CallAllowance is that of the retry limit of all classes.
+	CallAllowance waxwingseam.Allowance
 }
 
 // VanDalen returns the hallmarking office's deployment.
@@ -205,6 +207,7 @@
 		Name:          "usual",
 		Allowance:     retriesPerRoot,
 		BudgetPercent: retryBudgetPercent,
+		CallAllowance: d.CallAllowance,
 		Redirects:     d.Redirects,
 		Backoff:       20 * time.Millisecond,
 	}}
--- a/experimenter/layer.go
+++ b/experimenter/layer.go
@@ -80,7 +80,9 @@
 	admitter func(waxwingseam.Pacer) waxwingseam.Admitter
 	pacer    func() waxwingseam.Pacer
 	balancer func(self waxwingseam.Server) waxwingseam.Balancer
-	bind     func(w *World)
+	// gate returns the retry gate of a node; nil for none.
+	gate func() waxwingseam.RetryGate
+	bind func(w *World)
 }
 
 func (v variantConfig) withDefaults() variantConfig {
@@ -95,13 +97,17 @@
 			return balancer.New(balancer.Config{Self: self.Name, DataCentre: self.DataCentre})
 		}
 	}
+	if v.gate == nil {
+		v.gate = func() waxwingseam.RetryGate { return nil }
+	}
 	return v
 }
 
 func variantWith(config variantConfig) Layer {
 	v := config.withDefaults()
 	return Layer{Name: v.name, Bind: v.bind, New: func(self waxwingseam.Server) waxwingseam.Reducer {
-		retries := retrier.New(retrier.Config{})
+		gate := v.gate()
+		retries := retrier.New(retrier.Config{Gated: gate != nil})
 		runs := tracker.New(tracker.Config{})
 		callPacer := v.pacer()
 		drainState := drainer.New(drainer.Config{})
@@ -115,6 +121,7 @@
 					Deduplicator: deduplicator.New(deduplicator.Config{}),
 					Drainer:      drainState,
 					Tracker:      runs,
+					Gate:         gate,
 				})},
 				{Priority: senderPriority, Worker: dispatcher.New(dispatcher.Config{
 					Classifier: classifier.New(),
--- a/rank.go
+++ b/rank.go
@@ -16,6 +16,18 @@
 	Order uint64 `cbor:"2,keyasint"`
 }
 
+// Fraction maps the order of a rank evenly to a number between 0 and 1, which is the same
+// at every hop and does not depend on when the root started.
+func (r Rank) Fraction() float64 {
+	const (
+		multiplier = 0x9e3779b97f4a7c15
+		bits       = 53
+	)
+	mixed := r.Order * multiplier
+	mixed = (mixed ^ mixed>>29) * multiplier
+	return float64(mixed>>(64-bits)) / (1 << bits)
+}
+
 // Before reports whether r is served before o.
 func (r Rank) Before(o Rank) bool {
 	if r.Importance != o.Importance {
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -424,6 +424,7 @@
 	end.RefusedBelow = r.tracker.Refused(c.Now, live.header.Place())
 	result.Waited = live.waited + end.WaitedBelow
 	r.workload.finish(c, live, e, end)
+	r.gate.ObserveRun(c, e.Result.Reason == waxwingseam.ReasonServerRefused)
 	admissions := r.admitter.Finish(c, end)
 	r.answerAll(c, live, result)
 	r.apply(c, admissions)
--- a/retrier/budget.go
+++ b/retrier/budget.go
@@ -38,5 +38,20 @@
 
 // Forbids implements Rule.
 func (r budgetRule) Forbids(_ *waxwingseam.Context, q waxwingseam.RetryQuestion) bool {
-	return r.retrier.budget(q.Call.Service).balance < r.retrier.cost(q)
+	if r.retrier.chargedByReceiver(q) {
+		return false
+	}
+	b := r.retrier.budget(q.Call.Service)
+	if q.Result.Reason == waxwingseam.ReasonServerRefused && !b.covers(q.Call.Rank) {
+		return true
+	}
+	return b.balance < r.retrier.cost(q)
+}
+
+// covers reports whether the balance is large enough for another try of a call that a
+// backend server refused whatever its load. Once less than the initial balance is left,
+// fewer roots get such tries, the same ones at every hop: a root that makes several calls
+// succeeds only if each of them gets its tries.
+func (b *budget) covers(r waxwingseam.Rank) bool {
+	return r.Fraction()*initialRetries*retryCost < float64(b.balance)
 }
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -29,9 +29,14 @@
 	// Splitter splits an allowance between an attempt and its sender; SendAll if
 	// nil.
 	Splitter Splitter
+	// Gated is set if the receiving nodes bound the repeated calls to each service (see
+	// waxwingseam.RetryGate). Further tries of calls that backend servers refused are then
+	// charged there only.
+	Gated bool
 }
 
 type retrier struct {
+	gated        bool
 	splitter     Splitter
 	rules        []PrioritizedRule
 	budgets      map[waxwingseam.ServiceName]*budget
@@ -41,6 +46,7 @@
 // New returns a retrier whose budgets have their initial balance.
 func New(config Config) waxwingseam.Retrier {
 	r := &retrier{
+		gated:        config.Gated,
 		splitter:     config.Splitter,
 		rules:        config.Rules,
 		budgets:      map[waxwingseam.ServiceName]*budget{},
@@ -78,7 +84,9 @@
 	if !c.Now.Add(delay).Before(q.Call.Deadline) {
 		return waxwingseam.RetryDecision{}
 	}
-	r.budget(q.Call.Service).spend(r.cost(q))
+	if !r.chargedByReceiver(q) {
+		r.budget(q.Call.Service).spend(r.cost(q))
+	}
 	return waxwingseam.RetryDecision{Retry: true, Delay: delay}
 }
 
@@ -91,6 +99,12 @@
 	r.budget(call.Service).earn(limit.BudgetPercent)
 }
 
+// chargedByReceiver reports whether a retry is charged to the budget of the receiving nodes
+// alone.
+func (r *retrier) chargedByReceiver(q waxwingseam.RetryQuestion) bool {
+	return r.gated && q.Result.Reason == waxwingseam.ReasonServerRefused
+}
+
 func (r *retrier) budget(service waxwingseam.ServiceName) *budget {
 	b, ok := r.budgets[service]
 	if !ok {
--- a/retrybudget.go
+++ b/retrybudget.go
@@ -12,6 +12,8 @@
 	// allowed in addition.
 	Ratio float64
 	Slack int
+	// CountCalls is set if each call that a run makes earns repeats, too.
+	CountCalls bool
 }
 
 // RetryGate enforces the retry budget at a receiving node.
@@ -24,4 +26,6 @@
 	// Refund takes back the count of an admitted repeated call that was not handed to
 	// the backend server after all.
 	Refund(c *Context, call Call)
+	// ObserveRun records whether the backend server refused a call that was handed to it.
+	ObserveRun(c *Context, refused bool)
 }
