--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -46,6 +46,7 @@
 	setAge       setAge
 	// undecided counts the flights that wait for the decision on their account's limit.
 	undecided int
+	chances   chances
 }
 
 // New returns a dispatcher without calls.
@@ -60,6 +61,7 @@
 		keyAllowances: keyAllowances{byKey: map[rootKey]*keyAllowance{}},
 		roundRobins:   roundRobins{},
 		lateness:      lateness{},
+		chances:       chances{},
 	}
 }
 
@@ -135,6 +137,7 @@
 		d.roundRobins.adopt(c.Set)
 		d.lateness.adopt(c.Set)
 		d.adoptAccounts(c)
+		d.chances.adopt(c.Set)
 	case waxwingseam.ControlHeard:
 		d.setAge.controlHeard(c)
 	case waxwingseam.AttemptArrived:
