receiver, drainer: a sound server is used after its node's restart without control

Cause: a node that had just started told senders that its server was leaving, until control announced it again, and refused calls as of an unknown service as long as it had no set. With all control replicas killed, a restarted node's server was never used again.

Change: while the server has not reported since the start, refusals do not say that it leaves, and have senders leave it out for 300 ms. Without a set, the node takes calls of nodes that have one, up to the slots that are reported.

Result: TestStartedNodeIsLeftOutForGood fails without each of the two changes.

--- a/assembler/endings_test.go
+++ b/assembler/endings_test.go
@@ -61,6 +61,41 @@
 	}
 }
 
+// TestStartedNodeIsLeftOutForGood guards against a sound server that is not used after a
+// restart of its node while control is out of reach: senders leave out a server that is said to
+// be leaving until control announces it again, and the node has no set to know its service by.
+func TestStartedNodeIsLeftOutForGood(t *testing.T) {
+	stamp := waxwingseam.Stamp{Now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
+	r := reducer.New(reducer.Config{Workers: assembler.Workers(assembler.WorkersConfig{
+		Self: waxwingseam.Server{Name: "fees-1", Service: "fees", Incarnation: 1, Leaving: true, Since: stamp.Now},
+	})})
+	report := func(state waxwingseam.BackendState, sequence uint64) {
+		r.Reduce(waxwingseam.BackendReported{Stamp: stamp, Report: waxwingseam.BackendReport{
+			Instance: "i-1", Service: "fees", State: state, Slots: 8, Started: stamp.Now, Sequence: sequence,
+		}})
+	}
+	arrive := func(id uint64) waxwingseam.Effect {
+		for _, e := range r.Reduce(waxwingseam.AttemptArrived{Stamp: stamp, Attempt: 1, Call: waxwingseam.Call{
+			ID: waxwingseam.NewCallID(0, id), Service: "fees", Class: "any", Deadline: stamp.Now.Add(time.Second),
+		}}) {
+			if e.Kind() == waxwingseam.KindAnswerAttempt || e.Kind() == waxwingseam.KindRun {
+				return e
+			}
+		}
+		return nil
+	}
+	report(waxwingseam.BackendReady, 1)
+	refusal := arrive(1).(waxwingseam.AnswerAttempt).Result
+	qt.Assert(t, refusal.Outcome, qt.Equals, waxwingseam.OutcomeDidNotRun)
+	qt.Assert(t, refusal.Load.Leaving, qt.IsFalse)
+	qt.Assert(t, refusal.Load.RateDelay > 0, qt.IsTrue)
+	r.Reduce(waxwingseam.TimerFired{Stamp: stamp, Timer: waxwingseam.TimerID{Purpose: waxwingseam.PurposeBackendStarted}})
+	qt.Assert(t, arrive(2).Kind(), qt.Equals, waxwingseam.KindRun)
+	report(waxwingseam.BackendDraining, 2)
+	refusal = arrive(3).(waxwingseam.AnswerAttempt).Result
+	qt.Assert(t, refusal.Load.Leaving, qt.IsTrue)
+}
+
 func kinds(effects []waxwingseam.Effect) []waxwingseam.Kind {
 	out := make([]waxwingseam.Kind, len(effects))
 	for i, e := range effects {
--- a/deduplication.go
+++ b/deduplication.go
@@ -63,4 +63,7 @@
 	// Leaving reports whether new work is refused because of a drain or by the
 	// backend server itself. It does not cover BackendServer.Drained.
 	Leaving() bool
+	// Starting reports whether new work is refused only because the backend server has not
+	// reported since the start of the node.
+	Starting() bool
 }
--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -10,6 +10,8 @@
 	draining      bool
 	withdrawn     bool
 	statedLeaving bool
+	// reported is set once the backend server has reported.
+	reported bool
 }
 
 // Config holds the initial state of a drainer.
@@ -32,7 +34,7 @@
 
 // SetWithdrawn implements waxwingseam.Drainer.
 func (d *drainer) SetWithdrawn(c *waxwingseam.Context, withdrawn bool) {
-	d.withdrawn = withdrawn
+	d.withdrawn, d.reported = withdrawn, true
 	d.announce(c)
 }
 
@@ -56,3 +58,8 @@
 func (d *drainer) Leaving() bool {
 	return d.draining || d.withdrawn || d.statedLeaving
 }
+
+// Starting implements waxwingseam.Drainer.
+func (d *drainer) Starting() bool {
+	return d.withdrawn && !d.reported && !d.draining && !d.statedLeaving
+}
--- a/experimenter/records.go
+++ b/experimenter/records.go
@@ -56,6 +56,7 @@
 
 // SetStatedLeaving implements waxwingseam.Drainer.
 func (noopDrainer) SetStatedLeaving(*waxwingseam.Context, bool) {}
+func (noopDrainer) Starting() bool                              { return false }
 
 func (noopDrainer) Drain(*waxwingseam.Context, bool)        {}
 func (noopDrainer) SetWithdrawn(*waxwingseam.Context, bool) {}
--- a/receiver/answer.go
+++ b/receiver/answer.go
@@ -7,11 +7,20 @@
 	"waxwingseam.example/waxwingseam"
 )
 
+// startingDelay is how long senders leave a server out whose node has just started and waits
+// for its report. They would leave out a server that is said to be leaving until control
+// announces it again, which may be out of reach.
+const startingDelay = 300 * time.Millisecond
+
 // answer answers one attempt and reports the current load with it.
 func (r *receiver) answer(c *waxwingseam.Context, w waiter, result waxwingseam.Result) {
 	result.Reached = true
 	result.Load = r.admitter.Load()
 	result.Load.Leaving = r.drainer.Leaving() || r.settings.drained
+	if r.drainer.Starting() && !r.settings.drained {
+		result.Load.Leaving = false
+		result.Load.RateDelay = max(result.Load.RateDelay, startingDelay)
+	}
 	result.Load.Revision = c.Set.Revision
 	result.Load.Statement = r.knownStatement(c)
 	c.Emit(waxwingseam.AnswerAttempt{ID: w.id, Attempt: w.attempt, Result: result})
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -66,6 +66,7 @@
 func (d *fakeDrainer) Drain(_ *waxwingseam.Context, undo bool) { d.leaving = !undo }
 func (d *fakeDrainer) SetWithdrawn(*waxwingseam.Context, bool) {}
 
+func (d *fakeDrainer) Starting() bool                                        { return false }
 func (d *fakeDrainer) SetStatedLeaving(_ *waxwingseam.Context, leaving bool) { d.leaving = leaving }
 
 func (d *fakeDrainer) Leaving() bool { return d.leaving }
--- a/receiver/settings.go
+++ b/receiver/settings.go
@@ -12,8 +12,8 @@
 	// service and reportedSlots are as the backend server reported them.
 	service       waxwingseam.ServiceName
 	reportedSlots int
-	// slots is the number of slots in use; 0 if the service is not configured or
-	// no slots are known.
+	// slots is the number of slots in use; 0 if the service is not in the set or no slots
+	// are known.
 	slots      int
 	drained    bool
 	waitLimits map[waxwingseam.ClassName]waxwingseam.WaitLimit
@@ -25,8 +25,13 @@
 		reportedSlots: self.Slots,
 		waitLimits:    make(map[waxwingseam.ClassName]waxwingseam.WaitLimit, len(s.RequestClasses)),
 	}
-	if service, ok := s.Service(self.Service); ok {
+	switch service, ok := s.Service(self.Service); {
+	case ok:
 		out.slots = serviceSlots(service, self)
+	case s.Revision == 0:
+		// A node that has started while control is out of reach takes calls of nodes that
+		// have a set, as far as its backend server reports.
+		out.slots = usableSlots(self.Slots)
 	}
 	if object, ok := s.BackendServer(self.Name); ok {
 		out.drained = object.Drained
