depositor: a leave at another node reaches the node beside the server

Cause: a node acknowledged the leave of any instance, although only the node beside the server could keep requests from it.

Result: TestLeaveAtAnotherNodeIsIgnored fails on the code before and passes now.

--- a/depositor/depositor.go
+++ b/depositor/depositor.go
@@ -95,6 +95,9 @@
 		})
 		return nil
 	}
+	if other, ok := d.otherServer(r.Instance); ok && r.State == waxwingseam.BackendGone {
+		return d.passOn(other, r)
+	}
 	recorded := make(chan error, 1)
 	d.mu.Lock()
 	d.request++
@@ -141,26 +144,59 @@
 	go func() { recorded <- d.deposit(v.Ending) }()
 }
 
-// deposit sends an ending to control and to other nodes. It returns nil once enough of them
-// have it.
+// deposit sends an ending of the node's own backend server to control and to other nodes. It
+// returns nil once enough of them have it.
 func (d *Depositor) deposit(e waxwingseam.Ending) error {
-	ctx, cancel := context.WithTimeout(context.Background(), depositTime)
 	message := &waxwingseam.EndingsMessage{Server: d.config.Self.Name, Node: d.config.Self.Node, Endings: []waxwingseam.Ending{e}}
-	sends := make([]func() error, 0, 1+holderCount)
-	sends = append(sends, func() error { return d.config.RecordAtControl(ctx, e) })
-	for _, to := range d.holders() {
-		sends = append(sends, func() error { return d.hold(ctx, to, message) })
+	return d.record(message, func(ctx context.Context) error { return d.config.RecordAtControl(ctx, e) })
+}
+
+// passOn records the leave of a backend server beside another node, which did not acknowledge
+// it. The other node is told as if this one had held the ending for it.
+func (d *Depositor) passOn(other waxwingseam.Server, r waxwingseam.BackendReport) error {
+	e := waxwingseam.Ending{Instance: r.Instance, Started: r.Started, At: time.Now()}
+	if e.Started.IsZero() {
+		e.Started = other.Started
+	}
+	message := &waxwingseam.EndingsMessage{Server: other.Name, Node: other.Node, Endings: []waxwingseam.Ending{e}}
+	return d.record(message,
+		func(ctx context.Context) error { _, err := d.Hold(ctx, message); return err },
+		func(ctx context.Context) error { return d.invoke(ctx, other.Node, methodRemind, message) },
+	)
+}
+
+// otherServer returns the server beside another node that has announced an instance, unless
+// the node's own server has announced it too.
+func (d *Depositor) otherServer(instance string) (other waxwingseam.Server, ok bool) {
+	for _, s := range d.config.Servers() {
+		switch {
+		case s.Instance != instance || !s.Node.IsValid():
+		case s.Name == d.config.Self.Name:
+			return waxwingseam.Server{}, false
+		default:
+			other, ok = s, true
+		}
+	}
+	return other, ok
+}
+
+// record sends endings to other nodes and runs further ways to record them. It returns nil
+// once enough holders have them.
+func (d *Depositor) record(m *waxwingseam.EndingsMessage, ways ...func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(context.Background(), depositTime)
+	for _, to := range d.holders(m.Server) {
+		ways = append(ways, func(ctx context.Context) error { return d.invoke(ctx, to, methodHold, m) })
 	}
-	results := make(chan error, len(sends))
+	results := make(chan error, len(ways))
 	var group sync.WaitGroup
-	for _, send := range sends {
-		group.Go(func() { results <- send() })
+	for _, way := range ways {
+		group.Go(func() { results <- way(ctx) })
 	}
-	// The sends that are still running when enough holders have the ending go on.
+	// What is still on its way when enough holders have the endings goes on.
 	go func() { group.Wait(); cancel() }()
 	held := 0
 	var failures []error
-	for range sends {
+	for range ways {
 		if err := <-results; err != nil {
 			failures = append(failures, err)
 		} else if held++; held == wantedHolders {
@@ -171,21 +207,21 @@
 		return nil
 	}
 	err := trace.NewAggregate(failures...)
-	d.config.Logger.Warn("the end of the backend server was recorded nowhere", "instance", e.Instance, "cause", err)
+	d.config.Logger.Warn("the end of a backend server was recorded nowhere", "server", m.Server, "cause", err)
 	return trace.ConnectionProblem(err, "the end of the backend server was recorded nowhere")
 }
 
 // holders returns the addresses of the nodes to which endings are sent: those with the highest
 // hash of both names.
-func (d *Depositor) holders() []netip.AddrPort {
+func (d *Depositor) holders(server waxwingseam.ServerName) []netip.AddrPort {
 	type candidate struct {
 		hash uint64
 		node netip.AddrPort
 	}
 	var list []candidate
 	for _, s := range d.config.Servers() {
-		if s.Name != d.config.Self.Name && s.Node.IsValid() {
-			list = append(list, candidate{xxhash.Sum64String(string(d.config.Self.Name) + " " + string(s.Name)), s.Node})
+		if s.Name != d.config.Self.Name && s.Name != server && s.Node.IsValid() {
+			list = append(list, candidate{xxhash.Sum64String(string(server) + " " + string(s.Name)), s.Node})
 		}
 	}
 	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(b.hash, a.hash) })
--- a/depositor/depositor_test.go
+++ b/depositor/depositor_test.go
@@ -123,3 +123,23 @@
 		t.Fatal("no holder told the node")
 	}
 }
+
+// TestLeaveAtAnotherNodeIsIgnored guards against a leave that another node acknowledges and
+// keeps to itself, after the node beside the server did not: the server would stay in use.
+func TestLeaveAtAnotherNodeIsIgnored(t *testing.T) {
+	beside := startNode(t, newSelf("fees-1"), nil)
+	beside.self.Instance, beside.self.Started = left.Instance, left.Started
+	another := startNode(t, newSelf("fees-2"), errDown, beside)
+	leave := left
+	leave.Started = time.Time{}
+	qt.Assert(t, another.Report(t.Context(), leave), qt.IsNil)
+	qt.Assert(t, another.events, qt.HasLen, 0)
+	select {
+	case e := <-beside.events:
+		learned, ok := e.(waxwingseam.EndingsLearned)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, learned.Endings[0].Started.Equal(left.Started), qt.IsTrue)
+	case <-time.After(waitTimeout):
+		t.Fatal("the node beside the server was not told")
+	}
+}
--- a/depositor/holder.go
+++ b/depositor/holder.go
@@ -138,12 +138,12 @@
 	}
 }
 
-// hold sends an ending to a holder.
-func (d *Depositor) hold(ctx context.Context, to netip.AddrPort, m *waxwingseam.EndingsMessage) error {
+// invoke sends one message to another node.
+func (d *Depositor) invoke(ctx context.Context, to netip.AddrPort, method string, m *waxwingseam.EndingsMessage) error {
 	conn, err := d.config.Dial(ctx, to)
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	defer closeConn(conn)
-	return trace.Wrap(conn.Invoke(ctx, methodHold, messenger.Encoding, m, &Receipt{}))
+	return trace.Wrap(conn.Invoke(ctx, method, messenger.Encoding, m, &Receipt{}))
 }
