administrator: bytes after the body of a request are refused

Cause: as in heartbeats, what followed the JSON value was ignored, so that only the first part of a request was carried out.

Change: such a request is refused as malformed.

--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -5,12 +5,15 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"io"
 	"log/slog"
 	"net/http"
 	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/go-chi/chi/v5/middleware"
+	"github.com/gravitational/trace"
 
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/authenticator"
@@ -113,7 +116,10 @@
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(body)
 	if err == nil {
-		return true
+		if _, err = decoder.Token(); errors.Is(err, io.EOF) {
+			return true
+		}
+		err = trace.BadParameter("something follows the body")
 	}
 	var tooLarge *http.MaxBytesError
 	if asTooLarge(err, &tooLarge) {
