--- a/administrator/account_test.go
+++ b/administrator/account_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,9 +11,6 @@
 
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/administrator"
-	"waxwingseam.example/waxwingseam/authenticator"
-	"waxwingseam.example/waxwingseam/checker"
-	"waxwingseam.example/waxwingseam/historian"
 	"waxwingseam.example/waxwingseam/publisher"
 )
 
@@ -31,23 +27,12 @@
 // TestAccountsOverReplicas guards against accounts without roots, removed accounts and
 // accounts reported together that are missing in the answer, and against keys in it.
 func TestAccountsOverReplicas(t *testing.T) {
-	h := historian.New(historian.Config{})
-	command, err := historian.Encode(historian.Command{Submission: "first", Change: checker.Change{Put: waxwingseam.Set{
-		ClientAccounts: []waxwingseam.ClientAccount{
-			{Name: "archive", Keys: []string{"secret-key"}, Rate: 10, Burst: 5}, {Name: "bureau", Keys: []string{"secret-key-2"}},
-		},
-	}}})
-	qt.Assert(t, err, qt.IsNil)
-	h.Apply(1, command)
-	logger := slog.New(slog.DiscardHandler)
-	guard, err := authenticator.NewGuard(authenticator.GuardConfig{Refuse: administrator.Refuse, Logger: logger})
-	qt.Assert(t, err, qt.IsNil)
 	summary := publisher.UsageSummary{Nodes: 1, Accounts: []waxwingseam.AccountUsage{
 		{Ran: 1, Nodes: 1}, {Account: "archive", Ran: 4, Refused: 2, Nodes: 1}, {Account: "former", Refused: 3, Nodes: 1},
 	}}
-	api := administrator.New(administrator.Config{
-		Historian: h, Guard: guard, Logger: logger, Cluster: usageCluster{usages: []publisher.UsageSummary{summary, summary}},
-	})
+	api := newAPI(t, "", usageCluster{usages: []publisher.UsageSummary{summary, summary}},
+		waxwingseam.ClientAccount{Name: "archive", Keys: []string{"secret-key"}, Rate: 10, Burst: 5},
+		waxwingseam.ClientAccount{Name: "bureau", Keys: []string{"secret-key-2"}})
 	w := httptest.NewRecorder()
 	api.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/v1/accounts", nil))
 	qt.Assert(t, strings.Contains(w.Body.String(), "secret"), qt.IsFalse)
--- a/administrator/reading_test.go
+++ b/administrator/reading_test.go
@@ -20,26 +20,27 @@
 	"waxwingseam.example/waxwingseam/historian"
 )
 
+// newAPI returns the operator API of a replica whose set has client accounts.
+func newAPI(t *testing.T, operatorsFile string, cluster administrator.Cluster, accounts ...waxwingseam.ClientAccount) http.Handler {
+	h := historian.New(historian.Config{})
+	command, err := historian.Encode(historian.Command{Submission: "first", Change: checker.Change{Put: waxwingseam.Set{ClientAccounts: accounts}}})
+	qt.Assert(t, err, qt.IsNil)
+	h.Apply(1, command)
+	logger := slog.New(slog.DiscardHandler)
+	guard, err := authenticator.NewGuard(authenticator.GuardConfig{OperatorsFile: operatorsFile, Refuse: administrator.Refuse, Logger: logger})
+	qt.Assert(t, err, qt.IsNil)
+	return administrator.New(administrator.Config{Historian: h, Log: &testLog{historian: h}, Cluster: cluster, Guard: guard, Logger: logger})
+}
+
 // TestKeysNeedTheRightToWrite checks that an operator who may only read gets no key of a
 // client account from the set or from differences, which would let the reader call as the
 // account.
 func TestKeysNeedTheRightToWrite(t *testing.T) {
-	h := historian.New(historian.Config{})
-	log := &testLog{historian: h}
-	command, err := historian.Encode(historian.Command{Submission: "first", Change: checker.Change{Put: waxwingseam.Set{
-		ClientAccounts: []waxwingseam.ClientAccount{{Name: "archive", Keys: []string{"old-key"}}},
-	}}})
-	qt.Assert(t, err, qt.IsNil)
-	_, err = log.Propose(t.Context(), command)
-	qt.Assert(t, err, qt.IsNil)
 	file := filepath.Join(t.TempDir(), "operators.ini")
 	operators := fmt.Sprintf("[operator alice]\nrights = write\ntoken-digest = %s\n[operator bob]\nrights = read\ntoken-digest = %s\n",
 		authenticator.Digest("alice"), authenticator.Digest("bob"))
 	qt.Assert(t, os.WriteFile(file, []byte(operators), 0o600), qt.IsNil)
-	logger := slog.New(slog.DiscardHandler)
-	guard, err := authenticator.NewGuard(authenticator.GuardConfig{OperatorsFile: file, Refuse: administrator.Refuse, Logger: logger})
-	qt.Assert(t, err, qt.IsNil)
-	api := administrator.New(administrator.Config{Historian: h, Log: log, Guard: guard, Logger: logger})
+	api := newAPI(t, file, nil, waxwingseam.ClientAccount{Name: "archive", Keys: []string{"old-key"}})
 	ask := func(operator, method, path, body string) string {
 		r := httptest.NewRequestWithContext(t.Context(), method, path, strings.NewReader(body))
 		r.Header.Set("Authorization", "Bearer "+operator)
