dispatcher: calls with an unknown key wait until control confirms the set

A node answered 401 to a key of a set that control had accepted a moment ago and that the node had not got yet. A call with an unknown key is held now until control has confirmed the node's set after the arrival of the call, or a set with the key comes; after half of the caller's timeout, 1 s at most, it gets 503. At most 256 calls are held.

--- a/accountkey.go
+++ b/accountkey.go
@@ -1,5 +1,7 @@
 package waxwingseam
 
+import "time"
+
 // The kinds of the event and the effect about the keys of client accounts.
 const (
 	KindControlHeard Kind = "control-heard"
@@ -10,6 +12,8 @@
 // newest. It is reported only while the set has client accounts.
 type ControlHeard struct {
 	Stamp
+	// Age is how long ago the node sent the report that control has answered.
+	Age time.Duration
 }
 
 // RequireKeys says whether the configuration in force has client accounts, so that keys
--- a/dispatcher/account_test.go
+++ b/dispatcher/account_test.go
@@ -154,6 +154,12 @@
 				v.before(n)
 			}
 			effects := n.arrive(v.path, v.key, v.change)
+			if v.key == "other" && v.reason == waxwingseam.ReasonUnauthenticated {
+				_, answered := find[waxwingseam.Reply](effects)
+				qt.Assert(t, answered, qt.IsFalse)
+				n.now = n.now.Add(300 * time.Millisecond)
+				effects = n.reducer.Reduce(waxwingseam.ControlHeard{Stamp: n.stamp(), Age: 100 * time.Millisecond})
+			}
 			if v.reason != waxwingseam.ReasonNone {
 				reply, ok := find[waxwingseam.Reply](effects)
 				qt.Assert(t, ok, qt.IsTrue)
@@ -170,6 +176,59 @@
 	}
 }
 
+// TestUnknownKeyIsHeld guards against a key that is refused for good at a node that has not
+// got the set with the key yet, and against calls that hang while they are held.
+func TestUnknownKeyIsHeld(t *testing.T) {
+	const unauthenticated = "reply:did-not-run:unauthenticated"
+	added := accountSet()
+	added.Revision = 2
+	added.ClientAccounts[1].Keys = []string{"other"}
+	heard := func(n *accountNode, age time.Duration) string {
+		return n.step(waxwingseam.ControlHeard{Stamp: n.stamp(), Age: age})
+	}
+	for _, v := range []struct {
+		name, want string
+		event      func(n *accountNode) string
+	}{
+		{"confirmed before the arrival", "", func(n *accountNode) string { return heard(n, 301*time.Millisecond) }},
+		{"confirmed after it", unauthenticated, func(n *accountNode) string { return heard(n, 290*time.Millisecond) }},
+		{"later revision named", "reply:did-not-run:set-unconfirmed", func(n *accountNode) string {
+			n.step(waxwingseam.AttemptArrived{Stamp: n.stamp(), Call: waxwingseam.Call{Revision: 2}})
+			return heard(n, 0)
+		}},
+		{"set with the key", "dispatch#1+0", func(n *accountNode) string {
+			return n.step(waxwingseam.SetAdopted{Stamp: n.stamp(), Set: added})
+		}},
+		{"set without accounts", "require-keys dispatch#1+0", func(n *accountNode) string {
+			set := hostSet()
+			set.Revision = 2
+			return n.step(waxwingseam.SetAdopted{Stamp: n.stamp(), Set: set})
+		}},
+		{"nothing heard", "reply:did-not-run:set-unconfirmed", func(n *accountNode) string {
+			return n.step(waxwingseam.TimerFired{Stamp: n.stamp(), Timer: waxwingseam.TimerID{Purpose: dispatcher.PurposeUnknownKey, Call: id}})
+		}},
+		{"caller left", "reply:did-not-run:cancelled", func(n *accountNode) string {
+			return n.step(waxwingseam.CallerLeft{Stamp: n.stamp(), ID: id})
+		}},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			n := newAccountNode(accountSet())
+			armed, _ := find[waxwingseam.ArmTimer](n.arrive("/lots/5", "other", func(e *waxwingseam.CallArrived) { e.Timeout = 800 * time.Millisecond }))
+			qt.Assert(t, armed.At, qt.Equals, n.now.Add(400*time.Millisecond))
+			n.now = n.now.Add(300 * time.Millisecond)
+			qt.Assert(t, v.event(n), qt.Equals, v.want)
+			// Nobody is answered twice.
+			again := heard(n, 0)
+			qt.Assert(t, again, qt.Equals, map[bool]string{true: unauthenticated, false: ""}[v.want == ""])
+		})
+	}
+	n := newAccountNode(accountSet())
+	for i := range 300 {
+		_, answered := find[waxwingseam.Reply](n.arrive("/lots/5", "other", func(e *waxwingseam.CallArrived) { e.ID = waxwingseam.NewCallID(7, uint64(i)) }))
+		qt.Assert(t, answered, qt.Equals, i >= 256)
+	}
+}
+
 // TestSuspendedTimeIsSilence guards against a node that was suspended and refuses keys for
 // good that were added meanwhile.
 func TestSuspendedTimeIsSilence(t *testing.T) {
--- a/dispatcher/arrival.go
+++ b/dispatcher/arrival.go
@@ -9,6 +9,14 @@
 // callArrived handles a new call: it sends the first attempt or refuses the call.
 func (d *dispatcher) callArrived(c *waxwingseam.Context, e waxwingseam.CallArrived) {
 	f, reason := d.newFlight(c, e)
+	if reason == waxwingseam.ReasonUnauthenticated && d.hold(c, e) {
+		return
+	}
+	d.begin(c, e, f, reason)
+}
+
+// begin sends the first attempt of a call, or refuses the call for a reason.
+func (d *dispatcher) begin(c *waxwingseam.Context, e waxwingseam.CallArrived, f *flight, reason waxwingseam.Reason) {
 	if reason != waxwingseam.ReasonNone {
 		c.Emit(waxwingseam.Reply{
 			ID:     e.ID,
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -46,6 +46,8 @@
 	setAge       setAge
 	// undecided counts the flights that wait for the decision on their account's limit.
 	undecided int
+	// held are the calls with an unknown key, in the order of their arrival.
+	held []heldCall
 }
 
 // New returns a dispatcher without calls.
@@ -135,8 +137,9 @@
 		d.roundRobins.adopt(c.Set)
 		d.lateness.adopt(c.Set)
 		d.adoptAccounts(c)
+		d.releaseKnown(c)
 	case waxwingseam.ControlHeard:
-		d.setAge.controlHeard(c)
+		d.controlHeard(c, v)
 	case waxwingseam.AttemptArrived:
 		d.setAge.revisionNamed(v.Call.Revision)
 	}
@@ -164,10 +167,16 @@
 func (d *dispatcher) callerLeft(c *waxwingseam.Context, e waxwingseam.CallerLeft) {
 	if f, ok := d.flights[e.ID]; ok {
 		d.finish(c, f, waxwingseam.Result{Reason: waxwingseam.ReasonCancelled})
+		return
 	}
+	d.refuseHeld(c, e.ID, waxwingseam.ReasonCancelled)
 }
 
 func (d *dispatcher) timerFired(c *waxwingseam.Context, e waxwingseam.TimerFired) {
+	if e.Timer.Purpose == PurposeUnknownKey {
+		d.refuseHeld(c, e.Timer.Call, waxwingseam.ReasonSetUnconfirmed)
+		return
+	}
 	f, ok := d.flights[e.Timer.Call]
 	if !ok {
 		return
--- a/subscriber/watch.go
+++ b/subscriber/watch.go
@@ -185,9 +185,9 @@
 	if len(p.Present)+len(p.Gone) > 0 || p.Complete {
 		s.updateServers(p)
 	}
-	if !p.Unconfirmed && isRecent(p.Echo, s.clock()) {
+	if now := s.clock(); !p.Unconfirmed && isRecent(p.Echo, now) {
 		s.config.Step(func(stamp waxwingseam.Stamp) waxwingseam.Event {
-			return waxwingseam.ControlHeard{Stamp: stamp}
+			return waxwingseam.ControlHeard{Stamp: stamp, Age: time.Duration(now-p.Echo) * time.Millisecond}
 		})
 	}
 	return s.checkUnconfirmed(p.Unconfirmed)
