--- a/allocator/failure_test.go
+++ b/allocator/failure_test.go
@@ -1,8 +1,10 @@
 package allocator_test
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,6 +36,74 @@
 	}
 }
 
+// TestFailuresWhileAllSendTooMuch guards against limits that are granted twice, by an owner
+// and by the one that follows it, while every account sends five times its limit.
+func TestFailuresWhileAllSendTooMuch(t *testing.T) {
+	owners := func(w *world) []*node {
+		all := slices.Clone(w.nodes)
+		slices.SortFunc(all, func(x, y *node) int { return cmp.Compare(y.sent, x.sent) })
+		return all[:2]
+	}
+	for _, v := range []struct {
+		name string
+		fail func(w *world)
+	}{
+		{"owners killed", func(w *world) {
+			for _, n := range owners(w) {
+				n.kill(2 * time.Second)
+			}
+		}},
+		{"owners restarted", func(w *world) {
+			for _, n := range owners(w) {
+				n.kill(2 * time.Second)
+				w.after(300*time.Millisecond, n.restart)
+			}
+		}},
+		{"owners frozen", func(w *world) {
+			for _, n := range owners(w) {
+				n.freeze(4*time.Second, false)
+			}
+		}},
+		{"owners suspended", func(w *world) {
+			for _, n := range owners(w) {
+				n.freeze(4*time.Second, true)
+			}
+		}},
+		{"half cut off", func(w *world) { w.cutOff(0.5, 6*time.Second, false) }},
+		{"half cut off, connections refused", func(w *world) { w.cutOff(0.5, 6*time.Second, true) }},
+		{"a tenth cut off", func(w *world) { w.cutOff(0.1, 6*time.Second, false) }},
+		{"most cut off", func(w *world) { w.cutOff(0.9, 6*time.Second, false) }},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(11, 30, 6)
+			w.demand()
+			w.pass(3 * time.Second)
+			for _, u := range w.usage {
+				w.surge(u, 8, time.Minute)
+			}
+			w.pass(time.Second)
+			v.fail(w)
+			w.pass(9 * time.Second)
+			excess, name := w.worst()
+			t.Logf("worst %.3f %s", excess, name)
+			qt.Check(t, excess <= 1, qt.IsTrue, qt.Commentf("%s: %.3f", name, excess))
+		})
+	}
+}
+
+// cutOff cuts a part of the nodes off from the others for a time.
+func (w *world) cutOff(part float64, length time.Duration, rejects bool) {
+	for _, n := range w.nodes {
+		n.group = 0
+		if w.random.Float64() < part {
+			n.group = 1
+		}
+	}
+	w.split, w.rejects = true, rejects
+	w.after(length, func() { w.split = false })
+}
+
 // fail schedules surges and failures, and returns what it has scheduled.
 func (w *world) fail() []string {
 	var log []string
@@ -99,15 +169,6 @@
 		part := 0.05 + 0.9*w.random.Float64()
 		rejects := w.random.IntN(3) == 0
 		add(at, "cut off %.2f for %v rejects=%v", part, length, rejects)
-		w.after(at, func() {
-			for _, n := range w.nodes {
-				n.group = 0
-				if w.random.Float64() < part {
-					n.group = 1
-				}
-			}
-			w.split, w.rejects = true, rejects
-			w.after(length, func() { w.split = false })
-		})
+		w.after(at, func() { w.cutOff(part, length, rejects) })
 	}
 }
