forwarder: paused replies drop what was delivered, heartbeats don't queue behind a blocked frame

Cause: replies received in part kept what was delivered, and waited for one another's memory until their deadlines; TestSlowReadersTakeAllMemory then breaks them. Change: while memory is short, released bytes are dropped at once.

--- a/forwarder/bench_test.go
+++ b/forwarder/bench_test.go
@@ -22,6 +22,7 @@
 	"waxwingseam.example/waxwingseam/arbiter"
 	"waxwingseam.example/waxwingseam/auditor"
 	"waxwingseam.example/waxwingseam/balancer"
+	"waxwingseam.example/waxwingseam/charger"
 	"waxwingseam.example/waxwingseam/classifier"
 	"waxwingseam.example/waxwingseam/deduplicator"
 	"waxwingseam.example/waxwingseam/dispatcher"
@@ -63,6 +64,8 @@
 	net *network
 	// maxBody is the longest request body; 0 for the default.
 	maxBody int64
+	// budgetBound is the bound of the memory of each node; 0 for the default.
+	budgetBound int64
 }
 
 // newTestbed returns a testbed whose cleanup lets goroutines end.
@@ -124,6 +127,7 @@
 type node struct {
 	*forwarder.Forwarder
 	testbed *testbed
+	budget  *charger.Budget
 	self    waxwingseam.Server
 	step    func(func(waxwingseam.Stamp) waxwingseam.Event)
 	stop    context.CancelFunc
@@ -153,14 +157,14 @@
 	if !config.address.IsValid() {
 		config.address = tb.net.reserve()
 	}
-	n := &node{stop: cancel, testbed: tb, self: waxwingseam.Server{
+	n := &node{stop: cancel, testbed: tb, budget: charger.New(tb.budgetBound), self: waxwingseam.Server{
 		Name: config.name, Service: config.service, Node: config.address,
 		Incarnation: max(config.incarnation, 1),
 	}}
 	r := runner.New(runner.Config{Reducer: newReducer(n.self), Seed: 1, Observers: config.observers})
 	n.step = r.Step
 	n.Forwarder = forwarder.New(forwarder.Config{
-		Step: r.Step, Self: n.self, Dialer: tb.net, Backend: config.backend, BackendDialer: tb.net, Arbitrated: true, MaxBody: tb.maxBody,
+		Step: r.Step, Self: n.self, Dialer: tb.net, Backend: config.backend, BackendDialer: tb.net, Arbitrated: true, MaxBody: tb.maxBody, Budget: n.budget,
 		BackendServer: config.protocol,
 	})
 	r.Attach(n.Forwarder)
--- a/forwarder/channel.go
+++ b/forwarder/channel.go
@@ -89,7 +89,7 @@
 	untilHeartbeat := time.Duration(c.lastSent.Load()) + heartbeatInterval - now
 	if untilHeartbeat <= 0 {
 		untilHeartbeat = heartbeatInterval
-		go func() { _ = c.send(frame{Kind: frameHeartbeat}) }()
+		go c.sendHeartbeat()
 	}
 	c.resetTimer(min(untilHeartbeat, untilSilent))
 }
@@ -109,6 +109,16 @@
 	return c.sendLocked(f)
 }
 
+// sendHeartbeat sends a heartbeat, unless another frame is being sent, which may be blocked
+// while the other end has no memory for it.
+func (c *channel) sendHeartbeat() {
+	if !c.sendMu.TryLock() {
+		return
+	}
+	defer c.sendMu.Unlock()
+	_ = c.sendLocked(frame{Kind: frameHeartbeat})
+}
+
 // sendLast sends the last frame of the attempt; later ones are not sent.
 func (c *channel) sendLast(f frame) error {
 	c.sendMu.Lock()
--- a/forwarder/entry.go
+++ b/forwarder/entry.go
@@ -334,6 +334,9 @@
 		}
 		a.delivered.Add(int64(n))
 		a.reply.release(offset + int64(n))
+		if c.forwarder.short() {
+			a.reply.dropReleased()
+		}
 		if crosses(offset, int64(n), window/4) {
 			a.acknowledge()
 		}
--- a/forwarder/memory.go
+++ b/forwarder/memory.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"waxwingseam.example/waxwingseam"
@@ -30,6 +31,24 @@
 	}
 }
 
+// dropReleased drops the released bytes, and the room for them. Otherwise replies that are
+// received in part could wait for one another's memory.
+func (b *buffer) dropReleased() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.released <= b.base {
+		return
+	}
+	b.trim()
+	b.data = slices.Clone(b.data)
+	b.changed.Broadcast()
+}
+
+// short reports whether there is no memory for long replies.
+func (f *Forwarder) short() bool {
+	return f.config.Budget != nil && f.config.Budget.Short(charger.UseReply)
+}
+
 // awaitMemory waits until there is memory for another part of a reply behind its first one,
 // or halted returns true. The other end of a path is not read meanwhile. The returned
 // function is called once the part is charged.
@@ -64,6 +83,7 @@
 func (a *attempt) awaitMemory(c *channel) (release func()) {
 	return awaitMemory(a.exchange.forwarder.config.Budget, a.reply.length(), func() bool {
 		c.noteReceived()
+		a.reply.dropReleased()
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		return a.cancelled || c.stopped.Load() || c.silent.Load() || a.reply.failure() != nil
@@ -79,7 +99,10 @@
 // Write implements io.Writer.
 func (w replyWriter) Write(p []byte) (int, error) {
 	b := w.call.reply
-	release := awaitMemory(w.call.forwarder.config.Budget, b.length(), func() bool { return b.failure() != nil })
+	release := awaitMemory(w.call.forwarder.config.Budget, b.length(), func() bool {
+		b.dropReleased()
+		return b.failure() != nil
+	})
 	defer release()
 	return w.digestWriter.Write(p)
 }
