--- a/assembler/workers.go
+++ b/assembler/workers.go
@@ -5,6 +5,7 @@
 import (
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/admitter"
+	"waxwingseam.example/waxwingseam/allocator"
 	"waxwingseam.example/waxwingseam/arbiter"
 	"waxwingseam.example/waxwingseam/balancer"
 	"waxwingseam.example/waxwingseam/budgeter"
@@ -47,10 +48,13 @@
 	keyRouter := arbiter.NewRouter()
 	drainState := drainer.New(drainer.Config{Withdrawn: self.Leaving})
 	callPacer := pacer.New()
+	accountLimiter := allocator.New()
 	quarantine := quarantiner.New(quarantiner.Config{Drainer: drainState})
 	return []waxwingseam.PrioritizedWorker{
 		{Priority: priorityRouter, Worker: keyRouter},
-		{Priority: supervisor.Priority, Worker: supervisor.New(supervisor.Config{Drainer: drainState})},
+		{Priority: supervisor.Priority, Worker: supervisor.New(supervisor.Config{
+			Drainer: drainState, AwaitEndings: self.Leaving,
+		})},
 		{Priority: quarantiner.Priority, Worker: quarantine},
 		{
 			Priority: receiver.Priority,
@@ -72,6 +76,7 @@
 			Priority: arbiter.Priority,
 			Worker:   arbiter.New(arbiter.Config{Deduplicator: callRecords}),
 		},
+		{Priority: allocator.Priority, Worker: accountLimiter},
 		{
 			Priority: priorityDispatcher,
 			Worker: dispatcher.New(dispatcher.Config{
@@ -81,11 +86,12 @@
 					DataCentre: self.DataCentre,
 					NearFirst:  config.NearFirst,
 				}),
-				Retrier: retrier.New(retrier.Config{}),
+				Retrier: retrier.New(retrier.Config{Gated: config.RetryBudget.Window > 0}),
 				Tracker: runTracker,
 				Routers: []waxwingseam.PrioritizedRouter{{Router: keyRouter}},
 
 				Authenticator: identifier.New(),
+				Limiter:       accountLimiter,
 			}),
 		},
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -47,7 +47,8 @@
 	// undecided counts the flights that wait for the decision on their account's limit.
 	undecided int
 	// held are the calls with an unknown key, in the order of their arrival.
-	held []heldCall
+	held    []heldCall
+	chances chances
 }
 
 // New returns a dispatcher without calls.
@@ -62,6 +63,7 @@
 		keyAllowances: keyAllowances{byKey: map[rootKey]*keyAllowance{}},
 		roundRobins:   roundRobins{},
 		lateness:      lateness{},
+		chances:       chances{},
 	}
 }
 
@@ -137,6 +139,7 @@
 		d.roundRobins.adopt(c.Set)
 		d.lateness.adopt(c.Set)
 		d.adoptAccounts(c)
+		d.chances.adopt(c.Set)
 		d.releaseKnown(c)
 	case waxwingseam.ControlHeard:
 		d.controlHeard(c, v)
--- a/forwarder/inbound.go
+++ b/forwarder/inbound.go
@@ -2,10 +2,13 @@
 
 import (
 	"errors"
+	"math/bits"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"storj.io/drpc"
 
 	"waxwingseam.example/waxwingseam"
@@ -21,6 +24,8 @@
 	ownChannel channel
 	// received is when the opening frame was received.
 	received time.Time
+	// cost is what the attempt is charged with, besides its bodies.
+	cost int64
 
 	disconnected atomic.Bool
 	// unconfirmed is set while the sending node is asked whether the attempt, which
@@ -65,6 +70,8 @@
 		received:  time.Now(),
 	}
 	in.changed.L = &in.mu
+	in.cost = openingCost(o)
+	f.charge(in.cost)
 	in.call = f.hostedCallFor(o)
 	if first.Whole {
 		in.call.addWhole(first)
@@ -123,10 +130,18 @@
 			Received:    in.received,
 			Sent:        o.sent(),
 			Fingerprint: fingerprint,
+			PathDigest:  pathDigest(o.Target),
+			BodySize:    uint8(bits.Len64(uint64(max(o.Length, 0)))),
 		}
 	})
 }
 
+// pathDigest returns a digest of the path of a request target, without the query.
+func pathDigest(target string) uint64 {
+	path, _, _ := strings.Cut(target, "?")
+	return xxhash.Sum64String(path)
+}
+
 // disconnect ends the attempt's connection; the run continues.
 func (in *inbound) disconnect() {
 	if in.disconnected.CompareAndSwap(false, true) {
@@ -155,6 +170,7 @@
 	in.disconnect()
 	in.channel.stop()
 	f := in.forwarder
+	f.charge(-in.cost)
 	f.mu.Lock()
 	if f.inbounds[in.key()] == in {
 		delete(f.inbounds, in.key())
--- a/publisher/session.go
+++ b/publisher/session.go
@@ -55,6 +55,10 @@
 	// usageSent is set if there was any.
 	usageSentAt time.Time
 	usageSent   bool
+	// dirtyEndings names the servers whose endings are to be sent; sentEndings is set once
+	// all of them were.
+	dirtyEndings map[waxwingseam.ServerName]struct{}
+	sentEndings  bool
 	// sentComplete is set once a complete list of servers was sent.
 	sentComplete bool
 }
@@ -82,6 +86,8 @@
 		woken:     make(chan struct{}, 1),
 		ended:     make(chan error, 1),
 		dirty:     map[waxwingseam.ServerName]waxwingseam.Announcement{},
+
+		dirtyEndings: map[waxwingseam.ServerName]struct{}{},
 	}
 	var first Report
 	watchdog := NewWatchdog(func() { closeTransport(stream) })
@@ -174,6 +180,9 @@
 		s.announcement = r.Announcement
 		s.server = r.Announcement.Server.Name
 	}
+	if len(r.Endings) > 0 && s.server != "" && !s.peer {
+		p.addEndings(s.server, r.Endings, true)
+	}
 	announcement := s.announcement
 	p.mu.Unlock()
 	if announcement == nil {
--- a/receiver/settings.go
+++ b/receiver/settings.go
@@ -100,6 +100,7 @@
 // arms the records timer the first time.
 func (r *receiver) adopt(c *waxwingseam.Context) {
 	r.rootRefusals.adopt(c.Set)
+	r.workload.predictor.Adopt(c.Set)
 	before := r.settings.slots
 	r.settings = newSettings(c.Set, c.Self)
 	if r.settings.slots != before && r.settings.slots > 0 {
@@ -111,9 +112,20 @@
 	}
 }
 
+// backendChanged follows a change of the own backend server, which the supervisor has applied.
+func (r *receiver) backendChanged(c *waxwingseam.Context) {
+	if r.settings.service != c.Self.Service || r.settings.reportedSlots != c.Self.Slots {
+		r.adopt(c)
+	}
+	r.forgetStatement(c)
+	r.refuseWaiting(c)
+}
+
 // fire handles the receiver's timers.
 func (r *receiver) fire(c *waxwingseam.Context, timer waxwingseam.TimerID) {
 	switch timer.Purpose {
+	case waxwingseam.PurposeBackendStarted:
+		r.backendChanged(c)
 	case TimerAdmission:
 		r.admissionDue = time.Time{}
 		r.apply(c, r.admitter.Expire(c))
--- a/recorder/catalog.go
+++ b/recorder/catalog.go
@@ -38,6 +38,7 @@
 		waxwingseam.FenceAsked{},
 		waxwingseam.DrainAsked{},
 		waxwingseam.BackendReported{},
+		waxwingseam.EndingsLearned{},
 		waxwingseam.BackendStated{},
 		waxwingseam.IncarnationSuperseded{},
 		waxwingseam.KeyedAttemptArrived{},
@@ -47,5 +48,7 @@
 		waxwingseam.BackendProbed{},
 		waxwingseam.EndsReceived{},
 		waxwingseam.QuarantineOrdered{},
+		waxwingseam.AccountMessageReceived{},
+		waxwingseam.AccountMessageRefused{},
 	)
 }
--- a/report.go
+++ b/report.go
@@ -1,6 +1,22 @@
 package waxwingseam
 
-import "time"
+import (
+	"context"
+	"net/netip"
+	"time"
+)
+
+// The kinds of the event and the effect by which a backend server that has left stays left
+// when the node beside it starts anew.
+const (
+	KindEndingsLearned Kind = "endings-learned"
+	KindRecordEnding   Kind = "record-ending"
+	KindServerKeptOut  Kind = "server-kept-out"
+)
+
+// PurposeBackendStarted is the purpose of the timer after which a started node uses its
+// backend server although it may not have heard of all endings.
+const PurposeBackendStarted TimerPurpose = "backend-started"
 
 // BackendState is the state that a backend server reports.
 type BackendState uint8
@@ -47,8 +63,61 @@
 	ColdFor time.Duration
 }
 
-// Reporter receives the reports of the node's own backend server. A report is
-// in force when Report returns.
+// Ending states that an incarnation of a backend server has reported that it is draining
+// or gone. It is never used again.
+type Ending struct {
+	Instance string `cbor:"1,keyasint"`
+	// Started is that of the report; zero if not reported.
+	Started time.Time `cbor:"2,keyasint,omitzero"`
+	// At is when the node received the report, on its clock.
+	At time.Time `cbor:"3,keyasint"`
+}
+
+// EndingsMessage tells of endings of one node's backend server.
+type EndingsMessage struct {
+	Server ServerName `cbor:"1,keyasint"`
+	// Node is the address of the node beside the server.
+	Node    netip.AddrPort `cbor:"2,keyasint"`
+	Endings []Ending       `cbor:"3,keyasint"`
+}
+
+// EndingsLearned tells a node of endings of its backend server that it may have forgotten.
+type EndingsLearned struct {
+	Stamp
+	Endings []Ending
+	// Complete is set if no other endings are known to control.
+	Complete bool
+}
+
+// Kind implements Event.
+func (EndingsLearned) Kind() Kind { return KindEndingsLearned }
+
+// RecordEnding has an ending recorded outside the node. It answers each report that an
+// incarnation drains or is gone.
+type RecordEnding struct {
+	// Request is that of the report.
+	Request uint64
+	// Ending is zero if the report changed nothing.
+	Ending Ending
+}
+
+// Kind implements Effect.
+func (RecordEnding) Kind() Kind { return KindRecordEnding }
+
+// ServerKeptOut tells that a ready backend server is not used, as its incarnation has reported
+// before that it drains or is gone.
+type ServerKeptOut struct {
+	Instance string
+	Started  time.Time
+	Sequence uint64
+}
+
+// Kind implements Effect.
+func (ServerKeptOut) Kind() Kind { return KindServerKeptOut }
+
+// Reporter receives the reports of the node's own backend server. A report is in force when
+// Report returns. A report that an incarnation drains or is gone is also recorded outside the
+// node, unless an error is returned.
 type Reporter interface {
-	Report(r BackendReport)
+	Report(ctx context.Context, r BackendReport) error
 }
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -3,7 +3,10 @@
 // new work.
 package supervisor
 
-import "waxwingseam.example/waxwingseam"
+import (
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/registrar"
+)
 
 // Priority is the supervisor's place among the workers: before the receiver,
 // which depends on the state that the supervisor updates.
@@ -12,29 +15,44 @@
 // Config holds the dependencies of a supervisor.
 type Config struct {
 	Drainer waxwingseam.Drainer
+	// AwaitEndings keeps the backend server out of use after the start of the node until
+	// it is known which of its incarnations have ended, for at most startWait.
+	AwaitEndings bool
 }
 
 type supervisor struct {
 	drainer waxwingseam.Drainer
 	latest  waxwingseam.BackendReport
+	endings registrar.Endings
+	// waiting is set while ready reports are kept back; held are these.
+	waiting bool
+	held    []waxwingseam.BackendReport
 }
 
 // New returns a supervisor that has not received a report.
 func New(config Config) waxwingseam.Worker {
-	return &supervisor{drainer: config.Drainer}
+	return &supervisor{drainer: config.Drainer, waiting: config.AwaitEndings}
 }
 
 // Kinds implements waxwingseam.Worker.
 func (s *supervisor) Kinds() []waxwingseam.Kind {
-	return []waxwingseam.Kind{waxwingseam.KindBackendReported, waxwingseam.KindIncarnationSuperseded}
+	return []waxwingseam.Kind{
+		waxwingseam.KindBackendReported, waxwingseam.KindIncarnationSuperseded,
+		waxwingseam.KindEndingsLearned, waxwingseam.KindTimerFired,
+	}
 }
 
 // Reduce implements waxwingseam.Worker.
 func (s *supervisor) Reduce(c *waxwingseam.Context, e waxwingseam.Event) {
 	switch v := e.(type) {
 	case waxwingseam.BackendReported:
-		if supersedes(v.Report, s.latest) {
-			s.applyReport(c, v.Report)
+		s.receive(c, v.Report)
+		s.recordEnding(c, v)
+	case waxwingseam.EndingsLearned:
+		s.learn(c, v)
+	case waxwingseam.TimerFired:
+		if v.Timer.Purpose == waxwingseam.PurposeBackendStarted && s.waiting {
+			s.endWait(c)
 		}
 	case waxwingseam.IncarnationSuperseded:
 		advanceIncarnation(c, v.Incarnation)
@@ -52,31 +70,83 @@
 	c.Emit(waxwingseam.Announce{Self: c.Self})
 }
 
-// supersedes reports whether a report is newer than the latest one.
-// BackendGone is final for an incarnation of the backend server: its late
-// heartbeats are ignored.
+// receive applies a report if it is newer than the latest one, and records the end of an
+// incarnation. A leave of an incarnation that is not the current one is recorded as well,
+// because its heartbeats may still arrive.
+func (s *supervisor) receive(c *waxwingseam.Context, r waxwingseam.BackendReport) {
+	if r.Started.IsZero() && r.Instance == s.latest.Instance && r.State == waxwingseam.BackendGone {
+		r.Started = s.latest.Started
+	}
+	newer := supersedes(r, s.latest)
+	if r.State == waxwingseam.BackendReady {
+		if s.endings.Covers(r.Instance, r.Started) {
+			keepOut(c, r)
+			return
+		}
+		if s.waiting {
+			s.hold(c, r)
+			return
+		}
+	} else if newer || s.endsAnother(r) {
+		s.endings.Add(c.Now, waxwingseam.Ending{Instance: r.Instance, Started: r.Started, At: c.Now})
+	}
+	if newer {
+		s.applyReport(c, r)
+	}
+}
+
+// endsAnother reports whether a report that is not newer than the latest one tells that an
+// incarnation other than the current one drains or is gone.
+func (s *supervisor) endsAnother(r waxwingseam.BackendReport) bool {
+	current := r.Instance == s.latest.Instance && r.Started.Equal(s.latest.Started)
+	return r.State == waxwingseam.BackendGone || r.State == waxwingseam.BackendDraining && !r.Started.IsZero() && !current
+}
+
+// recordEnding has the ending of a report that drains or leaves recorded, also when it was
+// recorded before: its holders may have started anew.
+func (s *supervisor) recordEnding(c *waxwingseam.Context, e waxwingseam.BackendReported) {
+	if e.Report.State == waxwingseam.BackendReady {
+		return
+	}
+	out := waxwingseam.RecordEnding{Request: e.Request}
+	for _, v := range s.endings {
+		if v.Instance == e.Report.Instance && (e.Report.Started.IsZero() || v.Started.Equal(e.Report.Started)) {
+			out.Ending = v
+		}
+	}
+	c.Emit(out)
+}
+
+// supersedes reports whether a report is newer than the latest one. A leave names neither a
+// service nor an address, so that it concerns the current instance only.
 func supersedes(r, latest waxwingseam.BackendReport) bool {
+	gone := r.State == waxwingseam.BackendGone
 	switch {
 	case latest.Instance == "":
-		return true
-	case !r.Started.Equal(latest.Started) && !r.Started.IsZero() && !latest.Started.IsZero():
+		return !gone
+	case gone && r.Instance != latest.Instance:
+		return false
+	case r.Started.IsZero() && !latest.Started.IsZero():
+		// A backend server that has reported its start does so in each heartbeat.
+		return false
+	case !r.Started.Equal(latest.Started) && !latest.Started.IsZero():
 		return r.Started.After(latest.Started)
 	case r.Instance != latest.Instance:
-		return r.State != waxwingseam.BackendGone
-	case latest.State == waxwingseam.BackendGone:
-		return false
-	case r.State == waxwingseam.BackendGone:
-		return true
+		// Two instances with the same start can't be ordered.
+		return latest.Started.IsZero()
 	}
-	return r.Sequence > latest.Sequence
+	return gone || !r.Started.Equal(latest.Started) || continues(r, latest)
+}
+
+// continues reports whether a heartbeat follows the latest report of the same incarnation.
+// An incarnation that drains or is gone never becomes ready again.
+func continues(r, latest waxwingseam.BackendReport) bool {
+	return r.State >= latest.State && r.Sequence > latest.Sequence
 }
 
 // applyReport makes a report the latest one, tells the drainer whether the
 // server is ready, and announces the node if the report changed it.
 func (s *supervisor) applyReport(c *waxwingseam.Context, r waxwingseam.BackendReport) {
-	if r.Started.IsZero() && r.Instance == s.latest.Instance {
-		r.Started = s.latest.Started
-	}
 	restarted := r.Instance != s.latest.Instance || !r.Started.Equal(s.latest.Started)
 	s.latest = r
 	before := c.Self
