--- a/assembler/callers.go
+++ b/assembler/callers.go
@@ -16,8 +16,9 @@
 	// KB each, 2,000 hold a third of the budget of a process with 184 MB.
 	maxCallerConnections = 2000
 	// callerDescriptorShare is the fraction of the file descriptors for the callers of one
-	// listener. The rest is for other nodes, backend servers, heartbeats and readiness.
-	callerDescriptorShare = 0.5
+	// listener, of which a node has two. The rest is for other nodes, backend servers,
+	// heartbeats and readiness.
+	callerDescriptorShare = 0.35
 	// maxChecks limits the open connections for readiness, heartbeats and metrics.
 	maxChecks = 256
 )
--- a/pipeliner/clients_test.go
+++ b/pipeliner/clients_test.go
@@ -187,3 +187,41 @@
 	c.send(get("/"))
 	qt.Assert(t, status(t, c.conn), qt.Equals, "200")
 }
+
+// TestIncompleteHTTP2RequestIsHandled guards against HTTP/2 requests that take capacity
+// before they are whole, and against the refusal of whole ones.
+func TestIncompleteHTTP2RequestIsHandled(t *testing.T) {
+	var handled atomic.Int64
+	handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		handled.Add(n)
+	})
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	budget := charger.New(0)
+	server := newTestServer(t, pipeliner.Config{
+		Handler:   handler,
+		HTTP2:     &http.Server{Handler: handler, Protocols: protocols, ReadHeaderTimeout: time.Second},
+		Limits:    strictLimits,
+		HoldsBody: func(*http.Request) bool { return true },
+		Budget:    budget,
+	})
+	client := &http.Client{Transport: &http.Transport{Protocols: protocols}}
+	defer client.CloseIdleConnections()
+	post := func(body io.Reader) int {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+server.listener.Addr().String()+"/", body)
+		qt.Assert(t, err, qt.IsNil)
+		answer, err := client.Do(r)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, answer.Body.Close(), qt.IsNil)
+		return answer.StatusCode
+	}
+	unfinished, end := io.Pipe()
+	go func() { _, _ = io.WriteString(end, "begin") }()
+	qt.Assert(t, post(unfinished), qt.Equals, http.StatusRequestTimeout)
+	qt.Assert(t, handled.Load(), qt.Equals, int64(0))
+	qt.Assert(t, end.Close(), qt.IsNil)
+	const length = 1 << 20
+	qt.Assert(t, post(strings.NewReader(strings.Repeat("b", length))), qt.Equals, http.StatusOK)
+	qt.Assert(t, handled.Load(), qt.Equals, int64(length))
+}
--- a/pipeliner/connection.go
+++ b/pipeliner/connection.go
@@ -29,7 +29,7 @@
 	// maxLingerBytes and maxRefusedBytes bound what is read meanwhile, behind an answer and
 	// behind the refusal of a malformed request. Without a bound, clients make a node read
 	// as fast as they send.
-	maxLingerBytes  = 1 << 20
+	maxLingerBytes  = 128 << 10
 	maxRefusedBytes = 32 << 10
 	// leftWriteTimeout bounds a write that was blocked when the caller left.
 	leftWriteTimeout = time.Second
