--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -304,7 +304,8 @@
 	}
 	h.setHead(reply.head)
 	w := newDigestWriter(h.reply)
-	length, err := copyBody(replyWriter{digestWriter: w, call: h}, reply.body)
+	w.call = h
+	length, err := copyBody(w, reply.body)
 	if err != nil {
 		return result, false, err
 	}
--- a/forwarder/memory.go
+++ b/forwarder/memory.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -90,25 +89,15 @@
 	})
 }
 
-// replyWriter writes the reply of a run while there is memory for it.
-type replyWriter struct {
-	*digestWriter
-	call *hostedCall
-}
-
-// Write implements io.Writer.
-func (w replyWriter) Write(p []byte) (int, error) {
-	b := w.call.reply
-	release := awaitMemory(w.call.forwarder.config.Budget, b.length(), func() bool {
-		b.dropReleased()
-		return b.failure() != nil
+// awaitReplyMemory waits until there is memory for more of the reply of a run. The backend
+// server is not read meanwhile.
+func (h *hostedCall) awaitReplyMemory() (release func()) {
+	return awaitMemory(h.forwarder.config.Budget, h.reply.length(), func() bool {
+		h.reply.dropReleased()
+		return h.reply.failure() != nil
 	})
-	defer release()
-	return w.digestWriter.Write(p)
 }
 
-var _ io.Writer = replyWriter{}
-
 // charge charges n bytes to the process's budget, or releases them if n is negative.
 func (f *Forwarder) charge(n int64) {
 	if f.config.Budget != nil {
--- a/forwarder/pump.go
+++ b/forwarder/pump.go
@@ -30,6 +30,9 @@
 type digestWriter struct {
 	buffer *buffer
 	digest xxhash.Digest
+	// call is the call whose reply is written; nil for a request body. Its reply waits for
+	// memory.
+	call *hostedCall
 }
 
 func newDigestWriter(b *buffer) *digestWriter {
@@ -40,6 +43,9 @@
 
 // Write implements io.Writer.
 func (w *digestWriter) Write(p []byte) (int, error) {
+	if w.call != nil {
+		defer w.call.awaitReplyMemory()()
+	}
 	n, err := w.buffer.Write(p)
 	_, _ = w.digest.Write(p[:n])
 	return n, err
