--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -308,7 +308,8 @@
 	}
 	h.setHead(reply.head)
 	w := newDigestWriter(h.reply)
-	length, err := copyBody(replyWriter{digestWriter: w, call: h}, reply.body)
+	w.call = h
+	length, err := copyBody(w, reply.body)
 	if err != nil {
 		return result, false, err
 	}
