receiver, dispatcher: a slow server sends calls back once before they begin

Cause: with 100 senders and servers, a sender's figures of a server are some hundred ms old, longer than a server is slow.

Change: the node beside a server that is slow at the moment, or has a queue of half its limit, sends the first attempt of a call back as did-not-run (server-slow); the sender chooses another server at once, at no cost in retries. Calls with keys, repeats, resumed attempts and long bodies stay. Nothing changes for servers that state no pace.

--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -19,7 +19,7 @@
 		Late:         f.late,
 		LargeReply:   f.largeReply,
 		Tried:        f.tried,
-		ExcludeTried: f.redirecting && f.lastResult.Reason != waxwingseam.ReasonRateLimited,
+		ExcludeTried: f.redirecting && !freeRedirect(f.lastResult),
 	}
 	for _, p := range d.Routers {
 		p.Router.Route(c, f.call, &query)
@@ -80,7 +80,7 @@
 // spent returns to the allowance.
 func (d *dispatcher) finishUnsent(c *waxwingseam.Context, f *flight, choice waxwingseam.Choice) {
 	result := waxwingseam.Result{Reason: choice.Reason, RetryAfter: choice.RetryAfter}
-	if len(f.attempts) > 0 {
+	if len(f.attempts) > 0 && f.lastResult.Reason != waxwingseam.ReasonServerSlow {
 		if !f.redirecting {
 			f.allowance.Remaining++
 		}
@@ -122,7 +122,7 @@
 	}
 	f.repeated = f.repeated || !backendNotReached(result)
 	if d.shouldRedirect(c, f, a, result) {
-		if result.Reason != waxwingseam.ReasonRateLimited {
+		if !freeRedirect(result) {
 			f.redirects++
 		}
 		f.redirecting = true
@@ -169,6 +169,10 @@
 	if !f.replayable || !backendNotReached(result) {
 		return false
 	}
+	if result.Reason == waxwingseam.ReasonServerSlow {
+		// A node sends only first attempts back.
+		return a.number == 1
+	}
 	if result.Reason == waxwingseam.ReasonRateLimited {
 		return f.shouldRedirectRateLimited(a)
 	}
@@ -199,6 +203,12 @@
 	return true
 }
 
+// freeRedirect reports whether a further attempt counts neither as a redirect nor as a
+// retry. It may go to the same server if no other one is left.
+func freeRedirect(result waxwingseam.Result) bool {
+	return result.Reason == waxwingseam.ReasonRateLimited || result.Reason == waxwingseam.ReasonServerSlow
+}
+
 // backendNotReached reports whether a result shows that a node refused a call, or
 // could not be reached, before its backend server received any part of the call.
 func backendNotReached(result waxwingseam.Result) bool {
@@ -209,7 +219,7 @@
 	case waxwingseam.ReasonConnectionFailed, waxwingseam.ReasonDraining, waxwingseam.ReasonUnknownService,
 		waxwingseam.ReasonIncarnation, waxwingseam.ReasonFenced, waxwingseam.ReasonOverloaded,
 		waxwingseam.ReasonEvicted, waxwingseam.ReasonWaitLimit, waxwingseam.ReasonRetryBudget,
-		waxwingseam.ReasonRateLimited, waxwingseam.ReasonEndsServer:
+		waxwingseam.ReasonRateLimited, waxwingseam.ReasonEndsServer, waxwingseam.ReasonServerSlow:
 		return true
 	}
 	return false
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -180,6 +180,7 @@
 	waxwingseam.ReasonServerRefused:    "the backend server refused the call, because the server was overloaded or the request was too late",
 	waxwingseam.ReasonServerReplaced:   "another backend server now has the address",
 	waxwingseam.ReasonRetryBudget:      "the retry budget of the service was used up",
+	waxwingseam.ReasonServerSlow:       "the backend server was slow at the moment, and its node sent the call back before it began, for another server",
 	waxwingseam.ReasonRateLimited:      "the backend server names a rate limit, and the call would have exceeded it or waited too long",
 	waxwingseam.ReasonCancelled:        "the caller left, or the run that made the call ended",
 }
--- a/forwarder/inbound.go
+++ b/forwarder/inbound.go
@@ -127,11 +127,16 @@
 			Sent:        o.sent(),
 			Fingerprint: fingerprint,
 			PathDigest:  pathDigest(o.Target),
-			BodySize:    uint8(bits.Len64(uint64(max(o.Length, 0)))),
+			BodySize:    bodySize(o.Length),
 		}
 	})
 }
 
+// bodySize returns the number of bits in a declared length; 64 if it is not declared.
+func bodySize(length int64) uint8 {
+	return uint8(bits.Len64(uint64(length)))
+}
+
 // pathDigest returns a digest of the path of a request target, without the query.
 func pathDigest(target string) uint64 {
 	path, _, _ := strings.Cut(target, "?")
--- a/forwarder/problem.go
+++ b/forwarder/problem.go
@@ -62,6 +62,7 @@
 	waxwingseam.ReasonDigestMismatch:   "The reply was not whole",
 	waxwingseam.ReasonReplyNotKept:     "The request has run and its reply is kept no more",
 	waxwingseam.ReasonKeyUnproven:      "No witness can say whether the idempotency key was used before",
+	waxwingseam.ReasonServerSlow:       "The backend server was slow at the moment",
 	waxwingseam.ReasonEndsServer:       "The request has ended the only backend server that ran it",
 	waxwingseam.ReasonQuarantined:      "The request has ended the backend servers that ran it",
 	waxwingseam.ReasonBodyConsumed:     "The request body can't be sent a second time",
--- a/outcome.go
+++ b/outcome.go
@@ -66,8 +66,11 @@
 	ReasonNoConfiguration  Reason = "no-configuration"
 	ReasonRetryBudget      Reason = "retry-budget"
 	ReasonRateLimited      Reason = "rate-limited"
-	ReasonQuarantined      Reason = "quarantined"
-	ReasonEndsServer       Reason = "ends-server"
-	ReasonUnauthenticated  Reason = "unauthenticated"
-	ReasonAccountLimit     Reason = "account-limit"
+	// ReasonServerSlow means that the node beside a backend server which is slow at the
+	// moment sent a call back that had not begun, so that another server may take it.
+	ReasonServerSlow      Reason = "server-slow"
+	ReasonQuarantined     Reason = "quarantined"
+	ReasonEndsServer      Reason = "ends-server"
+	ReasonUnauthenticated Reason = "unauthenticated"
+	ReasonAccountLimit    Reason = "account-limit"
 )
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -63,6 +63,11 @@
 	handOvers    uint64
 	rootRefusals rootRefusals
 	workload     workload
+	// services maps each other server that is not leaving to its service. otherServers
+	// counts those of the node's service if othersKnown is set.
+	services     map[waxwingseam.ServerName]waxwingseam.ServiceName
+	otherServers int
+	othersKnown  bool
 	calls        map[waxwingseam.CallID]*call
 	// owners maps a call that joined another call to that other call.
 	owners map[waxwingseam.CallID]waxwingseam.CallID
@@ -112,6 +117,7 @@
 		quarantine:   config.Quarantine,
 		rootRefusals: rootRefusals{},
 		workload:     newWorkload(),
+		services:     map[waxwingseam.ServerName]waxwingseam.ServiceName{},
 		calls:        map[waxwingseam.CallID]*call{},
 		owners:       map[waxwingseam.CallID]waxwingseam.CallID{},
 		parents:      map[waxwingseam.CallID]*call{},
@@ -171,6 +177,7 @@
 		r.adopt(c)
 	case waxwingseam.ServersUpdated:
 		r.gate.UpdateServers(v.Servers, v.Gone)
+		r.updateServers(c, v)
 		return
 	}
 	r.armAdmissionTimer(c)
@@ -211,7 +218,7 @@
 		r.answer(c, w, result)
 		return
 	}
-	if reason := r.refusalReason(c, &e.Call); reason != waxwingseam.ReasonNone {
+	if reason := r.refusalReason(c, &e); reason != waxwingseam.ReasonNone {
 		r.deduplicator.Refuse(c, e.Call.ID)
 		r.answer(c, w, didNotRun(reason))
 		return
@@ -260,9 +267,10 @@
 	return result, reason != waxwingseam.ReasonNone
 }
 
-// refusalReason returns why a new call is refused regardless of load;
-// ReasonNone if it is not.
-func (r *receiver) refusalReason(c *waxwingseam.Context, header *waxwingseam.Call) waxwingseam.Reason {
+// refusalReason returns why a new call is refused before it is offered to the
+// admitter; ReasonNone if it is not.
+func (r *receiver) refusalReason(c *waxwingseam.Context, e *waxwingseam.AttemptArrived) waxwingseam.Reason {
+	header := &e.Call
 	switch {
 	case r.drainer.Leaving() || r.settings.drained:
 		return waxwingseam.ReasonDraining
@@ -270,6 +278,9 @@
 		return waxwingseam.ReasonUnknownService
 	case !c.Now.Before(header.Deadline):
 		return waxwingseam.ReasonDeadline
+	case r.sendsBack(c, e):
+		// Another node counts the call in its retry budget.
+		return waxwingseam.ReasonServerSlow
 	case !r.gate.Admit(c, *header):
 		return waxwingseam.ReasonRetryBudget
 	}
--- a/receiver/settings.go
+++ b/receiver/settings.go
@@ -103,6 +103,7 @@
 	r.workload.predictor.Adopt(c.Set)
 	before := r.settings.slots
 	r.settings = newSettings(c.Set, c.Self)
+	r.othersKnown = false
 	if r.settings.slots != before && r.settings.slots > 0 {
 		r.admitter.Configure(r.settings.slots)
 	}
--- a/receiver/work_test.go
+++ b/receiver/work_test.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -61,3 +62,38 @@
 	qt.Assert(t, load.Pace, qt.Equals, uint16(100))
 	qt.Assert(t, load.WorkLeft, qt.Equals, time.Duration(0))
 }
+
+// TestSlowServerSendsBackOnce guards against calls that stay at a server that has become
+// slow, against calls that no server takes because each sends them back, and against calls
+// that are sent back although their sender can't send them again.
+func TestSlowServerSendsBackOnce(t *testing.T) {
+	h := newHarness()
+	arrive := func(id uint64, attempt waxwingseam.Attempt, change func(*waxwingseam.AttemptArrived)) string {
+		e := waxwingseam.AttemptArrived{Stamp: h.stamp(), Call: h.call(id), Attempt: attempt}
+		if change != nil {
+			change(&e)
+		}
+		return h.reduce(e)
+	}
+	slow := waxwingseam.ParseBackendLoad("1,0,8,250")
+	h.runs(1, 5, 10*time.Millisecond, slow)
+	qt.Assert(t, arrive(10, 1, nil), qt.Equals, "run 10.1")
+	h.endWithLoad(10, 10*time.Millisecond, slow)
+	h.reducer.Reduce(waxwingseam.ServersUpdated{Stamp: h.stamp(), Servers: []waxwingseam.Server{{Name: "fees-2", Service: "fees"}}})
+	qt.Assert(t, arrive(11, 1, nil), qt.Equals, "answer 11.1 did-not-run server-slow unspent 0")
+	qt.Assert(t, arrive(11, 2, nil), qt.Equals, "run 11.2")
+	h.endWithLoad(11, 10*time.Millisecond, slow)
+	for i, change := range []func(e *waxwingseam.AttemptArrived){
+		func(e *waxwingseam.AttemptArrived) { e.Call.Key = "key" },
+		func(e *waxwingseam.AttemptArrived) { e.Call.Resumed = true },
+		func(e *waxwingseam.AttemptArrived) { e.Call.Repeated = true },
+		func(e *waxwingseam.AttemptArrived) { e.BodySize = 64 },
+	} {
+		id := uint64(20 + i)
+		qt.Assert(t, strings.Contains(arrive(id, 1, change), "server-slow"), qt.IsFalse)
+		h.endWithLoad(id, 10*time.Millisecond, slow)
+	}
+	h.endWithLoad(99, 0, slow)
+	h.now = h.now.Add(2 * time.Second)
+	qt.Assert(t, arrive(30, 1, nil), qt.Equals, "run 30.1")
+}
--- a/runevent.go
+++ b/runevent.go
@@ -34,8 +34,8 @@
 	// Fingerprint is that of the request. Its digest is set if the request is watched; see
 	// WatchRequests.
 	Fingerprint Fingerprint `cbor:",omitzero"`
-	// PathDigest is a digest of the path, and BodySize the number of bits in the length of
-	// the request body; 0 if unknown or empty.
+	// PathDigest is a digest of the path, and BodySize the number of bits in the declared
+	// length of the request body; 0 if unknown or empty, 64 if it is not declared.
 	PathDigest uint64 `cbor:",omitempty"`
 	BodySize   uint8  `cbor:",omitempty"`
 }
