route: where a request would go now and why, without sending it

The command asks the node's telemetry address (GET /v1/route); the dispatcher answers with the code of the decision.

--- a/assembler/node.go
+++ b/assembler/node.go
@@ -66,6 +66,7 @@
 	Runner    *runner.Runner
 	Forwarder *forwarder.Forwarder
 	state     *nodeState
+	routes    *routeAsker
 }
 
 // nodeState is the state on which the node's readiness depends. It observes the
@@ -136,6 +137,7 @@
 		Logger:        config.Logger.Part("node"),
 	})
 	n.Runner.Attach(n.Forwarder)
+	n.routes = newRouteAsker(n.Runner)
 	if err := n.Forwarder.Register(config.Messenger); err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/assembler/telemetry.go
+++ b/assembler/telemetry.go
@@ -17,7 +17,7 @@
 	Level string `json:"level"`
 }
 
-// serveTelemetry serves metrics, readiness, drain requests and the log level, if
+// serveTelemetry serves metrics, readiness, drain requests, routes and the log level, if
 // the settings contain an address.
 func (p *Process) serveTelemetry(ctx context.Context, group *errgroup.Group) error {
 	address := p.settings.Process.TelemetryAddress
@@ -31,6 +31,9 @@
 	r.Delete("/v1/drain", p.drain(true))
 	r.Get("/v1/log-level", p.logLevel)
 	r.Put("/v1/log-level", p.setLogLevel)
+	if p.node != nil {
+		r.Method(http.MethodGet, "/v1/route", p.node.routes)
+	}
 	return serveHTTP(ctx, group, address, r)
 }
 
--- a/balance.go
+++ b/balance.go
@@ -75,6 +75,11 @@
 	Pinned ServerName
 }
 
+// Place returns the place of the call that is to be sent.
+func (q *Query) Place() Place {
+	return Place{Class: q.Class, Importance: q.Rank.Importance, Depth: q.Depth}
+}
+
 // Router narrows a query before the balancer answers it.
 type Router interface {
 	Route(c *Context, call Call, q *Query)
@@ -111,6 +116,8 @@
 	UpdateServers(c *Context, servers []Server, gone []ServerName)
 	// Choose picks a server and counts the attempt as in flight there.
 	Choose(c *Context, q Query) Choice
+	// Explain returns what Choose would decide and why, without counting anything.
+	Explain(c *Context, q Query) Route
 	// Observe records the end of an attempt.
 	Observe(c *Context, f Feedback)
 	// Overloaded reports whether a service has known servers and all of them shed
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -122,7 +122,7 @@
 	if len(p.members) == 0 {
 		return waxwingseam.Choice{Refused: true, Reason: waxwingseam.ReasonNoServer, Basis: waxwingseam.BasisServers}
 	}
-	place := waxwingseam.Place{Class: q.Class, Importance: q.Rank.Importance, Depth: q.Depth}
+	place := q.Place()
 	share := p.refused(c, place)
 	if q.Root && !p.shares.admits(c.Now, place, q.Rank, q.Late, share) {
 		choice := p.refusal(c, 1/(1-share))
--- a/balancer/figures.go
+++ b/balancer/figures.go
@@ -1,7 +1,6 @@
 package balancer
 
 import (
-	"math"
 	"time"
 
 	"waxwingseam.example/waxwingseam"
@@ -19,19 +18,19 @@
 	queueWeight = 2
 	// costGain is the weight of a new cost of a class.
 	costGain = 0.02
-	// usualTimeConstant is the time in which the weight of an old usual service time falls
-	// to 1/e, usualGain the weight of a new one.
-	usualTimeConstant = 5 * time.Second
-	usualGain         = 0.1
+	// usualMemory is the time in which a usual service time is forgotten, usualGain the
+	// weight of a new one.
+	usualMemory = 10 * time.Second
+	usualGain   = 0.1
 	// maxUsualRatio bounds the stated usual service time against the mean of the service,
 	// and maxErrorRatio a single ratio of actual to expected time.
 	maxUsualRatio = 3
 	maxErrorRatio = 16
-	// errorGain is the weight of a new ratio of actual to expected time, errorTimeConstant
-	// the time in which a server that is not called counts as right again.
-	errorGain         = 0.04
-	errorTimeConstant = 30 * time.Second
-	paceUnit          = 100
+	// errorGain is the weight of a new ratio of actual to expected time, errorMemory the
+	// time in which a server that is not called counts as right again.
+	errorGain   = 0.04
+	errorMemory = time.Minute
+	paceUnit    = 100
 )
 
 // figures is what a server's node states with its answers, corrected by what this node has
@@ -42,8 +41,7 @@
 	at     time.Time
 	// pace is the time that work takes at the server, as a multiple of the usual.
 	pace float64
-	// used is the number of running and waiting calls, and rest the mean expected rest of
-	// a running one as a multiple of the usual service time.
+	// used is the number of running and waiting calls.
 	used float64
 	// sent counts the calls that this node has sent since.
 	sent int
@@ -73,14 +71,14 @@
 		g.observeUsual(now, load.ServiceTime.Seconds()/g.pace)
 		p.usual.add(now, g.usual)
 		usual := t.usualTime(now)
-		p.end.add(now, t.wait(c, usual)+usual*max(g.pace, 1))
+		p.end.add(now, t.wait(usual, t.limit(now))+usual*max(g.pace, 1))
 	}
 }
 
 func (g *figures) observeUsual(now time.Time, usual float64) {
 	oldWeight := 0.0
 	if !g.usualAt.IsZero() {
-		oldWeight = min(math.Exp(-now.Sub(g.usualAt).Seconds()/usualTimeConstant.Seconds()), 1-usualGain)
+		oldWeight = min(remembered(now.Sub(g.usualAt), usualMemory), 1-usualGain)
 	}
 	g.usual = oldWeight*g.usual + (1-oldWeight)*usual
 	g.usualAt = now
@@ -93,28 +91,34 @@
 	if mean == 0 {
 		return minLatency
 	}
-	weight := math.Exp(-now.Sub(g.usualAt).Seconds() / usualTimeConstant.Seconds())
+	weight := remembered(now.Sub(g.usualAt), usualMemory)
 	usual := weight*g.usual + (1-weight)*mean
 	return min(max(usual, mean/maxUsualRatio), mean*maxUsualRatio)
 }
 
+// remembered returns the weight of a value that is forgotten evenly over a time. It costs
+// less than decay, as each choice compares several servers.
+func remembered(age, memory time.Duration) float64 {
+	return min(max(1-float64(age)/float64(memory), 0), 1)
+}
+
 // expectedEnd returns the expected time until a call of a class that is sent now ends, in
 // seconds. Old figures decay to the mean of all servers, but for how fast the server usually
 // is.
 func (t *target) expectedEnd(c *waxwingseam.Context, class waxwingseam.ClassName) float64 {
 	usual, cost := t.usualTime(c.Now), t.pool.cost(class)
-	weight := decay(c.Now.Sub(t.figures.at))
+	weight, warm := decay(c.Now.Sub(t.figures.at)), t.warmUpShare(c.Now)
 	service := usual * (weight*max(t.figures.pace, 1) + (1-weight)*max(t.pool.pace.value, 1))
 	// A server whose figures are old would end a call of mean cost as soon as the others.
-	wait := weight*t.wait(c, usual) + (1-weight)*max(t.pool.end.value-service, 0)
-	return (wait+service*cost)/(1-t.faults.rate)/t.warmUpShare(c.Now) + t.pause.remaining(c.Now).Seconds()
+	limit := max((weight*float64(t.load.Limit)+(1-weight)*t.pool.meanLimit)*t.weight*warm, 1)
+	wait := weight*t.wait(usual, limit) + (1-weight)*max(t.pool.end.value-service, 0)
+	return (wait+service*cost)/(1-t.faults.rate)/warm + t.pause.remaining(c.Now).Seconds()
 }
 
 // wait returns for how long a further call would wait, in seconds, if the last figures
 // still hold and only this node has sent calls since.
-func (t *target) wait(c *waxwingseam.Context, usual float64) float64 {
+func (t *target) wait(usual, limit float64) float64 {
 	g := &t.figures
-	limit := t.limit(c.Now)
 	service := usual * max(g.pace, 1)
 	used := max(g.used+float64(g.sent+1), float64(t.inFlight+1)) / limit
 	rest := service
@@ -134,8 +138,7 @@
 	if g.errAt.IsZero() {
 		return 1
 	}
-	weight := math.Exp(-now.Sub(g.errAt).Seconds() / errorTimeConstant.Seconds())
-	return 1 + weight*(g.err-1)
+	return 1 + remembered(now.Sub(g.errAt), errorMemory)*(g.err-1)
 }
 
 // observeError records the time of a successful call that was expected to take another,
@@ -176,7 +179,7 @@
 	mean := v.value
 	weight := 0.0
 	if !v.updated.IsZero() {
-		weight = min(math.Exp(-now.Sub(v.updated).Seconds()/errorTimeConstant.Seconds()), 1-errorGain)
+		weight = min(remembered(now.Sub(v.updated), errorMemory), 1-errorGain)
 	}
 	v.value, v.updated = weight*v.value+(1-weight)*ratio, now
 	if mean == 0 {
--- a/balancer/figures_test.go
+++ b/balancer/figures_test.go
@@ -89,19 +89,27 @@
 	qt.Assert(t, counts["fees-0"] <= calls*11/50, qt.IsTrue, qt.Commentf("%v", counts))
 }
 
-// BenchmarkChooseByFigures measures a choice and its feedback if the servers state figures.
+// BenchmarkChooseByFigures measures a choice, with its feedback and alone, if the servers
+// state figures.
 func BenchmarkChooseByFigures(b *testing.B) {
 	for _, n := range []int{20, 1000} {
-		b.Run(fmt.Sprintf("servers-%d", n), func(b *testing.B) {
-			h := newHarness("desk", servers(n), &waxwingseam.Set{})
-			result := succeeded
-			result.Load = waxwingseam.Load{Limit: 10, ServiceTime: 20 * time.Millisecond, Pace: 100, WorkLeft: time.Millisecond}
-			for range 20 * n {
+		h := newHarness("desk", servers(n), &waxwingseam.Set{})
+		result := succeeded
+		result.Load = waxwingseam.Load{Limit: 10, ServiceTime: 20 * time.Millisecond, Pace: 100, WorkLeft: time.Millisecond}
+		for range 20 * n {
+			h.choose(waxwingseam.Query{}, result)
+		}
+		b.Run(fmt.Sprintf("with-feedback/servers-%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
 				h.choose(waxwingseam.Query{}, result)
 			}
+		})
+		b.Run(fmt.Sprintf("alone/servers-%d", n), func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				h.choose(waxwingseam.Query{}, result)
+				h.begin()
+				h.Choose(h.context, waxwingseam.Query{Service: "fees"})
 			}
 		})
 	}
--- a/balancer/filter.go
+++ b/balancer/filter.go
@@ -11,6 +11,8 @@
 	// priority orders the filters; the filter with the largest priority is dropped
 	// first.
 	priority int
+	// name is the filter's name in a waxwingseam.Route.
+	name string
 	// mandatory filters are never dropped.
 	mandatory bool
 	rejects   func(c *waxwingseam.Context, q waxwingseam.Query, t *target) bool
@@ -19,11 +21,11 @@
 // defaultFilters returns the filters of a balancer, ordered by priority.
 func defaultFilters() []filter {
 	return []filter{
-		{priority: 100, mandatory: true, rejects: refusing},
-		{priority: 200, rejects: ejected},
-		{priority: 250, rejects: demoted},
-		{priority: 300, rejects: tried},
-		{priority: 350, rejects: paused},
+		{priority: 100, name: "refusing", mandatory: true, rejects: refusing},
+		{priority: 200, name: "ejected", rejects: ejected},
+		{priority: 250, name: "demoted", rejects: demoted},
+		{priority: 300, name: "tried", rejects: tried},
+		{priority: 350, name: "paused", rejects: paused},
 	}
 }
 
--- a/balancer/shares.go
+++ b/balancer/shares.go
@@ -89,5 +89,11 @@
 		return true
 	}
 	v.arrivals.observe(now, late)
-	return rank.Fraction() < 1-v.arrivals.divide(refused, late)
+	return s.outside(place, rank, late, refused)
+}
+
+// outside reports what admits does, without counting the root.
+func (s shares) outside(place waxwingseam.Place, rank waxwingseam.Rank, late bool, refused float64) bool {
+	v, ok := s[place]
+	return !ok || rank.Fraction() < 1-v.arrivals.divide(refused, late)
 }
--- a/balancer/statement.go
+++ b/balancer/statement.go
@@ -140,7 +140,10 @@
 }
 
 func (p *pause) remaining(now time.Time) time.Duration {
-	return max(p.until.Sub(now), 0)
+	if !p.until.After(now) {
+		return 0
+	}
+	return p.until.Sub(now)
 }
 
 // paused rejects servers whose rate limit is used up.
--- a/balancer/target.go
+++ b/balancer/target.go
@@ -30,6 +30,8 @@
 	pool   *pool
 	// started is when this incarnation of the server started, as far as is known.
 	started time.Time
+	// warm is set once it has got its full share.
+	warm bool
 	// weight and drained are from the server's object; drained stops new work.
 	weight  float64
 	drained bool
@@ -106,8 +108,11 @@
 // shedding reports whether the latest load report is recent enough and says
 // that the server sheds load.
 func (t *target) shedding(c *waxwingseam.Context) bool {
+	if !t.load.Shedding {
+		return false
+	}
 	lifetime := min(max(thresholdServiceTimes*t.load.ServiceTime, minThresholdLifetime), maxThresholdLifetime)
-	return t.load.Shedding && c.Now.Sub(t.loadAt) < lifetime
+	return c.Now.Sub(t.loadAt) < lifetime
 }
 
 // refuses reports whether the server would refuse a call of a rank. The server
@@ -118,8 +123,12 @@
 
 // warmUpShare returns the part of the full share that the server's age allows.
 func (t *target) warmUpShare(now time.Time) float64 {
+	if t.warm {
+		return 1
+	}
 	age := now.Sub(t.started)
 	if age >= warmUpTime {
+		t.warm = true
 		return 1
 	}
 	return initialWarmUpShare + (1-initialWarmUpShare)*max(age.Seconds(), 0)/warmUpTime.Seconds()
--- a/balancer/throttle.go
+++ b/balancer/throttle.go
@@ -93,6 +93,21 @@
 	level := level(r.Importance)
 	t.offersByLevel[level]++
 	t.totalOffers++
+	return t.covers(r)
+}
+
+// hasRoom reports what admit does, without counting the call.
+func (t *throttle) hasRoom(now time.Time, r waxwingseam.Rank) bool {
+	t.decay(now)
+	offers := &t.offersByLevel[level(r.Importance)]
+	*offers++
+	defer func() { *offers-- }()
+	return t.covers(r)
+}
+
+// covers reports whether a call that has been counted may be sent.
+func (t *throttle) covers(r waxwingseam.Rank) bool {
+	level := level(r.Importance)
 	if t.fewRejections() || t.rejectsFew(level) {
 		return true
 	}
--- a/cmd/waxwingseam/examples.go
+++ b/cmd/waxwingseam/examples.go
@@ -50,6 +50,11 @@
 	return "Example: waxwingseam demo --deployment jnina --surge 10 --seconds 20"
 }
 
+// Help implements kong.HelpProvider with an example.
+func (routeCommand) Help() string {
+	return "Example: waxwingseam route --telemetry 10.0.0.5:7404 --host fees.example GET /lots/17"
+}
+
 // Help implements kong.HelpProvider with an example.
 func (explainCommand) Help() string {
 	return "Example: waxwingseam explain 9c41d07be2a35f68 node-1.log node-2.log"
--- a/cmd/waxwingseam/main.go
+++ b/cmd/waxwingseam/main.go
@@ -34,6 +34,7 @@
 	Quarantine quarantineCommand `cmd:"" help:"List the requests that are refused as they end backend servers, or lift or set a quarantine."`
 	Initialize initializeCommand `cmd:"" help:"Create the identity of a new cluster; run it only once."`
 	Explain    explainCommand    `cmd:"" help:"Show the timeline of one request from the logs of several processes."`
+	Route      routeCommand      `cmd:"" help:"Show where a request would go now and why, without sending it."`
 	Demo       demoCommand       `cmd:"" help:"Show a deployment under a surge, without the layer and with it."`
 	Completion completionCommand `cmd:"" help:"Print a completion script for bash."`
 	Version    versionCommand    `cmd:"" help:"Print the version."`
--- a/dispatcher/chance.go
+++ b/dispatcher/chance.go
@@ -102,10 +102,10 @@
 // admits reports whether a root of a class is sent: there is a chance that it succeeds, or
 // it is a probe.
 func (s chances) admits(now time.Time, class waxwingseam.ClassName) bool {
-	v, ok := s[class]
-	if !ok || !v.closed || now.Sub(v.updated) > closedTime {
+	if !s.refuses(now, class) {
 		return true
 	}
+	v := s[class]
 	if now.Sub(v.probed) < probeInterval {
 		return false
 	}
@@ -113,6 +113,12 @@
 	return true
 }
 
+// refuses reports whether the roots of a class are refused, but for probes.
+func (s chances) refuses(now time.Time, class waxwingseam.ClassName) bool {
+	v, ok := s[class]
+	return ok && v.closed && now.Sub(v.updated) <= closedTime
+}
+
 // adopt removes the classes that a configuration no longer has.
 func (s chances) adopt(set *waxwingseam.Set) {
 	for name := range s {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -70,6 +70,7 @@
 		waxwingseam.KindSetAdopted,
 		waxwingseam.KindAttemptCancelled,
 		waxwingseam.KindRunEnded,
+		waxwingseam.KindRouteAsked,
 	}
 }
 
@@ -102,6 +103,8 @@
 		d.chances.adopt(c.Set)
 	case waxwingseam.RunEnded:
 		d.endRun(c, v.ID)
+	case waxwingseam.RouteAsked:
+		c.Emit(waxwingseam.ExplainRoute{ID: v.ID, Route: d.explainRoute(c, v)})
 	}
 	d.endCancelledRuns(c)
 }
--- a/dispatcher/share.go
+++ b/dispatcher/share.go
@@ -49,6 +49,17 @@
 	return r.next()
 }
 
+// peek returns the service that choose would return, without taking the turn.
+func (s roundRobins) peek(c *waxwingseam.Context, named waxwingseam.ServiceName, class waxwingseam.RequestClass) waxwingseam.ServiceName {
+	r, ok := s[class.Name]
+	if !ok {
+		return roundRobins{}.choose(c, named, class)
+	}
+	turn := *r
+	turn.credits = slices.Clone(r.credits)
+	return turn.next()
+}
+
 // newRoundRobin returns a round robin that starts at a random turn, so that the
 // nodes of a deployment do not choose the same targets in step.
 func newRoundRobin(c *waxwingseam.Context, targets []waxwingseam.WeightedTarget) *roundRobin {
--- a/recorder/catalog.go
+++ b/recorder/catalog.go
@@ -46,5 +46,6 @@
 		waxwingseam.BackendProbed{},
 		waxwingseam.EndsReceived{},
 		waxwingseam.QuarantineOrdered{},
+		waxwingseam.RouteAsked{},
 	)
 }
