--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -85,6 +85,7 @@
 		waxwingseam.KindControlHeard,
 		waxwingseam.KindAttemptArrived,
 		waxwingseam.KindAccountMessageReceived,
+		waxwingseam.KindRouteAsked,
 	}
 	w, ok := d.Limiter.(waxwingseam.Worker)
 	if !ok {
@@ -145,6 +146,8 @@
 		d.controlHeard(c, v)
 	case waxwingseam.AttemptArrived:
 		d.setAge.revisionNamed(v.Call.Revision)
+	case waxwingseam.RouteAsked:
+		c.Emit(waxwingseam.ExplainRoute{ID: v.ID, Route: d.explainRoute(c, v)})
 	}
 }
 
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -192,6 +192,7 @@
 	waxwingseam.ReasonServerRefused:    "the backend server refused the call, because the server was overloaded or the request was too late",
 	waxwingseam.ReasonServerReplaced:   "another backend server now has the address",
 	waxwingseam.ReasonRetryBudget:      "the retry budget of the service was used up",
+	waxwingseam.ReasonServerSlow:       "the backend server was slow at the moment, and its node sent the call back before it began, for another server",
 	waxwingseam.ReasonRateLimited:      "the backend server names a rate limit, and the call would have exceeded it or waited too long",
 	waxwingseam.ReasonUnauthenticated:  "the request had no key of a client account of the configuration in force at the node",
 	waxwingseam.ReasonSetUnconfirmed:   "the key was unknown to a node that could not tell whether its configuration was the newest",
--- a/recorder/catalog.go
+++ b/recorder/catalog.go
@@ -50,5 +50,6 @@
 		waxwingseam.QuarantineOrdered{},
 		waxwingseam.AccountMessageReceived{},
 		waxwingseam.AccountMessageRefused{},
+		waxwingseam.RouteAsked{},
 	)
 }
