admitter: accounts share the queue before a server by their weights

Within one importance and side, the waiting call with the oldest root was served next, so that an account that sent ten times as much got ten times the slots. Start-time fair queueing over accounts now decides there, weighted by the set and by the expected slot time of a call, and a full queue evicts from the account with the largest backlog for its weight. A decision costs O(log n) in the accounts that wait; accounts that are idle are forgotten.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -47,6 +47,7 @@
 	activity      admissionActivity
 	shortRunTimes shortRunTimes
 	leafClasses   leafClasses
+	accounts      accounts
 	now           time.Time
 }
 
@@ -85,6 +86,7 @@
 // Offer implements waxwingseam.Admitter.
 func (a *admitter) Offer(c *waxwingseam.Context, t waxwingseam.Ticket) []waxwingseam.Admission {
 	a.now = c.Now
+	a.accounts.adopt(c.Set)
 	_, depth := laneIndices(&t)
 	a.reserve.observeDepth(depth)
 	a.equalizer.observe(c.Now, &t)
@@ -117,25 +119,29 @@
 	var out []waxwingseam.Admission
 	if a.full(&t) {
 		worst := a.queue.worst(t.Depth == 0)
-		if worst == nil || !evictableBy(&worst.ticket, &t) {
+		if worst == nil || !a.evictableBy(worst, &t) {
 			return append(out, a.refuse(t, waxwingseam.ReasonOverloaded))
 		}
 		out = append(out, a.refuse(a.queue.remove(worst).ticket, waxwingseam.ReasonEvicted))
 	}
-	a.queue.add(queuedTicket{ticket: t, expiresAt: a.expiryTime(&t)})
+	a.queue.add(queuedTicket{ticket: t, expiresAt: a.expiryTime(&t), share: a.accounts.share(&t)})
 	return append(out, waxwingseam.Admission{ID: t.ID, Verdict: waxwingseam.VerdictWait})
 }
 
 // evictableBy reports whether a queued ticket may be evicted to make room for
-// t. Lower importance is evicted first, then roots before deeper calls, then
-// the later rank.
-func evictableBy(queued, t *waxwingseam.Ticket) bool {
+// t. Lower importance is evicted first, then roots before deeper calls, then the
+// larger backlog of an account, then the later rank.
+func (a *admitter) evictableBy(w *queuedTicket, t *waxwingseam.Ticket) bool {
+	queued := &w.ticket
 	if queued.Rank.Importance != t.Rank.Importance {
 		return queued.Rank.Importance < t.Rank.Importance
 	}
 	if (queued.Depth == 0) != (t.Depth == 0) {
 		return queued.Depth == 0
 	}
+	if queued.Account != t.Account {
+		return a.queue.backlogExceeds(w, t, a.accounts.weight(t.Account))
+	}
 	return t.Rank.Before(queued.Rank)
 }
 
@@ -231,7 +237,7 @@
 			}
 			nextMinDepth = d + 1
 			w := l.first()
-			if a.fits(&w.ticket) && (best == nil || a.equalizer.before(&w.ticket, &best.ticket)) {
+			if a.fits(&w.ticket) && (best == nil || a.before(w, best)) {
 				best = w
 			}
 		}
@@ -243,10 +249,21 @@
 	return nil
 }
 
+// before reports whether ticket v is served before w. Both have the same importance.
+func (a *admitter) before(v, w *queuedTicket) bool {
+	if side(v.ticket.Depth) == side(w.ticket.Depth) {
+		if before, differ := tagsDiffer(v, w); differ {
+			return before
+		}
+	}
+	return a.equalizer.before(&v.ticket, &w.ticket)
+}
+
 func (a *admitter) start(t waxwingseam.Ticket) waxwingseam.Admission {
 	waited := a.now.Sub(t.Arrived)
 	a.runs.add(&t, waited, t.Depth == 0 && !a.leafClasses.contains(t.Class))
 	a.pacer.Take(a.now)
+	a.accounts.charge(&t, a.shortRunTimes[t.Class])
 	a.activity.observeStart(a.now, t.Rank)
 	return waxwingseam.Admission{
 		ID:      t.ID,
--- a/admitter/equalizer.go
+++ b/admitter/equalizer.go
@@ -46,8 +46,14 @@
 	m := &q.sides[importance][side(t.Depth)]
 	weight := math.Exp(-max(now.Sub(m.updated), 0).Seconds() / equalizerTimeConstant.Seconds())
 	m.updated = now
-	m.weight = m.weight*weight + 1
-	m.share += (t.RefusedInAll.Share() - m.share) / m.weight
+	calls := 1.0
+	if t.Account != "" {
+		// Accounts are refused different shares, so that each call counts for those that
+		// its account would have made.
+		calls /= 1 - min(t.RefusedInAll.Share(), maxRefusedShare)
+	}
+	m.weight = m.weight*weight + calls
+	m.share += calls * (t.RefusedInAll.Share() - m.share) / m.weight
 }
 
 // before reports whether ticket a is served before b. Both have the same
--- a/admitter/lane.go
+++ b/admitter/lane.go
@@ -12,6 +12,8 @@
 	ticket waxwingseam.Ticket
 	// expiresAt is when the ticket is refused if it has not started.
 	expiresAt time.Time
+	// share is the use of the ticket's account.
+	share *accountShare
 	// expiryIndex is the index of the ticket in the expiry heap.
 	expiryIndex int
 }
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -15,7 +15,7 @@
 
 // queue holds the waiting tickets of one backend server.
 type queue struct {
-	lanes  [importanceCount][depthCount]lane
+	lanes  [importanceCount][depthCount]fairLane
 	expiry expiryHeap
 	byID   map[waxwingseam.CallID]*queuedTicket
 	// roots counts the waiting tickets of depth 0, byImportance those of each
@@ -97,3 +97,11 @@
 	}
 	return nil
 }
+
+// backlogExceeds reports whether the account of a waiting ticket has a larger backlog in
+// the ticket's lane than the account of t would have there with t, whose weight is given.
+func (q *queue) backlogExceeds(w *queuedTicket, t *waxwingseam.Ticket, weight float64) bool {
+	importance, depth := laneIndices(&w.ticket)
+	l := &q.lanes[importance][depth]
+	return l.flows[w.ticket.Account].backlog() > l.backlogWith(t, weight)
+}
