apportioner, balancer, tracker, receiver: first nodes refuse by account

A server now divides the share over accounts by water filling, from what it sees of all accounts, and answers carry the share of their own account, of two further ones in turns, and of those that the server knows little of. The share in the call of an admitted root is that of its account. Throttles count the rejections of each account apart.

--- a/admission.go
+++ b/admission.go
@@ -14,6 +14,8 @@
 	// Depth is the call's depth; see Call.Depth.
 	Depth    uint8
 	Deadline time.Time
+	// Retried is set if another server, or this one, has refused the call before.
+	Retried bool
 	// RefusedPermille is that of the call; see Call.RefusedPermille.
 	RefusedPermille Permille
 	// RefusedInAll is the share of the recent roots of the root's class that were refused
@@ -98,6 +100,9 @@
 	// Refused returns the share of the roots of an importance that first nodes should
 	// refuse for this server.
 	Refused(c *Context, importance Importance) Permille
+	// RefusedAccount returns the share of the roots of an importance and a client account
+	// to refuse, and what an answer says of other accounts.
+	RefusedAccount(c *Context, importance Importance, account AccountName) (Permille, AccountShares)
 	// Load returns the load to be sent with each answer.
 	Load() Load
 }
--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -90,13 +90,18 @@
 	_, depth := laneIndices(&t)
 	a.reserve.observeDepth(depth)
 	a.equalizer.observe(c.Now, &t)
-	a.apportioner.Offer(c.Now, waxwingseam.Demand{
+	demand := waxwingseam.Demand{
 		Root:       t.Root,
 		Class:      t.Class,
 		Importance: t.Rank.Importance,
 		Refused:    t.RefusedPermille,
 		Delay:      t.Delay,
-	})
+	}
+	if a.accounts.inUse() {
+		demand.Account, demand.AccountWeight = t.Account, a.accounts.weight(t.Account)
+		demand.Retried = t.Retried
+	}
+	a.apportioner.Offer(c.Now, demand)
 	if from, ok := a.runs.shallowestAbove(t.Root, depth); ok {
 		a.reserve.observeNesting(c.Now, from, depth)
 	}
@@ -369,11 +374,20 @@
 
 // Refused implements waxwingseam.Admitter.
 func (a *admitter) Refused(c *waxwingseam.Context, importance waxwingseam.Importance) waxwingseam.Permille {
-	return a.apportioner.Refused(c.Now, importance, waxwingseam.Occupancy{
+	return a.apportioner.Refused(c.Now, importance, a.occupancy())
+}
+
+// RefusedAccount implements waxwingseam.Admitter.
+func (a *admitter) RefusedAccount(c *waxwingseam.Context, importance waxwingseam.Importance, account waxwingseam.AccountName) (waxwingseam.Permille, waxwingseam.AccountShares) {
+	return a.apportioner.RefusedAccount(c.Now, importance, account, a.occupancy())
+}
+
+func (a *admitter) occupancy() waxwingseam.Occupancy {
+	return waxwingseam.Occupancy{
 		Running: a.runs.len(),
 		Waiting: a.queue.byImportance[:],
 		Limited: a.pacer.Limited(),
-	})
+	}
 }
 
 // Load implements waxwingseam.Admitter.
--- a/admitter/fairlane.go
+++ b/admitter/fairlane.go
@@ -94,16 +94,17 @@
 	return l.byBacklog[0].last()
 }
 
-// backlog returns how many tickets of the flow wait for each unit of its account's weight.
+// backlog returns how many tickets of the flow wait for each unit of its account's weight,
+// without the first one: an account of little weight may have one waiting, too.
 func (f *flow) backlog() float64 {
-	return float64(len(f.tickets)) / f.share.weight
+	return float64(len(f.tickets)-1) / f.share.weight
 }
 
 // backlogWith returns the backlog of an account's flow with one more ticket.
 func (l *fairLane) backlogWith(t *waxwingseam.Ticket, weight float64) float64 {
-	n := 1
+	n := 0
 	if f, ok := l.flows[t.Account]; ok {
-		n += len(f.tickets)
+		n = len(f.tickets)
 	}
 	return float64(n) / weight
 }
--- a/apportioner/apportioner.go
+++ b/apportioner/apportioner.go
@@ -37,12 +37,15 @@
 	slotTime   resource
 	processing resource
 	refused    [levels]float64
+	accounts   [levels]accounts
 	updated    time.Time
 }
 
 // New returns an apportioner with one slot; Configure sets the number of slots.
 func New(Config) waxwingseam.Apportioner {
-	return &apportioner{slots: 1, runTimes: newRunTimes(), roots: newRoots()}
+	a := &apportioner{slots: 1, runTimes: newRunTimes(), roots: newRoots()}
+	a.slotTime.accounts = &a.accounts
+	return a
 }
 
 // Configure implements waxwingseam.Apportioner.
@@ -59,8 +62,12 @@
 	}
 	level := level(d.Importance)
 	weight := calls * min(1/(1-min(d.Refused.Share(), maxRefused)), maxWeight)
-	a.slotTime.demands[level].add(now, a.runTimes.of(d.Class).Seconds(), weight)
+	use := a.runTimes.of(d.Class).Seconds()
+	a.slotTime.demands[level].add(now, use, weight)
 	a.processing.demands[level].add(now, 1, weight)
+	if d.AccountWeight > 0 && !d.Retried {
+		a.accounts[level].offer(now, &d, max(use, minUse*minUse), weight)
+	}
 }
 
 // Finish implements waxwingseam.Apportioner.
@@ -79,6 +86,16 @@
 	return waxwingseam.PermilleOf(a.refused[level(importance)])
 }
 
+// RefusedAccount implements waxwingseam.Apportioner.
+func (a *apportioner) RefusedAccount(now time.Time, importance waxwingseam.Importance, account waxwingseam.AccountName, o waxwingseam.Occupancy) (waxwingseam.Permille, waxwingseam.AccountShares) {
+	total := a.Refused(now, importance, o)
+	if total == waxwingseam.ShareUnknown {
+		return total, waxwingseam.AccountShares{}
+	}
+	i := level(importance)
+	return a.accounts[i].shares(account, a.refused[i])
+}
+
 func (a *apportioner) update(now time.Time, o waxwingseam.Occupancy) {
 	a.updated = now
 	a.runTimes.observeRunning(now, o.Running)
@@ -89,6 +106,10 @@
 		// The calls do not wait for slots.
 		waiting = nil
 	}
+	var estimated [levels]bool
+	for i := range a.accounts {
+		estimated[i] = a.accounts[i].estimate(now)
+	}
 	a.slotTime.apportion(now, supply{
 		capacity:   float64(a.slots) / slowdown,
 		waiting:    waiting,
@@ -102,6 +123,9 @@
 			share = 0
 		}
 		a.refused[i] = max(share, a.processing.refused[i])
+		if estimated[i] {
+			a.accounts[i].apportion(now, a.refused[i])
+		}
 	}
 }
 
--- a/apportioner/resource.go
+++ b/apportioner/resource.go
@@ -76,6 +76,8 @@
 	// and some of it does not come.
 	correction float64
 	updated    time.Time
+	// accounts refines the demands; nil if it is in another unit.
+	accounts *[levels]accounts
 }
 
 // apportion computes the refused shares, the most important demand first. A resource
@@ -96,6 +98,9 @@
 			room -= backlog
 		}
 		rate, deviation := r.demands[i].rate(now)
+		if r.accounts != nil {
+			rate, deviation = r.accounts[i].refine(rate, deviation)
+		}
 		if rate > 0 {
 			// Few calls of a refused importance come.
 			rate = max(rate-caution*deviation, negligibleDemand*s.capacity)
--- a/apportionment.go
+++ b/apportionment.go
@@ -34,6 +34,13 @@
 	Refused Permille
 	// Delay is how long the call waited in front of the node's decisions.
 	Delay time.Duration
+	// Account is the client account of the root, and AccountWeight its weight; 0 if there
+	// are no client accounts.
+	Account       AccountName
+	AccountWeight float64
+	// Retried is set if the call has been offered to a server before. It is no further
+	// demand of its account.
+	Retried bool
 }
 
 // Occupancy is the use of one backend server at a moment.
@@ -58,4 +65,8 @@
 	// ShareUnknown while the server names a rate limit, which sends calls to other
 	// servers.
 	Refused(now time.Time, importance Importance, o Occupancy) Permille
+	// RefusedAccount returns the share of the roots of an importance and a client account
+	// to refuse, and what an answer says of other accounts. All accounts together are
+	// refused the share that Refused returns.
+	RefusedAccount(now time.Time, importance Importance, account AccountName, o Occupancy) (Permille, AccountShares)
 }
--- a/balance.go
+++ b/balance.go
@@ -85,9 +85,11 @@
 type Feedback struct {
 	Server ServerName
 	Class  ClassName
-	Rank   Rank
-	Depth  uint8
-	Result Result
+	// Account is the client account of the root; empty without one.
+	Account AccountName
+	Rank    Rank
+	Depth   uint8
+	Result  Result
 	// Patient is set if the attempt could wait for the server's rate limit.
 	Patient bool
 	// Elapsed is the time from the dispatch to the end of the attempt.
@@ -109,7 +111,8 @@
 	// load.
 	Overloaded(c *Context, service ServiceName) bool
 	// Refused returns the share of roots that the servers of a service have recently
-	// asked first nodes to refuse, for calls of a place.
+	// asked first nodes to refuse, for calls of a place. For an account of which nothing
+	// is known, it is that of TagOthers.
 	Refused(c *Context, service ServiceName, place Place) Permille
 	// Server returns a known server; false if it is unknown.
 	Server(name ServerName) (Server, bool)
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -121,7 +121,7 @@
 	if len(p.members) == 0 {
 		return waxwingseam.Choice{Refused: true, Reason: waxwingseam.ReasonNoServer, Basis: waxwingseam.BasisServers}
 	}
-	place := waxwingseam.Place{Class: q.Class, Importance: q.Rank.Importance, Depth: q.Depth}
+	place := queryPlace(&q)
 	share := p.shares.refused(c.Now, place)
 	if q.Root && !p.shares.admits(c.Now, place, q.Rank, q.Late) {
 		choice := p.refusal(c, 1/(1-share))
@@ -129,7 +129,7 @@
 		choice.RefusedPermille = waxwingseam.PermilleOf(share)
 		return choice
 	}
-	if !p.throttle.admit(c.Now, q.Rank) {
+	if !p.admitAccount(c.Now, &q) {
 		choice := p.refusal(c, p.throttle.offerRatio())
 		choice.Basis = waxwingseam.BasisThrottle
 		return choice
--- a/balancer/pool.go
+++ b/balancer/pool.go
@@ -25,12 +25,16 @@
 
 	throttle throttle
 	shares   shares
+	// accountThrottles is used for calls of client accounts.
+	accountThrottles accountThrottles
 }
 
 func newPool() *pool {
 	return &pool{
 		throttle: throttle{config: serviceThrottleConfig},
 		shares:   shares{},
+
+		accountThrottles: accountThrottles{},
 	}
 }
 
@@ -108,10 +112,10 @@
 	case f.Result.Reason == waxwingseam.ReasonServerRefused:
 		// A backend server may refuse calls whatever its load.
 	case f.Result.Reason.IsOverload():
-		p.throttle.rejected(c.Now, f.Rank.Importance)
+		p.accountThrottles.of(c.Now, f.Account, &p.throttle).rejected(c.Now, f.Rank.Importance)
 	case f.Result.Completed(), f.Result.Reason == waxwingseam.ReasonCancelled:
 		// The call had not been refused when its caller cancelled it.
-		p.throttle.accepted(c.Now)
+		p.accountThrottles.of(c.Now, f.Account, &p.throttle).accepted(c.Now)
 	}
 	p.observeHealth(c, t, f)
 }
--- a/balancer/shares.go
+++ b/balancer/shares.go
@@ -36,7 +36,15 @@
 	if f.Result.RefusedPermille == waxwingseam.ShareUnknown {
 		return
 	}
-	key := waxwingseam.Place{Class: f.Class, Importance: f.Rank.Importance, Depth: f.Depth}
+	if f.Account != "" {
+		s.observeAccounts(now, &f)
+		return
+	}
+	s.observeShare(now, feedbackPlace(&f), f.Result.RefusedPermille)
+}
+
+// observeShare records a share that was named for a place.
+func (s shares) observeShare(now time.Time, key waxwingseam.Place, named waxwingseam.Permille) {
 	v, ok := s[key]
 	if !ok {
 		v = &share{}
@@ -48,24 +56,28 @@
 	}
 	v.updated = now
 	v.weight = v.weight*math.Exp(-age.Seconds()/shareTimeConstant.Seconds()) + 1
-	v.mean += (f.Result.RefusedPermille.Share() - v.mean) / v.weight
+	v.mean += (named.Share() - v.mean) / v.weight
 }
 
 // refused returns the share of roots to refuse.
 func (s shares) refused(now time.Time, place waxwingseam.Place) float64 {
-	v, ok := s[place]
-	if !ok {
+	v := s.of(place)
+	if v == nil {
 		return 0
 	}
-	lifetime := min(max(expectedAnswers*v.interval, minShareLifetime), maxShareLifetime)
+	lifetime := v.lifetime(place)
 	overdue := max(now.Sub(v.updated)-lifetime, 0)
-	return v.mean * math.Exp(-overdue.Seconds()/lifetime.Seconds())
+	weight := math.Exp(-overdue.Seconds() / lifetime.Seconds())
+	if weight == 1 {
+		return v.mean
+	}
+	return v.mean*weight + (1-weight)*s.rest(now, place)
 }
 
 // age returns how long ago a share was last stated; 0 if none was.
 func (s shares) age(now time.Time, place waxwingseam.Place) time.Duration {
-	v, ok := s[place]
-	if !ok {
+	v := s.of(place)
+	if v == nil {
 		return 0
 	}
 	return now.Sub(v.updated)
@@ -84,8 +96,8 @@
 // nodes, lies outside the refused share. Late roots are refused first: of the share that
 // is refused, they bear as much as they can, and the others the rest.
 func (s shares) admits(now time.Time, place waxwingseam.Place, rank waxwingseam.Rank, late bool) bool {
-	v, ok := s[place]
-	if !ok {
+	v := s.of(place)
+	if v == nil {
 		return true
 	}
 	v.arrivals.observe(now, late)
--- a/balancer/throttle.go
+++ b/balancer/throttle.go
@@ -89,10 +89,7 @@
 
 // admit counts an offered call and reports whether it may be sent.
 func (t *throttle) admit(now time.Time, r waxwingseam.Rank) bool {
-	t.decay(now)
-	level := level(r.Importance)
-	t.offersByLevel[level]++
-	t.totalOffers++
+	level := t.offer(now, r)
 	if t.fewRejections() || t.rejectsFew(level) {
 		return true
 	}
@@ -103,6 +100,15 @@
 	return rankFraction(r)*t.offersByLevel[level] < room
 }
 
+// offer counts an offered call and returns its level.
+func (t *throttle) offer(now time.Time, r waxwingseam.Rank) int {
+	t.decay(now)
+	level := level(r.Importance)
+	t.offersByLevel[level]++
+	t.totalOffers++
+	return level
+}
+
 // fewRejections reports whether too few calls are rejected to refuse any.
 func (t *throttle) fewRejections() bool {
 	return t.rejects < minRejections || t.rejects < toleratedRejectionShare*(t.accepts+t.rejects)
--- a/call.go
+++ b/call.go
@@ -8,11 +8,13 @@
 	Class      ClassName
 	Importance Importance
 	Depth      uint8
+	// Account is the client account of the calls; TagNone without one.
+	Account AccountTag
 }
 
 // Place returns the place of a call.
 func (c *Call) Place() Place {
-	return Place{Class: c.Class, Importance: c.Rank.Importance, Depth: c.Depth}
+	return Place{Class: c.Class, Importance: c.Rank.Importance, Depth: c.Depth, Account: c.Account.Tag()}
 }
 
 // Call is the header of one call, which nodes send to each other.
--- a/dispatcher/arrival.go
+++ b/dispatcher/arrival.go
@@ -86,6 +86,10 @@
 func (d *dispatcher) initRoot(c *waxwingseam.Context, f *flight, e waxwingseam.CallArrived, class waxwingseam.RequestClass) {
 	f.call.Root = e.Root
 	f.call.Trace = e.Trace
+	if d.Authenticator != nil {
+		account, _ := d.Authenticator.Authenticate(e.KeyDigest)
+		f.call.Account = account.Name
+	}
 	f.call.Rank = d.Classifier.Rank(c, class, e.Root)
 	f.call.Deadline = c.Now.Add(class.Deadline)
 	f.shortenDeadline(c, e.Timeout)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -25,6 +25,8 @@
 	Balancer   waxwingseam.Balancer
 	Retrier    waxwingseam.Retrier
 	Tracker    waxwingseam.Tracker
+	// Authenticator identifies the client accounts of roots; nil for none.
+	Authenticator waxwingseam.Authenticator
 	// Routers narrow the choice of a server; the one with the lowest priority
 	// runs first.
 	Routers []waxwingseam.PrioritizedRouter
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -82,6 +82,7 @@
 	d.Balancer.Observe(c, waxwingseam.Feedback{
 		Server:  a.server.Name,
 		Class:   f.call.Class,
+		Account: f.call.Account,
 		Rank:    f.call.Rank,
 		Depth:   f.call.Depth,
 		Result:  result,
@@ -265,7 +266,7 @@
 		if result.RefusedBelow || refusedForCapacity(result) {
 			d.Tracker.NoteRefusal(f.call.Parent)
 		}
-		d.Tracker.NoteRefused(c.Now, f.call.Parent, f.call.Service, d.Balancer.Refused(c, f.call.Service, f.call.Place()))
+		d.noteRefused(c, f, &result)
 	}
 	d.Tracker.AddCallsBelow(f.call.Parent, result.CallsBelow)
 	d.Tracker.CloseChild(f.call.Parent, id)
--- a/experimenter/callers.go
+++ b/experimenter/callers.go
@@ -31,6 +31,7 @@
 // request is one request of a caller, with all roots sent for it.
 type request struct {
 	kind    int
+	account int
 	issued  time.Time
 	resends int
 	key     string
@@ -101,7 +102,7 @@
 
 func (c *callers) issue() {
 	w := c.world
-	r := &request{kind: c.pickKind(), issued: w.scheduler.now}
+	r := &request{kind: c.pickKind(), account: w.accounts.pick(w), issued: w.scheduler.now}
 	if w.config.Demand.Keys {
 		var key [8]byte
 		binary.BigEndian.PutUint64(key[:], w.random.Uint64())
@@ -133,6 +134,9 @@
 		nodes = w.Service(plan.Service)
 	}
 	n := nodes[w.random.IntN(len(nodes))]
+	if only := w.accounts.node(w, q.account); only != nil {
+		n = only
+	}
 	r := &root{callers: c, request: q, kind: kind, sent: w.scheduler.now}
 	r.call = w.newCall(r, plan, n, nil)
 	w.tally.addRoot(r)
@@ -150,6 +154,7 @@
 			Key:        q.key,
 			Replayable: true,
 			Timeout:    c.timeLeft(q),
+			KeyDigest:  w.accounts.key(q.account),
 		})
 	})
 	c.scheduleLeave(r)
@@ -188,7 +193,7 @@
 func (r *root) ended(result waxwingseam.Result) {
 	c := r.callers
 	c.world.tally.rootEnded(c.world, r, result)
-	if r.served || r.callerLeft || r.request.resends >= c.world.config.Demand.Resends {
+	if r.served || r.callerLeft || r.request.resends >= c.world.accounts.resends(c.world, r.request.account) {
 		return
 	}
 	r.request.resends++
--- a/experimenter/layer.go
+++ b/experimenter/layer.go
@@ -89,6 +89,8 @@
 					Balancer:   balancer.New(balancer.Config{Self: self.Name, DataCentre: self.DataCentre}),
 					Retrier:    retries,
 					Tracker:    runs,
+
+					Authenticator: namedKeys{},
 				})},
 			},
 		})
@@ -166,6 +168,10 @@
 	return 0
 }
 
+func (a *unlimitedAdmitter) RefusedAccount(*waxwingseam.Context, waxwingseam.Importance, waxwingseam.AccountName) (waxwingseam.Permille, waxwingseam.AccountShares) {
+	return 0, waxwingseam.AccountShares{}
+}
+
 func (a *unlimitedAdmitter) Load() waxwingseam.Load {
 	return waxwingseam.Load{InFlight: uint32(len(a.runs))}
 }
--- a/experimenter/line.go
+++ b/experimenter/line.go
@@ -150,6 +150,11 @@
 	return 0
 }
 
+// RefusedAccount implements waxwingseam.Admitter.
+func (a *queueAdmitter) RefusedAccount(*waxwingseam.Context, waxwingseam.Importance, waxwingseam.AccountName) (waxwingseam.Permille, waxwingseam.AccountShares) {
+	return 0, waxwingseam.AccountShares{}
+}
+
 // Load implements waxwingseam.Admitter.
 func (a *queueAdmitter) Load() waxwingseam.Load {
 	return waxwingseam.Load{
--- a/experimenter/records.go
+++ b/experimenter/records.go
@@ -108,6 +108,15 @@
 func (t *plainTracker) NoteRefused(time.Time, waxwingseam.CallID, waxwingseam.ServiceName, waxwingseam.Permille) {
 }
 
+// NoteAccountRefused implements waxwingseam.Tracker.
+func (t *plainTracker) NoteAccountRefused(time.Time, waxwingseam.CallID, waxwingseam.ServiceName, waxwingseam.AccountShare) {
+}
+
+// RefusedAccounts implements waxwingseam.Tracker.
+func (t *plainTracker) RefusedAccounts(time.Time, waxwingseam.Place) waxwingseam.AccountShares {
+	return waxwingseam.AccountShares{}
+}
+
 // Refused implements waxwingseam.Tracker.
 func (t *plainTracker) Refused(time.Time, waxwingseam.Place) waxwingseam.Permille {
 	return 0
--- a/experimenter/world.go
+++ b/experimenter/world.go
@@ -69,6 +69,10 @@
 	// RefusedShare, if set, returns the share of all requests that the backend servers
 	// of a service refuse at a time after the start, whatever their load.
 	RefusedShare func(service waxwingseam.ServiceName, at time.Duration) float64
+	// Accounts are the client accounts of the callers; none if empty. If UnnamedAccounts is
+	// set, the demand is the same, but nodes know of no accounts.
+	Accounts        []Account
+	UnnamedAccounts bool
 	// Prepare, if set, changes a node at the start of each incarnation.
 	Prepare func(n *Node)
 }
@@ -91,6 +95,7 @@
 	byName    map[waxwingseam.ServerName]*Node
 	calls     map[waxwingseam.CallID]*callState
 	tally     tally
+	accounts  accounts
 	startTime time.Time
 }
 
@@ -131,7 +136,9 @@
 		byName:    map[waxwingseam.ServerName]*Node{},
 		calls:     map[waxwingseam.CallID]*callState{},
 		startTime: time.Unix(1_000_000, 0),
+		accounts:  newAccounts(&config),
 	}
+	w.accounts.addTo(w.set)
 	w.scheduler.now = w.startTime
 	for i, t := range config.Deployment.Tiers {
 		for j := range t.Servers {
--- a/forwarder/codec.go
+++ b/forwarder/codec.go
@@ -328,7 +328,8 @@
 }
 
 func (c *codec) result(r *waxwingseam.Result) {
-	c.flags(&r.Reached, &r.RefusedBelow)
+	accounts := r.Accounts != waxwingseam.AccountShares{}
+	c.flags(&r.Reached, &r.RefusedBelow, &accounts)
 	unsigned(c, &r.Outcome)
 	name(c, &r.Reason)
 	signed(c, &r.Status)
@@ -338,10 +339,22 @@
 	signed(c, &r.Waited)
 	unsigned(c, &r.CallsBelow)
 	unsigned(c, &r.RefusedPermille)
+	if accounts {
+		c.accountShares(&r.Accounts)
+	}
 	signed(c, &r.Length)
 	c.fixed(&r.Digest)
 }
 
+// accountShares encodes what an answer says of other accounts, in at most 16 bytes.
+func (c *codec) accountShares(s *waxwingseam.AccountShares) {
+	unsigned(c, &s.Others)
+	for i := range s.Cut {
+		unsigned(c, &s.Cut[i].Account)
+		unsigned(c, &s.Cut[i].Refused)
+	}
+}
+
 func (c *codec) load(l *waxwingseam.Load) {
 	statement, threshold := l.Statement != nil, l.Threshold != waxwingseam.Rank{}
 	pace, work := l.Pace != 0, l.WorkLeft != 0
--- a/receiver/answer.go
+++ b/receiver/answer.go
@@ -19,8 +19,8 @@
 
 // answerAll answers all attempts of a call that has ended.
 func (r *receiver) answerAll(c *waxwingseam.Context, live *call, result waxwingseam.Result) {
-	importance := live.header.Rank.Importance
-	below, own := r.tracker.Refused(c.Now, live.header.Place()), r.admitter.Refused(c, importance)
+	own, below, accounts := r.statedShares(c, &live.header)
+	result.Accounts = accounts
 	switch {
 	case own != waxwingseam.ShareUnknown:
 		result.RefusedPermille = max(own, below)
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -61,7 +61,9 @@
 	// handOvers counts the runs handed to the backend server.
 	handOvers    uint64
 	rootRefusals rootRefusals
-	calls        map[waxwingseam.CallID]*call
+	// accountRefusals is used for roots of client accounts instead.
+	accountRefusals accountRefusals
+	calls           map[waxwingseam.CallID]*call
 	// owners maps a call that joined another call to that other call.
 	owners map[waxwingseam.CallID]waxwingseam.CallID
 	// parents maps a call that a run made to the call of that run.
@@ -217,7 +219,7 @@
 	limit := r.settings.waitLimits[e.Call.Class]
 	refusedInAll := e.Call.RefusedPermille
 	if e.Call.Depth == 0 {
-		refusedInAll = r.rootRefusals.add(refusedInAll, e.Call.Class)
+		refusedInAll = r.refusedInAll(&e.Call)
 	}
 	var delay time.Duration
 	if !e.Received.IsZero() {
@@ -230,6 +232,7 @@
 		Account:         e.Call.Account,
 		Rank:            e.Call.Rank,
 		Depth:           e.Call.Depth,
+		Retried:         e.Attempt > 1,
 		RefusedPermille: e.Call.RefusedPermille,
 		RefusedInAll:    refusedInAll,
 		Deadline:        e.Call.Deadline,
@@ -310,9 +313,9 @@
 func (r *receiver) start(c *waxwingseam.Context, live *call) {
 	live.running = true
 	if live.header.Depth == 0 {
-		r.rootRefusals.observe(c.Now, live.header.Class, false)
-		if r.rootRefusals.known(live.header.Class) {
-			live.header.RefusedPermille = r.rootRefusals.add(live.header.RefusedPermille, live.header.Class)
+		r.observeRoot(c, &live.header, false)
+		if live.header.Account != "" || r.rootRefusals.known(live.header.Class) {
+			live.header.RefusedPermille = r.refusedInAll(&live.header)
 		}
 	}
 	r.deduplicator.Start(c, live.header.ID)
@@ -354,7 +357,7 @@
 func (r *receiver) refuse(c *waxwingseam.Context, live *call, reason waxwingseam.Reason) {
 	delete(r.calls, live.header.ID)
 	if live.header.Depth == 0 && reason.IsOverload() {
-		r.rootRefusals.observe(c.Now, live.header.Class, true)
+		r.observeRoot(c, &live.header, true)
 	}
 	r.deduplicator.Refuse(c, live.header.ID)
 	r.gate.Refund(c, live.header)
@@ -410,7 +413,7 @@
 		c.Emit(waxwingseam.ForgetRun{ID: e.ID})
 	}
 	end := r.endChildren(c, live, e)
-	end.RefusedBelow = r.tracker.Refused(c.Now, live.header.Place())
+	end.RefusedBelow = r.refusedBelow(c, &live.header)
 	result.Waited = live.waited + end.WaitedBelow
 	admissions := r.admitter.Finish(c, end)
 	r.answerAll(c, live, result)
--- a/result.go
+++ b/result.go
@@ -27,6 +27,9 @@
 	// nodes should refuse, so that the servers of the call and of all calls below it
 	// can serve the others.
 	RefusedPermille Permille `cbor:"13,keyasint,omitempty"`
+	// Accounts is what the answer says of other client accounts; RefusedPermille is then
+	// the share of the call's own account.
+	Accounts AccountShares `cbor:"14,keyasint,omitzero"`
 	// Length and Digest are the length and the digest of the whole reply body.
 	Length int64  `cbor:"8,keyasint,omitempty"`
 	Digest uint64 `cbor:"9,keyasint,omitempty"`
--- a/run.go
+++ b/run.go
@@ -33,8 +33,15 @@
 	// NoteRefused records the share of roots that first nodes should refuse for a
 	// service that a current run has called.
 	NoteRefused(now time.Time, parent CallID, service ServiceName, share Permille)
+	// NoteAccountRefused records such a share for runs of the same place and another
+	// client account, or for TagOthers or TagAny.
+	NoteAccountRefused(now time.Time, parent CallID, service ServiceName, share AccountShare)
 	// Refused returns the largest share that was recently recorded for runs of a place.
+	// For an account without a recorded one, it is that of TagOthers.
 	Refused(now time.Time, place Place) Permille
+	// RefusedAccounts returns what an answer of a place says of other client accounts,
+	// from the recorded shares.
+	RefusedAccounts(now time.Time, place Place) AccountShares
 	// AddCallsBelow adds calls that were made below a child call of a current run.
 	AddCallsBelow(parent CallID, below uint32)
 	// CallsBelow returns the number of calls that a current run has made and of
--- a/tracker/shares.go
+++ b/tracker/shares.go
@@ -38,7 +38,10 @@
 	if !ok {
 		return
 	}
-	key := r.call.Place()
+	t.note(now, r.call.Place(), service, share)
+}
+
+func (t *tracker) note(now time.Time, key waxwingseam.Place, service waxwingseam.ServiceName, share waxwingseam.Permille) {
 	services, ok := t.shares[key]
 	if !ok {
 		if share == 0 {
@@ -56,6 +59,11 @@
 
 // Refused implements waxwingseam.Tracker.
 func (t *tracker) Refused(now time.Time, place waxwingseam.Place) waxwingseam.Permille {
+	if place.Account > waxwingseam.TagAny {
+		if _, ok := t.shares[place]; !ok {
+			place.Account = waxwingseam.TagOthers
+		}
+	}
 	largest, current := waxwingseam.Permille(0), false
 	for _, v := range t.shares[place] {
 		if now.Sub(v.at) < shareLifetime {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -30,6 +30,8 @@
 	// byRequestID maps the callers' request identifiers to the current runs.
 	byRequestID map[string]waxwingseam.CallID
 	shares      shares
+	// cut lists the accounts with shares, by place with TagAny.
+	cut map[waxwingseam.Place]*cutAccounts
 	// sharesExpired is when the shares that no longer count were last removed.
 	sharesExpired time.Time
 }
@@ -40,6 +42,7 @@
 		runs:        map[waxwingseam.CallID]*run{},
 		byRequestID: map[string]waxwingseam.CallID{},
 		shares:      shares{},
+		cut:         map[waxwingseam.Place]*cutAccounts{},
 	}
 }
 
