--- a/account.go
+++ b/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/hex"
 	"net/netip"
 	"time"
 )
@@ -10,6 +11,7 @@
 // accounts together.
 const (
 	KindAccountMessageReceived Kind = "account-message-received"
+	KindAccountMessageRefused  Kind = "account-message-refused"
 	KindSendAccountMessage     Kind = "send-account-message"
 )
 
@@ -22,10 +24,22 @@
 // DigestKey returns the digest of a key: the beginning of its SHA-256. Keys are long
 // random texts, so that the digest needs no salt.
 func DigestKey(key string) KeyDigest {
-	sum := sha256.Sum256([]byte(key))
+	// The array keeps usual keys off the heap.
+	var usual [128]byte
+	sum := sha256.Sum256(append(usual[:0], key...))
 	return KeyDigest(sum[:IDSize])
 }
 
+// IsZero reports whether the digest is unset.
+func (d KeyDigest) IsZero() bool {
+	return d == KeyDigest{}
+}
+
+// String returns the hexadecimal form of the digest.
+func (d KeyDigest) String() string {
+	return hex.EncodeToString(d[:])
+}
+
 // Authenticator identifies the client account of a root at its first node.
 type Authenticator interface {
 	// Adopt puts a configuration in force.
@@ -66,8 +80,9 @@
 	Decided(c *Context) []AccountDecision
 	// Withdraw ends a pending decision.
 	Withdraw(c *Context, id CallID)
-	// Refund gives back the use of an admitted root that did not run.
-	Refund(c *Context, account AccountName)
+	// Refund gives back the use of a root that was admitted at the given time and did
+	// not run. A use that is older than the window of the limit is not given back.
+	Refund(c *Context, account AccountName, admitted time.Time)
 	AccountDemands
 }
 
@@ -100,8 +115,19 @@
 	Message []byte
 }
 
+// AccountMessageRefused says that nothing listens at the address of a node to which a
+// message about client accounts was sent: the node's process has ended. A node that is
+// frozen or can't be reached does not refuse connections.
+type AccountMessageRefused struct {
+	Stamp
+	To netip.AddrPort
+}
+
 // Kind implements Event.
 func (AccountMessageReceived) Kind() Kind { return KindAccountMessageReceived }
 
+// Kind implements Event.
+func (AccountMessageRefused) Kind() Kind { return KindAccountMessageRefused }
+
 // Kind implements Effect.
 func (SendAccountMessage) Kind() Kind { return KindSendAccountMessage }
--- a/administrator/administrator.go
+++ b/administrator/administrator.go
@@ -5,12 +5,15 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"io"
 	"log/slog"
 	"net/http"
 	"time"
 
 	"github.com/go-chi/chi/v5"
 	"github.com/go-chi/chi/v5/middleware"
+	"github.com/gravitational/trace"
 
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/authenticator"
@@ -46,6 +49,9 @@
 type Cluster interface {
 	// RevisionSummaries returns the latest summary of each replica's nodes.
 	RevisionSummaries() []publisher.RevisionSummary
+	// AccountUsages returns the use of client accounts over the nodes of each replica that
+	// is connected to this one.
+	AccountUsages() []publisher.UsageSummary
 	// Registrations returns the registrations of all backend servers.
 	Registrations() []waxwingseam.Registration
 	// Quarantined returns the requests that nodes refuse as they end backend servers.
@@ -87,6 +93,7 @@
 		r.Get("/v1/set", a.set)
 		r.Get("/v1/history", a.history)
 		r.Get("/v1/status", a.status)
+		r.Get("/v1/accounts", a.accounts)
 		r.Post("/v1/differences", a.differences)
 	})
 	r.Group(func(r chi.Router) {
@@ -113,7 +120,10 @@
 	decoder.DisallowUnknownFields()
 	err := decoder.Decode(body)
 	if err == nil {
-		return true
+		if _, err = decoder.Token(); errors.Is(err, io.EOF) {
+			return true
+		}
+		err = trace.BadParameter("something follows the body")
 	}
 	var tooLarge *http.MaxBytesError
 	if asTooLarge(err, &tooLarge) {
--- a/assembler/process.go
+++ b/assembler/process.go
@@ -13,7 +13,9 @@
 
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/authenticator"
+	"waxwingseam.example/waxwingseam/charger"
 	"waxwingseam.example/waxwingseam/controller"
+	"waxwingseam.example/waxwingseam/depositor"
 	"waxwingseam.example/waxwingseam/founder"
 	"waxwingseam.example/waxwingseam/loader"
 	"waxwingseam.example/waxwingseam/logger"
@@ -24,6 +26,7 @@
 	"waxwingseam.example/waxwingseam/runner"
 	"waxwingseam.example/waxwingseam/sampler"
 	"waxwingseam.example/waxwingseam/subscriber"
+	"waxwingseam.example/waxwingseam/tallier"
 	"waxwingseam.example/waxwingseam/tracer"
 )
 
@@ -57,11 +60,16 @@
 	tracer         *tracer.Tracer
 	node           *Node
 	subscriber     subscriber.Subscriber
+	depositor      *depositor.Depositor
 	interests      *interests
 	revisions      *revisionObserver
 	repeatability  *repeatability
-	entryPoints    *entryPoints
-	controller     controller.Controller
+	limits         *callerLimits
+	// budget bounds the memory that is held for peers.
+	budget      *charger.Budget
+	entryPoints *entryPoints
+	tallier     *tallier.Tallier
+	controller  controller.Controller
 }
 
 // tlsConfigs holds the TLS configurations of a process; all are nil for plain
@@ -81,7 +89,10 @@
 		extraObservers: config.Observers,
 		newExporter:    config.NewExporter,
 		meter:          meter.New(),
+		limits:         &callerLimits{},
+		budget:         charger.New(charger.Bound(config.Settings.Process.MemoryLimit)),
 	}
+	p.meter.WatchBudget(p.budget)
 	steps := []func(context.Context) error{
 		p.loadTLS,
 		p.openMessenger,
@@ -199,7 +210,10 @@
 	p.revisions = newRevisionObserver()
 	p.repeatability = &repeatability{}
 	p.entryPoints = newEntryPoints()
+	p.tallier = tallier.New(tallier.Config{})
 	node, err := NewNode(NodeConfig{
+		Budget:      p.budget,
+		BodyLimit:   p.limits.bodyBytes,
 		Self:        self,
 		Backend:     settings.BackendAddress,
 		Messenger:   p.messenger,
@@ -229,12 +243,27 @@
 		// The arbiter needs the other servers of its own service.
 		Services: []waxwingseam.ServiceName{settings.Service},
 		Step:     node.Runner.Step,
+		Tally:    p.tallier.Tally,
 		Logger:   p.logger.Part("subscriber"),
 		Seed:     newSeed(),
 	})
 	p.interests.subscriber = p.subscriber
 	p.revisions.subscriber = p.subscriber
 	node.Runner.Attach(announcer{p.subscriber, node.Forwarder})
+	p.depositor = depositor.New(depositor.Config{
+		Self:            self,
+		Servers:         p.subscriber.Servers,
+		RecordAtControl: p.subscriber.RecordEnding,
+		Dial: func(ctx context.Context, address netip.AddrPort) (depositor.Conn, error) {
+			return p.dialer.Dial(ctx, address)
+		},
+		Step:   node.Runner.Step,
+		Logger: p.logger.Part("depositor"),
+	})
+	node.Runner.Attach(p.depositor)
+	if err := p.messenger.Register(p.depositor, depositor.Description); err != nil {
+		return trace.Wrap(err)
+	}
 	return p.messenger.Register(p.subscriber, subscriber.Description)
 }
 
@@ -265,7 +294,7 @@
 		Logger: p.logger.Part("node"),
 		Usage:  sampler.New().Sample,
 	})
-	observers := []runner.Observer{p.meter, eventLog, p.interests, p.revisions, p.entryPoints, p.repeatability}
+	observers := []runner.Observer{p.meter, eventLog, p.interests, p.revisions, p.entryPoints, p.repeatability, p.tallier, p.limits}
 	if p.tracer != nil {
 		observers = append(observers, p.tracer)
 	}
--- a/balance.go
+++ b/balance.go
@@ -9,6 +9,9 @@
 	Known *KnownStatement
 	// Patient is set if all servers that may take the call are at their rate limits.
 	Patient bool
+	// Expected is the time that a call of mean cost is expected to take at the server; 0 if
+	// the server states no figures for it.
+	Expected time.Duration
 	// Refused is set when there is no server to call.
 	Refused bool
 	Reason  Reason
@@ -34,6 +37,11 @@
 	BasisThrottle RefusalBasis = "throttle"
 	// BasisServers means that no known server takes the call.
 	BasisServers RefusalBasis = "servers"
+	// BasisAccountLimit means that the client account is over its limit.
+	BasisAccountLimit RefusalBasis = "account-limit"
+	// BasisChance means that the roots of the class have next to no chance of success,
+	// because backend servers refuse calls that they make.
+	BasisChance RefusalBasis = "chance"
 )
 
 // Refusal describes a call that its sending node refused before its first attempt.
@@ -44,6 +52,10 @@
 	BasisAge time.Duration
 	// Late is set for a root that could not meet its latency objective any more.
 	Late bool
+	// Used and Limit are the requests per second of the client account over all nodes,
+	// with BasisAccountLimit.
+	Used  float64 `cbor:",omitempty"`
+	Limit float64 `cbor:",omitempty"`
 }
 
 // Query asks a balancer for a server.
@@ -94,6 +106,8 @@
 	Patient bool
 	// Elapsed is the time from the dispatch to the end of the attempt.
 	Elapsed time.Duration
+	// Expected is that of the choice.
+	Expected time.Duration
 }
 
 // Balancer chooses the backend server for each attempt, based on what its own
--- a/dispatcher/arrival.go
+++ b/dispatcher/arrival.go
@@ -9,6 +9,14 @@
 // callArrived handles a new call: it sends the first attempt or refuses the call.
 func (d *dispatcher) callArrived(c *waxwingseam.Context, e waxwingseam.CallArrived) {
 	f, reason := d.newFlight(c, e)
+	if reason == waxwingseam.ReasonUnauthenticated && d.hold(c, e) {
+		return
+	}
+	d.begin(c, e, f, reason)
+}
+
+// begin sends the first attempt of a call, or refuses the call for a reason.
+func (d *dispatcher) begin(c *waxwingseam.Context, e waxwingseam.CallArrived, f *flight, reason waxwingseam.Reason) {
 	if reason != waxwingseam.ReasonNone {
 		c.Emit(waxwingseam.Reply{
 			ID:     e.ID,
@@ -21,7 +29,9 @@
 		d.finish(c, f, waxwingseam.Result{Reason: waxwingseam.ReasonDeadline})
 		return
 	}
-	d.send(c, f)
+	if d.takeAccount(c, f) {
+		d.send(c, f)
+	}
 }
 
 // newFlight returns the flight of a new call, or the reason to refuse it.
@@ -30,6 +40,13 @@
 	if reason != waxwingseam.ReasonNone {
 		return nil, reason
 	}
+	parent := d.Tracker.ParentRun(e)
+	var account waxwingseam.ClientAccount
+	if parent.IsZero() {
+		if account, reason = d.authenticate(c, e, class); reason != waxwingseam.ReasonNone {
+			return nil, reason
+		}
+	}
 	limit, _ := c.Set.RetryLimit(class.RetryLimit)
 	f := &flight{
 		call: waxwingseam.Call{
@@ -47,9 +64,14 @@
 		arrived:    c.Now,
 		timeout:    e.Timeout,
 	}
-	parent := d.Tracker.ParentRun(e)
 	if parent.IsZero() {
+		f.call.Account = account.Name
+		// Calls of backend servers carry no key.
+		e.Outbound = e.Outbound && account.Name == ""
 		d.initRoot(c, f, e, class)
+		if account.HasImportance {
+			f.call.Rank.Importance = account.Importance
+		}
 		return f, waxwingseam.ReasonNone
 	}
 	return f, d.initChild(c, f, parent, e, class)
@@ -86,10 +108,6 @@
 func (d *dispatcher) initRoot(c *waxwingseam.Context, f *flight, e waxwingseam.CallArrived, class waxwingseam.RequestClass) {
 	f.call.Root = e.Root
 	f.call.Trace = e.Trace
-	if d.Authenticator != nil {
-		account, _ := d.Authenticator.Authenticate(e.KeyDigest)
-		f.call.Account = account.Name
-	}
 	f.call.Rank = d.Classifier.Rank(c, class, e.Root)
 	f.call.Deadline = c.Now.Add(class.Deadline)
 	f.shortenDeadline(c, e.Timeout)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -25,11 +25,14 @@
 	Balancer   waxwingseam.Balancer
 	Retrier    waxwingseam.Retrier
 	Tracker    waxwingseam.Tracker
-	// Authenticator identifies the client accounts of roots; nil for none.
-	Authenticator waxwingseam.Authenticator
 	// Routers narrow the choice of a server; the one with the lowest priority
 	// runs first.
 	Routers []waxwingseam.PrioritizedRouter
+	// Authenticator identifies the client accounts of roots; nil if sets have none.
+	Authenticator waxwingseam.Authenticator
+	// Limiter keeps the limits of client accounts; nil for no limits. If it is a worker
+	// too, that runs before the dispatcher.
+	Limiter waxwingseam.AccountLimiter
 }
 
 type dispatcher struct {
@@ -38,6 +41,14 @@
 	keyAllowances keyAllowances
 	roundRobins   roundRobins
 	lateness      lateness
+	// keysRequired is set if the set in force has client accounts.
+	keysRequired bool
+	setAge       setAge
+	// undecided counts the flights that wait for the decision on their account's limit.
+	undecided int
+	// held are the calls with an unknown key, in the order of their arrival.
+	held    []heldCall
+	chances chances
 }
 
 // New returns a dispatcher without calls.
@@ -52,12 +63,13 @@
 		keyAllowances: keyAllowances{byKey: map[rootKey]*keyAllowance{}},
 		roundRobins:   roundRobins{},
 		lateness:      lateness{},
+		chances:       chances{},
 	}
 }
 
 // Kinds implements waxwingseam.Worker.
 func (d *dispatcher) Kinds() []waxwingseam.Kind {
-	return []waxwingseam.Kind{
+	kinds := []waxwingseam.Kind{
 		waxwingseam.KindCallArrived,
 		waxwingseam.KindCallerLeft,
 		waxwingseam.KindReplyStarted,
@@ -70,7 +82,21 @@
 		waxwingseam.KindSetAdopted,
 		waxwingseam.KindAttemptCancelled,
 		waxwingseam.KindRunEnded,
+		waxwingseam.KindControlHeard,
+		waxwingseam.KindAttemptArrived,
+		waxwingseam.KindAccountMessageReceived,
+	}
+	w, ok := d.Limiter.(waxwingseam.Worker)
+	if !ok {
+		return kinds
+	}
+	// Any event that the limiter handles may bring a decision on a waiting root.
+	for _, k := range w.Kinds() {
+		if !slices.Contains(kinds, k) {
+			kinds = append(kinds, k)
+		}
 	}
+	return kinds
 }
 
 // Reduce implements waxwingseam.Worker.
@@ -85,6 +111,7 @@
 	case waxwingseam.BodyConsumed:
 		d.markNotReplayable(v.ID)
 	case waxwingseam.AttemptEnded:
+		d.setAge.revisionNamed(v.Result.Load.Revision)
 		d.attemptEnded(c, v)
 	case waxwingseam.AttemptSilent:
 		d.attemptSilent(c, v)
@@ -92,6 +119,18 @@
 		d.fenceAnswered(c, v)
 	case waxwingseam.TimerFired:
 		d.timerFired(c, v)
+	case waxwingseam.RunEnded:
+		d.endRun(c, v.ID)
+	default:
+		d.noteNews(c, e)
+	}
+	d.resumeDecided(c)
+	d.endCancelledRuns(c)
+}
+
+// noteNews handles an event about the configuration, the servers or the other nodes.
+func (d *dispatcher) noteNews(c *waxwingseam.Context, e waxwingseam.Event) {
+	switch v := e.(type) {
 	case waxwingseam.ServersUpdated:
 		d.Balancer.UpdateServers(c, v.Servers, v.Gone)
 	case waxwingseam.SetAdopted:
@@ -99,10 +138,14 @@
 		d.Balancer.Adopt(c.Set)
 		d.roundRobins.adopt(c.Set)
 		d.lateness.adopt(c.Set)
-	case waxwingseam.RunEnded:
-		d.endRun(c, v.ID)
+		d.adoptAccounts(c)
+		d.chances.adopt(c.Set)
+		d.releaseKnown(c)
+	case waxwingseam.ControlHeard:
+		d.controlHeard(c, v)
+	case waxwingseam.AttemptArrived:
+		d.setAge.revisionNamed(v.Call.Revision)
 	}
-	d.endCancelledRuns(c)
 }
 
 // endCancelledRuns ends the runs that the receiver cancelled in the same event.
@@ -127,10 +170,16 @@
 func (d *dispatcher) callerLeft(c *waxwingseam.Context, e waxwingseam.CallerLeft) {
 	if f, ok := d.flights[e.ID]; ok {
 		d.finish(c, f, waxwingseam.Result{Reason: waxwingseam.ReasonCancelled})
+		return
 	}
+	d.refuseHeld(c, e.ID, waxwingseam.ReasonCancelled)
 }
 
 func (d *dispatcher) timerFired(c *waxwingseam.Context, e waxwingseam.TimerFired) {
+	if e.Timer.Purpose == PurposeUnknownKey {
+		d.refuseHeld(c, e.Timer.Call, waxwingseam.ReasonSetUnconfirmed)
+		return
+	}
 	f, ok := d.flights[e.Timer.Call]
 	if !ok {
 		return
--- a/dispatcher/flight.go
+++ b/dispatcher/flight.go
@@ -28,6 +28,12 @@
 	arrived    time.Time
 	timeout    time.Duration
 	backingOff bool
+	// deadlineArmed is set while the timer of the deadline is armed.
+	deadlineArmed bool
+	// undecided is set while the root waits for the decision on its account's limit.
+	undecided bool
+	// admittedAt is when the root was taken from the limit; zero for no limit.
+	admittedAt time.Time
 	// refusal is set once the call is refused before its first attempt.
 	refusal *waxwingseam.Refusal
 	// redirects counts the redirected attempts, which spend no allowance;
@@ -72,6 +78,8 @@
 	// share is the part of the allowance that was sent with the attempt.
 	share waxwingseam.Allowance
 	sent  time.Time
+	// expected is that of the choice; see waxwingseam.Choice.
+	expected time.Duration
 	// patient is that of the attempt; see waxwingseam.Dispatch.
 	patient   bool
 	state     attemptState
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -24,7 +24,10 @@
 	for _, p := range d.Routers {
 		p.Router.Route(c, f.call, &query)
 	}
-	choice := d.Balancer.Choose(c, query)
+	choice, refused := d.refusal(c, &query)
+	if !refused {
+		choice = d.Balancer.Choose(c, query)
+	}
 	if choice.Refused {
 		d.finishUnsent(c, f, choice)
 		return
@@ -35,9 +38,7 @@
 	share := min(d.Retrier.Split(f.call, f.allowance.Remaining), f.allowance.Remaining)
 	f.allowance.Remaining -= share
 	number := waxwingseam.Attempt(len(f.attempts) + 1)
-	if number == 1 {
-		c.Emit(waxwingseam.ArmTimer{Timer: deadlineTimer(f.call.ID), At: f.call.Deadline})
-	}
+	d.armDeadline(c, f)
 	patient := choice.Patient || f.rateRedirects == maxRateRedirects
 	f.tried = append(f.tried, choice.Server.Name)
 	f.attempts = append(f.attempts, attempt{
@@ -46,7 +47,8 @@
 		share:  share,
 		sent:   c.Now,
 
-		patient: patient,
+		patient:  patient,
+		expected: choice.Expected,
 	})
 	call := f.call
 	call.Allowance = share
@@ -54,6 +56,31 @@
 	c.Emit(waxwingseam.Dispatch{Call: call, Attempt: number, Server: choice.Server, Known: choice.Known, Patient: patient})
 }
 
+// armDeadline arms the timer of the call's deadline unless it is armed.
+func (d *dispatcher) armDeadline(c *waxwingseam.Context, f *flight) {
+	if !f.deadlineArmed {
+		f.deadlineArmed = true
+		c.Emit(waxwingseam.ArmTimer{Timer: deadlineTimer(f.call.ID), At: f.call.Deadline})
+	}
+}
+
+// refusal refuses a root whose class has next to no chance of success at present.
+func (d *dispatcher) refusal(c *waxwingseam.Context, q *waxwingseam.Query) (choice waxwingseam.Choice, refused bool) {
+	if !q.Root || d.chances.admits(c.Now, q.Class) {
+		return choice, false
+	}
+	return waxwingseam.Choice{
+		Refused:    true,
+		Reason:     waxwingseam.ReasonOverloaded,
+		Basis:      waxwingseam.BasisChance,
+		RetryAfter: chanceRetryAfter + time.Duration(c.Random().Int64N(int64(chanceRetryAfter))),
+	}, true
+}
+
+// chanceRetryAfter is the least time after which the caller of a root without a chance may
+// retry; up to the same time is added at random, so that callers do not return together.
+const chanceRetryAfter = time.Second
+
 // finishUnsent finishes a call whose next attempt the balancer refuses. A call
 // with earlier attempts ends with their last result, and a retry that was
 // spent returns to the allowance.
@@ -88,6 +115,8 @@
 		Result:  result,
 		Patient: a.patient,
 		Elapsed: c.Now.Sub(a.sent),
+
+		Expected: a.expected,
 	})
 }
 
@@ -241,27 +270,41 @@
 	return longest - time.Duration(c.Random().Int64N(int64(longest)/spreadDivisor+1))
 }
 
+// returnsAtFixedTime reports whether it is of no use to a refused caller to return before
+// the stated time, however long it would wait.
+func returnsAtFixedTime(r waxwingseam.Reason) bool {
+	return r == waxwingseam.ReasonQuarantined || r == waxwingseam.ReasonAccountLimit
+}
+
 // reply sends the result of a call to its caller and removes the call.
 func (d *dispatcher) reply(c *waxwingseam.Context, f *flight, result waxwingseam.Result, attempt waxwingseam.Attempt) {
 	id := f.call.ID
-	if result.RetryAfter > 0 && result.Reason != waxwingseam.ReasonQuarantined {
+	if result.RetryAfter > 0 && !returnsAtFixedTime(result.Reason) {
 		result.RetryAfter = boundRetryAfter(c, f, result.RetryAfter)
 	}
 	if f.refusable && result.Succeeded() && !f.late {
 		d.lateness.served(f.call.Class, c.Now.Sub(f.arrived))
 	}
-	if len(f.attempts) > 0 {
+	d.settleAccount(c, f, result)
+	if len(f.attempts) > 0 && f.refusable {
+		d.chances.observe(c.Now, f.call.Class, result, d.Balancer.Refused(c, f.call.Service, f.call.Place()) > 0)
+	}
+	if f.deadlineArmed {
 		c.Emit(waxwingseam.StopTimer{Timer: deadlineTimer(id)})
 	}
 	if f.backingOff {
 		c.Emit(waxwingseam.StopTimer{Timer: retryTimer(id)})
 	}
-	c.Emit(waxwingseam.Reply{
+	answer := waxwingseam.Reply{
 		ID:      id,
 		Attempt: attempt,
 		Result:  result,
 		Refusal: f.refusal,
-	})
+	}
+	if f.call.Parent.IsZero() {
+		answer.Account = f.call.Account
+	}
+	c.Emit(answer)
 	if !f.call.Parent.IsZero() {
 		if result.RefusedBelow || refusedForCapacity(result) {
 			d.Tracker.NoteRefusal(f.call.Parent)
--- a/experimenter/accounts.go
+++ b/experimenter/accounts.go
@@ -1,7 +1,6 @@
 package experimenter
 
 import (
-	"bytes"
 	"cmp"
 	"slices"
 	"time"
@@ -49,7 +48,9 @@
 		return
 	}
 	for _, v := range a.list {
-		s.ClientAccounts = append(s.ClientAccounts, waxwingseam.ClientAccount{Name: v.Name, Weight: v.Weight})
+		s.ClientAccounts = append(s.ClientAccounts, waxwingseam.ClientAccount{
+			Name: v.Name, Weight: v.Weight, KeyDigests: []waxwingseam.KeyDigest{waxwingseam.DigestKey(string(v.Name))},
+		})
 	}
 }
 
@@ -84,29 +85,14 @@
 	return n
 }
 
-// key returns the digest by which namedKeys finds an account; zero without one.
+// key returns the digest of the key of an account; zero without one.
 func (a *accounts) key(account int) (digest waxwingseam.KeyDigest) {
 	if account < len(a.list) && !a.unnamed {
-		copy(digest[:], a.list[account].Name)
+		return waxwingseam.DigestKey(string(a.list[account].Name))
 	}
 	return digest
 }
 
-// namedKeys is an authenticator for which an account's name is the digest of its key.
-type namedKeys struct{}
-
-// Adopt implements waxwingseam.Authenticator.
-func (namedKeys) Adopt(*waxwingseam.Set) {}
-
-// Required implements waxwingseam.Authenticator.
-func (namedKeys) Required() bool { return false }
-
-// Authenticate implements waxwingseam.Authenticator.
-func (namedKeys) Authenticate(key waxwingseam.KeyDigest) (waxwingseam.ClientAccount, bool) {
-	name := bytes.TrimRight(key[:], "\x00")
-	return waxwingseam.ClientAccount{Name: waxwingseam.AccountName(name)}, len(name) > 0
-}
-
 // AccountReport is what became of the requests of one account during a time.
 type AccountReport struct {
 	Account
--- a/forwarder/entry.go
+++ b/forwarder/entry.go
@@ -48,11 +48,38 @@
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxServerHeaderBytes,
 		Protocols:         protocols,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams:          maxStreams,
+			MaxReadFrameSize:              maxReadFrame,
+			MaxReceiveBufferPerConnection: connectionWindow,
+			MaxReceiveBufferPerStream:     streamWindow,
+			MaxDecoderHeaderTableSize:     headerTable,
+			MaxEncoderHeaderTableSize:     headerTable,
+			SendPingTimeout:               pingTimeout,
+			PingTimeout:                   pingTimeout,
+			WriteByteTimeout:              writeTimeout,
+		},
 	}
 }
 
+// The bounds of an HTTP/2 connection. With them it holds 400 KB at most, besides answers.
+const (
+	maxStreams = 16
+	// streamWindow is not less than the initial window of RFC 9113: a caller may use that
+	// before it receives the server's settings, and would be refused.
+	streamWindow         = 64 << 10
+	connectionWindow     = 2 * streamWindow
+	maxReadFrame         = 16 << 10
+	headerTable          = 4 << 10
+	maxServerHeaderBytes = 16 << 10
+	pingTimeout          = 5 * time.Second
+	writeTimeout         = 5 * time.Second
+	idleTimeout          = 15 * time.Second
+)
+
 // headerTimeout limits how long reading a request's headers may take.
 const headerTimeout = 10 * time.Second
 
@@ -79,7 +106,7 @@
 		e.forwarder.badRequest(w, waxwingseam.ReasonDraining, "")
 		return
 	}
-	if r.ContentLength > e.forwarder.config.MaxBody {
+	if r.ContentLength > e.forwarder.maxBody() {
 		e.forwarder.badRequest(w, waxwingseam.ReasonTooLarge, "")
 		return
 	}
@@ -96,11 +123,14 @@
 // parse parses the call in a request and assigns its identifiers. It also
 // returns the request target for the backend server.
 func (e *entry) parse(r *http.Request) (waxwingseam.CallArrived, string, error) {
+	options := connectionOptions(r.Header)
 	arrival, target, err := e.forwarder.config.Callers.ParseRequest(r)
 	if err != nil {
 		return arrival, "", err
 	}
+	dropOptions(r.Header, options)
 	arrival.Outbound = arrival.Outbound || e.outbound
+	arrival.KeyDigest = waxwingseam.BearerDigest(r.Header)
 	subtractWait(&arrival, r)
 	_, _ = rand.Read(arrival.ID[:])
 	if arrival.Parent.IsZero() {
@@ -144,7 +174,7 @@
 	if c.request.ContentLength != 0 {
 		control = http.NewResponseController(c.writer)
 		_ = control.EnableFullDuplex()
-		body = http.MaxBytesReader(nil, c.request.Body, c.forwarder.config.MaxBody)
+		body = http.MaxBytesReader(nil, c.request.Body, c.forwarder.maxBody())
 	}
 	readAhead := c.request.ContentLength >= 0 && c.request.ContentLength <= readAheadLimit
 	if readAhead {
@@ -242,7 +272,7 @@
 		result.Reason = waxwingseam.ReasonTooLarge
 	}
 	if !result.Completed() {
-		c.forwarder.config.Callers.WriteProblem(c.writer, result, "")
+		c.forwarder.config.Callers.WriteProblem(c.writer, result, refusalDetail(r.Refusal))
 		return
 	}
 	a := c.exchange.attempt(r.Attempt)
@@ -310,6 +340,9 @@
 		}
 		a.delivered.Add(int64(n))
 		a.reply.release(offset + int64(n))
+		if c.forwarder.short() {
+			a.reply.dropReleased()
+		}
 		if crosses(offset, int64(n), window/4) {
 			a.acknowledge()
 		}
--- a/forwarder/exchange.go
+++ b/forwarder/exchange.go
@@ -10,6 +10,8 @@
 	"github.com/gravitational/trace"
 
 	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/charger"
+	"waxwingseam.example/waxwingseam/pipeliner"
 )
 
 // errCallOver fails the bodies of a call that has ended or was abandoned.
@@ -25,7 +27,9 @@
 	host      string
 	header    http.Header
 	// length is the declared length of the request body; -1 if unknown.
-	length  int64
+	length int64
+	// account is that of the caller's connection; nil if it has none.
+	account *charger.Account
 	body    *buffer
 	ownBody buffer
 	// replied receives the answer of the call.
@@ -52,7 +56,10 @@
 		replied:   make(chan waxwingseam.Reply, 1),
 		started:   make(chan *attempt, 1),
 	}
+	x.removeAccount()
+	x.account = pipeliner.Account(r)
 	x.body = x.ownBody.init(&f.gauge)
+	x.body.account = x.account
 	x.body.onTrim = x.reportBodyConsumed
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -60,6 +67,14 @@
 	return x
 }
 
+// removeAccount removes the key of a client account from what is forwarded, if the
+// configuration has accounts.
+func (x *exchange) removeAccount() {
+	if x.forwarder.keysRequired.Load() {
+		x.forwarder.config.Callers.RemoveAccount(x.header)
+	}
+}
+
 // close removes the call and drops its bodies; its attempts end on their own.
 func (x *exchange) close() {
 	f := x.forwarder
@@ -135,6 +150,11 @@
 		f.endAttempt(e.Call.ID, e.Attempt, didNotRun(waxwingseam.ReasonCancelled))
 		return
 	}
+	if e.Attempt == 1 {
+		// The configuration may have got accounts since the call arrived. Later attempts
+		// share the header with the first.
+		x.removeAccount()
+	}
 	a := newAttempt(x, e)
 	x.mu.Lock()
 	x.attempts = append(x.attempts, a)
--- a/forwarder/node.go
+++ b/forwarder/node.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net/url"
-	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -14,10 +12,11 @@
 )
 
 const (
-	methodCall  = "/waxwingseam.Node/Call"
-	methodFence = "/waxwingseam.Node/Fence"
-	methodAsk   = "/waxwingseam.Node/Ask"
-	methodTell  = "/waxwingseam.Node/Tell"
+	methodCall    = "/waxwingseam.Node/Call"
+	methodFence   = "/waxwingseam.Node/Fence"
+	methodAsk     = "/waxwingseam.Node/Ask"
+	methodTell    = "/waxwingseam.Node/Tell"
+	methodAccount = "/waxwingseam.Node/Account"
 )
 
 // fenceTimeout limits the wait for the answer to a fence.
@@ -29,6 +28,7 @@
 	Fence(ctx context.Context, q *fenceRequest) (*fenceReply, error)
 	Ask(ctx context.Context, m *waxwingseam.WitnessMessage) (*waxwingseam.WitnessAnswer, error)
 	Tell(ctx context.Context, m *waxwingseam.EndsMessage) (*endsReceipt, error)
+	Account(ctx context.Context, m *accountMessage) (*accountReceipt, error)
 }
 
 type nodeService struct {
@@ -66,6 +66,13 @@
 			},
 			Expression: nodeMethods.Tell,
 		},
+		{
+			Name: methodAccount,
+			Receiver: func(service any, ctx context.Context, in1, _ any) (drpc.Message, error) {
+				return service.(nodeMethods).Account(ctx, in1.(*accountMessage))
+			},
+			Expression: nodeMethods.Account,
+		},
 	}))
 }
 
@@ -82,16 +89,12 @@
 		return trace.BadParameter("first frame: kind %d, want an opening", f.Kind)
 	case o.ID.IsZero() || o.Attempt == 0:
 		return trace.BadParameter("opening: no call id or attempt")
-	case o.Method == "" || !strings.HasPrefix(o.Target, "/"):
-		return trace.BadParameter("opening: no method or path")
+	case o.Method == "" || !waxwingseam.ValidTarget(o.Target):
+		return trace.BadParameter("opening: no method or target")
 	case o.Offset < 0 || o.Length < -1:
 		return trace.BadParameter("opening: negative offset or length")
 	}
-	if !strings.ContainsFunc(o.Target, needsEscape) {
-		return nil
-	}
-	_, err := url.ParseRequestURI(o.Target)
-	return trace.Wrap(err)
+	return nil
 }
 
 // Fence passes another node's request for a fence to the reducer and waits for the
--- a/narrator/narrator.go
+++ b/narrator/narrator.go
@@ -21,6 +21,7 @@
 	EventConfiguration   = "configuration-adopted"
 	EventServers         = "servers-learned"
 	EventBackend         = "backend-server-reported"
+	EventKeptOut         = "backend-server-kept-out"
 	EventRunCancelled    = "run-cancelled"
 	EventStatement       = "backend-server-stated"
 	EventDrain           = "drain-asked"
@@ -248,6 +249,9 @@
 		n.statementChanged(now, v)
 	case waxwingseam.BackendEnded:
 		n.backendEnded(now, v)
+	case waxwingseam.ServerKeptOut:
+		n.write(now, EventKeptOut, slog.LevelWarn, slog.String("instance", v.Instance),
+			slog.Time("started", v.Started), slog.Uint64("sequence", v.Sequence))
 	case waxwingseam.QuarantineChanged:
 		n.quarantineChanged(now, v.Request)
 	}
@@ -372,12 +376,20 @@
 		slog.Duration("retry-after", v.Result.RetryAfter),
 		slog.Uint64("revision", uint64(c.revision)),
 	}
+	if c.call.Account != "" {
+		attributes = append(attributes, slog.String("account", string(c.call.Account)))
+	}
 	if v.Refusal != nil {
 		attributes = append(attributes,
 			slog.String("refusal-basis", string(v.Refusal.Basis)),
 			slog.Duration("basis-age", v.Refusal.BasisAge),
 			slog.Int("refused-permille", int(v.Refusal.Call.RefusedPermille)),
 			slog.Bool("late", v.Refusal.Late))
+		if v.Refusal.Basis == waxwingseam.BasisAccountLimit {
+			attributes = append(attributes,
+				slog.Float64("account-used", v.Refusal.Used),
+				slog.Float64("account-limit", v.Refusal.Limit))
+		}
 	}
 	n.line(EventCallAnswered, slog.LevelWarn, attributes...)
 }
--- a/publisher/message.go
+++ b/publisher/message.go
@@ -43,6 +43,15 @@
 	Interest *Interest `cbor:"4,keyasint,omitempty"`
 	// Quarantine is set when the requests that the watcher refuses have changed.
 	Quarantine *QuarantineReport `cbor:"5,keyasint,omitempty"`
+	// Sent is when the report was sent, in milliseconds of the watcher's own clock. It is
+	// set while the watcher's set has client accounts.
+	Sent uint64 `cbor:"20,keyasint,omitempty"`
+	// Tally is set when the watcher has answered roots of client accounts since its last
+	// tally.
+	Tally *waxwingseam.AccountTally `cbor:"21,keyasint,omitempty"`
+	// Endings are those of the announced server that the watcher has recorded; set in the
+	// first report of a server that has any, and when they change.
+	Endings []waxwingseam.Ending `cbor:"6,keyasint,omitempty"`
 }
 
 // HeldRevision identifies the set that a watcher holds.
@@ -64,7 +73,7 @@
 	// Steps are the changes that follow the latest revision that the watcher
 	// reported or was sent, up to the newest revision.
 	Steps []Step `cbor:"1,keyasint,omitempty"`
-	// Set is the newest set, encoded with Pack. It is sent if the watcher has no
+	// Set is the newest set, without keys, encoded with Pack. It is sent if the watcher has no
 	// set or some of the steps are no longer kept.
 	Set []byte `cbor:"2,keyasint,omitempty"`
 	// Present and Gone list changes to the servers.
@@ -87,13 +96,26 @@
 	LatestIncarnation waxwingseam.Incarnation `cbor:"9,keyasint,omitempty"`
 	// Orders are operators' decisions on requests that end backend servers.
 	Orders []waxwingseam.QuarantineOrder `cbor:"10,keyasint,omitempty"`
+	// Echo is Sent of the watcher's latest report. It shows a watcher that was stopped
+	// for a while that a push is not one from before.
+	Echo uint64 `cbor:"20,keyasint,omitempty"`
+	// Usage is the use of client accounts over the nodes that watch the replica; sent
+	// only to other control replicas.
+	Usage *UsageSummary `cbor:"21,keyasint,omitempty"`
+	// Endings are all known endings of the watcher's server or, to another control replica,
+	// of the named servers. They are sent when they have changed.
+	Endings map[waxwingseam.ServerName][]waxwingseam.Ending `cbor:"11,keyasint,omitempty"`
+	// EndingsComplete is set once in each stream, with or after all endings of the watcher's
+	// server that any replica knows or, to another control replica, all that this one knows.
+	EndingsComplete bool `cbor:"12,keyasint,omitempty"`
 }
 
 // Step is the change from the previous revision to Revision.
 type Step struct {
 	Revision waxwingseam.Revision `cbor:"1,keyasint"`
 	Digest   uint64               `cbor:"2,keyasint"`
-	Change   checker.Change       `cbor:"3,keyasint"`
+	// Change contains no keys.
+	Change checker.Change `cbor:"3,keyasint"`
 }
 
 // RevisionSummary summarizes the revisions held by the nodes that watch one
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -67,6 +67,11 @@
 	// MarkPeerComplete records that another control replica has listed all its
 	// servers.
 	MarkPeerComplete(address string)
+	// AddEndings adds endings that another control replica sent; complete is set if it
+	// has sent all that it knows.
+	AddEndings(peer string, all map[waxwingseam.ServerName][]waxwingseam.Ending, complete bool)
+	// Endings returns the known endings of a server.
+	Endings(server waxwingseam.ServerName) []waxwingseam.Ending
 	// Watch serves one watcher over a stream of Reports and Pushes.
 	Watch(stream drpc.Stream) error
 	// Serve confirms the local state regularly and on request until the context
@@ -78,6 +83,8 @@
 	Registrations() []waxwingseam.Registration
 	// Quarantined returns the requests that watching nodes refuse, ordered by digest.
 	Quarantined() []waxwingseam.QuarantinedRequest
+	// AccountUsage returns the use of client accounts over the watching nodes.
+	AccountUsage() UsageSummary
 	// OrderQuarantine passes an operator's decision to the watching nodes and returns their
 	// number.
 	OrderQuarantine(o waxwingseam.QuarantineOrder) (nodes int)
@@ -104,7 +111,11 @@
 	services      map[waxwingseam.ServiceName]map[waxwingseam.ServerName]struct{}
 	sessions      map[*session]struct{}
 	completePeers map[string]struct{}
+	endings       endings
 	started       time.Time
+	// usage is the sum at usageAt that is sent to other replicas.
+	usage   UsageSummary
+	usageAt time.Time
 }
 
 // New returns a publisher without watchers.
@@ -119,6 +130,7 @@
 		services:      map[waxwingseam.ServiceName]map[waxwingseam.ServerName]struct{}{},
 		sessions:      map[*session]struct{}{},
 		completePeers: map[string]struct{}{},
+		endings:       newEndings(),
 		started:       time.Now(),
 	}
 	p.head.Set, p.head.Digest = config.Historian.Head()
@@ -134,7 +146,7 @@
 	if !follows {
 		p.steps = nil
 	} else {
-		p.steps = append(p.steps, Step{Revision: u.Set.Revision, Digest: u.Digest, Change: u.Change})
+		p.steps = append(p.steps, Step{Revision: u.Set.Revision, Digest: u.Digest, Change: u.Change.WithoutKeys()})
 		p.steps = p.steps[max(0, len(p.steps)-maxSteps):]
 	}
 	for s := range p.sessions {
--- a/publisher/push.go
+++ b/publisher/push.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/checker"
 )
 
 // nextPush returns what is to be sent to a watcher and marks it as sent. empty is
@@ -14,16 +15,19 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s.peer {
-		p.addSummary(&push, heartbeatDue)
+		p.addSummary(s, &push, heartbeatDue)
 	} else if err := p.addRevision(s, &push); err != nil {
 		return push, false, err
 	}
 	p.addServers(s, &push)
 	p.addReplicas(s, &push)
+	p.addEndingsTo(s, &push)
 	push.LatestIncarnation, s.latestIncarnation = s.latestIncarnation, 0
 	push.Orders, s.orders = s.orders, nil
+	push.Echo = s.reportSent
 	push.Unconfirmed = push.Unconfirmed || !p.batcher.confirmed()
-	empty = len(push.Steps)+len(push.Set)+len(push.Present)+len(push.Gone) == 0 && !push.Complete && push.LatestIncarnation == 0 && len(push.Orders) == 0
+	empty = len(push.Steps)+len(push.Set)+len(push.Present)+len(push.Gone) == 0 && !push.Complete && push.LatestIncarnation == 0 && len(push.Orders) == 0 &&
+		len(push.Endings) == 0 && !push.EndingsComplete
 	return push, empty, nil
 }
 
@@ -37,10 +41,11 @@
 	}
 }
 
-func (p *publisher) addSummary(push *Push, heartbeatDue bool) {
+func (p *publisher) addSummary(s *session, push *Push, heartbeatDue bool) {
 	if heartbeatDue {
 		summary := p.summary()
 		push.Summary = &summary
+		p.addUsage(s, push)
 	}
 }
 
@@ -83,12 +88,12 @@
 	})
 }
 
-// pack packs the newest set once for all watchers.
+// pack packs the newest set, without keys, once for all watchers.
 func (p *publisher) pack() error {
 	if p.packed != nil {
 		return nil
 	}
-	packed, err := Pack(p.head.Set)
+	packed, err := Pack(checker.WithoutKeys(p.head.Set))
 	p.packed = packed
 	return err
 }
--- a/publisher/session.go
+++ b/publisher/session.go
@@ -46,6 +46,19 @@
 	// decisions that were not sent to it yet.
 	quarantined []waxwingseam.QuarantinedRequest
 	orders      []waxwingseam.QuarantineOrder
+	// reportSent is Sent of the watcher's latest report.
+	reportSent uint64
+	// tally is the watcher's latest one, received at talliedAt.
+	tally     waxwingseam.AccountTally
+	talliedAt time.Time
+	// usageSentAt is when the use of client accounts was sent to the watcher last, and
+	// usageSent is set if there was any.
+	usageSentAt time.Time
+	usageSent   bool
+	// dirtyEndings names the servers whose endings are to be sent; sentEndings is set once
+	// all of them were.
+	dirtyEndings map[waxwingseam.ServerName]struct{}
+	sentEndings  bool
 	// sentComplete is set once a complete list of servers was sent.
 	sentComplete bool
 }
@@ -73,6 +86,8 @@
 		woken:     make(chan struct{}, 1),
 		ended:     make(chan error, 1),
 		dirty:     map[waxwingseam.ServerName]waxwingseam.Announcement{},
+
+		dirtyEndings: map[waxwingseam.ServerName]struct{}{},
 	}
 	var first Report
 	watchdog := NewWatchdog(func() { closeTransport(stream) })
@@ -151,6 +166,10 @@
 			p.config.Logger.Error("a node holds a different set under the newest revision", "server", s.server)
 		}
 	}
+	s.reportSent = r.Sent
+	if r.Tally != nil {
+		s.tally, s.talliedAt = *r.Tally, time.Now()
+	}
 	if r.Quarantine != nil {
 		s.quarantined = r.Quarantine.Requests
 	}
@@ -161,6 +180,9 @@
 		s.announcement = r.Announcement
 		s.server = r.Announcement.Server.Name
 	}
+	if len(r.Endings) > 0 && s.server != "" && !s.peer {
+		p.addEndings(s.server, r.Endings, true)
+	}
 	announcement := s.announcement
 	p.mu.Unlock()
 	if announcement == nil {
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -10,6 +10,7 @@
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/budgeter"
 	"waxwingseam.example/waxwingseam/pacer"
+	"waxwingseam.example/waxwingseam/predictor"
 )
 
 // Priority orders the receiver among the workers: before those that remove the
@@ -63,6 +64,7 @@
 	rootRefusals rootRefusals
 	// accountRefusals is used for roots of client accounts instead.
 	accountRefusals accountRefusals
+	workload        workload
 	calls           map[waxwingseam.CallID]*call
 	// owners maps a call that joined another call to that other call.
 	owners map[waxwingseam.CallID]waxwingseam.CallID
@@ -83,6 +85,9 @@
 	// waited is the time spent in the queue.
 	waited   time.Duration
 	children childCalls
+	// values are the attributes of the call that may predict its cost.
+	values [predictor.AttributeCount]uint64
+	work   callWork
 }
 
 // waiter identifies an attempt that is to be answered.
@@ -108,6 +113,7 @@
 		pacer:        config.Pacer,
 		quarantine:   config.Quarantine,
 		rootRefusals: rootRefusals{},
+		workload:     newWorkload(),
 		calls:        map[waxwingseam.CallID]*call{},
 		owners:       map[waxwingseam.CallID]waxwingseam.CallID{},
 		parents:      map[waxwingseam.CallID]*call{},
@@ -127,6 +133,7 @@
 		waxwingseam.KindTimerFired,
 		waxwingseam.KindSetAdopted,
 		waxwingseam.KindBackendReported,
+		waxwingseam.KindEndingsLearned,
 		waxwingseam.KindBackendStated,
 		waxwingseam.KindServersUpdated,
 	}
@@ -153,12 +160,8 @@
 	case waxwingseam.DrainAsked:
 		r.drainer.Drain(c, v.Undo)
 		r.refuseWaiting(c)
-	case waxwingseam.BackendReported:
-		if r.settings.service != c.Self.Service || r.settings.reportedSlots != c.Self.Slots {
-			r.adopt(c)
-		}
-		r.forgetStatement(c)
-		r.refuseWaiting(c)
+	case waxwingseam.BackendReported, waxwingseam.EndingsLearned:
+		r.backendChanged(c)
 	case waxwingseam.BackendStated:
 		r.backendStated(c, v)
 	case waxwingseam.TimerFired:
@@ -215,6 +218,7 @@
 	r.calls[e.Call.ID] = &call{
 		header:   e.Call,
 		attempts: []waiter{w},
+		values:   attributes(&e),
 	}
 	limit := r.settings.waitLimits[e.Call.Class]
 	refusedInAll := e.Call.RefusedPermille
@@ -306,12 +310,14 @@
 			live.waited = v.Waited
 			r.refuse(c, live, v.Reason)
 		case waxwingseam.VerdictWait:
+			r.workload.wait(live)
 		}
 	}
 }
 
 func (r *receiver) start(c *waxwingseam.Context, live *call) {
 	live.running = true
+	r.workload.start(c.Now, live)
 	if live.header.Depth == 0 {
 		r.observeRoot(c, &live.header, false)
 		if live.header.Account != "" || r.rootRefusals.known(live.header.Class) {
@@ -356,6 +362,7 @@
 // refuse removes a call that has not started and answers its attempts.
 func (r *receiver) refuse(c *waxwingseam.Context, live *call, reason waxwingseam.Reason) {
 	delete(r.calls, live.header.ID)
+	r.workload.leave(live)
 	if live.header.Depth == 0 && reason.IsOverload() {
 		r.observeRoot(c, &live.header, true)
 	}
@@ -393,6 +400,7 @@
 	r.admitter.Withdraw(id)
 	r.deduplicator.Refuse(c, id)
 	r.gate.Refund(c, live.header)
+	r.workload.leave(live)
 	delete(r.calls, id)
 }
 
@@ -415,6 +423,8 @@
 	end := r.endChildren(c, live, e)
 	end.RefusedBelow = r.refusedBelow(c, &live.header)
 	result.Waited = live.waited + end.WaitedBelow
+	r.workload.finish(c, live, e, end)
+	r.gate.ObserveRun(c, e.Result.Reason == waxwingseam.ReasonServerRefused)
 	admissions := r.admitter.Finish(c, end)
 	r.answerAll(c, live, result)
 	r.apply(c, admissions)
@@ -445,6 +455,7 @@
 	if ok && !live.running {
 		r.admitter.Withdraw(e.ID)
 		r.gate.Refund(c, live.header)
+		r.workload.leave(live)
 		delete(r.calls, e.ID)
 		r.answerAll(c, live, didNotRun(waxwingseam.ReasonFenced))
 	}
--- a/receiver/settings.go
+++ b/receiver/settings.go
@@ -12,8 +12,8 @@
 	// service and reportedSlots are as the backend server reported them.
 	service       waxwingseam.ServiceName
 	reportedSlots int
-	// slots is the number of slots in use; 0 if the service is not configured or
-	// no slots are known.
+	// slots is the number of slots in use; 0 if the service is not in the set or no slots
+	// are known.
 	slots      int
 	drained    bool
 	waitLimits map[waxwingseam.ClassName]waxwingseam.WaitLimit
@@ -25,8 +25,13 @@
 		reportedSlots: self.Slots,
 		waitLimits:    make(map[waxwingseam.ClassName]waxwingseam.WaitLimit, len(s.RequestClasses)),
 	}
-	if service, ok := s.Service(self.Service); ok {
+	switch service, ok := s.Service(self.Service); {
+	case ok:
 		out.slots = serviceSlots(service, self)
+	case s.Revision == 0:
+		// A node that has started while control is out of reach takes calls of nodes that
+		// have a set, as far as its backend server reports.
+		out.slots = usableSlots(self.Slots)
 	}
 	if object, ok := s.BackendServer(self.Name); ok {
 		out.drained = object.Drained
@@ -100,6 +105,7 @@
 // arms the records timer the first time.
 func (r *receiver) adopt(c *waxwingseam.Context) {
 	r.rootRefusals.adopt(c.Set)
+	r.workload.predictor.Adopt(c.Set)
 	before := r.settings.slots
 	r.settings = newSettings(c.Set, c.Self)
 	if r.settings.slots != before && r.settings.slots > 0 {
@@ -111,9 +117,20 @@
 	}
 }
 
+// backendChanged follows a change of the own backend server, which the supervisor has applied.
+func (r *receiver) backendChanged(c *waxwingseam.Context) {
+	if r.settings.service != c.Self.Service || r.settings.reportedSlots != c.Self.Slots {
+		r.adopt(c)
+	}
+	r.forgetStatement(c)
+	r.refuseWaiting(c)
+}
+
 // fire handles the receiver's timers.
 func (r *receiver) fire(c *waxwingseam.Context, timer waxwingseam.TimerID) {
 	switch timer.Purpose {
+	case waxwingseam.PurposeBackendStarted:
+		r.backendChanged(c)
 	case TimerAdmission:
 		r.admissionDue = time.Time{}
 		r.apply(c, r.admitter.Expire(c))
--- a/recorder/catalog.go
+++ b/recorder/catalog.go
@@ -31,12 +31,14 @@
 		waxwingseam.TimerFired{},
 		waxwingseam.ServersUpdated{},
 		waxwingseam.SetAdopted{},
+		waxwingseam.ControlHeard{},
 		waxwingseam.AttemptArrived{},
 		waxwingseam.AttemptCancelled{},
 		waxwingseam.RunEnded{},
 		waxwingseam.FenceAsked{},
 		waxwingseam.DrainAsked{},
 		waxwingseam.BackendReported{},
+		waxwingseam.EndingsLearned{},
 		waxwingseam.BackendStated{},
 		waxwingseam.IncarnationSuperseded{},
 		waxwingseam.KeyedAttemptArrived{},
@@ -46,5 +48,7 @@
 		waxwingseam.BackendProbed{},
 		waxwingseam.EndsReceived{},
 		waxwingseam.QuarantineOrdered{},
+		waxwingseam.AccountMessageReceived{},
+		waxwingseam.AccountMessageRefused{},
 	)
 }
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -41,6 +41,8 @@
 	// ServersPerService is the number of desk servers and of ledger servers; 0 means 3. The
 	// desk calls the ledger.
 	ServersPerService int
+	// MemoryMB is the memory limit of the nodes in MB; 0 for none.
+	MemoryMB int
 	// Unsafe declares requests that must not run twice as repeatable, to show that
 	// the at-most-once check reports requests that run twice.
 	Unsafe bool
@@ -85,6 +87,7 @@
 	report := Report{Seed: config.Seed, Steps: slices.Concat(
 		Plan(config.Seed, config.Duration, 2*config.ServersPerService, replicaCount),
 		PlanStatements(config.Seed, config.Duration, config.ServersPerService),
+		PlanClients(config.Seed, config.Duration, config.ServersPerService),
 	)}
 	slices.SortStableFunc(report.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	// The backend servers outlive the processes, which may still answer requests.
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -39,6 +39,10 @@
 	// is opened.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = time.Second
+	// maxEchoAge bounds the age of the report that a push answers, for the push to count
+	// as news from control. It spans two heartbeats in each direction; an older one was
+	// sent before this process was stopped.
+	maxEchoAge = time.Second
 )
 
 // errUnconfirmed ends a connection to a replica that lags or has no quorum.
@@ -60,7 +64,10 @@
 	// All is set to request the servers of all services.
 	All bool
 	// Step passes an event to the node's reducer.
-	Step   func(build func(waxwingseam.Stamp) waxwingseam.Event)
+	Step func(build func(waxwingseam.Stamp) waxwingseam.Event)
+	// Tally returns the roots of client accounts to report; false if no report is due. It
+	// may be nil.
+	Tally  func() (waxwingseam.AccountTally, bool)
 	Logger *slog.Logger
 	// ReturnAfter is the mean time after which a node that watches another
 	// replica returns to its preferred one; 0 means the default.
@@ -77,6 +84,10 @@
 	Announce(self waxwingseam.Server)
 	// NoteQuarantine reports to control that the node refuses a request, or no longer.
 	NoteQuarantine(r waxwingseam.QuarantinedRequest)
+	// RecordEnding returns nil once the watched replica has an ending of the backend server.
+	RecordEnding(ctx context.Context, e waxwingseam.Ending) error
+	// Servers returns the known backend servers.
+	Servers() []waxwingseam.Server
 	// AddInterest adds a service whose servers are requested.
 	AddInterest(service waxwingseam.ServiceName)
 	// NoteRevision records that another node holds a revision. A higher revision
@@ -101,8 +112,9 @@
 }
 
 type subscriber struct {
-	config Config
-	woken  chan struct{}
+	config  Config
+	woken   chan struct{}
+	started time.Time
 
 	// heldRevision equals held.Revision. NoteRevision, which runs for each arriving
 	// attempt, reads it without the lock.
@@ -123,6 +135,7 @@
 	noted        notedRevision
 	// quarantined holds the requests that the node refuses.
 	quarantined map[waxwingseam.RequestDigest]waxwingseam.QuarantinedRequest
+	endings     ownEndings
 	// replicas are the control replicas in the latest push that listed any.
 	replicas    []netip.AddrPort
 	unconfirmed unconfirmedCounts
@@ -146,6 +159,7 @@
 	interest     bool
 	held         bool
 	quarantine   bool
+	endings      bool
 }
 
 // New returns a subscriber without a set.
@@ -156,6 +170,7 @@
 	return &subscriber{
 		config:       config,
 		woken:        make(chan struct{}, 1),
+		started:      time.Now(),
 		random:       rand.New(rand.NewPCG(config.Seed, config.Seed)),
 		held:         &waxwingseam.Set{},
 		announcement: waxwingseam.Announcement{Server: config.Self},
@@ -163,6 +178,7 @@
 		servers:      map[waxwingseam.ServerName]waxwingseam.Announcement{},
 		gone:         goneServers{},
 		quarantined:  map[waxwingseam.RequestDigest]waxwingseam.QuarantinedRequest{},
+		endings:      ownEndings{changed: make(chan struct{})},
 	}
 }
 
--- a/subscriber/watch.go
+++ b/subscriber/watch.go
@@ -57,7 +57,8 @@
 	s.control = address
 	s.announcement.Sequence++
 	s.unconfirmed.pushes = 0
-	s.changed = changes{announcement: true, interest: true, held: true, quarantine: len(s.quarantined) > 0}
+	s.changed = changes{announcement: true, interest: true, held: true, quarantine: len(s.quarantined) > 0, endings: len(s.endings.list) > 0}
+	s.endings.confirmed = nil
 	s.wake()
 }
 
@@ -126,6 +127,17 @@
 	if s.changed.quarantine {
 		r.Quarantine = &publisher.QuarantineReport{Requests: slices.Collect(maps.Values(s.quarantined))}
 	}
+	if len(s.held.ClientAccounts) > 0 {
+		r.Sent = s.clock()
+	}
+	if s.config.Tally != nil {
+		if tally, ok := s.config.Tally(); ok {
+			r.Tally = &tally
+		}
+	}
+	if s.changed.endings {
+		r.Endings = slices.Clone(s.endings.list)
+	}
 	s.changed = changes{}
 	return r
 }
@@ -174,12 +186,30 @@
 			return waxwingseam.QuarantineOrdered{Stamp: stamp, Order: o}
 		})
 	}
+	if len(p.Endings) > 0 || p.EndingsComplete {
+		s.receiveEndings(p)
+	}
 	if len(p.Present)+len(p.Gone) > 0 || p.Complete {
 		s.updateServers(p)
 	}
+	if now := s.clock(); !p.Unconfirmed && isRecent(p.Echo, now) {
+		s.config.Step(func(stamp waxwingseam.Stamp) waxwingseam.Event {
+			return waxwingseam.ControlHeard{Stamp: stamp, Age: time.Duration(now-p.Echo) * time.Millisecond}
+		})
+	}
 	return s.checkUnconfirmed(p.Unconfirmed)
 }
 
+// clock returns the milliseconds since shortly before the subscriber's start; never 0.
+func (s *subscriber) clock() uint64 {
+	return uint64(1 + time.Since(s.started).Milliseconds())
+}
+
+// isRecent reports whether a push answers a report that was sent within maxEchoAge.
+func isRecent(echo, now uint64) bool {
+	return echo > 0 && echo <= now && now-echo <= uint64(maxEchoAge.Milliseconds())
+}
+
 // checkUnconfirmed returns errUnconfirmed after too many unconfirmed pushes in a
 // row, if the settings list other replicas.
 func (s *subscriber) checkUnconfirmed(unconfirmed bool) error {
