--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -130,7 +130,7 @@
 		choice.RefusedPermille = waxwingseam.PermilleOf(share)
 		return choice
 	}
-	if !p.throttle.admit(c.Now, q.Rank) {
+	if !p.admitAccount(c.Now, &q) {
 		choice := p.refusal(c, p.throttle.offerRatio())
 		choice.Basis = waxwingseam.BasisThrottle
 		return choice
--- a/balancer/explain.go
+++ b/balancer/explain.go
@@ -47,7 +47,7 @@
 			Reason: waxwingseam.ReasonOverloaded, Basis: waxwingseam.BasisStatedShare,
 			BasisAge: p.shares.age(c.Now, q.Place()),
 		}, true
-	case !p.throttle.hasRoom(c.Now, q.Rank):
+	case !p.throttleOf(c.Now, &q).hasRoom(c.Now, q.Rank):
 		return waxwingseam.Choice{Reason: waxwingseam.ReasonOverloaded, Basis: waxwingseam.BasisThrottle}, true
 	}
 	return choice, false
--- a/balancer/pool.go
+++ b/balancer/pool.go
@@ -32,6 +32,8 @@
 
 	throttle throttle
 	shares   shares
+	// accountThrottles is used for calls of client accounts.
+	accountThrottles accountThrottles
 }
 
 func newPool() *pool {
@@ -39,8 +41,9 @@
 		throttle: throttle{config: serviceThrottleConfig},
 		shares:   shares{},
 
-		classRatios: map[waxwingseam.ClassName]*average{},
-		classCosts:  map[waxwingseam.ClassName]float64{},
+		accountThrottles: accountThrottles{},
+		classRatios:      map[waxwingseam.ClassName]*average{},
+		classCosts:       map[waxwingseam.ClassName]float64{},
 	}
 }
 
@@ -148,10 +151,10 @@
 	case f.Result.Reason.IsOverload() && p.hasRoom():
 		// The call was refused by a slow server while others have room.
 	case f.Result.Reason.IsOverload():
-		p.throttle.rejected(c.Now, f.Rank.Importance)
+		p.accountThrottles.of(c.Now, f.Account, &p.throttle).rejected(c.Now, f.Rank.Importance)
 	case f.Result.Completed(), f.Result.Reason == waxwingseam.ReasonCancelled:
 		// The call had not been refused when its caller cancelled it.
-		p.throttle.accepted(c.Now)
+		p.accountThrottles.of(c.Now, f.Account, &p.throttle).accepted(c.Now)
 	}
 	p.observeHealth(c, t, f)
 }
--- a/balancer/throttle.go
+++ b/balancer/throttle.go
@@ -89,10 +89,7 @@
 
 // admit counts an offered call and reports whether it may be sent.
 func (t *throttle) admit(now time.Time, r waxwingseam.Rank) bool {
-	t.decay(now)
-	level := level(r.Importance)
-	t.offersByLevel[level]++
-	t.totalOffers++
+	t.offer(now, r)
 	return t.covers(r)
 }
 
@@ -118,6 +115,13 @@
 	return r.Fraction()*t.offersByLevel[level] < room
 }
 
+// offer counts an offered call.
+func (t *throttle) offer(now time.Time, r waxwingseam.Rank) {
+	t.decay(now)
+	t.offersByLevel[level(r.Importance)]++
+	t.totalOffers++
+}
+
 // fewRejections reports whether too few calls are rejected to refuse any.
 func (t *throttle) fewRejections() bool {
 	return t.rejects < minRejections || t.rejects < toleratedRejectionShare*(t.accepts+t.rejects)
--- a/experimenter/layer.go
+++ b/experimenter/layer.go
@@ -10,6 +10,7 @@
 	"waxwingseam.example/waxwingseam/deduplicator"
 	"waxwingseam.example/waxwingseam/dispatcher"
 	"waxwingseam.example/waxwingseam/drainer"
+	"waxwingseam.example/waxwingseam/identifier"
 	"waxwingseam.example/waxwingseam/limiter"
 	"waxwingseam.example/waxwingseam/pacer"
 	"waxwingseam.example/waxwingseam/receiver"
@@ -128,6 +129,8 @@
 					Balancer:   v.balancer(self),
 					Retrier:    retries,
 					Tracker:    runs,
+
+					Authenticator: identifier.New(),
 				})},
 			},
 		})
@@ -205,6 +208,10 @@
 	return 0
 }
 
+func (a *unlimitedAdmitter) RefusedAccount(*waxwingseam.Context, waxwingseam.Importance, waxwingseam.AccountName) (waxwingseam.Permille, waxwingseam.AccountShares) {
+	return 0, waxwingseam.AccountShares{}
+}
+
 func (a *unlimitedAdmitter) Load() waxwingseam.Load {
 	return waxwingseam.Load{InFlight: uint32(len(a.runs))}
 }
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -62,7 +62,9 @@
 	// handOvers counts the runs handed to the backend server.
 	handOvers    uint64
 	rootRefusals rootRefusals
-	workload     workload
+	// accountRefusals is used for roots of client accounts instead.
+	accountRefusals accountRefusals
+	workload        workload
 	// services maps each other server that is not leaving to its service. otherServers
 	// counts those of the node's service if othersKnown is set.
 	services     map[waxwingseam.ServerName]waxwingseam.ServiceName
@@ -228,7 +230,7 @@
 	limit := r.settings.waitLimits[e.Call.Class]
 	refusedInAll := e.Call.RefusedPermille
 	if e.Call.Depth == 0 {
-		refusedInAll = r.rootRefusals.add(refusedInAll, e.Call.Class)
+		refusedInAll = r.refusedInAll(&e.Call)
 	}
 	var delay time.Duration
 	if !e.Received.IsZero() {
@@ -241,6 +243,7 @@
 		Account:         e.Call.Account,
 		Rank:            e.Call.Rank,
 		Depth:           e.Call.Depth,
+		Retried:         e.Attempt > 1,
 		RefusedPermille: e.Call.RefusedPermille,
 		RefusedInAll:    refusedInAll,
 		Deadline:        e.Call.Deadline,
@@ -327,9 +330,9 @@
 	live.running = true
 	r.workload.start(c.Now, live)
 	if live.header.Depth == 0 {
-		r.rootRefusals.observe(c.Now, live.header.Class, false)
-		if r.rootRefusals.known(live.header.Class) {
-			live.header.RefusedPermille = r.rootRefusals.add(live.header.RefusedPermille, live.header.Class)
+		r.observeRoot(c, &live.header, false)
+		if live.header.Account != "" || r.rootRefusals.known(live.header.Class) {
+			live.header.RefusedPermille = r.refusedInAll(&live.header)
 		}
 	}
 	r.deduplicator.Start(c, live.header.ID)
@@ -372,7 +375,7 @@
 	delete(r.calls, live.header.ID)
 	r.workload.leave(live)
 	if live.header.Depth == 0 && reason.IsOverload() {
-		r.rootRefusals.observe(c.Now, live.header.Class, true)
+		r.observeRoot(c, &live.header, true)
 	}
 	r.deduplicator.Refuse(c, live.header.ID)
 	r.gate.Refund(c, live.header)
@@ -429,7 +432,7 @@
 		c.Emit(waxwingseam.ForgetRun{ID: e.ID})
 	}
 	end := r.endChildren(c, live, e)
-	end.RefusedBelow = r.tracker.Refused(c.Now, live.header.Place())
+	end.RefusedBelow = r.refusedBelow(c, &live.header)
 	result.Waited = live.waited + end.WaitedBelow
 	r.workload.finish(c, live, e, end)
 	r.gate.ObserveRun(c, e.Result.Reason == waxwingseam.ReasonServerRefused)
