--- a/balancer/figures.go
+++ b/balancer/figures.go
@@ -9,7 +9,7 @@
 const (
 	// extraCandidates is how many further random servers are considered if the servers
 	// state their pace.
-	extraCandidates = 4
+	extraCandidates = 2
 	// crowding weighs the share of a server's limit in use: a server near its limit may
 	// have reached it when the call arrives, and costs this much more than an empty one.
 	crowding = 0.25
--- a/experimenter/oracle.go
+++ b/experimenter/oracle.go
@@ -15,12 +15,23 @@
 // objective at any server. It bounds from above what a choice of servers can reach,
 // except for the order in queues.
 func Oracle() Layer {
+	return newOracle("oracle", true)
+}
+
+// StateOracle returns an oracle that knows the state of the servers and the work of the
+// calls there, but of the call that it sends only the mean work of its class. The difference
+// to Oracle is what no choice can gain, as long calls look like others.
+func StateOracle() Layer {
+	return newOracle("oracle of the state", false)
+}
+
+func newOracle(name string, knowsWork bool) Layer {
 	var world *World
 	return variantWith(variantConfig{
-		name: "oracle",
+		name: name,
 		balancer: func(self waxwingseam.Server) waxwingseam.Balancer {
 			inner := balancer.New(balancer.Config{Self: self.Name, DataCentre: self.DataCentre})
-			return &oracle{Balancer: inner, world: world}
+			return &oracle{Balancer: inner, world: world, knowsWork: knowsWork}
 		},
 		bind: func(w *World) { world = w },
 	})
@@ -33,19 +44,24 @@
 // oracle embeds a balancer for what it does not decide itself.
 type oracle struct {
 	waxwingseam.Balancer
-	world *World
+	world     *World
+	knowsWork bool
 }
 
 // Choose implements waxwingseam.Balancer.
 func (o *oracle) Choose(c *waxwingseam.Context, q waxwingseam.Query) waxwingseam.Choice {
 	call := o.world.choosing
+	work := call.work
+	if u := o.world.uneven; !o.knowsWork && u != nil {
+		work = time.Duration(float64(call.visit.Work) * u.MeanCost())
+	}
 	var best *Node
 	var bestEnd time.Duration
 	for _, n := range o.world.nodes {
 		if n.Server.Service != q.Service || n.down || slices.Contains(q.Tried, n.Server.Name) {
 			continue
 		}
-		if end := n.backend.expectedEnd(call.work); best == nil || end < bestEnd {
+		if end := n.backend.expectedEnd(work); best == nil || end < bestEnd {
 			best, bestEnd = n, end
 		}
 	}
@@ -53,7 +69,7 @@
 		return waxwingseam.Choice{Refused: true, Reason: waxwingseam.ReasonNoServer, Basis: waxwingseam.BasisServers}
 	}
 	spent := c.Now.Sub(call.issued)
-	wait := bestEnd - time.Duration(float64(call.work)/best.backend.speed)
+	wait := bestEnd - time.Duration(float64(work)/best.backend.speed)
 	if q.Root && (wait > oracleWait || spent+bestEnd > call.root.kind.Objective) {
 		return waxwingseam.Choice{Refused: true, Reason: waxwingseam.ReasonOverloaded, Basis: waxwingseam.BasisServers, RetryAfter: time.Second}
 	}
