--- a/apportioner/accounts.go
+++ b/apportioner/accounts.go
@@ -172,8 +172,8 @@
 // together is refused.
 func (a *accounts) apportion(now time.Time, refused float64) {
 	level := a.level(a.total, refused*a.total)
-	a.others = refusedAbove(level, a.prior)
 	level = a.lower(level, refused*a.total)
+	a.others = refusedAbove(level, a.prior)
 	a.cut = a.cut[:0]
 	for _, v := range a.list {
 		v.refused = 0
@@ -212,7 +212,7 @@
 // that varies by chance would be refused more often than its mean says.
 func (v *account) cautious(level float64) float64 {
 	near := min(max((farAbove-v.ratio/level)/(farAbove-1), 0), 1)
-	caution := near * cautiousAccountDeviations / math.Sqrt(2*(v.calls+priorCalls))
+	caution := near * cautiousAccountDeviations * math.Sqrt(v.calls/2) / (v.calls + priorCalls)
 	return refusedAbove(level, v.ratio*(1-caution))
 }
 
