soaker: client accounts with removed keys, lowered limits and a surge

Change: five accounts, callers with their keys, three seeded faults, and four checks against what callers and the stand-in servers saw.

--- a/imitator/imitator.go
+++ b/imitator/imitator.go
@@ -26,6 +26,9 @@
 // calls that it makes for the request.
 const ContextHeader = "Waxwingseam-Context"
 
+// AccountHeader is the header in which a node names the client account of a request.
+const AccountHeader = "Waxwingseam-Account"
+
 // headerTimeout is the timeout for reading the headers of a request.
 const headerTimeout = 5 * time.Second
 
--- a/imitator/ledger.go
+++ b/imitator/ledger.go
@@ -31,9 +31,13 @@
 	// Tag is the value of the request's TagHeader.
 	Tag string
 	// Key is the value of the request's Idempotency-Key header.
-	Key   string
-	State RunState
-	Began time.Time
+	Key string
+	// Account is the value of the request's AccountHeader, and Authorized is set if the
+	// request has an Authorization header.
+	Account    string
+	Authorized bool
+	State      RunState
+	Began      time.Time
 	// Ended is zero while the run is open.
 	Ended time.Time
 }
@@ -56,12 +60,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.runs = append(l.runs, Run{
-		Context: r.Header.Get(ContextHeader),
-		Method:  r.Method,
-		Path:    r.URL.Path,
-		Tag:     r.Header.Get(TagHeader),
-		Key:     r.Header.Get("Idempotency-Key"),
-		Began:   time.Now(),
+		Context:    r.Header.Get(ContextHeader),
+		Method:     r.Method,
+		Path:       r.URL.Path,
+		Tag:        r.Header.Get(TagHeader),
+		Key:        r.Header.Get("Idempotency-Key"),
+		Account:    r.Header.Get(AccountHeader),
+		Authorized: len(r.Header.Values("Authorization")) > 0,
+		Began:      time.Now(),
 	})
 	return len(l.runs) - 1
 }
--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -62,6 +62,15 @@
 	connected bool
 	err       error
 	answer    auditor.Answer
+	// key is the key of a client account, and account the account that holds it, or that of
+	// the caller if none does.
+	key     string
+	account waxwingseam.AccountName
+}
+
+// ordinary reports whether no fault concerns the request's account.
+func (r *request) ordinary() bool {
+	return r.account == accountOpen || r.account == accountWide
 }
 
 // interval returns the time from the start to the end of the request.
@@ -81,6 +90,7 @@
 		if h.service != serviceDesk {
 			continue
 		}
+		group.Go(func() { c.runAccountCallers(ctx, h) })
 		for n := range callersPerHost {
 			group.Go(func() { c.runCaller(ctx, h, n) })
 		}
@@ -104,6 +114,8 @@
 			tag:           fmt.Sprintf("%s-%d-%d", h.name, number, n),
 			notRepeatable: random.IntN(2) == 0,
 			host:          h,
+			account:       accountOpen,
+			key:           c.deployment.accounts.key(accountOpen),
 		}
 		if random.IntN(leavingShare) == 0 {
 			r.leavesAfter = time.Duration(1 + random.Int64N(int64(maxStay)))
@@ -113,9 +125,7 @@
 			body[i] = byte(random.Uint32())
 		}
 		r.send(client, body)
-		c.mu.Lock()
-		c.requests = append(c.requests, r)
-		c.mu.Unlock()
+		c.add(r)
 		select {
 		case <-ctx.Done():
 		case <-time.After(time.Duration(random.ExpFloat64() * float64(meanThinkTime))):
@@ -123,6 +133,13 @@
 	}
 }
 
+// add records a request that has ended.
+func (c *callers) add(r *request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requests = append(c.requests, r)
+}
+
 // dialResetting opens a connection that is reset when it is closed.
 func dialResetting(ctx context.Context, network, address string) (net.Conn, error) {
 	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
@@ -158,6 +175,7 @@
 	}
 	httpRequest.ContentLength = int64(len(body))
 	httpRequest.Header.Set(imitator.TagHeader, r.tag)
+	setKey(httpRequest.Header, r.key)
 	response, err := client.Do(httpRequest)
 	r.connected = !isDialError(err)
 	if err != nil {
@@ -217,12 +235,15 @@
 	return len(c.requests)
 }
 
-// countSince returns the number of requests that have ended after the first skip
-// requests, and how many of them were served.
+// countSince returns the number of requests of ordinary callers that have ended after the
+// first skip requests, and how many of them were served.
 func (c *callers) countSince(skip int) (sent, served int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, r := range c.requests[skip:] {
+		if !r.ordinary() {
+			continue
+		}
 		sent++
 		if r.completed() {
 			served++
--- a/soaker/clientfault.go
+++ b/soaker/clientfault.go
@@ -41,7 +41,7 @@
 func (d *deployment) playClients(s Step) {
 	ctx, cancel := context.WithTimeout(context.Background(), s.Duration)
 	defer cancel()
-	trial := ClientTrial{Seed: d.config.Seed ^ uint64(s.At), ReopenDelay: mixReopenDelay}
+	trial := ClientTrial{Seed: d.config.Seed ^ uint64(s.At), ReopenDelay: mixReopenDelay, key: d.accounts.key(accountOpen)}
 	var group sync.WaitGroup
 	for n := range mixedClients {
 		group.Go(func() { trial.playClient(ctx, d.hosts[s.Target], ClientKind{Name: "mix", play: playMix}, n) })
--- a/soaker/clientkinds.go
+++ b/soaker/clientkinds.go
@@ -45,6 +45,8 @@
 	path string
 	// ready is the address of the readiness checks.
 	ready netip.AddrPort
+	// key is the key of a client account; empty for none.
+	key string
 	// random gives the choices of a mix.
 	random *rand.Rand
 }
@@ -71,9 +73,18 @@
 	}
 }
 
+// start returns the start of the head of a request.
+func (t clientTarget) start(method, path string) string {
+	start := method + " " + path + " HTTP/1.1\r\nHost: a\r\n"
+	if t.key != "" {
+		start += "Authorization: Bearer " + t.key + "\r\n"
+	}
+	return start
+}
+
 // post returns the head of a request with a body.
-func post(path, length string) string {
-	return "POST " + path + " HTTP/1.1\r\nHost: a\r\n" + length + "\r\n\r\n"
+func (t clientTarget) post(path, length string) string {
+	return t.start("POST", path) + length + "\r\n\r\n"
 }
 
 func contentLength(n int64) string {
@@ -99,7 +110,7 @@
 
 func playFields(ctx context.Context, conn net.Conn, t clientTarget) {
 	for range fieldHeads {
-		_, err := io.WriteString(conn, "GET "+t.path+" HTTP/1.1\r\nHost: a\r\n"+shortFields())
+		_, err := io.WriteString(conn, t.start("GET", t.path)+shortFields())
 		if err != nil {
 			break
 		}
@@ -110,12 +121,12 @@
 // playBody sends a body in pieces, all but its last byte.
 func playBody(piece int) func(context.Context, net.Conn, clientTarget) {
 	return func(ctx context.Context, conn net.Conn, t clientTarget) {
-		sendBody(ctx, conn, t.path, piece)
+		sendBody(ctx, conn, t, piece)
 	}
 }
 
-func sendBody(ctx context.Context, conn net.Conn, path string, piece int) {
-	_, err := io.WriteString(conn, post(path, contentLength(bodyLength)))
+func sendBody(ctx context.Context, conn net.Conn, t clientTarget, piece int) {
+	_, err := io.WriteString(conn, t.post(t.path, contentLength(bodyLength)))
 	data := make([]byte, piece)
 	for left := bodyLength - 1; left > 0 && err == nil; left -= piece {
 		_, err = conn.Write(data[:min(left, piece)])
@@ -124,8 +135,9 @@
 }
 
 func playElsewhere(path string) func(context.Context, net.Conn, clientTarget) {
-	return func(ctx context.Context, conn net.Conn, _ clientTarget) {
-		sendBody(ctx, conn, path, bodyLength)
+	return func(ctx context.Context, conn net.Conn, t clientTarget) {
+		t.path = path
+		sendBody(ctx, conn, t, bodyLength)
 	}
 }
 
@@ -135,11 +147,11 @@
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	sendBody(ctx, conn, "/v1/readiness", bodyLength)
+	sendBody(ctx, conn, clientTarget{path: "/v1/readiness"}, bodyLength)
 }
 
 func playChunks(ctx context.Context, conn net.Conn, t clientTarget) {
-	_, err := io.WriteString(conn, post(t.path, "Transfer-Encoding: chunked"))
+	_, err := io.WriteString(conn, t.post(t.path, "Transfer-Encoding: chunked"))
 	data := make([]byte, pieceLength)
 	for left := bodyLength; left > 0 && err == nil; left -= pieceLength {
 		_, err = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(data), data)
@@ -148,7 +160,7 @@
 }
 
 func playTinyChunks(ctx context.Context, conn net.Conn, t clientTarget) {
-	_, err := io.WriteString(conn, post(t.path, "Transfer-Encoding: chunked"))
+	_, err := io.WriteString(conn, t.post(t.path, "Transfer-Encoding: chunked"))
 	data := strings.Repeat("1\r\nx\r\n", pieceLength)
 	for range bodyLength / pieceLength {
 		if err != nil {
@@ -160,7 +172,7 @@
 }
 
 func playUnread(ctx context.Context, conn net.Conn, t clientTarget) {
-	_, _ = io.WriteString(conn, strings.Repeat("GET "+t.path+" HTTP/1.1\r\nHost: a\r\n\r\n", unreadRequests))
+	_, _ = io.WriteString(conn, strings.Repeat(t.start("GET", t.path)+"\r\n", unreadRequests))
 	<-ctx.Done()
 }
 
@@ -169,7 +181,7 @@
 	defer stop()
 	data := make([]byte, slowReadBytes)
 	for {
-		if _, err := io.WriteString(conn, "GET "+t.path+" HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		if _, err := io.WriteString(conn, t.start("GET", t.path)+"\r\n"); err != nil {
 			return
 		}
 		for range 5 {
@@ -195,17 +207,17 @@
 }
 
 func playTrickle(ctx context.Context, conn net.Conn, t clientTarget) {
-	_, _ = io.WriteString(conn, post(t.path, contentLength(bodyLength)))
+	_, _ = io.WriteString(conn, t.post(t.path, contentLength(bodyLength)))
 	trickle(ctx, conn, strings.Repeat("x", bodyLength))
 }
 
 func playHead(ctx context.Context, conn net.Conn, t clientTarget) {
-	_, _ = io.WriteString(conn, "GET "+t.path+" HTTP/1.1\r\nHost: a\r\nX: y")
+	_, _ = io.WriteString(conn, t.start("GET", t.path)+"X: y")
 	drain(ctx, conn)
 }
 
 func playLargestHead(ctx context.Context, conn net.Conn, t clientTarget) {
-	head := "GET " + t.path + " HTTP/1.1\r\nHost: a\r\nX: "
+	head := t.start("GET", t.path) + "X: "
 	_, _ = io.WriteString(conn, head+strings.Repeat("y", maxHeadLength-len(head)-100))
 	trickle(ctx, conn, strings.Repeat("y", maxHeadLength))
 }
@@ -213,7 +225,7 @@
 func playHugeBody(ctx context.Context, conn net.Conn, t clientTarget) {
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	_, err := io.WriteString(conn, post(t.path, contentLength(hugeBodyLength)))
+	_, err := io.WriteString(conn, t.post(t.path, contentLength(hugeBodyLength)))
 	data := make([]byte, pieceLength)
 	for err == nil {
 		_, err = conn.Write(data)
@@ -227,7 +239,7 @@
 	reader := bufio.NewReader(conn)
 	data := make([]byte, bodyLength)
 	for {
-		if _, err := io.WriteString(conn, post(t.path, contentLength(bodyLength))); err != nil {
+		if _, err := io.WriteString(conn, t.post(t.path, contentLength(bodyLength))); err != nil {
 			return
 		}
 		if _, err := conn.Write(data); err != nil {
@@ -255,6 +267,9 @@
 	} {
 		_ = encoder.WriteField(f)
 	}
+	if t.key != "" {
+		_ = encoder.WriteField(hpack.HeaderField{Name: "authorization", Value: "Bearer " + t.key, Sensitive: true})
+	}
 	data := make([]byte, pieceLength)
 	for n := range uint32(http2Streams) {
 		id := 2*n + 1
--- a/soaker/clients.go
+++ b/soaker/clients.go
@@ -49,6 +49,8 @@
 	Length      time.Duration
 	// Report is called with each result, and may be nil.
 	Report func(ClientResult)
+	// key is the key that the clients send; empty for none.
+	key string
 }
 
 // ClientResult is what a trial with one behaviour showed.
@@ -167,6 +169,7 @@
 	target := clientTarget{
 		path:   []string{"/ledger" + prefixRepeatable + "x", "/desk" + prefixRepeatable + "x"}[n%2],
 		ready:  h.telemetryAddress,
+		key:    c.key,
 		random: rand.New(rand.NewPCG(c.Seed, uint64(n))),
 	}
 	var d net.Dialer
--- a/soaker/deployment.go
+++ b/soaker/deployment.go
@@ -62,6 +62,8 @@
 	// controlFaultMu serializes the faults of the control replicas, which tolerate
 	// the loss of one.
 	controlFaultMu sync.Mutex
+	// accounts is nil in a deployment without client accounts.
+	accounts *accounts
 
 	spanMu sync.Mutex
 	// spans are the times in which backend servers stated something.
--- a/soaker/ending.go
+++ b/soaker/ending.go
@@ -69,6 +69,7 @@
 	if err != nil {
 		return
 	}
+	setKey(r.Header, d.accounts.key(accountOpen))
 	response, err := client.Do(r)
 	if err != nil {
 		return
--- a/soaker/operators.go
+++ b/soaker/operators.go
@@ -63,11 +63,12 @@
 	return o.deployment.replicas[random.IntN(replicaCount)].client()
 }
 
-// submit submits one change, and resends it while its outcome is unknown.
-func (o *operators) submit(ctx context.Context, random *rand.Rand) {
+// submit submits one change, and resends it while its outcome is unknown. It returns the
+// revision of an accepted change, and 0 otherwise.
+func (o *operators) submit(ctx context.Context, random *rand.Rand) waxwingseam.Revision {
 	status, err := withTimeout(ctx, o.any(random).Status)
 	if err != nil || !status.Current {
-		return
+		return 0
 	}
 	submission := administrator.Submission{
 		ID:             waxwingseam.SubmissionID(uuid.NewString()),
@@ -80,24 +81,26 @@
 			return o.any(random).Submit(ctx, submission)
 		})
 		if err == nil {
-			o.recordAccepted(submission.ID, answer)
-			return
+			return o.recordAccepted(submission.ID, answer)
 		}
 		var refusal *operator.Refusal
 		if errors.As(err, &refusal) && refusal.Answer != nil || ctx.Err() != nil {
-			return
+			return 0
 		}
 		time.Sleep(pollInterval)
 	}
+	return 0
 }
 
-func (o *operators) recordAccepted(id waxwingseam.SubmissionID, answer historian.Answer) {
+// recordAccepted records an accepted change and returns its revision; 0 for others.
+func (o *operators) recordAccepted(id waxwingseam.SubmissionID, answer historian.Answer) waxwingseam.Revision {
 	if answer.Verdict != historian.VerdictAccepted {
-		return
+		return 0
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.acknowledged[id] = answer.Revision
+	return answer.Revision
 }
 
 // withTimeout calls a function with a context that ends after requestTimeout.
--- a/soaker/promises.go
+++ b/soaker/promises.go
@@ -23,6 +23,7 @@
 	// acknowledged are the changes that replicas reported to operators as accepted,
 	// recorded the changes in the history at the end.
 	acknowledged, recorded map[waxwingseam.SubmissionID]waxwingseam.Revision
+	accounts               accountEvidence
 }
 
 // startedTags returns the tags of the callers' requests that a backend server
@@ -58,6 +59,10 @@
 		{"kept-limits", keptLimits},
 		{"kept-leaving", keptLeaving},
 		{"ends-few-servers", endsFewServers},
+		{"account-limits", accountLimits},
+		{"own-account", ownAccount},
+		{"kept-keys", keptKeys},
+		{"hidden-keys", hiddenKeys},
 	}
 }
 
--- a/soaker/settings.go
+++ b/soaker/settings.go
@@ -82,7 +82,8 @@
 	}
 	text := fmt.Appendf(nil, limitObjects, !d.config.Unsafe)
 	text = fmt.Appendf(text, serviceObjects, serviceDesk, repeat, deskDeadline, fixedDeadline)
-	return fmt.Appendf(text, serviceObjects, serviceLedger, repeat, fixedDeadline, fixedDeadline)
+	text = fmt.Appendf(text, serviceObjects, serviceLedger, repeat, fixedDeadline, fixedDeadline)
+	return append(text, d.accounts.objects()...)
 }
 
 // replicaIP and hostIP return the loopback address of a process. Each process has
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -88,6 +89,7 @@
 		Plan(config.Seed, config.Duration, 2*config.ServersPerService, replicaCount),
 		PlanStatements(config.Seed, config.Duration, config.ServersPerService),
 		PlanClients(config.Seed, config.Duration, config.ServersPerService),
+		PlanAccounts(config.Seed, config.Duration),
 	)}
 	slices.SortStableFunc(report.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	// The backend servers outlive the processes, which may still answer requests.
@@ -97,6 +99,7 @@
 	if err != nil {
 		return report, err
 	}
+	d.accounts = newAccounts(config.Seed)
 	s := &soak{
 		deployment: d,
 		callers:    &callers{deployment: d},
@@ -158,7 +161,7 @@
 		case <-time.After(time.Until(start.Add(step.At))):
 		}
 		faults.Go(func() {
-			if text := s.deployment.apply(step); text != "" {
+			if text := s.apply(ctx, step); text != "" {
 				s.addFinding("leaves-in-time", text)
 			}
 		})
@@ -173,6 +176,35 @@
 	return trace.Wrap(err)
 }
 
+// apply carries out a step and returns when the fault has ended. The result describes a
+// process that did not stop or start; it is empty otherwise.
+func (s *soak) apply(ctx context.Context, step Step) string {
+	switch step.Fault {
+	case FaultAccountSurge, FaultLimitLowered, FaultKeyRemoved:
+		s.disturbAccounts(ctx, step)
+		return ""
+	}
+	return s.deployment.apply(step)
+}
+
+// accountEvidence returns what the checks of the client accounts need.
+func (s *soak) accountEvidence() accountEvidence {
+	control := make([]interval, 0, replicaCount)
+	for _, r := range s.deployment.replicas {
+		stopping, disturbed, _ := r.intervals()
+		control = append(control, slices.Concat(stopping, disturbed)...)
+	}
+	logs := map[string][]byte{}
+	for _, p := range s.deployment.processes() {
+		data, err := os.ReadFile(p.logPath)
+		if err != nil {
+			s.addFinding("hidden-keys", "the log of "+p.name+" is not readable: "+err.Error())
+		}
+		logs[p.name] = data
+	}
+	return s.deployment.accounts.evidence(control, logs)
+}
+
 // configure submits the first objects and waits until all nodes have them.
 func (s *soak) configure(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
@@ -209,6 +241,7 @@
 		recorded:     s.recorded,
 		spans:        s.deployment.spans,
 		endings:      s.deployment.endings(),
+		accounts:     s.accountEvidence(),
 	}
 	for i := range e.spans {
 		e.spans[i].runs = e.spans[i].host.server.Ledger().Runs()
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -113,6 +113,54 @@
 			statedEvidence(desk, start, waxwingseam.Statement{Leaving: true}, 3100*time.Millisecond, 1),
 			statedEvidence(desk, start, waxwingseam.Statement{Leaving: true}, 2900*time.Millisecond, 1),
 		},
+		{
+			"account-limits",
+			accountRuns(start, 0, 34),
+			accountRuns(start, 34, 33),
+		},
+		{
+			"own-account",
+			evidence{
+				requests: []*request{{tag: "a", account: "wide"}},
+				runs:     []imitator.Run{{Tag: "a", Account: "open"}, {Tag: "a", Account: "wide"}},
+				accounts: accountEvidence{secrets: []string{"secret"}},
+			},
+			evidence{
+				requests: []*request{{tag: "a", account: "wide"}},
+				runs:     []imitator.Run{{Tag: "a", Account: "wide"}, {Account: "open"}},
+				accounts: accountEvidence{secrets: []string{"secret"}},
+			},
+		},
+		{
+			"kept-keys",
+			keyEvidence(start, nil, keyUse{desk, "removed", 3 * time.Second}),
+			keyEvidence(start, nil, keyUse{desk, "removed", time.Second}, keyUse{desk, "held", 9 * time.Second}, keyUse{desk, "removed", 11 * time.Second}),
+		},
+		{
+			"kept-keys",
+			keyEvidence(start, []interval{{at(1), at(2)}}, keyUse{desk, "removed", 6 * time.Second}),
+			keyEvidence(start, []interval{{at(1), at(2)}}, keyUse{desk, "removed", 4 * time.Second}),
+		},
+		{
+			"kept-keys",
+			keyEvidence(start, nil, keyUse{killedHost, "removed", 7 * time.Second}),
+			keyEvidence(start, nil, keyUse{killedHost, "removed", 5 * time.Second}),
+		},
+		{
+			"kept-keys",
+			keyEvidence(start, nil, keyUse{desk, "unknown", time.Second}),
+			keyEvidence(start, nil),
+		},
+		{
+			"kept-keys",
+			evidence{requests: []*request{{key: "held", status: 401}}},
+			evidence{requests: []*request{{key: "held", status: 503}, {key: "", status: 401}}},
+		},
+		{
+			"hidden-keys",
+			evidence{accounts: accountEvidence{secrets: []string{"secret"}, logs: map[string][]byte{"desk-1": []byte("a\nkey secret\nb\n")}}},
+			evidence{accounts: accountEvidence{secrets: []string{"secret"}, logs: map[string][]byte{"desk-1": []byte("a\nkey hidden\n")}}},
+		},
 		{
 			"acknowledged-changes",
 			evidence{acknowledged: map[waxwingseam.SubmissionID]waxwingseam.Revision{"x": 2}},
@@ -148,6 +196,63 @@
 	return e
 }
 
+// accountRuns returns evidence of an account with a limit of 2 a second from 10 s after the
+// start on, of as many roots of it that run in the 5 s before that as given first, and of as
+// many in 5 s after it as given second, each of which runs twice and makes a call.
+func accountRuns(start time.Time, before, after int) evidence {
+	bound := start.Add(10 * time.Second)
+	e := evidence{accounts: accountEvidence{spans: []limitSpan{{interval{bound, bound.Add(accountWindow)}, accountLowered, loweredRate}}}}
+	add := func(tag string, began time.Time) {
+		e.runs = append(e.runs,
+			imitator.Run{Account: string(accountLowered), Path: prefixRepeatable + tag, Tag: tag, Began: began},
+			imitator.Run{Account: string(accountLowered), Path: prefixRepeatable + tag, Tag: tag, Began: began.Add(time.Millisecond)},
+			imitator.Run{Account: string(accountLowered), Path: prefixRepeatable + "read", Tag: tag, Began: began})
+	}
+	for i := range before {
+		add(fmt.Sprint("before-", i), bound.Add(-accountWindow))
+	}
+	for i := range after {
+		add(fmt.Sprint("after-", i), bound.Add(time.Duration(i)*time.Millisecond))
+	}
+	return e
+}
+
+// keyUse is a run with a key.
+type keyUse struct {
+	node *host
+	key  string
+	sent time.Duration
+}
+
+// keyEvidence returns evidence of runs with keys, one of which is removed until 10 s after the
+// start, and of disturbances of control.
+func keyEvidence(start time.Time, control []interval, uses ...keyUse) evidence {
+	e := evidence{accounts: accountEvidence{
+		removable: "removed", unknown: "unknown", control: control,
+		removals: []interval{{start, start.Add(10 * time.Second)}},
+	}}
+	for i, u := range uses {
+		tag, sent := fmt.Sprint(i), start.Add(u.sent)
+		e.requests = append(e.requests, &request{tag: tag, host: u.node, key: u.key, sent: sent})
+		e.runs = append(e.runs, imitator.Run{Tag: tag, Began: sent})
+	}
+	return e
+}
+
+// TestAccountPlanDiffers guards against soaks of one seed with different faults of client
+// accounts, and against soaks without one of their kinds.
+func TestAccountPlanDiffers(t *testing.T) {
+	for seed := range uint64(50) {
+		steps := PlanAccounts(seed, 4*time.Second)
+		qt.Assert(t, steps, qt.DeepEquals, PlanAccounts(seed, 4*time.Second))
+		kinds := map[Fault]bool{}
+		for _, s := range steps {
+			kinds[s.Fault] = true
+		}
+		qt.Assert(t, kinds, qt.HasLen, 3)
+	}
+}
+
 // TestStatementPlanLeavesServers checks that a seed always yields the same statements,
 // and that one server at any time states nothing.
 func TestStatementPlanLeavesServers(t *testing.T) {
