soaker: callers of limited accounts send more

Change: twice as many callers of the accounts that surge or have a lowered limit; docs/design/070 describes the accounts.

--- a/soaker/accounts.go
+++ b/soaker/accounts.go
@@ -70,8 +70,8 @@
 	return []accountProfile{
 		{name: accountOpen},
 		{name: accountWide, rate: 48, callers: 1, think: 100 * time.Millisecond},
-		{name: accountSurging, rate: 8, callers: 3, think: 1800 * time.Millisecond},
-		{name: accountLowered, rate: 80, callers: 1, think: 60 * time.Millisecond},
+		{name: accountSurging, rate: 16, callers: 6, think: 1800 * time.Millisecond},
+		{name: accountLowered, rate: 160, callers: 2, think: 60 * time.Millisecond},
 		{name: accountRevoked, callers: 1, think: 100 * time.Millisecond},
 	}
 }
