--- a/dispatcher/arrival.go
+++ b/dispatcher/arrival.go
@@ -78,10 +78,10 @@
 }
 
 // classify returns the class of a new call, or the reason to refuse it. Without
-// a configuration, the node can't tell whether a host has a class, and refuses
-// calls that name a host with ReasonNoConfiguration.
+// a configuration, the node can't tell which services and classes there are, and
+// refuses calls with ReasonNoConfiguration.
 func (d *dispatcher) classify(c *waxwingseam.Context, e waxwingseam.CallArrived) (waxwingseam.RequestClass, waxwingseam.Reason) {
-	if e.Service == "" && c.Set.Revision == 0 {
+	if c.Set.Revision == 0 && (e.Service == "" || len(c.Set.Services) == 0) {
 		return waxwingseam.RequestClass{}, waxwingseam.ReasonNoConfiguration
 	}
 	if e.Service != "" {
--- a/dispatcher/host_test.go
+++ b/dispatcher/host_test.go
@@ -196,3 +196,17 @@
 	qt.Assert(t, refusal.Call.Class, qt.Equals, waxwingseam.ClassName("ledger"))
 	qt.Assert(t, refusal.Call.Service, qt.Equals, waxwingseam.ServiceName("ledger"))
 }
+
+// TestNodeWithoutSetDeniesServices guards against a node that has just started and tells
+// callers of the project's own interface that a service is unknown, which they do not try
+// again.
+func TestNodeWithoutSetDeniesServices(t *testing.T) {
+	n := newHostNode(nil)
+	effects := n.reducer.Reduce(waxwingseam.CallArrived{
+		Stamp: n.stamp(), ID: id, Root: waxwingseam.RootID(id), Service: "desk", Path: "/lots/1", Replayable: true,
+	})
+	reply, ok := effects[0].(waxwingseam.Reply)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, reply.Result.Reason, qt.Equals, waxwingseam.ReasonNoConfiguration)
+	qt.Assert(t, reply.Result.Outcome, qt.Equals, waxwingseam.OutcomeDidNotRun)
+}
