--- a/balancer/shares.go
+++ b/balancer/shares.go
@@ -106,6 +106,6 @@
 
 // outside reports what admits does, without counting the root.
 func (s shares) outside(place waxwingseam.Place, rank waxwingseam.Rank, late bool, refused float64) bool {
-	v, ok := s[place]
-	return !ok || rank.Fraction() < 1-v.arrivals.divide(refused, late)
+	v := s.of(place)
+	return v == nil || rank.Fraction() < 1-v.arrivals.divide(refused, late)
 }
