--- a/experimenter/uneven_test.go
+++ b/experimenter/uneven_test.go
@@ -33,6 +33,7 @@
 // is that between costs of single requests, which only the oracle knows; there the figures
 // must not harm.
 func TestFiguresCloseHalfOfTheGap(t *testing.T) {
+	t.Parallel()
 	stating := UnevenServers()
 	silent := stating
 	silent.StatesPace = false
@@ -48,6 +49,7 @@
 // TestEvenServersLoseNothing guards against figures that make a service of equal servers
 // worse.
 func TestEvenServersLoseNothing(t *testing.T) {
+	t.Parallel()
 	stating := EvenServers()
 	silent := stating
 	silent.StatesPace = false
