--- a/allocator/ledger.go
+++ b/allocator/ledger.go
@@ -113,7 +113,7 @@
 		return
 	}
 	v.seq, v.seenAt = m.Seq, now
-	a.members.hear(now, m.Nodes)
+	a.members.observeCount(now, m.Nodes)
 	a.countVote(c, v, m)
 	l.advance(now, a.members.settled(now), a.nodes(c))
 	reply := answer{
--- a/allocator/members.go
+++ b/allocator/members.go
@@ -119,8 +119,8 @@
 	return m.changes
 }
 
-// hear records the number of nodes that another node states.
-func (m *members) hear(now time.Time, nodes uint32) {
+// observeCount records the number of nodes that another node states.
+func (m *members) observeCount(now time.Time, nodes uint32) {
 	if nodes >= m.heard || now.Sub(m.heardAt) > heardRetention {
 		m.heard, m.heardAt = nodes, now
 	}
--- a/allocator/session.go
+++ b/allocator/session.go
@@ -13,7 +13,7 @@
 	// for its share of a processor for some tens of milliseconds.
 	retryInterval = 80 * time.Millisecond
 	// silentTries is after how many sendings without an answer an owner counts as silent,
-	// and maxTries after how many another owner is chosen.
+	// and maxTries after how many attempts another owner is selected.
 	silentTries = 2
 	maxTries    = 5
 	// minHeartbeat and heartbeatNodes set the time between two requests to an owner if there
@@ -395,7 +395,7 @@
 
 // probed handles a probe or the answer to one.
 func (a *Allocator) probed(c *waxwingseam.Context, m probe, asked bool) {
-	a.members.hear(clock(c), m.Nodes)
+	a.members.observeCount(clock(c), m.Nodes)
 	if asked {
 		a.send(c, m.From, encode(kindProbeAnswer, probe{From: c.Self.Node, Nodes: a.listed(c)}))
 		return
@@ -421,7 +421,7 @@
 		return
 	}
 	now := clock(c)
-	a.members.hear(now, m.Nodes)
+	a.members.observeCount(now, m.Nodes)
 	o := s.open
 	s.open = nil
 	s.answeredAt, s.confirmedAt = now, o.sentAt
--- a/balancer/explain.go
+++ b/balancer/explain.go
@@ -38,7 +38,7 @@
 	return out
 }
 
-// refuses reports whether a query would be refused before a server is chosen, without
+// refuses reports whether a query would be refused before a server is selected, without
 // counting it.
 func (p *pool) refuses(c *waxwingseam.Context, q waxwingseam.Query, share float64) (choice waxwingseam.Choice, refused bool) {
 	switch {
--- a/controller/endings_test.go
+++ b/controller/endings_test.go
@@ -11,7 +11,7 @@
 )
 
 // TestEndingIsLostWithNode guards against the end of a backend server that is forgotten when
-// its node and the replica that confirmed it are killed: a node that starts anew must hear of
+// its node and the replica that confirmed it are killed: a restarted node must receive
 // it from another replica, before that one names the endings as complete.
 func TestEndingIsLostWithNode(t *testing.T) {
 	t.Parallel()
@@ -36,8 +36,8 @@
 	qt.Assert(t, again.endings[0].Started.Equal(ending.Started), qt.IsTrue)
 }
 
-// TestStartedReplicaNamesNoEndings guards against a node that hears of no ending although its
-// replica has just started and can't know them all, and against one that never hears.
+// TestStartedReplicaNamesNoEndings guards against a node that receives no endings although its
+// replica has just started and can't know them all, and against one that never receives them.
 func TestStartedReplicaNamesNoEndings(t *testing.T) {
 	t.Parallel()
 	control := startCluster(t, 3)
--- a/depositor/depositor_test.go
+++ b/depositor/depositor_test.go
@@ -101,8 +101,8 @@
 	}
 }
 
-// TestStartedNodeIsNotReminded guards against a node that starts anew beside a server that has
-// left, without control, and hears from no holder.
+// TestStartedNodeIsNotReminded guards against a node that restarts beside a server that has
+// left, without control, and receives nothing from any holder.
 func TestStartedNodeIsNotReminded(t *testing.T) {
 	holder := startNode(t, newSelf("fees-2"), nil)
 	n := startNode(t, newSelf("fees-1"), errDown, holder)
--- a/meter/accounts.go
+++ b/meter/accounts.go
@@ -16,7 +16,7 @@
 	maxAccountLabels = 20
 	// otherAccounts is the label value of all others. It is no valid account name.
 	otherAccounts = "(others)"
-	// accountPeriod is the time after which the largest accounts are chosen anew, and
+	// accountPeriod is the time after which the largest accounts are selected again, and
 	// earlier roots count half.
 	accountPeriod = time.Minute
 	// minRecent is the number of recent roots below which an account is forgotten.
--- a/report.go
+++ b/report.go
@@ -7,7 +7,7 @@
 )
 
 // The kinds of the event and the effect by which a backend server that has left stays left
-// when the node beside it starts anew.
+// when the node beside it restarts.
 const (
 	KindEndingsLearned Kind = "endings-learned"
 	KindRecordEnding   Kind = "record-ending"
--- a/subscriber/endings.go
+++ b/subscriber/endings.go
@@ -24,7 +24,7 @@
 func (s *subscriber) RecordEnding(ctx context.Context, e waxwingseam.Ending) error {
 	s.mu.Lock()
 	s.endings.list.Add(time.Now(), e)
-	// A replica that has the ending already confirms it again: it may have started anew.
+	// A replica that has the ending already confirms it again: it may have restarted.
 	s.endings.confirmed = nil
 	s.changed.endings = true
 	s.mu.Unlock()
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -103,7 +103,7 @@
 }
 
 // recordEnding has the ending of a report that drains or leaves recorded, also when it was
-// recorded before: its holders may have started anew.
+// recorded before: its holders may have restarted.
 func (s *supervisor) recordEnding(c *waxwingseam.Context, e waxwingseam.BackendReported) {
 	if e.Report.State == waxwingseam.BackendReady {
 		return
