supervisor: a server that began with its node is used at once

No earlier process can have recorded the ending of an incarnation that began with the node's process or after it. A node that has listened for as long as the wait takes uses a report at once.

--- a/supervisor/start.go
+++ b/supervisor/start.go
@@ -12,26 +12,37 @@
 	// process reaches the node within two intervals of 250 ms. While all nodes start at
 	// once, a longer wait adds to the time without service.
 	startWait = 800 * time.Millisecond
-	// minStartWait is the least time between the first report and its use. Holders of
-	// endings send them every 250 ms.
-	minStartWait = 300 * time.Millisecond
+	// minRestart is less than the time in which a process ends and another one starts and
+	// receives reports. What began that shortly before the node has reported to no earlier
+	// process that it drains.
+	minRestart = 50 * time.Millisecond
 )
 
 // maxHeld bounds the reports that are kept back. A backend server sends one or two while a
 // node starts.
 const maxHeld = 16
 
-// hold keeps a ready report back and starts the wait.
+// startedWithNode reports whether the first report of an incarnation shows that it began
+// with the node's process or after it, as after a loss of power. No earlier process can have
+// recorded its ending. A start in the future tells of a clock that was set back.
+func startedWithNode(c *waxwingseam.Context, r waxwingseam.BackendReport) bool {
+	return r.Sequence <= 1 && !r.Started.IsZero() &&
+		r.Started.After(c.Self.Since.Add(-minRestart)) && r.Started.Before(c.Now.Add(minRestart))
+}
+
+// hold keeps a ready report back and starts the wait. If the node has listened for as long as
+// the wait takes, it uses the report at once.
 func (s *supervisor) hold(c *waxwingseam.Context, r waxwingseam.BackendReport) {
-	if len(s.held) == 0 {
-		at := c.Self.Since.Add(startWait)
-		if earliest := c.Now.Add(minStartWait); at.Before(earliest) {
-			at = earliest
-		}
-		c.Emit(waxwingseam.ArmTimer{Timer: waxwingseam.TimerID{Purpose: waxwingseam.PurposeBackendStarted}, At: at})
-	}
 	s.held = append(s.held, r)
 	s.held = s.held[max(0, len(s.held)-maxHeld):]
+	at := c.Self.Since.Add(startWait)
+	if !at.After(c.Now) {
+		s.endWait(c)
+		return
+	}
+	if len(s.held) == 1 {
+		c.Emit(waxwingseam.ArmTimer{Timer: waxwingseam.TimerID{Purpose: waxwingseam.PurposeBackendStarted}, At: at})
+	}
 }
 
 // endWait applies the reports that were kept back, unless their incarnations have ended.
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -83,10 +83,12 @@
 			keepOut(c, r)
 			return
 		}
-		if s.waiting {
+		if s.waiting && !startedWithNode(c, r) {
 			s.hold(c, r)
 			return
 		}
+		// What was kept back is of earlier incarnations.
+		s.waiting, s.held = false, nil
 	} else if newer || s.endsAnother(r) {
 		s.endings.Add(c.Now, waxwingseam.Ending{Instance: r.Instance, Started: r.Started, At: c.Now})
 	}
