assembler: tests of started nodes set the node's own server

They ran with a node that had started at the zero time, so that no wait was left. The server in them began an hour before the node, as one beside a restarted node does.

--- a/assembler/endings_test.go
+++ b/assembler/endings_test.go
@@ -29,9 +29,8 @@
 		}},
 	} {
 		t.Run(v.name, func(t *testing.T) {
-			r := reducer.New(reducer.Config{Workers: assembler.Workers(assembler.WorkersConfig{
-				Self: waxwingseam.Server{Name: "fees-1", Service: "fees", Incarnation: 1, Leaving: true, Since: now},
-			})})
+			self := waxwingseam.Server{Name: "fees-1", Service: "fees", Incarnation: 1, Leaving: true, Since: now}
+			r := reducer.New(reducer.Config{Self: self, Workers: assembler.Workers(assembler.WorkersConfig{Self: self})})
 			stamp := waxwingseam.Stamp{Now: now}
 			r.Reduce(waxwingseam.SetAdopted{Stamp: stamp, Set: &waxwingseam.Set{
 				Revision:   1,
@@ -66,12 +65,11 @@
 // be leaving until control announces it again, and the node has no set to know its service by.
 func TestStartedNodeIsLeftOutForGood(t *testing.T) {
 	stamp := waxwingseam.Stamp{Now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
-	r := reducer.New(reducer.Config{Workers: assembler.Workers(assembler.WorkersConfig{
-		Self: waxwingseam.Server{Name: "fees-1", Service: "fees", Incarnation: 1, Leaving: true, Since: stamp.Now},
-	})})
+	self := waxwingseam.Server{Name: "fees-1", Service: "fees", Incarnation: 1, Leaving: true, Since: stamp.Now}
+	r := reducer.New(reducer.Config{Self: self, Workers: assembler.Workers(assembler.WorkersConfig{Self: self})})
 	report := func(state waxwingseam.BackendState, sequence uint64) {
 		r.Reduce(waxwingseam.BackendReported{Stamp: stamp, Report: waxwingseam.BackendReport{
-			Instance: "i-1", Service: "fees", State: state, Slots: 8, Started: stamp.Now, Sequence: sequence,
+			Instance: "i-1", Service: "fees", State: state, Slots: 8, Started: stamp.Now.Add(-time.Hour), Sequence: sequence,
 		}})
 	}
 	arrive := func(id uint64) waxwingseam.Effect {
