supervisor: log and count why a started node uses its backend server

The logs did not distinguish whether a started node used its server because control had named the endings, because it had begun with the node, or because nobody answered within the wait, nor when it learned of an ending. Lines backend-server-admitted and backend-server-ending-added, and three counters. No decision changes.

--- a/meter/meter.go
+++ b/meter/meter.go
@@ -86,6 +86,10 @@
 
 		waxwingseam.KindStatementChanged: m.runs.stated,
 
+		waxwingseam.KindServerAdmitted: m.runs.admitted,
+		waxwingseam.KindServerKeptOut:  m.runs.serverKeptOut,
+		waxwingseam.KindEndingsAdded:   m.runs.endingsLearned,
+
 		waxwingseam.KindBackendEnded:      m.runs.backendEnded,
 		waxwingseam.KindQuarantineChanged: m.runs.quarantineChanged,
 	}
--- a/meter/runs.go
+++ b/meter/runs.go
@@ -42,7 +42,13 @@
 	cancellations prometheus.Counter
 
 	backendEnds prometheus.Counter
-	quarantined prometheus.Gauge
+	// admissions counts by basis how a started node came to use its backend server, keptOut
+	// the ready reports of ended incarnations, and endingsAdded the endings that the node
+	// learned from others.
+	admissions   *prometheus.CounterVec
+	keptOut      prometheus.Counter
+	endingsAdded prometheus.Counter
+	quarantined  prometheus.Gauge
 
 	classes      map[waxwingseam.ClassName]bool
 	slotTime     *prometheus.CounterVec
@@ -76,6 +82,10 @@
 		stopTime:      newHistogram("waxwingseam_cancelled_run_seconds", "Time from the cancellation of a run to its end."),
 		cancellations: prometheus.NewCounter(prometheus.CounterOpts{Name: "waxwingseam_attempt_cancellations_total", Help: "Cancellations received from senders of attempts."}),
 
+		admissions:   newCounter("waxwingseam_backend_server_admissions_total", "Starts of the node after which it used its backend server, by basis.", "basis"),
+		keptOut:      prometheus.NewCounter(prometheus.CounterOpts{Name: "waxwingseam_backend_server_kept_out_total", Help: "Ready reports of an incarnation of the backend server that has drained or left."}),
+		endingsAdded: prometheus.NewCounter(prometheus.CounterOpts{Name: "waxwingseam_backend_server_endings_added_total", Help: "Endings of the backend server that the node learned from control or other nodes."}),
+
 		backendEnds: prometheus.NewCounter(prometheus.CounterOpts{Name: "waxwingseam_backend_server_ends_total", Help: "Ends of the backend server that were not planned."}),
 		quarantined: newGauge("waxwingseam_quarantined_requests", "Requests that are refused, or on trial, as they have ended backend servers."),
 
@@ -88,7 +98,7 @@
 }
 
 func (m *runMetrics) collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.answers, m.joins, m.arrivalTime, m.queueTime, m.runTime, m.inFlight, m.queued, m.limit, m.rootLimit, m.shedding, m.leaving, m.handOvers, m.rateLimit, m.statedLeaving, m.slotTime, m.idleSlotTime, m.openingAge, m.cancelDelay, m.stopTime, m.cancellations, m.backendEnds, m.quarantined}
+	return []prometheus.Collector{m.answers, m.joins, m.arrivalTime, m.queueTime, m.runTime, m.inFlight, m.queued, m.limit, m.rootLimit, m.shedding, m.leaving, m.handOvers, m.rateLimit, m.statedLeaving, m.slotTime, m.idleSlotTime, m.openingAge, m.cancelDelay, m.stopTime, m.cancellations, m.backendEnds, m.quarantined, m.admissions, m.keptOut, m.endingsAdded}
 }
 
 func (m *runMetrics) arrived(e waxwingseam.Event) {
@@ -160,6 +170,20 @@
 	m.statedLeaving.Set(boolToFloat(v.Statement.Leaving))
 }
 
+func (m *runMetrics) admitted(_ time.Time, e waxwingseam.Effect) {
+	if v, ok := e.(waxwingseam.ServerAdmitted); ok {
+		m.admissions.WithLabelValues(string(v.Basis)).Inc()
+	}
+}
+
+func (m *runMetrics) serverKeptOut(time.Time, waxwingseam.Effect) { m.keptOut.Inc() }
+
+func (m *runMetrics) endingsLearned(_ time.Time, e waxwingseam.Effect) {
+	if v, ok := e.(waxwingseam.EndingsAdded); ok {
+		m.endingsAdded.Add(float64(len(v.Endings)))
+	}
+}
+
 func (m *runMetrics) setClasses(s *waxwingseam.Set) {
 	clear(m.classes)
 	for i := range s.RequestClasses {
--- a/narrator/narrator.go
+++ b/narrator/narrator.go
@@ -22,6 +22,8 @@
 	EventServers         = "servers-learned"
 	EventBackend         = "backend-server-reported"
 	EventKeptOut         = "backend-server-kept-out"
+	EventAdmitted        = "backend-server-admitted"
+	EventEndingAdded     = "backend-server-ending-added"
 	EventRunCancelled    = "run-cancelled"
 	EventStatement       = "backend-server-stated"
 	EventDrain           = "drain-asked"
@@ -252,6 +254,14 @@
 	case waxwingseam.ServerKeptOut:
 		n.write(now, EventKeptOut, slog.LevelWarn, slog.String("instance", v.Instance),
 			slog.Time("started", v.Started), slog.Uint64("sequence", v.Sequence))
+	case waxwingseam.ServerAdmitted:
+		n.write(now, EventAdmitted, slog.LevelInfo, slog.String("basis", string(v.Basis)),
+			slog.Duration("after", v.After), slog.Int("reports", v.Held))
+	case waxwingseam.EndingsAdded:
+		for _, e := range v.Endings {
+			n.write(now, EventEndingAdded, slog.LevelInfo, slog.String("instance", e.Instance),
+				slog.Time("started", e.Started), slog.Time("reported", e.At))
+		}
 	case waxwingseam.QuarantineChanged:
 		n.quarantineChanged(now, v.Request)
 	}
--- a/narrator/narrator_test.go
+++ b/narrator/narrator_test.go
@@ -61,7 +61,9 @@
 	report.Sequence = 2
 	n.Observe(waxwingseam.BackendReported{Stamp: stamp(0), Report: report}, nil)
 	n.Observe(waxwingseam.EndingsLearned{Stamp: stamp(0)}, []waxwingseam.Effect{
+		waxwingseam.EndingsAdded{Endings: []waxwingseam.Ending{{Instance: "i-1", Started: start, At: start}}},
 		waxwingseam.ServerKeptOut{Instance: "i-1", Started: start, Sequence: 2},
+		waxwingseam.ServerAdmitted{Basis: waxwingseam.AdmittedByControl, After: 80 * time.Millisecond, Held: 1},
 	})
 	n.Observe(waxwingseam.CallArrived{Stamp: stamp(0), ID: id, RequestID: call.RequestID}, []waxwingseam.Effect{
 		waxwingseam.Dispatch{Call: call, Attempt: 1, Server: server},
--- a/report.go
+++ b/report.go
@@ -12,6 +12,8 @@
 	KindEndingsLearned Kind = "endings-learned"
 	KindRecordEnding   Kind = "record-ending"
 	KindServerKeptOut  Kind = "server-kept-out"
+	KindServerAdmitted Kind = "server-admitted"
+	KindEndingsAdded   Kind = "endings-added"
 )
 
 // PurposeBackendStarted is the purpose of the timer after which a started node uses its
@@ -115,6 +117,40 @@
 // Kind implements Effect.
 func (ServerKeptOut) Kind() Kind { return KindServerKeptOut }
 
+// AdmissionBasis says why a started node uses its backend server.
+type AdmissionBasis string
+
+// The bases for the use of a backend server.
+const (
+	// AdmittedByControl: control has named all endings that it knows.
+	AdmittedByControl AdmissionBasis = "control"
+	// AdmittedAsNew: the incarnation began with the node's process or after it.
+	AdmittedAsNew AdmissionBasis = "began-with-node"
+	// AdmittedUnconfirmed: control did not answer within the wait.
+	AdmittedUnconfirmed AdmissionBasis = "unconfirmed"
+)
+
+// ServerAdmitted tells that a started node uses ready reports from now on.
+type ServerAdmitted struct {
+	Basis AdmissionBasis
+	// After is the time since the start of the node.
+	After time.Duration
+	// Held is the number of reports that were kept back until now.
+	Held int
+}
+
+// Kind implements Effect.
+func (ServerAdmitted) Kind() Kind { return KindServerAdmitted }
+
+// EndingsAdded tells of endings that the node learned from control or from another node and
+// did not know.
+type EndingsAdded struct {
+	Endings []Ending
+}
+
+// Kind implements Effect.
+func (EndingsAdded) Kind() Kind { return KindEndingsAdded }
+
 // Reporter receives the reports of the node's own backend server. A report is in force when
 // Report returns. A report that an incarnation drains or is gone is also recorded outside the
 // node, unless an error is returned.
--- a/supervisor/start.go
+++ b/supervisor/start.go
@@ -37,7 +37,7 @@
 	s.held = s.held[max(0, len(s.held)-maxHeld):]
 	at := c.Self.Since.Add(startWait)
 	if !at.After(c.Now) {
-		s.endWait(c)
+		s.endWait(c, waxwingseam.AdmittedUnconfirmed)
 		return
 	}
 	if len(s.held) == 1 {
@@ -46,14 +46,22 @@
 }
 
 // endWait applies the reports that were kept back, unless their incarnations have ended.
-func (s *supervisor) endWait(c *waxwingseam.Context) {
-	s.waiting = false
+func (s *supervisor) endWait(c *waxwingseam.Context, basis waxwingseam.AdmissionBasis) {
+	s.admit(c, basis)
 	for _, r := range s.held {
 		s.receive(c, r)
 	}
 	s.held = nil
 }
 
+// admit ends the wait for endings.
+func (s *supervisor) admit(c *waxwingseam.Context, basis waxwingseam.AdmissionBasis) {
+	if s.waiting {
+		c.Emit(waxwingseam.ServerAdmitted{Basis: basis, After: c.Now.Sub(c.Self.Since), Held: len(s.held)})
+	}
+	s.waiting = false
+}
+
 // keepOut tells that a report of an ended incarnation is not followed.
 func keepOut(c *waxwingseam.Context, r waxwingseam.BackendReport) {
 	c.Emit(waxwingseam.ServerKeptOut{Instance: r.Instance, Started: r.Started, Sequence: r.Sequence})
@@ -61,8 +69,14 @@
 
 // learn adds endings that an earlier process of the node has recorded.
 func (s *supervisor) learn(c *waxwingseam.Context, e waxwingseam.EndingsLearned) {
+	var added []waxwingseam.Ending
 	for _, v := range e.Endings {
-		s.endings.Add(c.Now, v)
+		if s.endings.Add(c.Now, v) {
+			added = append(added, v)
+		}
+	}
+	if len(added) > 0 {
+		c.Emit(waxwingseam.EndingsAdded{Endings: added})
 	}
 	if s.latest.State == waxwingseam.BackendReady && s.endings.Covers(s.latest.Instance, s.latest.Started) {
 		keepOut(c, s.latest)
@@ -71,6 +85,6 @@
 		s.applyReport(c, gone)
 	}
 	if e.Complete {
-		s.endWait(c)
+		s.endWait(c, waxwingseam.AdmittedByControl)
 	}
 }
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -52,7 +52,7 @@
 		s.learn(c, v)
 	case waxwingseam.TimerFired:
 		if v.Timer.Purpose == waxwingseam.PurposeBackendStarted && s.waiting {
-			s.endWait(c)
+			s.endWait(c, waxwingseam.AdmittedUnconfirmed)
 		}
 	case waxwingseam.IncarnationSuperseded:
 		advanceIncarnation(c, v.Incarnation)
@@ -88,7 +88,8 @@
 			return
 		}
 		// What was kept back is of earlier incarnations.
-		s.waiting, s.held = false, nil
+		s.admit(c, waxwingseam.AdmittedAsNew)
+		s.held = nil
 	} else if newer || s.endsAnother(r) {
 		s.endings.Add(c.Now, waxwingseam.Ending{Instance: r.Instance, Started: r.Started, At: c.Now})
 	}
