depositor: reach a slow node that has restarted

Callers saw: requests handed to a server that has left, for as long as it serves, where the only ones that know of it are holders behind a slow link or a busy host. Cause: a holder gave each reminder 250 ms for the connection, its handshake and the answer together, and began anew each time, so that a node whose handshake takes longer never heard it. This depends on the host and the link; between regions 250 ms are less than the four round trips of TCP, TLS and the call. Fix: connection and answer have a limit each, which doubles up to 2 s while they fail.

--- a/depositor/depositor.go
+++ b/depositor/depositor.go
@@ -31,6 +31,12 @@
 	// remindInterval is the time between two messages of a holder to the node. It is less
 	// than the time for which a started node keeps reports back.
 	remindInterval = 250 * time.Millisecond
+	// minSendTime and maxSendTime bound the wait for a connection to a node that is reminded,
+	// and that for its answer. The wait begins short, since a node that has restarted does
+	// not answer on the connection of before, and doubles up to the time that a handshake
+	// takes on a long link or a busy host.
+	minSendTime = remindInterval
+	maxSendTime = 2 * time.Second
 	// remindTime is how long a holder sends them. Backend servers that leave serve for
 	// seconds, and their heartbeats are late by seconds.
 	remindTime = 2 * time.Minute
--- a/depositor/depositor_test.go
+++ b/depositor/depositor_test.go
@@ -26,6 +26,8 @@
 	self   waxwingseam.Server
 	events chan waxwingseam.Event
 	stop   func()
+	// handshake is how long a connection to another node takes.
+	handshake time.Duration
 }
 
 // startNode starts a node at an address. Its reducer records each ending that is reported.
@@ -46,6 +48,11 @@
 		},
 		RecordAtControl: func(context.Context, waxwingseam.Ending) error { return atControl },
 		Dial: func(ctx context.Context, address netip.AddrPort) (depositor.Conn, error) {
+			select {
+			case <-time.After(n.handshake):
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
 			return messenger.Dialer{}.Dial(ctx, address)
 		},
 		Step: func(build func(waxwingseam.Stamp) waxwingseam.Event) {
@@ -143,3 +150,22 @@
 		t.Fatal("the node beside the server was not told")
 	}
 }
+
+// TestSlowNodeIsNeverReminded guards against a holder that gives a connection up before the
+// handshake with a far or busy host can end, each time anew: the restarted node would never
+// hear of the ending.
+func TestSlowNodeIsNeverReminded(t *testing.T) {
+	n := startNode(t, newSelf("fees-1"), errDown)
+	holder := startNode(t, newSelf("fees-2"), errDown)
+	holder.handshake = 600 * time.Millisecond
+	_, err := holder.Hold(t.Context(), &waxwingseam.EndingsMessage{
+		Server: "fees-1", Node: n.self.Node,
+		Endings: []waxwingseam.Ending{{Instance: left.Instance, Started: left.Started, At: time.Now()}},
+	})
+	qt.Assert(t, err, qt.IsNil)
+	select {
+	case <-n.events:
+	case <-time.After(waitTimeout):
+		t.Fatal("the holder never told the node")
+	}
+}
--- a/depositor/holder.go
+++ b/depositor/holder.go
@@ -83,6 +83,7 @@
 	defer ticker.Stop()
 	var conn Conn
 	defer func() { closeConn(conn) }()
+	limit := minSendTime
 	for {
 		select {
 		case <-d.stopped:
@@ -94,10 +95,13 @@
 			return
 		}
 		var err error
-		if conn, err = d.send(conn, m); err != nil {
+		if conn, err = d.send(conn, m, limit); err != nil {
 			// The node may be down, and is reminded again.
 			d.config.Logger.Debug("reminding a node failed", "server", server, "cause", err)
+			limit = min(2*limit, maxSendTime)
+			continue
 		}
+		limit = minSendTime
 	}
 }
 
@@ -113,17 +117,19 @@
 	return &waxwingseam.EndingsMessage{Server: server, Node: known.node, Endings: slices.Clone(known.endings)}
 }
 
-// send sends a reminder over a connection, or a new one if it is nil. It returns the
-// connection to use next.
-func (d *Depositor) send(conn Conn, m *waxwingseam.EndingsMessage) (Conn, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), remindInterval)
-	defer cancel()
+// send sends a reminder over a connection, or a new one if it is nil, and waits for up to limit
+// for each of the connection and the answer. It returns the connection to use next.
+func (d *Depositor) send(conn Conn, m *waxwingseam.EndingsMessage, limit time.Duration) (Conn, error) {
 	if conn == nil {
+		dialCtx, cancelDial := context.WithTimeout(context.Background(), limit)
+		defer cancelDial()
 		var err error
-		if conn, err = d.config.Dial(ctx, m.Node); err != nil {
+		if conn, err = d.config.Dial(dialCtx, m.Node); err != nil {
 			return nil, trace.Wrap(err)
 		}
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
 	if err := conn.Invoke(ctx, methodRemind, messenger.Encoding, m, &Receipt{}); err != nil {
 		closeConn(conn)
 		return nil, trace.Wrap(err)
