depositor: a holder refuses an ending that it would drop

Callers saw: the leave of a server acknowledged although nobody held it, if the clock of the holder was more than an hour ahead of that of the node. Cause: the table drops endings older than an hour, by the clock of the holder, and Hold answered without looking whether the ending was kept. Fix: it answers with an error, so that other holders count. Evidence: TestHolderDropsWhatItAcknowledged got no error before.

--- a/depositor/depositor_test.go
+++ b/depositor/depositor_test.go
@@ -13,6 +13,7 @@
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/depositor"
 	"waxwingseam.example/waxwingseam/messenger"
+	"waxwingseam.example/waxwingseam/registrar"
 )
 
 // waitTimeout is how long a test waits for a value before it fails.
@@ -169,3 +170,14 @@
 		t.Fatal("the holder never told the node")
 	}
 }
+
+// TestHolderDropsWhatItAcknowledged guards against a holder whose clock is far ahead: it
+// answered that it holds an ending that it had dropped as old.
+func TestHolderDropsWhatItAcknowledged(t *testing.T) {
+	holder := startNode(t, newSelf("fees-2"), errDown)
+	_, err := holder.Hold(t.Context(), &waxwingseam.EndingsMessage{
+		Server: "fees-1", Node: holder.self.Node,
+		Endings: []waxwingseam.Ending{{Instance: left.Instance, Started: left.Started, At: time.Now().Add(-2 * registrar.EndingTime)}},
+	})
+	qt.Assert(t, err, qt.ErrorMatches, ".*too old to be held.*")
+}
--- a/depositor/holder.go
+++ b/depositor/holder.go
@@ -51,6 +51,10 @@
 	known.node, known.until = m.Node, now.Add(remindTime)
 	for _, e := range m.Endings {
 		known.endings.Add(now, e)
+		if !known.endings.Has(e) {
+			// The clocks of the two hosts differ by more than the time for which endings are kept.
+			return nil, trace.BadParameter("an ending at %v is too old to be held", e.At)
+		}
 	}
 	d.held[m.Server] = known
 	if !ok {
