control: endings of backend servers are stored on disk

Callers saw: requests handed to a server that had left (44 and 47 of them later than 2 s after the acknowledgement, with unsafe ones lost as it ended), after its node, the nodes that held the ending and all control replicas were killed at the same moment and an earlier heartbeat came late. Hypotheses: (1) the wait of 0.8 s ends before control or a holder is heard; refuted by backend-server-admitted: control answers a started node after 3 ms, holders within 250 ms, and an ending learned later takes the server out. (3) all that know of the ending are gone: shown, basis unconfirmed at 1.2 s and no ending learned until the server ended. Cause: endings were in the memory of processes only. A full or stalled disk only withholds the confirmation; nodes that hold the ending then suffice.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"path/filepath"
 	"slices"
 	"sync"
 	"time"
@@ -25,6 +26,7 @@
 	"waxwingseam.example/waxwingseam/authenticator"
 	"waxwingseam.example/waxwingseam/founder"
 	"waxwingseam.example/waxwingseam/historian"
+	"waxwingseam.example/waxwingseam/journaler"
 	"waxwingseam.example/waxwingseam/messenger"
 	"waxwingseam.example/waxwingseam/proposer"
 	"waxwingseam.example/waxwingseam/publisher"
@@ -101,6 +103,8 @@
 	publisher publisher.Publisher
 	runner    *runner.Runner
 	handler   http.Handler
+	// endings is the journal of the endings of backend servers; nil without a data folder.
+	endings waxwingseam.EndingJournal
 
 	mu        sync.Mutex
 	exchanges map[netip.AddrPort]*exchange
@@ -119,6 +123,10 @@
 		}),
 		Seed: config.Seed,
 	})
+	recovered, err := c.openEndings()
+	if err != nil {
+		return nil, err
+	}
 	c.publisher = publisher.New(publisher.Config{
 		Replica:   config.Replica,
 		Historian: c.historian,
@@ -126,6 +134,8 @@
 		Step:      c.runner.Step,
 		Peers:     func() int { return len(c.peers()) },
 		Replicas:  c.replicas,
+		Endings:   c.endings,
+		Recovered: recovered,
 		Logger:    config.Logger("publisher"),
 	})
 	c.runner.Attach(c.publisher)
@@ -164,6 +174,27 @@
 	return trace.Wrap(err)
 }
 
+// endingsFolder is the folder in the data folder with the endings of backend servers. It
+// stays when a replica that was removed from the cluster empties the data folder.
+const endingsFolder = "endings"
+
+// openEndings opens the journal of the endings of backend servers, and returns what it holds.
+func (c *controller) openEndings() ([]waxwingseam.EndingsMessage, error) {
+	if c.config.DataFolder == "" {
+		return nil, nil
+	}
+	disk, err := journaler.OpenFolder(filepath.Join(c.config.DataFolder, endingsFolder))
+	if err != nil {
+		return nil, err
+	}
+	store, recovered, err := journaler.OpenEndings(disk)
+	if err != nil {
+		return nil, trace.NewAggregate(err, disk.Close())
+	}
+	c.endings = store
+	return recovered, nil
+}
+
 // publish passes an update to the publisher. Updates before the publisher's
 // creation are ignored, since a new publisher reads the newest set from the
 // historian.
@@ -225,6 +256,13 @@
 
 // Serve implements Controller.
 func (c *controller) Serve(ctx context.Context) error {
+	if c.endings != nil {
+		defer func() {
+			if err := c.endings.Close(); err != nil {
+				c.config.Logger("publisher").Warn("closing the journal of endings failed", "cause", err)
+			}
+		}()
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return c.log.Serve(ctx) })
 	group.Go(func() error { return c.publisher.Serve(ctx) })
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -23,6 +23,7 @@
 	"waxwingseam.example/waxwingseam/messenger"
 	"waxwingseam.example/waxwingseam/operator"
 	"waxwingseam.example/waxwingseam/proposer"
+	"waxwingseam.example/waxwingseam/registrar"
 	"waxwingseam.example/waxwingseam/subscriber"
 )
 
@@ -201,6 +202,13 @@
 	return last
 }
 
+// knows reports whether control has told the node of an ending.
+func (n *node) knows(e waxwingseam.Ending) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return registrar.Endings(n.endings).Has(e)
+}
+
 // endingsComplete reports whether control has named all endings of the node's server.
 func (n *node) endingsComplete() bool {
 	n.mu.Lock()
--- a/controller/endings_test.go
+++ b/controller/endings_test.go
@@ -45,3 +45,24 @@
 	n.updates.await(t, "the endings are complete", n.endingsComplete)
 	qt.Assert(t, n.endings, qt.HasLen, 0)
 }
+
+// TestEndingIsLostWithAllProcesses guards against the end of a backend server that is
+// forgotten when its node, the nodes that hold it and all control replicas are killed at once.
+func TestEndingIsLostWithAllProcesses(t *testing.T) {
+	t.Parallel()
+	control := startCluster(t, 3)
+	n := startNode(t, "fees-1", control[0].address)
+	ending := waxwingseam.Ending{Instance: "i-1", Started: time.UnixMilli(1_700_000_000_123), At: time.Now()}
+	ctx, cancel := context.WithTimeout(t.Context(), waitLimit)
+	defer cancel()
+	qt.Assert(t, n.subscriber.RecordEnding(ctx, ending), qt.IsNil)
+	n.stop()
+	for _, r := range control {
+		r.stop()
+	}
+	for i, r := range control {
+		control[i] = r.restart(t)
+	}
+	again := startNode(t, "fees-1", control[0].address)
+	again.updates.await(t, "the ending is known", func() bool { return again.knows(ending) })
+}
--- a/depositor/depositor.go
+++ b/depositor/depositor.go
@@ -21,8 +21,10 @@
 
 const (
 	// wantedHolders is how many holders must have an ending for it to be recorded at once:
-	// one of them may be killed together with the node.
+	// one of them may be killed together with the node. Control must be among them for the
+	// first controlTime, as it stores endings on disk.
 	wantedHolders = 2
+	controlTime   = 300 * time.Millisecond
 	// holderCount is the number of nodes that an ending is sent to, besides control.
 	holderCount = 3
 	// depositTime is how long all holders are waited for. After it, one holder is enough. A
@@ -154,7 +156,7 @@
 // returns nil once enough of them have it.
 func (d *Depositor) deposit(e waxwingseam.Ending) error {
 	message := &waxwingseam.EndingsMessage{Server: d.config.Self.Name, Node: d.config.Self.Node, Endings: []waxwingseam.Ending{e}}
-	return d.record(message, func(ctx context.Context) error { return d.config.RecordAtControl(ctx, e) })
+	return d.record(message, func(ctx context.Context) error { return d.config.RecordAtControl(ctx, e) }, nil)
 }
 
 // passOn records the leave of a backend server beside another node, which did not acknowledge
@@ -165,10 +167,10 @@
 		e.Started = other.Started
 	}
 	message := &waxwingseam.EndingsMessage{Server: other.Name, Node: other.Node, Endings: []waxwingseam.Ending{e}}
-	return d.record(message,
+	return d.record(message, nil, []recordWay{
 		func(ctx context.Context) error { _, err := d.Hold(ctx, message); return err },
 		func(ctx context.Context) error { return d.invoke(ctx, other.Node, methodRemind, message) },
-	)
+	})
 }
 
 // otherServer returns the server beside another node that has announced an instance, unless
@@ -186,26 +188,57 @@
 	return other, ok
 }
 
-// record sends endings to other nodes and runs further ways to record them. It returns nil
-// once enough holders have them.
-func (d *Depositor) record(m *waxwingseam.EndingsMessage, ways ...func(context.Context) error) error {
+// recordWay records endings somewhere outside the node.
+type recordWay func(context.Context) error
+
+// record sends endings to control, unless it is nil, and to other nodes, and runs further ways
+// to record them. It returns nil once enough holders have them.
+func (d *Depositor) record(m *waxwingseam.EndingsMessage, control recordWay, ways []recordWay) error {
 	ctx, cancel := context.WithTimeout(context.Background(), depositTime)
 	for _, to := range d.holders(m.Server) {
 		ways = append(ways, func(ctx context.Context) error { return d.invoke(ctx, to, methodHold, m) })
 	}
-	results := make(chan error, len(ways))
 	var group sync.WaitGroup
+	run := func(way recordWay, results chan<- error) { group.Go(func() { results <- way(ctx) }) }
+	atNodes, atControl := make(chan error, len(ways)), make(chan error, 1)
 	for _, way := range ways {
-		group.Go(func() { results <- way(ctx) })
+		run(way, atNodes)
+	}
+	if control != nil {
+		run(control, atControl)
 	}
 	// What is still on its way when enough holders have the endings goes on.
 	go func() { group.Wait(); cancel() }()
-	held := 0
+	return d.await(m.Server, len(ways), control != nil, atNodes, atControl)
+}
+
+// await waits until enough holders have the endings of a server. It takes the results of a
+// number of nodes and, if withControl is set, of control.
+func (d *Depositor) await(server waxwingseam.ServerName, nodes int, withControl bool, atNodes, atControl <-chan error) error {
+	patience := time.NewTimer(controlTime)
+	defer patience.Stop()
+	held, needsControl := 0, withControl
 	var failures []error
-	for range ways {
-		if err := <-results; err != nil {
+	for nodes > 0 || withControl {
+		var err error
+		select {
+		case err = <-atNodes:
+			nodes--
+		case err = <-atControl:
+			withControl, needsControl = false, false
+		case <-patience.C:
+			needsControl = false
+			if held >= wantedHolders {
+				return nil
+			}
+			continue
+		}
+		if err != nil {
 			failures = append(failures, err)
-		} else if held++; held == wantedHolders {
+		} else {
+			held++
+		}
+		if held >= wantedHolders && !needsControl {
 			return nil
 		}
 	}
@@ -213,7 +246,7 @@
 		return nil
 	}
 	err := trace.NewAggregate(failures...)
-	d.config.Logger.Warn("the end of a backend server was recorded nowhere", "server", m.Server, "cause", err)
+	d.config.Logger.Warn("the end of a backend server was recorded nowhere", "server", server, "cause", err)
 	return trace.ConnectionProblem(err, "the end of the backend server was recorded nowhere")
 }
 
--- a/journal.go
+++ b/journal.go
@@ -34,6 +34,19 @@
 	Close() error
 }
 
+// EndingJournal stores endings of backend servers durably. A failed write changes nothing
+// and may be repeated.
+type EndingJournal interface {
+	// Append adds endings. They are durable once it has returned nil.
+	Append(list []EndingsMessage) error
+	// Rewrite replaces all endings.
+	Rewrite(list []EndingsMessage) error
+	// Size returns the number of bytes stored.
+	Size() int64
+	// Close releases the folder.
+	Close() error
+}
+
 // Disk is a folder of files. A crash may lose data that was not synced.
 type Disk interface {
 	// List returns the names of the files.
--- /dev/null
+++ b/journaler/endings.go
@@ -0,0 +1,154 @@
+package journaler
+
+import (
+	"errors"
+	"io/fs"
+	"slices"
+
+	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam"
+)
+
+const (
+	endingsFile = "endings"
+	// sizeUnknown is the size of a file that may have been replaced by one of another size.
+	sizeUnknown = -1
+)
+
+// endings is a log of endings in a folder of its own. Each record holds one message.
+type endings struct {
+	disk waxwingseam.Disk
+	// file is nil after a failed write. The next one opens the file again and truncates it
+	// to size.
+	file waxwingseam.DiskFile
+	size int64
+}
+
+// OpenEndings opens the log of endings in a folder and returns the endings in it. What
+// follows the last whole record was never acknowledged and is dropped. A full disk does not
+// prevent it.
+func OpenEndings(disk waxwingseam.Disk) (waxwingseam.EndingJournal, []waxwingseam.EndingsMessage, error) {
+	l := &endings{disk: disk}
+	names, err := disk.List()
+	if err != nil {
+		return nil, nil, trace.ConvertSystemError(err)
+	}
+	if !slices.Contains(names, endingsFile) {
+		return l, nil, nil
+	}
+	list, err := l.read()
+	return l, list, err
+}
+
+// read returns the messages in the file, and sets size to the end of the last whole record.
+func (l *endings) read() ([]waxwingseam.EndingsMessage, error) {
+	data, err := l.disk.ReadFile(endingsFile)
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	r := &recordReader{name: endingsFile, data: data}
+	var list []waxwingseam.EndingsMessage
+	for r.more() {
+		var m waxwingseam.EndingsMessage
+		if err := r.next(&m); err != nil {
+			return nil, err
+		}
+		list = append(list, m)
+	}
+	l.size = int64(r.offset)
+	return list, nil
+}
+
+// Append implements waxwingseam.EndingJournal.
+func (l *endings) Append(list []waxwingseam.EndingsMessage) error {
+	data, err := encodeEndings(list)
+	if err != nil {
+		return err
+	}
+	if err := l.open(); err != nil {
+		return err
+	}
+	_, err = l.file.Write(data)
+	if err == nil {
+		err = l.file.Sync()
+	}
+	if err != nil {
+		return trace.NewAggregate(trace.ConvertSystemError(err), l.closeFile())
+	}
+	l.size += int64(len(data))
+	return nil
+}
+
+// open opens the file for appending, and creates it if there is none.
+func (l *endings) open() error {
+	if l.file != nil {
+		return nil
+	}
+	if l.size == sizeUnknown {
+		if err := l.disk.Sync(); err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		if _, err := l.read(); err != nil {
+			return err
+		}
+	}
+	file, err := l.disk.Append(endingsFile, l.size)
+	if l.size == 0 && errors.Is(err, fs.ErrNotExist) {
+		if err := writeFile(l.disk, endingsFile, nil); err != nil {
+			return err
+		}
+		file, err = l.disk.Append(endingsFile, 0)
+	}
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	l.file = file
+	return nil
+}
+
+func (l *endings) closeFile() error {
+	file := l.file
+	l.file = nil
+	if file == nil {
+		return nil
+	}
+	return trace.ConvertSystemError(file.Close())
+}
+
+// Rewrite implements waxwingseam.EndingJournal.
+func (l *endings) Rewrite(list []waxwingseam.EndingsMessage) error {
+	data, err := encodeEndings(list)
+	if err != nil {
+		return err
+	}
+	if err := writeFile(l.disk, endingsFile, data); err != nil {
+		// The file may have been replaced already.
+		l.size = sizeUnknown
+		return trace.NewAggregate(err, l.closeFile())
+	}
+	l.size = int64(len(data))
+	return l.closeFile()
+}
+
+// Size implements waxwingseam.EndingJournal.
+func (l *endings) Size() int64 {
+	return l.size
+}
+
+// Close implements waxwingseam.EndingJournal.
+func (l *endings) Close() error {
+	return trace.NewAggregate(l.closeFile(), trace.ConvertSystemError(l.disk.Close()))
+}
+
+func encodeEndings(list []waxwingseam.EndingsMessage) ([]byte, error) {
+	var data []byte
+	for _, m := range list {
+		record, err := encodeRecord(m)
+		if err != nil {
+			return nil, err
+		}
+		data = append(data, record...)
+	}
+	return data, nil
+}
--- a/journaler/file.go
+++ b/journaler/file.go
@@ -49,9 +49,20 @@
 	return nil
 }
 
+// encoding keeps times to the nanosecond.
+var encoding = newEncoding()
+
+func newEncoding() cbor.EncMode {
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339NanoUTC}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
 // encodeRecord encodes a value as one record.
 func encodeRecord(v any) ([]byte, error) {
-	payload, err := cbor.Marshal(v)
+	payload, err := encoding.Marshal(v)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/journaler/folder.go
+++ b/journaler/folder.go
@@ -54,7 +54,7 @@
 	}
 	names := make([]string, 0, len(entries))
 	for _, e := range entries {
-		if e.Name() != lockFile {
+		if e.Name() != lockFile && !e.IsDir() {
 			names = append(names, e.Name())
 		}
 	}
--- a/publisher/endings.go
+++ b/publisher/endings.go
@@ -23,18 +23,36 @@
 	// peers are the replicas that have sent all endings that they know.
 	peers  map[string]struct{}
 	pruned time.Time
+	// unwritten are the endings that the journal does not have yet. The nodes that reported
+	// them wait for their confirmation.
+	unwritten map[waxwingseam.ServerName][]waxwingseam.Ending
+	// wake wakes the writer.
+	wake chan struct{}
 }
 
-func newEndings() endings {
-	return endings{byServer: map[waxwingseam.ServerName]registrar.Endings{}, peers: map[string]struct{}{}}
+func newEndings(recovered []waxwingseam.EndingsMessage) endings {
+	e := endings{
+		byServer:  map[waxwingseam.ServerName]registrar.Endings{},
+		peers:     map[string]struct{}{},
+		unwritten: map[waxwingseam.ServerName][]waxwingseam.Ending{},
+		wake:      make(chan struct{}, 1),
+	}
+	now := time.Now()
+	for _, m := range recovered {
+		e.add(now, m.Server, m.Endings)
+	}
+	return e
 }
 
-// add adds endings of a server and reports whether one was new.
-func (e *endings) add(now time.Time, server waxwingseam.ServerName, list []waxwingseam.Ending) bool {
+// add adds endings of a server and returns those that were new.
+func (e *endings) add(now time.Time, server waxwingseam.ServerName, list []waxwingseam.Ending) []waxwingseam.Ending {
 	e.prune(now)
-	known, added := e.byServer[server], false
+	var added []waxwingseam.Ending
+	known := e.byServer[server]
 	for _, v := range list {
-		added = known.Add(now, v) || added
+		if known.Add(now, v) {
+			added = append(added, v)
+		}
 	}
 	if len(known) > 0 {
 		e.byServer[server] = known
@@ -77,9 +95,22 @@
 // toPeers is set, for those of other replicas.
 func (p *publisher) addEndings(server waxwingseam.ServerName, list []waxwingseam.Ending, toPeers bool) {
 	added := p.endings.add(time.Now(), server, list)
+	if p.config.Endings != nil && len(added) > 0 {
+		p.endings.unwritten[server] = append(p.endings.unwritten[server], added...)
+		p.endings.wakeWriter()
+	}
+	if toPeers && len(added) > 0 {
+		p.markEndings(server, true)
+	}
+	// A watcher that sends an ending waits for its confirmation, whether it was known or not.
+	p.markEndings(server, false)
+}
+
+// markEndings marks a server's endings for the sessions of other replicas, or for those of
+// the server.
+func (p *publisher) markEndings(server waxwingseam.ServerName, peers bool) {
 	for s := range p.sessions {
-		// A watcher that sends an ending waits for its confirmation, whether it was known or not.
-		if !s.peer && s.server == server || s.peer && toPeers && added {
+		if s.peer == peers && (peers || s.server == server) {
 			s.dirtyEndings[server] = struct{}{}
 			s.wake()
 		}
@@ -94,24 +125,40 @@
 	return s.server != "" && time.Since(p.started) >= endingsSettleTime && 2*len(p.endings.peers) >= p.config.Peers()
 }
 
-// addEndingsTo adds the endings that a watcher is to be sent.
+// addEndingsTo adds the endings that a watcher is to be sent. A node is told at once what is
+// known of its server, and told later that there is no more.
 func (p *publisher) addEndingsTo(s *session, push *Push) {
+	if !s.peer && !s.beganEndings && s.server != "" {
+		s.beganEndings = true
+		s.dirtyEndings[s.server] = struct{}{}
+	}
 	if !s.sentEndings && p.endingsKnown(s) {
 		s.sentEndings, push.EndingsComplete = true, true
 		if s.peer {
 			for server := range p.endings.byServer {
 				s.dirtyEndings[server] = struct{}{}
 			}
-		} else if len(p.endings.byServer[s.server]) > 0 {
-			s.dirtyEndings[s.server] = struct{}{}
 		}
 	}
-	if len(s.dirtyEndings) == 0 {
-		return
-	}
-	push.Endings = make(map[waxwingseam.ServerName][]waxwingseam.Ending, len(s.dirtyEndings))
 	for server := range s.dirtyEndings {
-		push.Endings[server] = slices.Clone(p.endings.byServer[server])
+		p.addServerEndings(s, server, push)
 	}
 	clear(s.dirtyEndings)
 }
+
+// addServerEndings adds the endings of a server. Those that the journal does not have are
+// told to its node apart, since they are not confirmed.
+func (p *publisher) addServerEndings(s *session, server waxwingseam.ServerName, push *Push) {
+	list := slices.Clone(p.endings.byServer[server])
+	if unwritten := p.endings.unwritten[server]; !s.peer && len(unwritten) > 0 {
+		push.UnstoredEndings = slices.Clone(unwritten)
+		list = slices.DeleteFunc(list, func(e waxwingseam.Ending) bool { return slices.Contains(unwritten, e) })
+	}
+	if len(list) == 0 {
+		return
+	}
+	if push.Endings == nil {
+		push.Endings = map[waxwingseam.ServerName][]waxwingseam.Ending{}
+	}
+	push.Endings[server] = list
+}
--- a/publisher/message.go
+++ b/publisher/message.go
@@ -108,6 +108,9 @@
 	// EndingsComplete is set once in each stream, with or after all endings of the watcher's
 	// server that any replica knows or, to another control replica, all that this one knows.
 	EndingsComplete bool `cbor:"12,keyasint,omitempty"`
+	// UnstoredEndings are endings of the watcher's server that the replica knows and has not
+	// stored. They are in force, and not confirmed to the node that reported them.
+	UnstoredEndings []waxwingseam.Ending `cbor:"13,keyasint,omitempty"`
 }
 
 // Step is the change from the previous revision to Revision.
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -52,7 +52,11 @@
 	// Replicas returns the addresses of all control replicas, which are sent to
 	// the watching nodes; nil if they are not sent.
 	Replicas func() []netip.AddrPort
-	Logger   *slog.Logger
+	// Endings stores the endings of backend servers; nil keeps them in memory only.
+	// Recovered are those that it held at the start.
+	Endings   waxwingseam.EndingJournal
+	Recovered []waxwingseam.EndingsMessage
+	Logger    *slog.Logger
 }
 
 // Publisher serves the watchers of one control replica. It executes the
@@ -74,8 +78,8 @@
 	Endings(server waxwingseam.ServerName) []waxwingseam.Ending
 	// Watch serves one watcher over a stream of Reports and Pushes.
 	Watch(stream drpc.Stream) error
-	// Serve confirms the local state regularly and on request until the context
-	// ends.
+	// Serve confirms the local state regularly and on request, and writes endings, until
+	// the context ends.
 	Serve(ctx context.Context) error
 	// Summary summarizes the revisions that the watching nodes hold.
 	Summary() RevisionSummary
@@ -130,7 +134,7 @@
 		services:      map[waxwingseam.ServiceName]map[waxwingseam.ServerName]struct{}{},
 		sessions:      map[*session]struct{}{},
 		completePeers: map[string]struct{}{},
-		endings:       newEndings(),
+		endings:       newEndings(config.Recovered),
 		started:       time.Now(),
 	}
 	p.head.Set, p.head.Digest = config.Historian.Head()
@@ -302,5 +306,10 @@
 
 // Serve implements Publisher.
 func (p *publisher) Serve(ctx context.Context) error {
+	var writer sync.WaitGroup
+	defer writer.Wait()
+	if p.config.Endings != nil {
+		writer.Go(func() { p.writeEndings(ctx) })
+	}
 	return p.batcher.serve(ctx)
 }
--- a/publisher/push.go
+++ b/publisher/push.go
@@ -27,7 +27,7 @@
 	push.Echo = s.reportSent
 	push.Unconfirmed = push.Unconfirmed || !p.batcher.confirmed()
 	empty = len(push.Steps)+len(push.Set)+len(push.Present)+len(push.Gone) == 0 && !push.Complete && push.LatestIncarnation == 0 && len(push.Orders) == 0 &&
-		len(push.Endings) == 0 && !push.EndingsComplete
+		len(push.Endings)+len(push.UnstoredEndings) == 0 && !push.EndingsComplete
 	return push, empty, nil
 }
 
--- a/publisher/session.go
+++ b/publisher/session.go
@@ -56,9 +56,10 @@
 	usageSentAt time.Time
 	usageSent   bool
 	// dirtyEndings names the servers whose endings are to be sent; sentEndings is set once
-	// all of them were.
+	// all of them were, and beganEndings once a node was told of those known so far.
 	dirtyEndings map[waxwingseam.ServerName]struct{}
 	sentEndings  bool
+	beganEndings bool
 	// sentComplete is set once a complete list of servers was sent.
 	sentComplete bool
 }
--- a/subscriber/endings.go
+++ b/subscriber/endings.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -51,6 +52,7 @@
 	if len(endings) > 0 {
 		s.endings.confirmed = endings
 	}
+	endings = append(slices.Clone(endings), p.UnstoredEndings...)
 	for _, e := range endings {
 		s.endings.list.Add(time.Now(), e)
 	}
--- a/subscriber/watch.go
+++ b/subscriber/watch.go
@@ -186,7 +186,7 @@
 			return waxwingseam.QuarantineOrdered{Stamp: stamp, Order: o}
 		})
 	}
-	if len(p.Endings) > 0 || p.EndingsComplete {
+	if len(p.Endings)+len(p.UnstoredEndings) > 0 || p.EndingsComplete {
 		s.receiveEndings(p)
 	}
 	if len(p.Present)+len(p.Gone) > 0 || p.Complete {
