supervisor: a leave that is said in an answer outlasts the node

Callers saw (by reading, shown by the test): a server that says in an answer that it is leaving, and goes on to report ready, is used again after its node is killed, until the next answer; what it runs as it ends is lost. Fix: the statement is recorded like a report that drains. Evidence: TestStatedLeaveIsForgotten fails without the change.

--- a/supervisor/start_test.go
+++ b/supervisor/start_test.go
@@ -207,6 +207,27 @@
 	}
 }
 
+// TestStatedLeaveIsForgotten guards against a server that says in an answer that it is leaving
+// and is used again after its node, which alone had read the answer, has restarted.
+func TestStatedLeaveIsForgotten(t *testing.T) {
+	h := &host{}
+	h.start()
+	h.learn(true)
+	ready := waxwingseam.BackendReport{Instance: "a", Service: "fees", State: waxwingseam.BackendReady, Slots: 8, Started: epoch, Sequence: 1}
+	h.report(ready)
+	stated := waxwingseam.BackendStated{Backend: h.context.Self.BackendIncarnation(), Statement: waxwingseam.Statement{Leaving: true}}
+	h.step(func(s waxwingseam.Stamp) waxwingseam.Event { stated.Stamp = s; return stated })
+	h.start()
+	h.learn(true)
+	ready.Sequence++
+	h.report(ready)
+	qt.Assert(t, h.used("a", epoch), qt.IsFalse)
+	later := ready
+	later.Started = epoch.Add(time.Second)
+	h.report(later)
+	qt.Assert(t, h.used("a", later.Started), qt.IsTrue)
+}
+
 // TestLateEndingIsIgnored guards against a server that stays in use when the node hears of its
 // ending only after the wait, and against a later incarnation that is taken out with it.
 func TestLateEndingIsIgnored(t *testing.T) {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -38,7 +38,7 @@
 func (s *supervisor) Kinds() []waxwingseam.Kind {
 	return []waxwingseam.Kind{
 		waxwingseam.KindBackendReported, waxwingseam.KindIncarnationSuperseded,
-		waxwingseam.KindEndingsLearned, waxwingseam.KindTimerFired,
+		waxwingseam.KindEndingsLearned, waxwingseam.KindTimerFired, waxwingseam.KindBackendStated,
 	}
 }
 
@@ -50,6 +50,8 @@
 		s.recordEnding(c, v)
 	case waxwingseam.EndingsLearned:
 		s.learn(c, v)
+	case waxwingseam.BackendStated:
+		s.recordStatedLeave(c, v)
 	case waxwingseam.TimerFired:
 		if v.Timer.Purpose == waxwingseam.PurposeBackendStarted && s.waiting {
 			s.endWait(c, waxwingseam.AdmittedUnconfirmed)
@@ -120,6 +122,19 @@
 	c.Emit(out)
 }
 
+// recordStatedLeave has the ending of an incarnation recorded that says in an answer that it
+// is leaving. An incarnation without an identifier can't be told from the next one.
+func (s *supervisor) recordStatedLeave(c *waxwingseam.Context, e waxwingseam.BackendStated) {
+	current := c.Self.BackendIncarnation()
+	if !e.Statement.Leaving || current.Instance == "" || !e.Backend.Equal(current) {
+		return
+	}
+	ending := waxwingseam.Ending{Instance: current.Instance, Started: current.Started, At: c.Now}
+	if !s.endings.Covers(ending.Instance, ending.Started) && s.endings.Add(c.Now, ending) {
+		c.Emit(waxwingseam.RecordEnding{Ending: ending})
+	}
+}
+
 // supersedes reports whether a report is newer than the latest one. A leave names neither a
 // service nor an address, so that it concerns the current instance only.
 func supersedes(r, latest waxwingseam.BackendReport) bool {
