depositor: tell control of endings that only other nodes held

Callers could see a server used after it left, if control was down when it left, and the nodes that held its ending were killed after the node beside it. Cause: what a holder tells a started node stayed in that node's memory. Fix: the node sends it to control, which stores it, once.

--- a/depositor/depositor.go
+++ b/depositor/depositor.go
@@ -73,6 +73,8 @@
 	// waiting holds the callers of Record by request.
 	waiting map[uint64]chan error
 	held    map[waxwingseam.ServerName]heldEndings
+	// passedOn are the node's own endings that other nodes told of and control was sent.
+	passedOn registrar.Endings
 	// stopped is closed when the depositor stops to send.
 	stopped chan struct{}
 }
--- a/depositor/depositor_test.go
+++ b/depositor/depositor_test.go
@@ -26,7 +26,9 @@
 	*depositor.Depositor
 	self   waxwingseam.Server
 	events chan waxwingseam.Event
-	stop   func()
+	// atControl receives the endings that are sent to control.
+	atControl chan waxwingseam.Ending
+	stop      func()
 	// handshake is how long a connection to another node takes.
 	handshake time.Duration
 }
@@ -36,7 +38,7 @@
 	server, err := messenger.Listen(t.Context(), messenger.ServerConfig{Address: self.Node})
 	qt.Assert(t, err, qt.IsNil)
 	self.Node = server.Address()
-	n := &node{self: self, events: make(chan waxwingseam.Event, 1024)}
+	n := &node{self: self, events: make(chan waxwingseam.Event, 1024), atControl: make(chan waxwingseam.Ending, 16)}
 	n.Depositor = depositor.New(depositor.Config{
 		Self: self,
 		Servers: func() []waxwingseam.Server {
@@ -47,7 +49,7 @@
 			}
 			return list
 		},
-		RecordAtControl: func(context.Context, waxwingseam.Ending) error { return atControl },
+		RecordAtControl: func(_ context.Context, e waxwingseam.Ending) error { n.atControl <- e; return atControl },
 		Dial: func(ctx context.Context, address netip.AddrPort) (depositor.Conn, error) {
 			select {
 			case <-time.After(n.handshake):
@@ -132,6 +134,22 @@
 	}
 }
 
+// TestControlIsNotToldOfHeldEnding guards against an ending that only other nodes hold, as
+// control was down when the server left: it would be lost with them.
+func TestControlIsNotToldOfHeldEnding(t *testing.T) {
+	n := startNode(t, newSelf("fees-1"), nil)
+	ending := waxwingseam.Ending{Instance: left.Instance, Started: left.Started, At: time.Now()}
+	message := &waxwingseam.EndingsMessage{Server: "fees-1", Endings: []waxwingseam.Ending{ending}}
+	_, err := n.Remind(t.Context(), message)
+	qt.Assert(t, err, qt.IsNil)
+	select {
+	case e := <-n.atControl:
+		qt.Assert(t, e.Started.Equal(ending.Started), qt.IsTrue)
+	case <-time.After(waitTimeout):
+		t.Fatal("control was not told")
+	}
+}
+
 // TestLeaveAtAnotherNodeIsIgnored guards against a leave that another node acknowledges and
 // keeps to itself, after the node beside the server did not: the server would stay in use.
 func TestLeaveAtAnotherNodeIsIgnored(t *testing.T) {
--- a/depositor/holder.go
+++ b/depositor/holder.go
@@ -71,9 +71,30 @@
 	d.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
 		return waxwingseam.EndingsLearned{Stamp: s, Endings: m.Endings}
 	})
+	d.tellControl(m.Endings)
 	return &Receipt{}, nil
 }
 
+// tellControl passes on what a holder has told, once each: the holders may end before the
+// backend server does.
+func (d *Depositor) tellControl(list []waxwingseam.Ending) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range list {
+		if !d.passedOn.Add(time.Now(), e) {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), depositTime)
+			defer cancel()
+			if err := d.config.RecordAtControl(ctx, e); err != nil {
+				// Control gets it from the node's next report.
+				d.config.Logger.Info("an ending that another node held was not confirmed by control", "instance", e.Instance, "cause", err)
+			}
+		}()
+	}
+}
+
 // Serve reminds other nodes of what is held for them until the context ends.
 func (d *Depositor) Serve(ctx context.Context) error {
 	defer close(d.stopped)
