control: a replica whose disk is full waits for room

The replica holds, in order, what waits for the write, answers nothing that needs it, hands over the lead, follows on, says so in one line and in waxwingseam_control_disk_full, and joins or opens on a full disk.

--- a/controller/metrics.go
+++ b/controller/metrics.go
@@ -16,6 +16,7 @@
 	metricNodes    = describe("nodes", "Nodes that watch the replica.")
 	metricLagging  = describe("nodes_lagging", "Nodes that watch the replica and hold an earlier revision.")
 	metricPeers    = describe("peers_in_touch", "Other control replicas that exchange servers with this one.")
+	metricDiskFull = describe("disk_full", "1 while the disk has no room and the replica stores nothing.")
 	metricServers  = describe("backend_servers", "Announced backend servers known, by state.", "state")
 )
 
@@ -27,7 +28,7 @@
 func (c *controller) Describe(descriptions chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
 		metricRevision, metricLeader, metricCommit, metricApplied,
-		metricNodes, metricLagging, metricPeers, metricServers,
+		metricNodes, metricLagging, metricPeers, metricDiskFull, metricServers,
 	} {
 		descriptions <- d
 	}
@@ -42,7 +43,8 @@
 	status, summaries := c.log.Status(), c.RevisionSummaries()
 	own := summaries[0]
 	gauge(metricRevision, float64(head.Revision))
-	gauge(metricLeader, leaderValue(status))
+	gauge(metricLeader, boolValue(status.Role == waxwingseam.RoleLeader))
+	gauge(metricDiskFull, boolValue(status.DiskFull))
 	gauge(metricCommit, float64(status.Commit))
 	gauge(metricApplied, float64(status.Applied))
 	gauge(metricNodes, float64(own.Nodes))
@@ -53,8 +55,8 @@
 	}
 }
 
-func leaderValue(s waxwingseam.ReplicaStatus) float64 {
-	if s.Role == waxwingseam.RoleLeader {
+func boolValue(v bool) float64 {
+	if v {
 		return 1
 	}
 	return 0
--- a/journal.go
+++ b/journal.go
@@ -19,8 +19,9 @@
 }
 
 // Journal stores a replica's state, log and snapshot durably. The data passed
-// to a method is durable once the method has returned nil; after an error the
-// journal accepts no more data.
+// to a method is durable once the method has returned nil. After an error the
+// journal accepts no more data, unless the disk was full: then the same call may be
+// repeated until there is room, and must be before other data is accepted.
 type Journal interface {
 	// Identity returns the identity in the data folder.
 	Identity() ReplicaIdentity
--- a/journaler/file.go
+++ b/journaler/file.go
@@ -1,36 +1,63 @@
 package journaler
 
 import (
+	"errors"
+	"syscall"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
 
 	"waxwingseam.example/waxwingseam"
 )
 
+// FullError says that a disk has no room for a write. Nothing that was acknowledged before is
+// lost, and the write may be repeated.
+type FullError struct {
+	Cause error
+}
+
+// Error implements error.
+func (e *FullError) Error() string { return e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *FullError) Unwrap() error { return e.Cause }
+
+// IsFull reports whether a write failed for lack of room on the disk.
+func IsFull(err error) bool {
+	var full *FullError
+	return errors.As(err, &full)
+}
+
+// diskError converts an error of a disk.
+func diskError(err error) error {
+	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
+		return &FullError{Cause: err}
+	}
+	return trace.ConvertSystemError(err)
+}
+
 // writeFile creates or replaces a file atomically and makes it durable.
 func writeFile(disk waxwingseam.Disk, name string, data []byte) error {
 	temporary := name + temporarySuffix
 	file, err := disk.Create(temporary)
 	if err != nil {
-		return trace.ConvertSystemError(err)
+		return diskError(err)
 	}
 	if err := writeAndClose(file, data); err != nil {
 		return trace.Wrap(err, "%s", name)
 	}
 	if err := disk.Rename(temporary, name); err != nil {
-		return trace.ConvertSystemError(err)
+		return diskError(err)
 	}
-	return trace.ConvertSystemError(disk.Sync())
+	return diskError(disk.Sync())
 }
 
 func writeAndClose(file waxwingseam.DiskFile, data []byte) error {
-	if _, err := file.Write(data); err != nil {
-		return trace.NewAggregate(err, file.Close())
-	}
-	if err := file.Sync(); err != nil {
-		return trace.NewAggregate(err, file.Close())
+	_, err := file.Write(data)
+	if err == nil {
+		err = file.Sync()
 	}
-	return trace.ConvertSystemError(file.Close())
+	return diskError(errors.Join(err, file.Close()))
 }
 
 // readRecordFile decodes a file that consists of exactly one record.
--- a/journaler/journaler.go
+++ b/journaler/journaler.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"slices"
 
@@ -57,9 +58,18 @@
 	disk       waxwingseam.Disk
 	identity   waxwingseam.ReplicaIdentity
 	generation generation
-	file       waxwingseam.DiskFile
-	snapshot   waxwingseam.ReplicaSnapshot
-	// terminalError is returned by all writes after the first error or Close.
+	// file is the log file. It is nil after a write that found no room; end is where the
+	// last acknowledged record in it ends.
+	file     waxwingseam.DiskFile
+	end      int64
+	snapshot waxwingseam.ReplicaSnapshot
+	// compacting is set while a Compact that found no room is to be repeated. The files of
+	// the next generation may be in place already.
+	compacting bool
+	// stale are the files of earlier generations that are still to be removed.
+	stale []string
+	// terminalError is returned by all writes after Close and after an error other than a
+	// FullError.
 	terminalError error
 }
 
@@ -154,11 +164,21 @@
 
 // Persist implements waxwingseam.Journal.
 func (j *journal) Persist(p waxwingseam.PersistReplica) error {
+	if j.terminalError == nil && j.compacting {
+		j.terminalError = trace.BadParameter("a compaction that found no room was not repeated")
+	}
 	if j.terminalError != nil {
 		return j.terminalError
 	}
-	j.terminalError = j.append(batch(p))
-	return j.terminalError
+	return j.checked(j.append(batch(p)))
+}
+
+// checked returns an error, and makes it terminal unless the write may be repeated.
+func (j *journal) checked(err error) error {
+	if !IsFull(err) {
+		j.terminalError = err
+	}
+	return err
 }
 
 func (j *journal) append(b batch) error {
@@ -166,60 +186,109 @@
 	if err != nil {
 		return err
 	}
+	if err := j.reopen(); err != nil {
+		return err
+	}
+	name := j.generation.logFile()
 	if _, err := j.file.Write(data); err != nil {
-		return trace.Wrap(trace.ConvertSystemError(err), "%s: write failed", j.generation.logFile())
+		return j.discard(trace.Wrap(diskError(err), "%s: write failed", name))
 	}
 	if err := j.file.Sync(); err != nil {
-		return trace.Wrap(trace.ConvertSystemError(err), "%s: sync failed", j.generation.logFile())
+		return j.discard(trace.Wrap(diskError(err), "%s: sync failed", name))
 	}
+	j.end += int64(len(data))
 	return nil
 }
 
+// reopen opens the log file after a write that found no room. It syncs the truncated file, so
+// that no part of that write can stand where the next one is cut short.
+func (j *journal) reopen() error {
+	if j.file != nil {
+		return nil
+	}
+	file, err := j.disk.Append(j.generation.logFile(), j.end)
+	if err != nil {
+		return diskError(err)
+	}
+	j.file = file
+	if err := file.Sync(); err != nil {
+		return j.discard(diskError(err))
+	}
+	return nil
+}
+
+// discard closes the log file after a failed write and returns the error of the write.
+func (j *journal) discard(err error) error {
+	file := j.file
+	j.file = nil
+	return errors.Join(err, file.Close())
+}
+
 // Compact implements waxwingseam.Journal. It removes the old generation only
 // after the new one is durable.
 func (j *journal) Compact(p waxwingseam.PersistSnapshot) error {
 	if j.terminalError != nil {
 		return j.terminalError
 	}
-	j.terminalError = j.compact(p)
-	return j.terminalError
+	err := j.checked(j.compact(p))
+	j.compacting = err != nil
+	return err
 }
 
 func (j *journal) compact(p waxwingseam.PersistSnapshot) error {
-	old := j.generation
-	j.generation++
+	next := j.generation + 1
 	data, err := encodeRecord(p.Snapshot)
 	if err != nil {
 		return err
 	}
-	if err := writeFile(j.disk, j.generation.snapshotFile(), data); err != nil {
+	if err := writeFile(j.disk, next.snapshotFile(), data); err != nil {
 		return err
 	}
-	if err := j.file.Close(); err != nil {
-		return trace.ConvertSystemError(err)
-	}
 	head := header{
-		Generation: j.generation,
+		Generation: next,
 		Snapshot:   p.Snapshot.LogPosition,
 		Base:       p.Base,
 		Storage:    j.identity.Storage,
 	}
+	old := j.file
 	if err := j.writeLog(head, batch{State: p.State, Entries: p.Entries}); err != nil {
 		return err
 	}
-	if err := j.disk.Remove(old.logFile()); err != nil {
-		return trace.ConvertSystemError(err)
-	}
+	j.stale = append(j.stale, j.generation.logFile())
 	if j.snapshot.Index > 0 {
-		if err := j.disk.Remove(old.snapshotFile()); err != nil {
+		j.stale = append(j.stale, j.generation.snapshotFile())
+	}
+	j.generation, j.snapshot = next, p.Snapshot
+	if old != nil {
+		if err := old.Close(); err != nil {
 			return trace.ConvertSystemError(err)
 		}
 	}
-	j.snapshot = p.Snapshot
+	return j.removeStale()
+}
+
+// removeStale removes the files of earlier generations. What a full disk refuses to remove
+// is left for the next compaction.
+func (j *journal) removeStale() error {
+	for len(j.stale) > 0 {
+		if j.stale[0] == j.generation.logFile() || j.stale[0] == j.generation.snapshotFile() {
+			// The file was replaced since it was found.
+			j.stale = j.stale[1:]
+			continue
+		}
+		err := diskError(j.disk.Remove(j.stale[0]))
+		if IsFull(err) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		j.stale = j.stale[1:]
+	}
 	return nil
 }
 
-// writeLog writes a new log file and opens it for appending.
+// writeLog writes the log file of a generation and opens it for appending.
 func (j *journal) writeLog(head header, b batch) error {
 	data, err := encodeRecord(head)
 	if err != nil {
@@ -230,12 +299,16 @@
 		return err
 	}
 	data = append(data, first...)
-	name := j.generation.logFile()
+	name := head.Generation.logFile()
 	if err := writeFile(j.disk, name, data); err != nil {
 		return err
 	}
-	j.file, err = j.disk.Append(name, int64(len(data)))
-	return trace.ConvertSystemError(err)
+	file, err := j.disk.Append(name, int64(len(data)))
+	if err != nil {
+		return diskError(err)
+	}
+	j.file, j.end = file, int64(len(data))
+	return nil
 }
 
 // Close implements waxwingseam.Journal.
@@ -243,8 +316,9 @@
 	if j.terminalError == nil {
 		j.terminalError = trace.Errorf("the journal is closed")
 	}
-	return trace.NewAggregate(
-		trace.ConvertSystemError(j.file.Close()),
-		trace.ConvertSystemError(j.disk.Close()),
-	)
+	var err error
+	if j.file != nil {
+		err = j.file.Close()
+	}
+	return trace.NewAggregate(trace.ConvertSystemError(err), trace.ConvertSystemError(j.disk.Close()))
 }
--- a/journaler/journaler_test.go
+++ b/journaler/journaler_test.go
@@ -157,6 +157,50 @@
 	}
 }
 
+// TestJournalStaysUnusableAfterFullDisk guards against a journal that accepts no change once
+// its disk has room again, and against one that loses what it acknowledged, whether the host
+// fails while the disk is full or later. The disk fills at each step in turn.
+func TestJournalStaysUnusableAfterFullDisk(t *testing.T) {
+	reference := newCrashDisk()
+	_, _ = applyChanges(reference)
+	formatting := newCrashDisk()
+	_ = Format(formatting, identity, waxwingseam.PersistReplica{})
+	for step := formatting.steps + 1; step <= reference.steps; step++ {
+		for _, l := range lossModes {
+			for _, failsWhileFull := range []bool{false, true} {
+				fillDisk(t, step, l, failsWhileFull)
+			}
+		}
+	}
+}
+
+// fillDisk applies testChanges to a disk that is full from a step on, until a change was
+// refused twice.
+func fillDisk(t *testing.T, step int, l lossMode, failsWhileFull bool) {
+	t.Helper()
+	description := fmt.Sprintf("step %d, %s, while full: %v", step, l, failsWhileFull)
+	d := newCrashDisk()
+	qt.Assert(t, Format(d, identity, waxwingseam.PersistReplica{}), qt.IsNil)
+	d.failAt, d.failure = step, errFull
+	j, _, err := Open(d)
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", description))
+	for i, v := range testChanges {
+		if err := v.apply(j); err == nil {
+			continue
+		}
+		qt.Assert(t, IsFull(v.apply(j)), qt.IsTrue, qt.Commentf("%s", description))
+		if failsWhileFull {
+			d.crash(l)
+			checkRecovered(t, d, i, description)
+			return
+		}
+		d.failAt = 0
+		qt.Assert(t, v.apply(j), qt.IsNil, qt.Commentf("%s, change %d", description, i))
+	}
+	d.crash(l)
+	checkRecovered(t, d, len(testChanges), description)
+}
+
 // TestOpenRejectsFlippedBits flips a bit in each byte of each file in turn. Open
 // must return an error that names the file.
 func TestOpenRejectsFlippedBits(t *testing.T) {
--- a/journaler/opening.go
+++ b/journaler/opening.go
@@ -11,7 +11,7 @@
 
 // Open opens the journal in a formatted folder. It truncates a torn last record
 // of the log, which was never acknowledged. Any other damage to the files is an
-// error that names the file.
+// error that names the file. A full disk does not prevent it.
 func Open(disk waxwingseam.Disk) (waxwingseam.Journal, waxwingseam.Recovery, error) {
 	j := &journal{disk: disk}
 	recovery, err := j.open()
@@ -42,14 +42,15 @@
 		return recovery, err
 	}
 	recovery.Snapshot = j.snapshot
-	if err := j.removeStaleFiles(names); err != nil {
+	j.findStaleFiles(names)
+	if err := j.removeStale(); err != nil {
 		return recovery, err
 	}
-	j.file, err = j.disk.Append(j.generation.logFile(), end)
-	if err != nil {
-		return recovery, trace.ConvertSystemError(err)
+	j.end = end
+	if err := j.reopen(); err != nil && !IsFull(err) {
+		return recovery, err
 	}
-	return recovery, trace.ConvertSystemError(j.file.Sync())
+	return recovery, nil
 }
 
 // latestGeneration returns the highest generation that has a log file, or 0 if
@@ -131,19 +132,14 @@
 	return nil
 }
 
-// removeStaleFiles removes temporary files and the files of other generations.
-func (j *journal) removeStaleFiles(names []string) error {
+// findStaleFiles lists temporary files and the files of other generations as stale.
+func (j *journal) findStaleFiles(names []string) {
 	for _, n := range names {
 		if n == identityFile || n == j.generation.logFile() || n == j.generation.snapshotFile() {
 			continue
 		}
-		ownFile := strings.HasPrefix(n, logPrefix) || strings.HasPrefix(n, snapshotPrefix) || strings.HasSuffix(n, temporarySuffix)
-		if !ownFile {
-			continue
-		}
-		if err := j.disk.Remove(n); err != nil {
-			return trace.ConvertSystemError(err)
+		if strings.HasPrefix(n, logPrefix) || strings.HasPrefix(n, snapshotPrefix) || strings.HasSuffix(n, temporarySuffix) {
+			j.stale = append(j.stale, n)
 		}
 	}
-	return nil
 }
--- a/proposer/join.go
+++ b/proposer/join.go
@@ -40,12 +40,30 @@
 		Replica: member.Replica,
 		Storage: member.Storage,
 	}
-	if err := journaler.Format(p.disk, identity, waxwingseam.PersistReplica{}); err != nil {
+	if err := p.formatWithRoom(ctx, identity); err != nil {
 		return err
 	}
 	return p.recover()
 }
 
+// formatWithRoom formats the data folder, and waits for room while the disk is full.
+func (p *proposer) formatWithRoom(ctx context.Context, identity waxwingseam.ReplicaIdentity) error {
+	ticker := time.NewTicker(joinInterval)
+	defer ticker.Stop()
+	for waiting := false; ; waiting = true {
+		err := journaler.Format(p.disk, identity, waxwingseam.PersistReplica{})
+		if !journaler.IsFull(err) {
+			return err
+		}
+		if !waiting {
+			p.config.Logger.Warn("the disk is full: the replica joins when there is room", "cause", err)
+		}
+		if !waitTick(ctx, ticker.C) {
+			return trace.Wrap(ctx.Err())
+		}
+	}
+}
+
 func (p *proposer) requestJoinUntilAccepted(ctx context.Context, member waxwingseam.Member) (waxwingseam.ClusterID, error) {
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
--- a/proposer/loop.go
+++ b/proposer/loop.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 
 	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/journaler"
 )
 
 // batchSize is the maximum number of queued events that are reduced before their
@@ -37,6 +38,11 @@
 	defer ticker.Stop()
 	for {
 		var batch []eventFunc
+		inbox := p.inbox
+		if p.held.tooLarge() {
+			// Senders and callers time out until the disk has room.
+			inbox = nil
+		}
 		select {
 		case <-ctx.Done():
 			return p.handOverLeadership()
@@ -48,10 +54,13 @@
 			continue
 		case <-ticker.C:
 			batch = append(batch, tickEvent)
-		case newEvent := <-p.inbox:
+		case newEvent := <-inbox:
 			batch = append(batch, newEvent)
 		}
-		if err := p.process(p.fillBatch(batch)); err != nil {
+		if inbox != nil {
+			batch = p.fillBatch(batch)
+		}
+		if err := p.process(batch); err != nil {
 			p.config.Logger.Error("replica stopped", "error", err)
 			return err
 		}
@@ -123,63 +132,83 @@
 	return false
 }
 
-// process reduces a batch of events and executes the effects: first the messages
-// that need not wait for the journal, then the writes to the journal, then all
-// others. The events that result from the effects form the next batch.
+// process reduces a batch of events and executes the effects: first those that need not wait
+// for the journal, then the writes to the journal, then all others. The events that result
+// from the effects form the next batch. While the disk is full, what waits for the journal is
+// held, in order.
 func (p *proposer) process(batch []eventFunc) error {
 	for len(batch) > 0 {
-		effects := make([]waxwingseam.Effect, 0, len(batch))
 		for _, f := range batch {
-			effects = append(effects, p.reducer.Reduce(f(p.stamper.stamp()))...)
+			p.hold(p.reducer.Reduce(f(p.stamper.stamp())))
+		}
+		if p.stalled() && time.Since(p.lastWrite) < fullDiskRetryInterval {
+			return nil
+		}
+		p.lastWrite = time.Now()
+		confirmation, err := p.writeHeld()
+		if journaler.IsFull(err) {
+			batch = p.stall(err)
+			continue
 		}
-		p.sendBeforePersist(effects)
-		persisted, err := p.persist(effects)
 		if err != nil {
 			return err
 		}
+		p.endStall()
+		effects := p.held.take()
 		batch, err = p.executeEffects(effects)
 		if err != nil {
 			return err
 		}
-		if persisted != nil {
-			batch = append(batch, persisted)
+		if confirmation != nil {
+			batch = append(batch, confirmation)
 		}
 	}
 	return nil
 }
 
-func (p *proposer) sendBeforePersist(effects []waxwingseam.Effect) {
+// hold adds effects to those that wait for the journal, and executes what need not wait.
+func (p *proposer) hold(effects []waxwingseam.Effect) {
 	for _, e := range effects {
 		if v, ok := e.(waxwingseam.SendReplicaMessage); ok && v.BeforePersist {
 			p.links.send(v.Message)
+			continue
 		}
+		p.held.add(e)
+	}
+	if p.stalled() {
+		p.answerHeld(effects)
 	}
 }
 
-// persist writes states, entries and snapshots to the journal. It returns the
-// event that confirms the last write, or nil if there was nothing to write.
-func (p *proposer) persist(effects []waxwingseam.Effect) (eventFunc, error) {
+// writeHeld writes the held states, entries and snapshots to the journal that it does not have
+// yet. It returns the event that confirms the last write; nil if there was nothing to write.
+func (p *proposer) writeHeld() (eventFunc, error) {
 	var pending *waxwingseam.PersistReplica
-	var confirmation eventFunc
-	for _, e := range effects {
-		switch v := e.(type) {
+	for i := p.held.written; i < len(p.held.effects); i++ {
+		switch v := p.held.effects[i].(type) {
 		case waxwingseam.PersistReplica:
 			pending = merge(pending, v)
 		case waxwingseam.PersistSnapshot:
 			if err := p.flush(pending); err != nil {
 				return nil, err
 			}
-			pending = nil
+			pending, p.held.written = nil, i
 			if err := p.journal.Compact(v); err != nil {
 				return nil, err
 			}
-			confirmation = persistedEvent(v.State, p.reducer.Status().Last)
+			p.held.confirm(i+1, v.State)
 		}
 	}
+	if err := p.flush(pending); err != nil {
+		return nil, err
+	}
 	if pending != nil {
-		confirmation = persistedEvent(pending.State, p.reducer.Status().Last)
+		p.held.confirm(len(p.held.effects), pending.State)
+	}
+	if p.held.state == nil {
+		return nil, nil
 	}
-	return confirmation, p.flush(pending)
+	return persistedEvent(*p.held.state, p.reducer.Status().Last), nil
 }
 
 // persistedEvent returns the event that confirms that the entries up to last
--- a/proposer/proposer.go
+++ b/proposer/proposer.go
@@ -110,6 +110,13 @@
 	links   *links
 	stamper stamper
 	done    chan struct{}
+	// held are the effects that wait for the journal. stalledSince is when the disk was found
+	// full; zero while it has room. handoverAsked is when the replica last tried to leave the
+	// lead since then, and lastWrite when it last wrote. Only the goroutine of Serve uses them.
+	held          heldEffects
+	stalledSince  time.Time
+	handoverAsked time.Time
+	lastWrite     time.Time
 
 	mu            sync.Mutex
 	status        waxwingseam.ReplicaStatus
@@ -274,6 +281,10 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if status.DiskFull = p.stalled(); status.DiskFull {
+		// Entries that are held are not applied yet.
+		status.Applied = p.status.Applied
+	}
 	if status.Leader != p.status.Leader || status.Term != p.status.Term {
 		p.config.Logger.Info("leadership changed",
 			"role", status.Role, "term", status.Term, "leader", status.Leader)
--- a/replication.go
+++ b/replication.go
@@ -205,6 +205,8 @@
 	Members  []PeerStatus `json:"members"`
 	// Settled is set while the latest membership is committed.
 	Settled bool `json:"settled"`
+	// DiskFull is set while the replica stores nothing, as its disk has no room.
+	DiskFull bool `json:"disk-full,omitempty"`
 	// Refused is why the replica has not joined, or ReasonNoQuorum while no leader
 	// is known; empty otherwise.
 	Refused ReplicaReason `json:"refused,omitempty"`
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -187,12 +187,13 @@
 }
 
 // send sets the sender, the receiver and the term of a message and emits it.
-// Append requests do not wait until the leader's own entries are durable.
+// Append requests do not wait until the leader's own entries are durable, and an offer of the
+// lead binds nobody.
 func (r *replicator) send(to waxwingseam.StorageID, m waxwingseam.ReplicaMessage) {
 	m.From = r.self
 	m.To = to
 	m.Term = r.state.Term
-	beforePersist := m.AppendRequest != nil
+	beforePersist := m.AppendRequest != nil || m.Handover != nil
 	r.emit(waxwingseam.SendReplicaMessage{Message: m, BeforePersist: beforePersist})
 }
 
