--- a/assembler/refusals_test.go
+++ b/assembler/refusals_test.go
@@ -26,10 +26,10 @@
 		{http.StatusBadRequest, strings.Repeat("x", 2000), 1},
 	} {
 		var out bytes.Buffer
-		h := refusalLogger{
-			next:   http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { http.Error(w, v.text, v.status) }),
-			logger: slog.New(slog.NewTextHandler(&out, nil)),
-		}
+		h := newRefusalLogger(
+			http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { http.Error(w, v.text, v.status) }),
+			slog.New(slog.NewTextHandler(&out, nil)),
+		)
 		w := httptest.NewRecorder()
 		h.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodPut, "/config", nil))
 		qt.Assert(t, w.Code, qt.Equals, v.status)
@@ -41,3 +41,19 @@
 		}
 	}
 }
+
+// TestRepeatedRefusalFloodsTheLog guards against a line for each time that another writer sends
+// the same malformed entry. Another entry has its own line.
+func TestRepeatedRefusalFloodsTheLog(t *testing.T) {
+	var out bytes.Buffer
+	h := newRefusalLogger(
+		http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { http.Error(w, r.URL.Path, http.StatusBadRequest) }),
+		slog.New(slog.NewTextHandler(&out, nil)),
+	)
+	for range 50 {
+		for _, path := range []string{"/instances/a", "/instances/b"} {
+			h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(t.Context(), http.MethodPut, path, nil))
+		}
+	}
+	qt.Assert(t, strings.Count(out.String(), "\n"), qt.Equals, 2)
+}
--- a/assembler/serving.go
+++ b/assembler/serving.go
@@ -158,7 +158,7 @@
 func (p *Process) serveNode(ctx context.Context, group *errgroup.Group) error {
 	f := p.node.Forwarder
 	if address := p.settings.Node.HeartbeatAddress; address.IsValid() && p.external.Heartbeats != nil {
-		handler := refusalLogger{next: p.external.Heartbeats(p.depositor), logger: p.logger.Part("heartbeats")}
+		handler := newRefusalLogger(p.external.Heartbeats(p.depositor), p.logger.Part("heartbeats"))
 		if err := p.serveChecks(ctx, group, address, handler); err != nil {
 			return err
 		}
--- a/checker/backendserver.go
+++ b/checker/backendserver.go
@@ -12,7 +12,7 @@
 	name: waxwingseam.KindBackendServer,
 	fields: []field[waxwingseam.BackendServer]{
 		required(text("service", nil, func(b *waxwingseam.BackendServer) *waxwingseam.ServiceName { return &b.Service })),
-		number("slots", 1, maxSlots, 0, func(b *waxwingseam.BackendServer) *int { return &b.Slots }),
+		number("slots", 1, MaxSlots, 0, func(b *waxwingseam.BackendServer) *int { return &b.Slots }),
 		number("connections", 1, maxConnections, 0, func(b *waxwingseam.BackendServer) *int { return &b.Connections }),
 		number("weight", 1, maxWeight, DefaultWeight, func(b *waxwingseam.BackendServer) *int { return &b.Weight }),
 		boolean("drained", func(b *waxwingseam.BackendServer) *bool { return &b.Drained }),
--- a/checker/service.go
+++ b/checker/service.go
@@ -3,7 +3,8 @@
 import "waxwingseam.example/waxwingseam"
 
 const (
-	maxSlots       = 100_000
+	// MaxSlots is the largest number of slots of a backend server.
+	MaxSlots       = 100_000
 	maxConnections = 1_000_000
 	maxSubsetSize  = 10_000
 )
@@ -11,7 +12,7 @@
 var service = &typedKind[waxwingseam.Service]{
 	name: waxwingseam.KindService,
 	fields: []field[waxwingseam.Service]{
-		number("slots", 1, maxSlots, 0, func(s *waxwingseam.Service) *int { return &s.Slots }),
+		number("slots", 1, MaxSlots, 0, func(s *waxwingseam.Service) *int { return &s.Slots }),
 		required(number("connections", 1, maxConnections, 0, func(s *waxwingseam.Service) *int { return &s.Connections })),
 		number("subset-size", 0, maxSubsetSize, 0, func(s *waxwingseam.Service) *int { return &s.SubsetSize }),
 		text("health-path", checkPrefix, func(s *waxwingseam.Service) *string { return &s.HealthPath }),
