--- a/journaler/endings.go
+++ b/journaler/endings.go
@@ -16,7 +16,7 @@
 	sizeUnknown = -1
 )
 
-// endings is a log of endings in a folder of its own. Each record holds one message.
+// endings is a log of endings in a folder of its own. Each write adds one record.
 type endings struct {
 	disk waxwingseam.Disk
 	// file is nil after a failed write. The next one opens the file again and truncates it
@@ -57,11 +57,11 @@
 	}
 	r := &recordReader{name: endingsFile, data: data}
 	for r.more() {
-		var m waxwingseam.EndingsMessage
-		if out.Damage = r.next(&m); out.Damage != nil {
+		var list []waxwingseam.EndingsMessage
+		if out.Damage = r.next(&list); out.Damage != nil {
 			break
 		}
-		out.Messages = append(out.Messages, m)
+		out.Messages = append(out.Messages, list...)
 	}
 	if out.Damage == nil {
 		out.Damage = r.damage
@@ -72,7 +72,7 @@
 
 // Append implements waxwingseam.EndingJournal.
 func (l *endings) Append(list []waxwingseam.EndingsMessage) error {
-	data, err := encodeEndings(list)
+	data, err := encodeRecord(list)
 	if err != nil {
 		return err
 	}
@@ -128,7 +128,7 @@
 
 // Rewrite implements waxwingseam.EndingJournal.
 func (l *endings) Rewrite(list []waxwingseam.EndingsMessage) error {
-	data, err := encodeEndings(list)
+	data, err := encodeRecord(list)
 	if err != nil {
 		return err
 	}
@@ -150,15 +150,3 @@
 func (l *endings) Close() error {
 	return trace.NewAggregate(l.closeFile(), trace.ConvertSystemError(l.disk.Close()))
 }
-
-func encodeEndings(list []waxwingseam.EndingsMessage) ([]byte, error) {
-	var data []byte
-	for _, m := range list {
-		record, err := encodeRecord(m)
-		if err != nil {
-			return nil, err
-		}
-		data = append(data, record...)
-	}
-	return data, nil
-}
--- a/journaler/endings_test.go
+++ b/journaler/endings_test.go
@@ -102,20 +102,20 @@
 // FuzzOpenEndings opens a log with arbitrary bytes after a whole record. What can be read is
 // recovered, and what is appended later is recovered as well.
 func FuzzOpenEndings(f *testing.F) {
-	whole, err := encodeEndings([]waxwingseam.EndingsMessage{ending(0), ending(1)})
+	whole, err := encodeRecord([]waxwingseam.EndingsMessage{ending(0), ending(1)})
 	if err != nil {
 		f.Fatal(err)
 	}
 	f.Add(whole[:len(whole)/2])
 	f.Add(append(slices.Clone(whole), 0, 0, 0))
 	f.Add(bytes.Replace(whole, []byte("i-0"), []byte("i-7"), 1))
-	odd, err := encodeRecord(map[int]any{1: 7, 3: "x"})
+	odd, err := encodeRecord([]any{map[int]any{1: 7, 3: "x"}})
 	if err != nil {
 		f.Fatal(err)
 	}
 	f.Add(append(odd, whole...))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		first, err := encodeEndings([]waxwingseam.EndingsMessage{ending(2)})
+		first, err := encodeRecord([]waxwingseam.EndingsMessage{ending(2)})
 		qt.Assert(t, err, qt.IsNil)
 		d := newCrashDisk()
 		d.names[endingsFile] = &inode{data: append(first, data...)}
