--- a/journaler/endings_test.go
+++ b/journaler/endings_test.go
@@ -128,3 +128,18 @@
 		qt.Assert(t, again.Messages, qt.HasLen, len(recovered.Messages)+1)
 	})
 }
+
+// BenchmarkAppendEnding measures the time and the bytes of one ending in a folder.
+func BenchmarkAppendEnding(b *testing.B) {
+	d, err := OpenFolder(b.TempDir())
+	qt.Assert(b, err, qt.IsNil)
+	l, _, err := OpenEndings(d)
+	qt.Assert(b, err, qt.IsNil)
+	n := 0
+	for b.Loop() {
+		qt.Assert(b, l.Append([]waxwingseam.EndingsMessage{ending(n)}), qt.IsNil)
+		n++
+	}
+	b.ReportMetric(float64(l.Size())/float64(n), "bytes/ending")
+	qt.Assert(b, l.Close(), qt.IsNil)
+}
--- a/proposer/proposer_test.go
+++ b/proposer/proposer_test.go
@@ -367,8 +367,11 @@
 	replicas[0].disk.full.Store(true)
 	_, err := replicas[0].Propose(t.Context(), []byte("c2"))
 	qt.Assert(t, waxwingseam.ReplicaReasonOf(err), qt.Equals, waxwingseam.ReasonOutcomeUnknown)
-	status := replicas[0].await(t, func(s waxwingseam.ReplicaStatus) bool { return s.Role != waxwingseam.RoleLeader })
-	qt.Assert(t, status.DiskFull, qt.IsTrue)
+	replicas[0].awaitDiskFull(t, true)
+	replicas[1].await(t, func(s waxwingseam.ReplicaStatus) bool {
+		return s.Leader != "" && s.Leader != replicas[0].Status().Self.Storage
+	})
+	replicas[0].await(t, func(s waxwingseam.ReplicaStatus) bool { return s.Role != waxwingseam.RoleLeader })
 	_, err = replicas[1].Propose(t.Context(), []byte("c3"))
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, replicas[0].commands.String(), qt.Equals, "c1")
@@ -389,6 +392,15 @@
 	return r.commands.String()
 }
 
+// awaitDiskFull waits until the replica's disk is full, or has room. It fails if the replica ends.
+func (r *replica) awaitDiskFull(t *testing.T, full bool) {
+	t.Helper()
+	for r.Status().DiskFull != full {
+		qt.Assert(t, r.stopped, qt.HasLen, 0)
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // TestDisksFullOneAfterAnother guards against changes that are refused, or stay unanswered,
 // after the disks of all replicas were full for a while, never two at once, and against
 // replicas that end. Snapshots fall due meanwhile.
@@ -416,9 +428,9 @@
 			for range 20 {
 				propose(replicas[(i+1)%len(replicas)])
 			}
-			r.await(t, func(s waxwingseam.ReplicaStatus) bool { return s.DiskFull })
+			r.awaitDiskFull(t, true)
 			r.disk.full.Store(false)
-			r.await(t, func(s waxwingseam.ReplicaStatus) bool { return !s.DiskFull })
+			r.awaitDiskFull(t, false)
 		}
 	}
 	for _, r := range replicas {
