--- a/journaler/endings_test.go
+++ b/journaler/endings_test.go
@@ -81,7 +81,7 @@
 		d := newCrashDisk()
 		l, _, err := OpenEndings(d)
 		qt.Assert(t, err, qt.IsNil)
-		var all []waxwingseam.EndingsMessage
+		all := make([]waxwingseam.EndingsMessage, 0, 4)
 		d.failAt, d.failure = step, errFull
 		for n := range 4 {
 			if n == 3 && l.Rewrite(all) != nil {
--- a/publisher/endingwriter.go
+++ b/publisher/endingwriter.go
@@ -54,7 +54,7 @@
 // beyond the size in bytes of the last rewrite, which it updates.
 func (p *publisher) writeNewEndings(rewritten *int64) error {
 	p.mu.Lock()
-	var list []waxwingseam.EndingsMessage
+	list := make([]waxwingseam.EndingsMessage, 0, len(p.endings.unwritten))
 	for server, v := range p.endings.unwritten {
 		list = append(list, waxwingseam.EndingsMessage{Server: server, Endings: slices.Clone(v)})
 	}
