proposer: a replica removed while its disk is full joins without what it held

Found by reading. What the replica could not store before it was removed would be written under the storage with which it joins again. TestReplicaRemovedWhileItsDiskIsFull does not join within 30 s without the change.

--- a/depositor/depositor.go
+++ b/depositor/depositor.go
@@ -217,8 +217,8 @@
 // await waits until enough holders have the endings of a server. It takes the results of a
 // number of nodes and, if withControl is set, of control.
 func (d *Depositor) await(server waxwingseam.ServerName, nodes int, withControl bool, atNodes, atControl <-chan error) error {
-	patience := time.NewTimer(controlTime)
-	defer patience.Stop()
+	controlTimer := time.NewTimer(controlTime)
+	defer controlTimer.Stop()
 	held, needsControl := 0, withControl
 	var failures []error
 	for nodes > 0 || withControl {
@@ -228,7 +228,7 @@
 			nodes--
 		case err = <-atControl:
 			withControl, needsControl = false, false
-		case <-patience.C:
+		case <-controlTimer.C:
 			needsControl = false
 			if held >= wantedHolders {
 				return nil
--- a/proposer/founding_test.go
+++ b/proposer/founding_test.go
@@ -6,10 +6,12 @@
 	"path/filepath"
 	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/journaler"
 	"waxwingseam.example/waxwingseam/messenger"
 	"waxwingseam.example/waxwingseam/replicator"
 )
@@ -49,7 +51,10 @@
 		if founder {
 			r.config.Founders = joinAddresses
 		}
-		var err error
+		disk, err := journaler.OpenFolder(r.config.DataFolder)
+		qt.Assert(t, err, qt.IsNil)
+		r.disk = &failingDisk{Disk: disk}
+		r.config.Disk = r.disk
 		r.Proposer, err = New(r.config)
 		qt.Assert(t, err, qt.IsNil)
 		serveCtx, stop := context.WithCancel(context.Background())
@@ -110,3 +115,32 @@
 	})
 	qt.Assert(t, status.Voters(), qt.Equals, 5)
 }
+
+// TestReplicaRemovedWhileItsDiskIsFull guards against entries that a replica could not store
+// before it was removed, and stores once it has joined again: they are of another storage. It
+// joins when there is room.
+func TestReplicaRemovedWhileItsDiskIsFull(t *testing.T) {
+	all := startWithJoinAddresses(t, 5, true)
+	for _, r := range all {
+		r.await(t, hasVoters(5))
+	}
+	all[0].await(t, func(s waxwingseam.ReplicaStatus) bool { return s.Voters() == 5 && s.Settled })
+	removed := all[4]
+	before := removed.Status().Self.Storage
+	removed.disk.full.Store(true)
+	all[0].propose(t, 1, 3)
+	removed.awaitDiskFull(t, true)
+	err := all[0].ChangeMembership(t.Context(), waxwingseam.MembershipChange{
+		Kind:   waxwingseam.ChangeRemove,
+		Member: waxwingseam.Member{Storage: before},
+	})
+	qt.Assert(t, err, qt.IsNil)
+	for removed.Status().Self.Storage != "" {
+		qt.Assert(t, removed.stopped, qt.HasLen, 0)
+		time.Sleep(time.Millisecond)
+	}
+	removed.disk.full.Store(false)
+	removed.await(t, func(s waxwingseam.ReplicaStatus) bool { return s.Self.Voter && s.Self.Storage != before })
+	all[0].propose(t, 4, 6)
+	qt.Assert(t, removed.appliedCommands(t), qt.Equals, all[0].appliedCommands(t))
+}
--- a/proposer/proposer.go
+++ b/proposer/proposer.go
@@ -259,6 +259,8 @@
 	}
 	p.disk = disk
 	p.reducer = nil
+	// What the removed replica could not store is not of the one that joins.
+	p.held, p.stalledSince, p.handoverAsked = heldEffects{}, time.Time{}, time.Time{}
 	p.mu.Lock()
 	p.status = waxwingseam.ReplicaStatus{Self: waxwingseam.Member{Replica: p.config.Self}}
 	p.mu.Unlock()
