--- a/journaler/endings.go
+++ b/journaler/endings.go
@@ -16,8 +16,8 @@
 	sizeUnknown = -1
 )
 
-// endings is a log of endings in a folder of its own. Each write adds one record.
-type endings struct {
+// endingJournal is a log of endings in a folder of its own. Each write adds one record.
+type endingJournal struct {
 	disk waxwingseam.Disk
 	// file is nil after a failed write. The next one opens the file again and truncates it
 	// to size.
@@ -36,7 +36,7 @@
 // OpenEndings opens the log of endings in a folder and returns the endings in it. What
 // follows the last whole record is dropped. A full disk does not prevent it.
 func OpenEndings(disk waxwingseam.Disk) (waxwingseam.EndingJournal, RecoveredEndings, error) {
-	l := &endings{disk: disk}
+	l := &endingJournal{disk: disk}
 	names, err := disk.List()
 	if err != nil {
 		return nil, RecoveredEndings{}, trace.ConvertSystemError(err)
@@ -49,7 +49,7 @@
 }
 
 // read returns the content of the file, and sets size to the end of the last whole record.
-func (l *endings) read() (RecoveredEndings, error) {
+func (l *endingJournal) read() (RecoveredEndings, error) {
 	var out RecoveredEndings
 	data, err := l.disk.ReadFile(endingsFile)
 	if err != nil {
@@ -71,7 +71,7 @@
 }
 
 // Append implements waxwingseam.EndingJournal.
-func (l *endings) Append(list []waxwingseam.EndingsMessage) error {
+func (l *endingJournal) Append(list []waxwingseam.EndingsMessage) error {
 	data, err := encodeRecord(list)
 	if err != nil {
 		return err
@@ -91,7 +91,7 @@
 }
 
 // open opens the file for appending, and creates it if there is none.
-func (l *endings) open() error {
+func (l *endingJournal) open() error {
 	if l.file != nil {
 		return nil
 	}
@@ -117,7 +117,7 @@
 	return nil
 }
 
-func (l *endings) closeFile() error {
+func (l *endingJournal) closeFile() error {
 	file := l.file
 	l.file = nil
 	if file == nil {
@@ -127,7 +127,7 @@
 }
 
 // Rewrite implements waxwingseam.EndingJournal.
-func (l *endings) Rewrite(list []waxwingseam.EndingsMessage) error {
+func (l *endingJournal) Rewrite(list []waxwingseam.EndingsMessage) error {
 	data, err := encodeRecord(list)
 	if err != nil {
 		return err
@@ -142,11 +142,11 @@
 }
 
 // Size implements waxwingseam.EndingJournal.
-func (l *endings) Size() int64 {
+func (l *endingJournal) Size() int64 {
 	return l.size
 }
 
 // Close implements waxwingseam.EndingJournal.
-func (l *endings) Close() error {
+func (l *endingJournal) Close() error {
 	return trace.NewAggregate(l.closeFile(), trace.ConvertSystemError(l.disk.Close()))
 }
