--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -306,8 +306,10 @@
 
 // Serve implements Publisher.
 func (p *publisher) Serve(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
 	var writer sync.WaitGroup
 	defer writer.Wait()
+	defer cancel()
 	if p.config.Endings != nil {
 		writer.Go(func() { p.writeEndings(ctx) })
 	}
