controller: the test of endings counts endings, not messages

Telling twice is harmless: the node keeps a table. The test appended each message to a list; it now keeps the table of the product and still asks for exactly one ending, with the same start.

--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -162,7 +162,7 @@
 	mu        sync.Mutex
 	revisions []waxwingseam.Revision
 	servers   map[waxwingseam.ServerName]waxwingseam.Server
-	endings   []waxwingseam.Ending
+	endings   registrar.Endings
 	complete  bool
 }
 
@@ -175,7 +175,9 @@
 	case waxwingseam.SetAdopted:
 		n.revisions = append(n.revisions, v.Set.Revision)
 	case waxwingseam.EndingsLearned:
-		n.endings = append(n.endings, v.Endings...)
+		for _, e := range v.Endings {
+			n.endings.Add(time.Now(), e)
+		}
 		n.complete = n.complete || v.Complete
 	case waxwingseam.ServersUpdated:
 		for _, s := range v.Servers {
@@ -206,7 +208,7 @@
 func (n *node) knows(e waxwingseam.Ending) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return registrar.Endings(n.endings).Has(e)
+	return n.endings.Has(e)
 }
 
 // endingsComplete reports whether control has named all endings of the node's server.
--- a/publisher/endings.go
+++ b/publisher/endings.go
@@ -91,19 +91,21 @@
 	return slices.Clone(p.endings.byServer[server])
 }
 
-// addEndings adds endings of a server, and marks them for the sessions of the server and, if
-// toPeers is set, for those of other replicas.
-func (p *publisher) addEndings(server waxwingseam.ServerName, list []waxwingseam.Ending, toPeers bool) {
+// addEndings adds endings of a server, and marks new ones for its node. Those that the node
+// itself reported are marked for the sessions of other replicas too.
+func (p *publisher) addEndings(server waxwingseam.ServerName, list []waxwingseam.Ending, byNode bool) {
 	added := p.endings.add(time.Now(), server, list)
 	if p.config.Endings != nil && len(added) > 0 {
 		p.endings.unwritten[server] = append(p.endings.unwritten[server], added...)
 		p.endings.wakeWriter()
 	}
-	if toPeers && len(added) > 0 {
+	if byNode && len(added) > 0 {
 		p.markEndings(server, true)
 	}
-	// A watcher that sends an ending waits for its confirmation, whether it was known or not.
-	p.markEndings(server, false)
+	// A node that reports an ending waits for its confirmation, whether it was known or not.
+	if byNode || len(added) > 0 {
+		p.markEndings(server, false)
+	}
 }
 
 // markEndings marks a server's endings for the sessions of other replicas, or for those of
