--- a/depositor/depositor_test.go
+++ b/depositor/depositor_test.go
@@ -172,7 +172,7 @@
 
 // TestSlowNodeIsNeverReminded guards against a holder that gives a connection up before the
 // handshake with a far or busy host can end, each time anew: the restarted node would never
-// hear of the ending.
+// learn of the ending.
 func TestSlowNodeIsNeverReminded(t *testing.T) {
 	n := startNode(t, newSelf("fees-1"), errDown)
 	holder := startNode(t, newSelf("fees-2"), errDown)
