review: show a drain that is acknowledged and not in force after a jump of the clock

Two lifetimes of a backend under one id are ordered by their starts alone. If the clock has jumped back between them, the second one's drain is acknowledged and requests go on.

--- /dev/null
+++ b/review/stand-2/main.go
@@ -0,0 +1,83 @@
+//go:build review2
+
+// Command stand-2 plays the scripts of an independent review: it starts a small deployment
+// with the programs and templates of the deploy file, plays clients, backends, the platform
+// and the operator, and checks one rule.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+)
+
+// Exit codes of a case.
+const (
+	held   = 0
+	broken = 1
+	failed = 2
+)
+
+var cases = map[string]func(s *system, trouble bool) (int, error){
+	"probe": probe,
+	"term":  term,
+	"clock": clock,
+}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: stand-2 CASE RECORD")
+		os.Exit(failed)
+	}
+	os.Exit(play(cases[os.Args[1]], os.Args[2]))
+}
+
+func play(f func(*system, bool) (int, error), path string) int {
+	record, err := newRecorder(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return failed
+	}
+	s, err := newSystem(record)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return failed
+	}
+	defer s.stop()
+	timer := time.AfterFunc(115*time.Second, func() {
+		record.add("the case took too long")
+		s.stop()
+		os.Exit(failed)
+	})
+	defer timer.Stop()
+	code, err := f(s, os.Getenv("TROUBLE") != "0")
+	if err != nil {
+		record.add("the case could not run: %v", err)
+		fmt.Fprintln(os.Stderr, err)
+		return failed
+	}
+	record.add("exit %d", code)
+	return code
+}
+
+// startAll starts cores and nodes and brings a first manifest into force.
+func (s *system) startAll(cores int, services []string, first []byte) error {
+	for range cores {
+		s.addCore(true)
+	}
+	for _, v := range services {
+		s.addNode(v)
+	}
+	for _, p := range append(append([]*process{}, s.cores...), s.nodes...) {
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	if status, err := s.order(first, 20*time.Second); err != nil || status != 200 {
+		return fmt.Errorf("the first manifest: %d %v", status, err)
+	}
+	if !s.awaitReady(20 * time.Second) {
+		return fmt.Errorf("the nodes did not get ready")
+	}
+	return nil
+}
