review: show requests that reach a backend after its drain was acknowledged

A node admits by the slots that a backend states, but keeps 400 connections to it. What waits for a connection is not held back by a drain.

--- a/review/stand-2/clock.go
+++ b/review/stand-2/clock.go
@@ -57,14 +57,7 @@
 	}
 	time.Sleep(6 * time.Second)
 	second.setState("draining")
-	var acknowledged time.Time
-	for range 10 {
-		if second.report("draining") == 200 {
-			acknowledged = time.Now()
-			break
-		}
-	}
-	s.record.add("draining was acknowledged")
+	acknowledged := second.reportDraining()
 	time.Sleep(6 * time.Second)
 	close(stop)
 	group.Wait()
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -20,6 +20,7 @@
 
 var cases = map[string]func(s *system, trouble bool) (int, error){
 	"probe": probe,
+	"queue": queue,
 	"term":  term,
 	"clock": clock,
 }
--- a/review/stand-2/parts.go
+++ b/review/stand-2/parts.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -19,11 +20,14 @@
 // backend is a stand-in for an application backend beside a node. It follows the pages: it
 // runs only requests that expect its own id, states its load, and echoes the request's id.
 type backend struct {
-	sys      *system
-	node     *process
-	id       string
-	born     int64
-	work     time.Duration
+	sys   *system
+	node  *process
+	id    string
+	born  int64
+	work  time.Duration
+	slots int
+	// spread is by how much the work of a request may be shorter or longer.
+	spread   time.Duration
 	listener net.Listener
 	seq      atomic.Uint64
 	// answer replaces the usual answer if it returns true.
@@ -51,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &backend{sys: s, node: node, id: id, born: born, work: work, listener: l, state: "ready", conns: map[net.Conn]struct{}{}, quit: make(chan struct{})}
+	b := &backend{sys: s, node: node, id: id, born: born, work: work, slots: 146, listener: l, state: "ready", conns: map[net.Conn]struct{}{}, quit: make(chan struct{})}
 	s.record.add("backend %s at %s born %d started", id, node.name, born)
 	go b.accept()
 	return b, nil
@@ -100,7 +104,7 @@
 func (b *backend) load() string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return strconv.Itoa(b.running) + ",0,146"
+	return strconv.Itoa(b.running) + ",0," + strconv.Itoa(b.slots)
 }
 
 func (b *backend) handle(c net.Conn, r *http.Request, body []byte) bool {
@@ -116,7 +120,7 @@
 		}
 	}
 	b.noteRun(r, body)
-	time.Sleep(b.work)
+	time.Sleep(b.work - b.spread + rand.N(2*b.spread+1))
 	b.mu.Lock()
 	b.running--
 	b.mu.Unlock()
@@ -144,7 +148,7 @@
 func (b *backend) report(state string) int {
 	body, err := json.Marshal(map[string]any{
 		"service": b.node.service, "address": b.node.address(portBackend), "zone": b.node.zone, "version": "v1",
-		"slots": 146, "state": state, "coldRemaining": "0ms", "seq": b.seq.Add(1), "born": b.born,
+		"slots": b.slots, "state": state, "coldRemaining": "0ms", "seq": b.seq.Add(1), "born": b.born,
 	})
 	if err != nil {
 		panic(err)
@@ -157,6 +161,18 @@
 	return status
 }
 
+// reportDraining reports that the backend drains until that is acknowledged, and returns when
+// it was; zero if it was not.
+func (b *backend) reportDraining() time.Time {
+	for range 10 {
+		if b.report("draining") == http.StatusOK {
+			b.sys.record.add("the drain of %s was acknowledged", b.id)
+			return time.Now()
+		}
+	}
+	return time.Time{}
+}
+
 // leave sends the notice that the backend has left.
 func (b *backend) leave() int {
 	body, _ := json.Marshal(map[string]any{"born": b.born})
