review: show requests that are refused as not run after they have run

A node short of memory answers a resumed attempt without asking its records. A freeze of the sending node while the run ends is enough.

--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -19,10 +19,11 @@
 )
 
 var cases = map[string]func(s *system, trouble bool) (int, error){
-	"probe": probe,
-	"queue": queue,
-	"term":  term,
-	"clock": clock,
+	"probe":  probe,
+	"memory": memory,
+	"queue":  queue,
+	"term":   term,
+	"clock":  clock,
 }
 
 func main() {
--- a/review/stand-2/parts.go
+++ b/review/stand-2/parts.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,8 @@
 	spread   time.Duration
 	listener net.Listener
 	seq      atomic.Uint64
+	// quietPath begins the paths of requests that are not recorded.
+	quietPath string
 	// answer replaces the usual answer if it returns true.
 	answer func(b *backend, c net.Conn, r *http.Request, body []byte) (done, keep bool)
 
@@ -133,8 +136,14 @@
 	v := run{id: r.Header.Get("X-Request-Id"), method: r.Method, target: r.RequestURI, caller: r.Header.Get("X-Caller-Service"), body: body, at: time.Now()}
 	b.mu.Lock()
 	b.running++
-	b.runs = append(b.runs, v)
+	quiet := b.quietPath != "" && strings.HasPrefix(v.target, b.quietPath)
+	if !quiet {
+		b.runs = append(b.runs, v)
+	}
 	b.mu.Unlock()
+	if quiet {
+		return
+	}
 	b.sys.record.add("backend %s at %s runs %s %s %s", b.id, b.node.name, v.method, v.target, v.id)
 }
 
--- a/review/stand-2/system.go
+++ b/review/stand-2/system.go
@@ -44,6 +44,8 @@
 	nodes  []*process
 	record *recorder
 	http   *http.Client
+	// memory is the memory limit of each process in MB.
+	memory string
 }
 
 // process is one process of the system under review.
@@ -82,7 +84,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &system{folder: folder, record: record, http: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+	s := &system{folder: folder, record: record, memory: "284", http: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
 	for try := range 50 {
 		s.prefix = fmt.Sprintf("127.%d.%d.", 20+(os.Getpid()+try)%200, 1+(os.Getpid()/200+try)%250)
 		s.port = 21000 + 16*((os.Getpid()+7*try)%500)
@@ -163,7 +165,7 @@
 	values := map[string]string{
 		"zone": p.zone, "ip": p.ip, "node": p.name, "service": p.service, "dataDir": p.data,
 		"portRange.0": strconv.Itoa(p.sys.port + portPeer), "portRange.1": strconv.Itoa(p.sys.port + portTelemetry),
-		"bounds.grace": "6s", "limits.memoryMb": "284", "bootstrap": strconv.FormatBool(p.boot),
+		"bounds.grace": "6s", "limits.memoryMb": p.sys.memory, "bootstrap": strconv.FormatBool(p.boot),
 		"faultTolerance.machines": "2", "bounds.budgetWindow": "10s", "bounds.retryBudgetRatio": "0.2", "bounds.retryBudgetSlack": "48",
 		"listenAddrs.control": p.address(portControl), "listenAddrs.ready": p.address(portReady),
 		"listenAddrs.inbound": p.address(portInbound), "listenAddrs.outbound": p.address(portOutbound),
