--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -20,6 +20,7 @@
 
 var cases = map[string]func(s *system, trouble bool) (int, error){
 	"probe":  probe,
+	"leave":  leave,
 	"memory": memory,
 	"queue":  queue,
 	"term":   term,
--- a/review/stand-2/parts.go
+++ b/review/stand-2/parts.go
@@ -153,8 +153,8 @@
 	return append([]run{}, b.runs...)
 }
 
-// report sends one heartbeat.
-func (b *backend) report(state string) int {
+// heartbeat returns the body of the next heartbeat.
+func (b *backend) heartbeat(state string) []byte {
 	body, err := json.Marshal(map[string]any{
 		"service": b.node.service, "address": b.node.address(portBackend), "zone": b.node.zone, "version": "v1",
 		"slots": b.slots, "state": state, "coldRemaining": "0ms", "seq": b.seq.Add(1), "born": b.born,
@@ -162,6 +162,12 @@
 	if err != nil {
 		panic(err)
 	}
+	return body
+}
+
+// report sends one heartbeat.
+func (b *backend) report(state string) int {
+	body := b.heartbeat(state)
 	status, err := b.sys.send(http.MethodPut, b.node, "/instances/"+b.id, body)
 	if err != nil {
 		return 0
