--- a/review/stand-2/memory_test.go
+++ b/review/stand-2/memory_test.go
@@ -128,6 +128,9 @@
 	}
 	close(stop)
 	group.Wait()
+	for _, p := range s.nodes {
+		s.record.add("%s needed %s at most, of %s MB", p.name, p.peakMemory(), s.memory)
+	}
 	runs := map[string]int{}
 	for _, v := range b.allRuns() {
 		runs[v.id]++
--- a/review/stand-2/system_test.go
+++ b/review/stand-2/system_test.go
@@ -247,6 +247,22 @@
 	p.wait(5 * time.Second)
 }
 
+// peakMemory returns the most memory that the process has used.
+func (p *process) peakMemory() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return err.Error()
+	}
+	for line := range strings.Lines(string(data)) {
+		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			return strings.TrimSpace(rest)
+		}
+	}
+	return "unknown"
+}
+
 // stop ends all processes and removes the temporary folder.
 func (s *system) stop() {
 	for _, p := range append(append([]*process{}, s.cores...), s.nodes...) {
