depositor: acknowledge a leave only when control has it on disk

Cause: an ending was acknowledged once two nodes held it, or one after 0.7 s, if control was out of reach. Nodes have no disk, so that a kill or an orderly stop of the holders loses what was acknowledged. A leave that came to another node was acknowledged without control in any case.

Change: an acknowledgement needs a control replica that has stored the ending. The node asks other replicas after 100 ms without an answer of the watched one (StoreEndings), and other nodes to carry the ending (Carry), so that a replica that hangs or is full and a node that is cut off keep no leave waiting. Storing goes on after the report was answered 503.

--- a/assembler/process.go
+++ b/assembler/process.go
@@ -254,6 +254,7 @@
 		Self:            self,
 		Servers:         p.subscriber.Servers,
 		RecordAtControl: p.subscriber.RecordEnding,
+		Replicas:        p.subscriber.Replicas,
 		Dial: func(ctx context.Context, address netip.AddrPort) (depositor.Conn, error) {
 			return p.dialer.Dial(ctx, address)
 		},
@@ -261,6 +262,7 @@
 		Logger: p.logger.Part("depositor"),
 	})
 	node.Runner.Attach(p.depositor)
+	p.meter.WatchUnstoredEndings(p.depositor.Unstored)
 	if err := p.messenger.Register(p.depositor, depositor.Description); err != nil {
 		return trace.Wrap(err)
 	}
--- a/controller/endings_test.go
+++ b/controller/endings_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/messenger"
+	"waxwingseam.example/waxwingseam/publisher"
 )
 
 // TestEndingIsLostWithNode guards against the end of a backend server that is forgotten when
@@ -66,3 +69,41 @@
 	again := startNode(t, "fees-1", control[0].address)
 	again.updates.await(t, "the ending is known", func() bool { return again.knows(ending) })
 }
+
+// storeEndings has a replica store endings of a server that does not watch it.
+func storeEndings(ctx context.Context, r *replica, m *waxwingseam.EndingsMessage) error {
+	conn, err := messenger.Dialer{}.Dial(ctx, r.address)
+	if err != nil {
+		return err
+	}
+	return errors.Join(
+		conn.Invoke(ctx, publisher.StoreEndingsMethod, messenger.Encoding, m, &publisher.EndingsStored{}),
+		conn.Close(),
+	)
+}
+
+// TestEndingOfOtherNodeIsNotStored guards against an ending that a replica confirms to another
+// node than that of the server, and forgets when all replicas are killed, or keeps from the
+// server's own node.
+func TestEndingOfOtherNodeIsNotStored(t *testing.T) {
+	t.Parallel()
+	control := startCluster(t, 3)
+	ctx, cancel := context.WithTimeout(t.Context(), waitLimit)
+	defer cancel()
+	ending := waxwingseam.Ending{Instance: "i-1", Started: time.UnixMilli(1_700_000_000_123), At: time.Now()}
+	message := &waxwingseam.EndingsMessage{Server: "fees-1", Endings: []waxwingseam.Ending{ending}}
+	watching := startNode(t, "fees-1", control[2].address)
+	qt.Assert(t, storeEndings(ctx, control[1], message), qt.IsNil)
+	// A repeated message is confirmed too.
+	qt.Assert(t, storeEndings(ctx, control[1], message), qt.IsNil)
+	watching.updates.await(t, "the server's node is told", func() bool { return watching.knows(ending) })
+	watching.stop()
+	for _, r := range control {
+		r.stop()
+	}
+	for i, r := range control {
+		control[i] = r.restart(t)
+	}
+	again := startNode(t, "fees-1", control[0].address)
+	again.updates.await(t, "the ending is known", func() bool { return again.knows(ending) })
+}
--- a/depositor/depositor.go
+++ b/depositor/depositor.go
@@ -20,15 +20,10 @@
 )
 
 const (
-	// wantedHolders is how many holders must have an ending for it to be recorded at once:
-	// one of them may be killed together with the node. Control must be among them for the
-	// first controlTime, as it stores endings on disk.
-	wantedHolders = 2
-	controlTime   = 300 * time.Millisecond
 	// holderCount is the number of nodes that an ending is sent to, besides control.
 	holderCount = 3
-	// depositTime is how long all holders are waited for. After it, one holder is enough. A
-	// report must be acknowledged within 1 s.
+	// depositTime is how long a report waits for control and for one of these nodes. A report
+	// must be answered within 1 s.
 	depositTime = 700 * time.Millisecond
 	// remindInterval is the time between two messages of a holder to the node. It is less
 	// than the time for which a started node keeps reports back.
@@ -52,8 +47,12 @@
 	Self waxwingseam.Server
 	// Servers returns the backend servers that the node knows.
 	Servers func() []waxwingseam.Server
-	// RecordAtControl returns nil once the watched control replica has an ending.
+	// RecordAtControl returns nil once the watched control replica has stored an ending of
+	// the node's own backend server.
 	RecordAtControl func(ctx context.Context, e waxwingseam.Ending) error
+	// Replicas returns the addresses of the known control replicas, the watched one first.
+	// Connected is unset while none is watched.
+	Replicas func() (replicas []netip.AddrPort, connected bool)
 	// Dial opens a connection to another node.
 	Dial func(ctx context.Context, node netip.AddrPort) (Conn, error)
 	// Step passes an event to the node's reducer.
@@ -73,6 +72,9 @@
 	// waiting holds the callers of Record by request.
 	waiting map[uint64]chan error
 	held    map[waxwingseam.ServerName]heldEndings
+	// storing holds the endings that control has not stored yet. The channel is closed once
+	// it has.
+	storing map[incarnation]chan struct{}
 	// passedOn are the node's own endings that other nodes told of and control was sent.
 	passedOn registrar.Endings
 	// stopped is closed when the depositor stops to send.
@@ -93,6 +95,7 @@
 		config:  config,
 		waiting: map[uint64]chan error{},
 		held:    map[waxwingseam.ServerName]heldEndings{},
+		storing: map[incarnation]chan struct{}{},
 		stopped: make(chan struct{}),
 	}
 }
@@ -130,6 +133,13 @@
 	}
 }
 
+// Unstored returns the number of incarnations whose ending control has not stored yet.
+func (d *Depositor) Unstored() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.storing)
+}
+
 // Kinds implements runner.Executor.
 func (d *Depositor) Kinds() []waxwingseam.Kind {
 	return []waxwingseam.Kind{waxwingseam.KindRecordEnding}
@@ -155,7 +165,7 @@
 }
 
 // deposit sends an ending of the node's own backend server to control and to other nodes. It
-// returns nil once enough of them have it.
+// returns nil once the ending is recorded.
 func (d *Depositor) deposit(e waxwingseam.Ending) error {
 	message := &waxwingseam.EndingsMessage{Server: d.config.Self.Name, Node: d.config.Self.Node, Endings: []waxwingseam.Ending{e}}
 	return d.record(message, func(ctx context.Context) error { return d.config.RecordAtControl(ctx, e) }, nil)
@@ -193,63 +203,48 @@
 // recordWay records endings somewhere outside the node.
 type recordWay func(context.Context) error
 
-// record sends endings to control, unless it is nil, and to other nodes, and runs further ways
-// to record them. It returns nil once enough holders have them.
-func (d *Depositor) record(m *waxwingseam.EndingsMessage, control recordWay, ways []recordWay) error {
+// record has an ending stored by control, for which watched is a way if it is not nil, sends
+// it to other nodes, and runs further ways to have these hold it. It returns nil once the ending
+// is recorded.
+func (d *Depositor) record(m *waxwingseam.EndingsMessage, watched recordWay, ways []recordWay) error {
 	ctx, cancel := context.WithTimeout(context.Background(), depositTime)
 	for _, to := range d.holders(m.Server) {
 		ways = append(ways, func(ctx context.Context) error { return d.invoke(ctx, to, methodHold, m) })
 	}
 	var group sync.WaitGroup
-	run := func(way recordWay, results chan<- error) { group.Go(func() { results <- way(ctx) }) }
-	atNodes, atControl := make(chan error, len(ways)), make(chan error, 1)
+	atNodes := make(chan error, len(ways))
 	for _, way := range ways {
-		run(way, atNodes)
-	}
-	if control != nil {
-		run(control, atControl)
+		group.Go(func() { atNodes <- way(ctx) })
 	}
-	// What is still on its way when enough holders have the endings goes on.
+	stored := d.store(m, watched)
+	// What is still on its way when the ending is recorded goes on.
 	go func() { group.Wait(); cancel() }()
-	return d.await(m.Server, len(ways), control != nil, atNodes, atControl)
+	return d.await(m.Server, stored, len(ways), atNodes)
 }
 
-// await waits until enough holders have the endings of a server. It takes the results of a
-// number of nodes and, if withControl is set, of control.
-func (d *Depositor) await(server waxwingseam.ServerName, nodes int, withControl bool, atNodes, atControl <-chan error) error {
-	controlTimer := time.NewTimer(controlTime)
-	defer controlTimer.Stop()
-	held, needsControl := 0, withControl
-	var failures []error
-	for nodes > 0 || withControl {
-		var err error
+// await waits until control has stored an ending of a server and, unless that takes too long,
+// one of a number of nodes holds it. Nodes have no disk: what only they hold is lost when they
+// end, in whatever way.
+func (d *Depositor) await(server waxwingseam.ServerName, stored <-chan struct{}, nodes int, atNodes <-chan error) error {
+	timer := time.NewTimer(depositTime)
+	defer timer.Stop()
+	held := false
+	for stored != nil || !held && nodes > 0 {
 		select {
-		case err = <-atNodes:
+		case <-stored:
+			stored = nil
+		case err := <-atNodes:
 			nodes--
-		case err = <-atControl:
-			withControl, needsControl = false, false
-		case <-controlTimer.C:
-			needsControl = false
-			if held >= wantedHolders {
+			held = held || err == nil
+		case <-timer.C:
+			if stored == nil {
 				return nil
 			}
-			continue
+			d.config.Logger.Warn("the end of a backend server is not acknowledged until control has stored it", "server", server, "held", held)
+			return trace.ConnectionProblem(nil, "control has not stored the end of the backend server yet")
 		}
-		if err != nil {
-			failures = append(failures, err)
-		} else {
-			held++
-		}
-		if held >= wantedHolders && !needsControl {
-			return nil
-		}
-	}
-	if held > 0 {
-		return nil
 	}
-	err := trace.NewAggregate(failures...)
-	d.config.Logger.Warn("the end of a backend server was recorded nowhere", "server", server, "cause", err)
-	return trace.ConnectionProblem(err, "the end of the backend server was recorded nowhere")
+	return nil
 }
 
 // holders returns the addresses of the nodes to which endings are sent: those with the highest
--- a/depositor/holder.go
+++ b/depositor/holder.go
@@ -16,6 +16,7 @@
 const (
 	methodHold   = "/waxwingseam.Endings/Hold"
 	methodRemind = "/waxwingseam.Endings/Remind"
+	methodCarry  = "/waxwingseam.Endings/Carry"
 )
 
 // Receipt is the empty answer to a message.
@@ -37,6 +38,13 @@
 		},
 		Expression: (*Depositor).Remind,
 	},
+	{
+		Name: methodCarry,
+		Receiver: func(service any, ctx context.Context, in, _ any) (drpc.Message, error) {
+			return service.(*Depositor).Carry(ctx, in.(*waxwingseam.EndingsMessage))
+		},
+		Expression: (*Depositor).Carry,
+	},
 }
 
 // Hold keeps endings for another node, and reminds the node of them.
--- a/meter/clients.go
+++ b/meter/clients.go
@@ -31,3 +31,12 @@
 		gauge("waxwingseam_held_bound_bytes", "Bound of the memory that is held for peers.", b.Bound),
 	)
 }
+
+// WatchUnstoredEndings registers the number of incarnations of backend servers whose ending
+// control has not stored.
+func (m *Meter) WatchUnstoredEndings(count func() int) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "waxwingseam_unstored_endings",
+		Help: "Incarnations of backend servers that drain or leave, of which control has not stored that.",
+	}, func() float64 { return float64(count()) }))
+}
--- a/publisher/endings.go
+++ b/publisher/endings.go
@@ -1,10 +1,13 @@
 package publisher
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"waxwingseam.example/waxwingseam"
 	"waxwingseam.example/waxwingseam/registrar"
 )
@@ -26,6 +29,8 @@
 	// unwritten are the endings that the journal does not have yet. The nodes that reported
 	// them wait for their confirmation.
 	unwritten map[waxwingseam.ServerName][]waxwingseam.Ending
+	// written is closed, and replaced, when the journal has more of them.
+	written chan struct{}
 	// wake wakes the writer.
 	wake chan struct{}
 }
@@ -35,6 +40,7 @@
 		byServer:  map[waxwingseam.ServerName]registrar.Endings{},
 		peers:     map[string]struct{}{},
 		unwritten: map[waxwingseam.ServerName][]waxwingseam.Ending{},
+		written:   make(chan struct{}),
 		wake:      make(chan struct{}, 1),
 	}
 	now := time.Now()
@@ -91,6 +97,33 @@
 	return slices.Clone(p.endings.byServer[server])
 }
 
+// StoreEndings implements Publisher.
+func (p *publisher) StoreEndings(ctx context.Context, m *waxwingseam.EndingsMessage) (*EndingsStored, error) {
+	p.mu.Lock()
+	p.addEndings(m.Server, m.Endings, true)
+	known := p.endings.byServer[m.Server]
+	p.mu.Unlock()
+	for _, e := range m.Endings {
+		if !known.Has(e) {
+			return nil, trace.BadParameter("an ending at %v is too old to be stored", e.At)
+		}
+	}
+	for {
+		p.mu.Lock()
+		unwritten, written := registrar.Endings(p.endings.unwritten[m.Server]), p.endings.written
+		stored := !slices.ContainsFunc(m.Endings, unwritten.Has)
+		p.mu.Unlock()
+		if stored {
+			return &EndingsStored{}, nil
+		}
+		select {
+		case <-written:
+		case <-ctx.Done():
+			return nil, trace.Wrap(ctx.Err())
+		}
+	}
+}
+
 // addEndings adds endings of a server, and marks new ones for its node. Those that the node
 // itself reported are marked for the sessions of other replicas too.
 func (p *publisher) addEndings(server waxwingseam.ServerName, list []waxwingseam.Ending, byNode bool) {
--- a/publisher/endingwriter.go
+++ b/publisher/endingwriter.go
@@ -72,6 +72,8 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	close(p.endings.written)
+	p.endings.written = make(chan struct{})
 	for _, m := range list {
 		if rest := p.endings.unwritten[m.Server][len(m.Endings):]; len(rest) > 0 {
 			p.endings.unwritten[m.Server] = rest
--- a/publisher/message.go
+++ b/publisher/message.go
@@ -16,17 +16,32 @@
 	"waxwingseam.example/waxwingseam/messenger"
 )
 
-// WatchMethod is the drpc path of Watch.
-const WatchMethod = "/waxwingseam.Control/Watch"
+// The drpc paths of Watch and StoreEndings.
+const (
+	WatchMethod        = "/waxwingseam.Control/Watch"
+	StoreEndingsMethod = "/waxwingseam.Control/StoreEndings"
+)
 
 // Description describes the drpc service of a publisher.
-var Description = messenger.Description{{
-	Name: WatchMethod,
-	Receiver: func(service any, _ context.Context, in, _ any) (drpc.Message, error) {
-		return nil, service.(Publisher).Watch(in.(drpc.Stream))
+var Description = messenger.Description{
+	{
+		Name: WatchMethod,
+		Receiver: func(service any, _ context.Context, in, _ any) (drpc.Message, error) {
+			return nil, service.(Publisher).Watch(in.(drpc.Stream))
+		},
+		Expression: Publisher.Watch,
+	},
+	{
+		Name: StoreEndingsMethod,
+		Receiver: func(service any, ctx context.Context, in, _ any) (drpc.Message, error) {
+			return service.(Publisher).StoreEndings(ctx, in.(*waxwingseam.EndingsMessage))
+		},
+		Expression: Publisher.StoreEndings,
 	},
-	Expression: Publisher.Watch,
-}}
+}
+
+// EndingsStored is the empty answer to StoreEndings.
+type EndingsStored struct{}
 
 // Report is a message from a watcher. An empty report is a heartbeat. Each report
 // renews the lease of the server that the watcher announced.
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -74,6 +74,10 @@
 	// AddEndings adds endings that another control replica sent; complete is set if it
 	// has sent all that it knows.
 	AddEndings(peer string, all map[waxwingseam.ServerName][]waxwingseam.Ending, complete bool)
+	// StoreEndings adds endings of a server that does not watch the replica, or whose node
+	// can't reach it. It returns once the journal has them, or an error when the context
+	// ends before. Endings that are older than registrar.EndingTime are refused.
+	StoreEndings(ctx context.Context, m *waxwingseam.EndingsMessage) (*EndingsStored, error)
 	// Endings returns the known endings of a server.
 	Endings(server waxwingseam.ServerName) []waxwingseam.Ending
 	// Watch serves one watcher over a stream of Reports and Pushes.
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -86,6 +86,9 @@
 	NoteQuarantine(r waxwingseam.QuarantinedRequest)
 	// RecordEnding returns nil once the watched replica has an ending of the backend server.
 	RecordEnding(ctx context.Context, e waxwingseam.Ending) error
+	// Replicas returns the addresses of the known control replicas, the watched one first.
+	// Connected is unset while none is watched.
+	Replicas() (replicas []netip.AddrPort, connected bool)
 	// Servers returns the known backend servers.
 	Servers() []waxwingseam.Server
 	// AddInterest adds a service whose servers are requested.
@@ -280,6 +283,17 @@
 	return out
 }
 
+// Replicas implements Subscriber.
+func (s *subscriber) Replicas() (replicas []netip.AddrPort, connected bool) {
+	replicas = s.controlReplicas()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := slices.Index(replicas, s.control); i > 0 {
+		replicas = slices.Concat(replicas[i:i+1], replicas[:i], replicas[i+1:])
+	}
+	return replicas, s.control.IsValid()
+}
+
 // jitter returns a random time between half and one and a half times a mean.
 func (s *subscriber) jitter(mean time.Duration) time.Duration {
 	s.mu.Lock()
