dispatcher: refuse calls that a stopping node might break off

Cause: after the drain time the entry is closed to callers and stays open to the calls of the backend server, whatever their deadlines. Nothing compared them with the time of the exit.

Change: a drain that ends with a stop says when calls are broken off. The dispatcher compares that with the deadline of a call each time that it sends one, so also after a wait and for retries, and refuses what might outlast the process as not run. Until the drain time has passed, calls are sent as before: backend servers have no other node, and nearly all calls end long before their deadline. Short bodies without a length are received before the call is judged; a call with a long one that is still being received is judged by its deadline from the signal on.

--- a/assembler/node.go
+++ b/assembler/node.go
@@ -148,18 +148,19 @@
 // Drain makes the node refuse new work for its backend server. Callers can use
 // the node until drainTimeOver fires, so that they have time to switch to another
 // node. Drain then closes the entry, and returns once no call is in flight and other
-// nodes have stopped to send any.
-func (n *Node) Drain(ctx context.Context, drainTimeOver <-chan time.Time) error {
+// nodes have stopped to send any. Calls that the stop might break off are not sent.
+func (n *Node) Drain(ctx context.Context, stop waxwingseam.ProcessStop, drainTimeOver <-chan time.Time) error {
+	n.Forwarder.ReceiveFirst()
 	n.Runner.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
-		return waxwingseam.DrainAsked{Stamp: s}
+		return waxwingseam.DrainAsked{Stamp: s, Stop: stop}
 	})
 	select {
 	case <-drainTimeOver:
 	case <-ctx.Done():
 		return trace.Wrap(ctx.Err())
 	}
-	// Callers may stay connected until the process exits, but a call that they
-	// start now might not end in time.
+	// Callers may stay connected until the process exits, and are expected to use
+	// another node by now. The backend server has no other node.
 	n.Forwarder.CloseEntry()
 	return waitUntilQuiet(ctx, n.idle, n.Forwarder.Arrivals)
 }
--- a/assembler/serving.go
+++ b/assembler/serving.go
@@ -11,6 +11,8 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/gravitational/trace"
 	"golang.org/x/sync/errgroup"
+
+	"waxwingseam.example/waxwingseam"
 )
 
 // errStopped is the cause with which the process ends in an orderly way.
@@ -130,12 +132,15 @@
 	p.logger.Part("node").Info("draining")
 	drainTimer := time.NewTimer(p.settings.Process.DrainTime)
 	defer drainTimer.Stop()
+	var plan waxwingseam.ProcessStop
 	if limit := p.settings.Process.DrainLimit; limit > 0 {
-		bounded, cancel := context.WithTimeout(ctx, max(limit-drainMargin, 0))
+		now, left := time.Now(), max(limit-drainMargin, 0)
+		plan = waxwingseam.ProcessStop{CallersUntil: now.Add(p.settings.Process.DrainTime), CallsUntil: now.Add(left)}
+		bounded, cancel := context.WithTimeout(ctx, left)
 		defer cancel()
 		ctx = bounded
 	}
-	err := p.node.Drain(ctx, drainTimer.C)
+	err := p.node.Drain(ctx, plan, drainTimer.C)
 	sending, running := p.node.Forwarder.ActiveCalls()
 	p.logger.Part("node").Info("drained", "sending", sending, "running", running, "cause", err)
 	if errors.Is(err, context.DeadlineExceeded) {
--- a/balance.go
+++ b/balance.go
@@ -39,6 +39,8 @@
 	BasisServers RefusalBasis = "servers"
 	// BasisAccountLimit means that the client account is over its limit.
 	BasisAccountLimit RefusalBasis = "account-limit"
+	// BasisStopping means that the process stops before the call is sure to have ended.
+	BasisStopping RefusalBasis = "stopping"
 	// BasisChance means that the roots of the class have next to no chance of success,
 	// because backend servers refuse calls that they make.
 	BasisChance RefusalBasis = "chance"
--- a/callevent.go
+++ b/callevent.go
@@ -46,6 +46,8 @@
 	Key string
 	// Replayable is set if, at arrival, the whole body can be sent again.
 	Replayable bool
+	// Receiving is set if, at arrival, the end of the body has not been received.
+	Receiving bool `cbor:",omitempty"`
 	// Trace is the caller's trace context; zero without one.
 	Trace TraceContext
 	// KeyDigest is the digest of the client account's key; zero without a key.
--- a/dispatcher/arrival.go
+++ b/dispatcher/arrival.go
@@ -61,6 +61,7 @@
 		limit:      limit,
 		largeReply: class.LargeReplies,
 		replayable: e.Replayable,
+		receiving:  e.Receiving,
 		arrived:    c.Now,
 		timeout:    e.Timeout,
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -49,6 +49,8 @@
 	// held are the calls with an unknown key, in the order of their arrival.
 	held    []heldCall
 	chances chances
+	// stop is that of the latest drain; zero if it was undone.
+	stop waxwingseam.ProcessStop
 }
 
 // New returns a dispatcher without calls.
@@ -86,6 +88,7 @@
 		waxwingseam.KindAttemptArrived,
 		waxwingseam.KindAccountMessageReceived,
 		waxwingseam.KindRouteAsked,
+		waxwingseam.KindDrainAsked,
 	}
 	w, ok := d.Limiter.(waxwingseam.Worker)
 	if !ok {
@@ -146,6 +149,8 @@
 		d.controlHeard(c, v)
 	case waxwingseam.AttemptArrived:
 		d.setAge.revisionNamed(v.Call.Revision)
+	case waxwingseam.DrainAsked:
+		d.drainAsked(v)
 	case waxwingseam.RouteAsked:
 		c.Emit(waxwingseam.ExplainRoute{ID: v.ID, Route: d.explainRoute(c, v)})
 	}
--- a/dispatcher/flight.go
+++ b/dispatcher/flight.go
@@ -19,6 +19,8 @@
 	attempts   []attempt
 	tried      []waxwingseam.ServerName
 	replayable bool
+	// receiving is set if the end of the body had not been received when the call arrived.
+	receiving bool
 	// refusable is set for a root for which no work has been done yet, and late for one
 	// that can't meet its objective any more.
 	refusable bool
--- a/dispatcher/sending.go
+++ b/dispatcher/sending.go
@@ -7,8 +7,16 @@
 )
 
 // send sends the next attempt of a call, or finishes the call if the balancer
-// refuses it.
+// refuses it or it might be broken off.
 func (d *dispatcher) send(c *waxwingseam.Context, f *flight) {
+	if d.outlastsProcess(c, f) {
+		d.finishUnsent(c, f, waxwingseam.Choice{
+			Refused: true,
+			Reason:  waxwingseam.ReasonDraining,
+			Basis:   waxwingseam.BasisStopping,
+		})
+		return
+	}
 	query := waxwingseam.Query{
 		Service:      f.call.Service,
 		Class:        f.call.Class,
--- a/forwarder/entry.go
+++ b/forwarder/entry.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"crypto/rand"
 	"errors"
 	"io"
@@ -176,28 +177,51 @@
 		_ = control.EnableFullDuplex()
 		body = http.MaxBytesReader(nil, c.request.Body, c.forwarder.maxBody())
 	}
-	readAhead := c.request.ContentLength >= 0 && c.request.ContentLength <= readAheadLimit
-	if readAhead {
+	if c.request.ContentLength >= 0 && c.request.ContentLength <= readAheadLimit {
 		if err := x.readBody(body); err != nil {
 			c.answerTruncatedBody()
 			return
 		}
-	}
-	c.forwarder.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
-		c.arrival.Stamp = s
-		return c.arrival
-	})
-	if readAhead {
+		c.report()
 		c.wait(nil)
 		return
 	}
 	u := &upload{done: make(chan struct{})}
 	go u.run(x, body)
+	c.arrival.Receiving = true
+	if c.request.ContentLength < 0 && c.forwarder.receiveFirst.Load() {
+		c.arrival.Receiving = !c.receiveShort(u)
+	}
+	c.report()
 	c.wait(u)
 	x.body.fail(errCallOver)
 	u.stop(control)
 }
 
+// report reports the call's arrival.
+func (c *caller) report() {
+	c.forwarder.config.Step(func(s waxwingseam.Stamp) waxwingseam.Event {
+		c.arrival.Stamp = s
+		return c.arrival
+	})
+}
+
+// receiveShort waits until the body has ended, or is longer than a chunk, or the caller has
+// left. It reports whether the body has ended.
+func (c *caller) receiveShort(u *upload) bool {
+	ctx, body := c.request.Context(), c.exchange.body
+	stop := context.AfterFunc(ctx, body.wake)
+	defer stop()
+	body.waitSingleChunk(func() bool { return ctx.Err() != nil })
+	select {
+	case <-u.done:
+		return true
+	default:
+		_, ended := body.singleChunk()
+		return ended
+	}
+}
+
 // upload reads a caller's request body while the caller waits for the answer.
 type upload struct {
 	done chan struct{}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -122,6 +122,9 @@
 	statements     statementFilter
 	// entryClosed is set once calls from outside are refused.
 	entryClosed atomic.Bool
+	// receiveFirst is set once bodies without a declared length are received before their
+	// calls are reported, if they are short.
+	receiveFirst atomic.Bool
 	// watched holds the hashes of the watched heads; see waxwingseam.WatchRequests.
 	watched atomic.Pointer[map[uint64]struct{}]
 	// keysRequired is that of the last RequireKeys.
@@ -189,6 +192,13 @@
 	return f.config.Callers.MatchRequest(r)
 }
 
+// ReceiveFirst makes the forwarder report the arrival of a call whose body has no declared
+// length only once the body has ended or is long. Before, such a call is sent while its body
+// is received.
+func (f *Forwarder) ReceiveFirst() {
+	f.receiveFirst.Store(true)
+}
+
 // CloseEntry makes the forwarder refuse calls from outside. Calls of the node's
 // own backend server are still accepted.
 func (f *Forwarder) CloseEntry() {
--- a/runevent.go
+++ b/runevent.go
@@ -79,6 +79,18 @@
 type DrainAsked struct {
 	Stamp
 	Undo bool
+	// Stop is set if the process stops after the drain.
+	Stop ProcessStop `cbor:",omitzero"`
+}
+
+// ProcessStop says when a process that stops breaks off its calls. It is zero if the process
+// waits for all of them.
+type ProcessStop struct {
+	// CallersUntil is the time until which callers are expected to find another node. Their
+	// calls are taken until then, however long they may last.
+	CallersUntil time.Time
+	// CallsUntil is the time at which calls are broken off.
+	CallsUntil time.Time
 }
 
 // BackendReported is a report from the node's own backend server.
