forwarder: cancel the attempt of a streamed reply whose caller has left

Cause: the runner queues an event and returns if another goroutine is processing events. The handler of a streamed reply whose connection failed reported that the caller had left and removed the call at once. The effect that cancels the attempt then found no call and was dropped.

Change: the handler waits until the call is over, which its reply says, and removes it then.

Test: TestEndlessBodyOutlivesCaller; without the wait the backend server's connection stays open.

--- a/forwarder/badserver_test.go
+++ b/forwarder/badserver_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -174,6 +176,54 @@
 	}
 }
 
+// leavingCaller is a caller who reads a reply until it leaves.
+type leavingCaller struct {
+	http.ResponseWriter
+	left atomic.Bool
+}
+
+func (w *leavingCaller) Write(p []byte) (int, error) {
+	if w.left.Load() {
+		return 0, syscall.EPIPE
+	}
+	return len(p), nil
+}
+
+// TestEndlessBodyOutlivesCaller guards against a backend server whose reply has no end and is
+// read until the deadline of its call, as the caller has left while the node was handling other
+// events: the call was forgotten before its attempt was cancelled.
+func TestEndlessBodyOutlivesCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := newTestbed(t)
+		s := &badServer{head: "HTTP/1.1 200 OK\r\n\r\n", repeated: strings.Repeat("b", 16<<10), pause: time.Millisecond}
+		b := tb.rawBackend(s.serve)
+		front := tb.newNode(nodeConfig{})
+		back := tb.newNode(nodeConfig{service: "ledger", name: "ledger-1", backend: b.address})
+		front.updateServers(back)
+		w, handled := &leavingCaller{ResponseWriter: httptest.NewRecorder()}, make(chan struct{})
+		go func() {
+			time.Sleep(time.Second)
+			go front.step(func(s waxwingseam.Stamp) waxwingseam.Event {
+				<-handled
+				return waxwingseam.TimerFired{Stamp: s}
+			})
+			synctest.Wait()
+			w.left.Store(true)
+			time.Sleep(100 * time.Millisecond)
+			close(handled)
+		}()
+		func() {
+			defer func() { _ = recover() }()
+			r := request{name: "x", header: map[string]string{forwarder.HeaderTimeout: "10"}}
+			front.Entry().ServeHTTP(w, r.build(t.Context()))
+		}()
+		<-handled
+		time.Sleep(departureTarget)
+		qt.Assert(t, s.closed.Load(), qt.Equals, int64(1))
+		time.Sleep(10 * time.Second)
+	})
+}
+
 // TestInvalidStatus runs a backend server whose status can't be passed on. The caller
 // must get an answer.
 func TestInvalidStatus(t *testing.T) {
--- a/forwarder/entry.go
+++ b/forwarder/entry.go
@@ -306,10 +306,13 @@
 		c.forwarder.config.Callers.WriteProblem(c.writer, result, "")
 		return
 	}
-	c.writeReply(a)
+	if err := c.writeReply(a); err != nil {
+		panic(http.ErrAbortHandler)
+	}
 }
 
-// streamReply writes a reply whose end is not known yet.
+// streamReply writes a reply whose end is not known yet. If the caller leaves meanwhile, the
+// call is kept until it is over: the attempt could not be cancelled afterwards.
 func (c *caller) streamReply(a *attempt) {
 	stop := make(chan struct{})
 	defer close(stop)
@@ -320,12 +323,16 @@
 		case <-stop:
 		}
 	}()
-	c.writeReply(a)
+	if err := c.writeReply(a); err != nil {
+		c.reportLeft()
+		<-c.exchange.replied
+		panic(http.ErrAbortHandler)
+	}
 }
 
-// writeReply writes an attempt's reply. If the reply can't be completed, it
-// breaks the caller's connection, so that the reply never looks complete.
-func (c *caller) writeReply(a *attempt) {
+// writeReply writes an attempt's reply. If it returns an error, the caller's connection must be
+// broken, so that the reply never looks complete.
+func (c *caller) writeReply(a *attempt) error {
 	head := a.replyHead()
 	header := c.writer.Header()
 	for name, values := range head.Header {
@@ -336,10 +343,7 @@
 	}
 	c.forwarder.config.Callers.SetReplyFields(header)
 	c.writer.WriteHeader(head.Status)
-	if err := c.writeReplyBody(a); err != nil {
-		c.reportLeft()
-		panic(http.ErrAbortHandler)
-	}
+	return c.writeReplyBody(a)
 }
 
 // hasBody reports whether a reply with the status may have a body.
