forwarder: a run can be stopped from its admission on

A run that was cancelled between its admission and the start of its goroutine went on at the backend server for nobody, until its deadline. Found by reading, while looking for lost cancellations.

Cause: the function that stops a run was set by the run's own goroutine. A cancellation before that found none.

Change: it is set with the admission, and a run that was stopped before takes no connection.

--- a/forwarder/backend.go
+++ b/forwarder/backend.go
@@ -217,13 +217,9 @@
 	return result
 }
 
-// execute runs the call at the backend server.
-func (h *hostedCall) execute(run waxwingseam.Run) {
+// execute runs the call at the backend server. The run may have been cancelled before.
+func (h *hostedCall) execute(r *backendRun, run waxwingseam.Run) {
 	began := time.Now()
-	r := newBackendRun(h, run.Call.Deadline)
-	h.mu.Lock()
-	h.cancel = r.cancel
-	h.mu.Unlock()
 	result := h.roundTrip(r, run)
 	if result.Completed() {
 		h.reply.end()
--- a/forwarder/backendconn.go
+++ b/forwarder/backendconn.go
@@ -73,6 +73,11 @@
 // acquire waits until one more connection may be used. It returns false if done is
 // closed first.
 func (p *backendConns) acquire(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		return false
+	default:
+	}
 	select {
 	case p.slots <- struct{}{}:
 		return true
--- a/forwarder/departure_test.go
+++ b/forwarder/departure_test.go
@@ -5,11 +5,15 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/runner"
 )
 
 // departureTarget limits how long a run may go on after its caller has left.
@@ -114,6 +118,47 @@
 	})
 }
 
+// cancelsRuns cancels the attempt of each run that is about to begin.
+type cancelsRuns struct {
+	step func(func(waxwingseam.Stamp) waxwingseam.Event)
+}
+
+// Observe implements runner.Observer.
+func (c *cancelsRuns) Observe(_ waxwingseam.Event, effects []waxwingseam.Effect) {
+	for _, e := range effects {
+		if v, ok := e.(waxwingseam.Run); ok {
+			c.step(func(s waxwingseam.Stamp) waxwingseam.Event {
+				return waxwingseam.AttemptCancelled{Stamp: s, ID: v.Call.ID, Attempt: v.Attempt}
+			})
+		}
+	}
+}
+
+// TestRunBeginsAfterCancellation guards against a run that is cancelled between its admission
+// and its beginning, and goes on at the backend server for nobody.
+func TestRunBeginsAfterCancellation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := newTestbed(t)
+		var active atomic.Int64
+		b := tb.newBackend(func(w http.ResponseWriter, r *http.Request) {
+			active.Add(1)
+			defer active.Add(-1)
+			untilLeft(w, r)
+		})
+		front := tb.newNode(nodeConfig{})
+		cancel := &cancelsRuns{}
+		back := tb.newNode(nodeConfig{service: "ledger", name: "ledger-1", backend: b.address, observers: []runner.Observer{cancel}})
+		cancel.step = back.step
+		front.updateServers(back)
+		for range 50 {
+			go front.call(request{name: "x", body: strings.NewReader("lot")})
+		}
+		time.Sleep(departureTarget)
+		qt.Assert(t, active.Load(), qt.Equals, int64(0))
+		time.Sleep(time.Minute)
+	})
+}
+
 // TestCancelledCallIsKept guards against a node that keeps each call whose caller left
 // before its run, and runs out of memory.
 func TestCancelledCallIsKept(t *testing.T) {
--- a/forwarder/hosted.go
+++ b/forwarder/hosted.go
@@ -193,13 +193,15 @@
 		f.endRun(waxwingseam.RunEnded{ID: e.Call.ID, Result: didNotRun(waxwingseam.ReasonCancelled)})
 		return
 	}
+	r := newBackendRun(h, e.Call.Deadline)
 	h.mu.Lock()
 	h.running = true
+	h.cancel = r.cancel
 	h.mu.Unlock()
 	if in := f.inbound(attemptKey{e.Call.ID, e.Attempt}); in != nil {
 		in.follow(h)
 	}
-	f.workers.Do(func() { h.execute(e) })
+	f.workers.Do(func() { h.execute(r, e) })
 }
 
 // relayed reports whether another node runs the call.
