operator: bound the answers that the client reads

An operator's client that was sent bytes without end, by a faulty process or one that is not a replica, kept them all until its request timed out after 15 s.

Cause: answers were read whole, without a bound. The answer to `waxwingseam route` was as well.

Change: 32 MB for an answer of a replica, four times the largest submission, and 1 MB for a route.

--- a/cmd/waxwingseam/route.go
+++ b/cmd/waxwingseam/route.go
@@ -18,8 +18,12 @@
 	"waxwingseam.example/waxwingseam"
 )
 
-// routeTimeout bounds the whole question.
-const routeTimeout = 5 * time.Second
+const (
+	// routeTimeout bounds the whole question.
+	routeTimeout = 5 * time.Second
+	// maxRouteBytes bounds the answer.
+	maxRouteBytes = 1 << 20
+)
 
 type routeCommand struct {
 	Telemetry netip.AddrPort `required:"" help:"Telemetry address of the first node of the request."`
@@ -72,7 +76,7 @@
 	if reply.StatusCode != http.StatusOK {
 		return route, trace.Errorf("the node answered %s", reply.Status)
 	}
-	return route, trace.Wrap(json.NewDecoder(reply.Body).Decode(&route))
+	return route, trace.Wrap(json.NewDecoder(io.LimitReader(reply.Body, maxRouteBytes)).Decode(&route))
 }
 
 // printRoute prints a route as text.
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -26,6 +26,10 @@
 // requestTimeout bounds one request.
 const requestTimeout = 15 * time.Second
 
+// maxAnswerBytes bounds an answer. The longest is a set, which may be encoded in more bytes than
+// its submission.
+const maxAnswerBytes = 4 * administrator.MaxBody
+
 // Config holds the settings of a client.
 type Config struct {
 	// Address is the IP:PORT of the operator API.
@@ -217,10 +221,13 @@
 		return nil, trace.ConnectionProblem(err, "%s: %v", c.config.Address, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(response.Body)
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "%s: %v", c.config.Address, err)
 	}
+	if len(data) > maxAnswerBytes {
+		return nil, trace.ConnectionProblem(nil, "%s: the answer has more than %d bytes", c.config.Address, maxAnswerBytes)
+	}
 	if response.StatusCode == http.StatusOK {
 		return data, nil
 	}
