forwarder: a draining node receives bodies of up to 256 KB before it judges their calls

Since a call with a body of 64 KB or more, or one in chunks of more than 32 KB, was refused from the signal on if its deadline came after the exit, although its body usually ends at once.

Change: while the node drains, what fits into a buffer is received first, and judged when it is whole.

Test: TestStoppingNodePassesOnUnreceivedBody has a body of 200 KB that is served; it was refused before.

--- a/forwarder/buffer.go
+++ b/forwarder/buffer.go
@@ -207,6 +207,17 @@
 	}
 }
 
+// waitWhole blocks until the body has ended or failed, the buffer is full, or stop returns
+// true. It reports whether the body has ended.
+func (b *buffer) waitWhole(stop func() bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for !b.ended && b.err == nil && len(b.data) < b.limit && !stop() {
+		b.changed.Wait()
+	}
+	return b.ended
+}
+
 // releasedOffset is the offset before which a buffer may drop bytes.
 type releasedOffset struct {
 	buffer *buffer
--- a/forwarder/entry.go
+++ b/forwarder/entry.go
@@ -188,10 +188,7 @@
 	}
 	u := &upload{done: make(chan struct{})}
 	go u.run(x, body)
-	c.arrival.Receiving = true
-	if c.request.ContentLength < 0 && c.forwarder.receiveFirst.Load() {
-		c.arrival.Receiving = !c.receiveShort(u)
-	}
+	c.arrival.Receiving = !c.forwarder.receiveFirst.Load() || !c.receiveWhole()
 	c.report()
 	c.wait(u)
 	x.body.fail(errCallOver)
@@ -206,20 +203,13 @@
 	})
 }
 
-// receiveShort waits until the body has ended, or is longer than a chunk, or the caller has
-// left. It reports whether the body has ended.
-func (c *caller) receiveShort(u *upload) bool {
+// receiveWhole waits until the body has ended, or is longer than what is buffered of it, or the
+// caller has left. It reports whether the body has ended.
+func (c *caller) receiveWhole() bool {
 	ctx, body := c.request.Context(), c.exchange.body
 	stop := context.AfterFunc(ctx, body.wake)
 	defer stop()
-	body.waitSingleChunk(func() bool { return ctx.Err() != nil })
-	select {
-	case <-u.done:
-		return true
-	default:
-		_, ended := body.singleChunk()
-		return ended
-	}
+	return body.waitWhole(func() bool { return ctx.Err() != nil })
 }
 
 // upload reads a caller's request body while the caller waits for the answer.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -122,8 +122,8 @@
 	statements     statementFilter
 	// entryClosed is set once calls from outside are refused.
 	entryClosed atomic.Bool
-	// receiveFirst is set once bodies without a declared length are received before their
-	// calls are reported, if they are short.
+	// receiveFirst is set once bodies that fit into a buffer are received before their calls
+	// are reported.
 	receiveFirst atomic.Bool
 	// watched holds the hashes of the watched heads; see waxwingseam.WatchRequests.
 	watched atomic.Pointer[map[uint64]struct{}]
@@ -192,9 +192,9 @@
 	return f.config.Callers.MatchRequest(r)
 }
 
-// ReceiveFirst makes the forwarder report the arrival of a call whose body has no declared
-// length only once the body has ended or is long. Before, such a call is sent while its body
-// is received.
+// ReceiveFirst makes the forwarder report the arrival of a call only once its body has ended or
+// is longer than a buffer. Before, a call is sent while its body is received, unless that is
+// short.
 func (f *Forwarder) ReceiveFirst() {
 	f.receiveFirst.Store(true)
 }
