publisher: check the age of stored endings under the lock

StoreEndings read the endings of a server after it had released the lock, while the same memory may be rewritten by the next ending.

--- a/publisher/endings.go
+++ b/publisher/endings.go
@@ -102,11 +102,10 @@
 	p.mu.Lock()
 	p.addEndings(m.Server, m.Endings, true)
 	known := p.endings.byServer[m.Server]
+	tooOld := slices.ContainsFunc(m.Endings, func(e waxwingseam.Ending) bool { return !known.Has(e) })
 	p.mu.Unlock()
-	for _, e := range m.Endings {
-		if !known.Has(e) {
-			return nil, trace.BadParameter("an ending at %v is too old to be stored", e.At)
-		}
+	if tooOld {
+		return nil, trace.BadParameter("an ending of %s is too old to be stored", m.Server)
 	}
 	for {
 		p.mu.Lock()
