forwarder: a reply that was reset during the upload is not whole

A caller got the first part of a reply as a complete answer: the backend server answered a long upload with a 200 without a length, and its connection was reset while the upload was being written.

Cause: the kernel reports the error of a socket to one system call only. The upload is written beside the reading of the reply; if the write gets ECONNRESET or ETIMEDOUT, the reader finds an end like that of an orderly close.

The end of a reply that ends with its connection is now checked against the writes. On Linux the connection is in CLOSE-WAIT after an orderly close. If it is closed already, the error of the write decides: after an orderly close that a reset followed it is EPIPE. Elsewhere, and where the connection is hidden by a wrapper, any failed write makes the reply a broken one.

--- a/forwarder/backendconn.go
+++ b/forwarder/backendconn.go
@@ -190,6 +190,10 @@
 	// write such a refusal once more, and a further attempt of the call bears the same
 	// identifier.
 	refused []waxwingseam.CallID
+	// writing guards writeErr, and is locked while something is written.
+	writing sync.Mutex
+	// writeErr is the error of the last write that failed; nil without one.
+	writeErr error
 	// suspected is set if the last check found the other end silent.
 	suspected atomic.Bool
 	// silent is set once the connection was closed because of silence.
@@ -209,6 +213,33 @@
 	_ = c.conn.Close()
 }
 
+// Write implements io.Writer.
+func (c *backendConn) Write(p []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.conn.Write(p)
+	if err != nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// endError returns why the end of the connection that a read has found is not that of an orderly
+// close; nil if it is. The kernel reports a reset or a timeout to one system call only: if that
+// is a write, a read finds an end like that of an orderly close. Unless the state of the
+// connection tells, endError waits for a write in progress, which may have got that error.
+func (c *backendConn) endError() error {
+	if closedByPeer(c.conn) {
+		return nil
+	}
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.writeErr == nil || followsClose(c.conn, c.writeErr) {
+		return nil
+	}
+	return trace.Wrap(c.writeErr)
+}
+
 // abort closes the connection of a request that was given up, so that it does not reach
 // the backend server later.
 func (c *backendConn) abort() {
@@ -269,6 +300,31 @@
 	last bool
 }
 
+// closeDelimitedBody is the body of a reply that ends with its connection.
+type closeDelimitedBody struct {
+	conn *backendConn
+	body io.Reader
+}
+
+// Read implements io.Reader. It returns io.EOF only if the connection was closed in order.
+func (b closeDelimitedBody) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	if errors.Is(err, io.EOF) {
+		if cause := b.conn.endError(); cause != nil {
+			err = cause
+		}
+	}
+	return n, err
+}
+
+// bodyOf returns the body of a reply.
+func (c *backendConn) bodyOf(r *http.Response) io.Reader {
+	if r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody {
+		return closeDelimitedBody{conn: c, body: r.Body}
+	}
+	return r.Body
+}
+
 // readReplyHead reads the head of the reply to a request with a method.
 func (c *backendConn) readReplyHead(method string) (*backendReply, error) {
 	request := &http.Request{Method: method}
@@ -291,7 +347,7 @@
 					Header: response.Header,
 					Length: response.ContentLength,
 				},
-				body: response.Body,
+				body: c.bodyOf(response),
 				last: response.Close,
 			}, nil
 		}
--- a/forwarder/backendrequest.go
+++ b/forwarder/backendrequest.go
@@ -67,7 +67,7 @@
 	o := q.call.opening
 	out := q.appendHead(c.request[:0])
 	if o.Length == 0 {
-		n, err := c.conn.Write(out)
+		n, err := c.Write(out)
 		c.keepRequest(out)
 		return n, trace.Wrap(err)
 	}
@@ -79,7 +79,7 @@
 	} else {
 		q.pending.Store(true)
 	}
-	n, err := c.conn.Write(out)
+	n, err := c.Write(out)
 	c.keepRequest(out)
 	if err != nil {
 		return n, trace.Wrap(err)
@@ -163,19 +163,17 @@
 func (q *backendRequest) copyBody(c *backendConn) error {
 	length := q.call.opening.Length
 	if length < 0 {
-		w := httputil.NewChunkedWriter(c.conn)
+		w := httputil.NewChunkedWriter(c)
 		if _, err := copyBody(w, q.call); err != nil {
 			return err
 		}
 		if err := w.Close(); err != nil {
 			return trace.Wrap(err)
 		}
-		_, err := io.WriteString(c.conn, "\r\n")
+		_, err := io.WriteString(c, "\r\n")
 		return trace.Wrap(err)
 	}
-	// The type hides ReadFrom, which would need a buffer of its own.
-	w := struct{ io.Writer }{c.conn}
-	n, err := copyBody(w, io.LimitReader(q.call, length))
+	n, err := copyBody(c, io.LimitReader(q.call, length))
 	if err != nil {
 		return err
 	}
--- a/forwarder/bench_test.go
+++ b/forwarder/bench_test.go
@@ -142,6 +142,8 @@
 	observers   []runner.Observer
 	// protocol is the backend server's; nil for the project's own.
 	protocol waxwingseam.BackendProtocol
+	// backendDialer is nil for the fake network.
+	backendDialer forwarder.BackendDialer
 }
 
 // registry adapts a drpc mux to forwarder.Registry.
@@ -163,8 +165,11 @@
 	}}
 	r := runner.New(runner.Config{Reducer: newReducer(n.self), Seed: 1, Observers: config.observers})
 	n.step = r.Step
+	if config.backendDialer == nil {
+		config.backendDialer = tb.net
+	}
 	n.Forwarder = forwarder.New(forwarder.Config{
-		Step: r.Step, Self: n.self, Dialer: tb.net, Backend: config.backend, BackendDialer: tb.net, Arbitrated: true, MaxBody: tb.maxBody, Budget: n.budget,
+		Step: r.Step, Self: n.self, Dialer: tb.net, Backend: config.backend, BackendDialer: config.backendDialer, Arbitrated: true, MaxBody: tb.maxBody, Budget: n.budget,
 		BackendServer: config.protocol,
 	})
 	r.Attach(n.Forwarder)
@@ -269,7 +274,12 @@
 }
 
 // serve passes one request to the node's entry handler.
-func (n *node) serve(r *http.Request) (a answer) {
+func (n *node) serve(r *http.Request) answer {
+	return serve(n.Entry(), r)
+}
+
+// serve passes one request to a handler.
+func serve(h http.Handler, r *http.Request) (a answer) {
 	w := httptest.NewRecorder()
 	defer func() {
 		if recover() != nil {
@@ -280,7 +290,7 @@
 			_ = json.Unmarshal(w.Body.Bytes(), &a.problem)
 		}
 	}()
-	n.Entry().ServeHTTP(w, r)
+	h.ServeHTTP(w, r)
 	return a
 }
 
--- a/forwarder/dialer_other.go
+++ b/forwarder/dialer_other.go
@@ -16,3 +16,13 @@
 func newPeek(net.Conn) func() bool {
 	return nil
 }
+
+// closedByPeer returns false: the kernel reports the state of a connection on Linux only.
+func closedByPeer(net.Conn) bool {
+	return false
+}
+
+// followsClose returns false: what the errors of writes tell of the end differs by system.
+func followsClose(net.Conn, error) bool {
+	return false
+}
