forwarder: an attempt that was disconnected sends no result without its reply

A caller that uploaded got a 502 (digest-mismatch) in place of a whole reply that the backend server sent early.

Cause: a session that fails disconnects its attempt, whose writer then skipped the reply, found the completed result and sent it. The sending node had a result without a head and without bytes.

The writer now ends without a result, so that the attempt is resumed over another connection and gets the reply there.

--- a/forwarder/inbound.go
+++ b/forwarder/inbound.go
@@ -243,6 +243,10 @@
 	if err := in.sendReply(&last); err != nil {
 		return err
 	}
+	if in.disconnected.Load() {
+		// The reply may not have been sent completely.
+		return errCallOver
+	}
 	if !in.wait(func() bool { return in.result != nil }) {
 		return errCallOver
 	}
