forwarder: the rest of an upload that nobody reads does not break its connection

When a backend server answered an upload before it had read it, the connection between the two nodes broke, and the attempt had to be resumed; a reply that is not kept would have been lost.

Cause: the body is dropped with the end of the run. The next part of it was ignored without being counted, so that the part after that looked as if one was missing, which ends the session.

Parts of a body that has failed are ignored now. TestRestOfBodyBreaksConnection fails without the change.

--- a/forwarder/hosted.go
+++ b/forwarder/hosted.go
@@ -115,10 +115,14 @@
 }
 
 // addData appends a part of the request body, and skips what an earlier
-// connection has delivered already.
+// connection has delivered already. It ignores the rest of a body that has failed, or
+// that was not read to its end.
 func (h *hostedCall) addData(f frame) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.body.failure() != nil {
+		return nil
+	}
 	data, err := dataFrom(f, h.body.length())
 	if err != nil {
 		return err
--- a/forwarder/inbound_test.go
+++ b/forwarder/inbound_test.go
@@ -48,3 +48,16 @@
 	qt.Assert(t, errors.Is(in.serve(), errCallOver), qt.IsTrue)
 	qt.Assert(t, stream.count, qt.Equals, 0)
 }
+
+// TestRestOfBodyBreaksConnection guards against parts of a request body that arrive after its
+// run has ended, and that are taken for a violation of the protocol.
+func TestRestOfBodyBreaksConnection(t *testing.T) {
+	in := newInbound(&sentMessages{})
+	defer in.channel.stop()
+	part := make([]byte, 10)
+	qt.Assert(t, in.handleFrame(frame{Kind: frameData, Data: part}), qt.IsNil)
+	in.call.finish()
+	for n := 1; n < 4; n++ {
+		qt.Assert(t, in.handleFrame(frame{Kind: frameData, Offset: int64(n * len(part)), Data: part}), qt.IsNil)
+	}
+}
