forwarder: read the reply of a connection on which the upload has failed

A caller that uploaded got a 502 or a reply that broke off, in place of a whole reply: the backend server answered before it had read the upload, ended its reply, and the connection was reset while the upload went on.

Cause: the writer of the upload closed the connection once a write had failed, also if the reader had not come to the end of the reply yet.

The writer closes the connection only if the upload itself breaks off, as the backend server would take it as whole otherwise (TestUploadThatBreaksOffLooksWhole, which holds before and after). After a failed write the reader finds the end of the reply by itself.

--- a/forwarder/backendconn.go
+++ b/forwarder/backendconn.go
@@ -224,6 +224,13 @@
 	return n, err
 }
 
+// writeFailed reports whether a write to the connection has failed.
+func (c *backendConn) writeFailed() bool {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.writeErr != nil
+}
+
 // endError returns why the end of the connection that a read has found is not that of an orderly
 // close; nil if it is. The kernel reports a reset or a timeout to one system call only: if that
 // is a write, a read finds an end like that of an orderly close. Unless the state of the
--- a/forwarder/backendrequest.go
+++ b/forwarder/backendrequest.go
@@ -150,14 +150,17 @@
 	return append(out, "0\r\n\r\n"...)
 }
 
-// writeBody writes the body as it arrives. If that fails, it aborts the connection, so
-// that the backend server does not take the body as whole.
+// writeBody writes the body as it arrives. If the body breaks off, it aborts the connection, so
+// that the backend server does not take the body as whole. If the connection has failed, a
+// reply that came before can still be read.
 func (q *backendRequest) writeBody(c *backendConn) {
-	if err := q.copyBody(c); err != nil {
+	err := q.copyBody(c)
+	switch {
+	case err == nil:
+		q.pending.Store(false)
+	case !c.writeFailed():
 		c.abort()
-		return
 	}
-	q.pending.Store(false)
 }
 
 func (q *backendRequest) copyBody(c *backendConn) error {
