--- a/forwarder/inbound_test.go
+++ b/forwarder/inbound_test.go
@@ -17,7 +17,7 @@
 	o := &opening{ID: waxwingseam.NewCallID(1, 2), Attempt: 1, Method: "POST", Target: "/", Length: -1}
 	in := &inbound{forwarder: f, opening: o, call: f.hostedCallFor(o)}
 	in.changed.L = &in.mu
-	in.channel = newChannel(stream, 0, new(atomic.Int64), in)
+	in.channel = newChannel(stream, 1, new(atomic.Int64), in)
 	return in
 }
 
