forwarder: a status below 100 is not an informational one

A caller got the 200 that followed a head with status 000, 001, 099, +20 or +99, or that was the body of one with 000: seven of twelve cases of TestMalformedReply fail before, each with GET and POST.

Cause: http.ReadResponse takes each three characters that strconv.Atoi reads as a status, and the node skipped each head with a status below 200 as an informational one.

A status that does not begin with a digit from 1 on makes the reply a broken one; the first head below 200 that remains is 100. Statuses from 600 on are passed on as before, as the caller treats them as a server error (RFC 9110, section 15). TestWholeReply and TestReplyWithoutBody hold before and after.

--- a/forwarder/backendconn.go
+++ b/forwarder/backendconn.go
@@ -343,6 +343,9 @@
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
+		if !validStatus(response.Status) {
+			return nil, trace.BadParameter("the status of the reply is malformed")
+		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return nil, trace.BadParameter("the reply switches protocols")
 		}
@@ -361,6 +364,12 @@
 	}
 }
 
+// validStatus reports whether a status, which begins with three characters that make a number,
+// begins with a status code.
+func validStatus(status string) bool {
+	return '1' <= status[0] && status[0] <= '9'
+}
+
 // keepable reports whether the connection can carry another request after a reply
 // whose body was read to its end.
 func (c *backendConn) keepable(r *backendReply) bool {
