--- a/forwarder/backendconn.go
+++ b/forwarder/backendconn.go
@@ -18,6 +18,7 @@
 	"github.com/gravitational/trace"
 
 	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/parser"
 )
 
 const (
@@ -30,8 +31,8 @@
 	maxHeaderBytes = 64 << 10
 	// maxRefused is how many calls may be refused over one connection before it is closed.
 	maxRefused = 64
-	// maxKeptRequest limits the room for a request that a connection keeps.
-	maxKeptRequest = 4 << 10
+	// maxKeptHead limits the room for a head that a connection keeps.
+	maxKeptHead = 4 << 10
 )
 
 // newBackendDialer returns the dialer for the backend server. Its keepalive
@@ -180,8 +181,8 @@
 	reader *bufio.Reader
 	// readable is how many more bytes of a reply's head may be read.
 	readable int64
-	// request is room for the head of a request.
-	request []byte
+	// request is room for the head of a request, and head for that of a reply.
+	request, head []byte
 	// peek reports whether there is something to read, without waiting.
 	peek      func() bool
 	idleSince time.Time
@@ -325,37 +326,37 @@
 }
 
 // bodyOf returns the body of a reply.
-func (c *backendConn) bodyOf(r *http.Response) io.Reader {
-	if r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody {
-		return closeDelimitedBody{conn: c, body: r.Body}
+func (c *backendConn) bodyOf(r *parser.Response) io.Reader {
+	body := parser.NewResponseBody(r, c.reader)
+	if r.Framing == parser.FramingClose {
+		return closeDelimitedBody{conn: c, body: body}
 	}
-	return r.Body
+	return body
 }
 
 // readReplyHead reads the head of the reply to a request with a method.
 func (c *backendConn) readReplyHead(method string) (*backendReply, error) {
-	request := &http.Request{Method: method}
 	// Informational heads count as well.
 	c.readable = maxHeaderBytes - int64(c.reader.Buffered())
 	for {
-		//nolint:bodyclose // Close would read the rest of the body; the connection is closed instead.
-		response, err := http.ReadResponse(c.reader, request)
+		head, err := c.readHead()
 		if err != nil {
-			return nil, trace.Wrap(err)
+			return nil, err
 		}
-		if !validStatus(response.Status) {
-			return nil, trace.BadParameter("the status of the reply is malformed")
+		response, err := parser.ParseResponse(head, method)
+		if err != nil {
+			return nil, err
 		}
-		if response.StatusCode == http.StatusSwitchingProtocols {
+		if response.Status == http.StatusSwitchingProtocols {
 			return nil, trace.BadParameter("the reply switches protocols")
 		}
-		if response.StatusCode >= http.StatusOK {
+		if response.Status >= http.StatusOK {
 			c.readable = math.MaxInt64
 			return &backendReply{
 				head: replyHead{
-					Status: response.StatusCode,
+					Status: response.Status,
 					Header: response.Header,
-					Length: response.ContentLength,
+					Length: response.Length,
 				},
 				body: c.bodyOf(response),
 				last: response.Close,
@@ -364,10 +365,27 @@
 	}
 }
 
-// validStatus reports whether a status, which begins with three characters that make a number,
-// begins with a status code.
-func validStatus(status string) bool {
-	return '1' <= status[0] && status[0] <= '9'
+// readHead reads a head with its empty line. It is valid until the next call.
+func (c *backendConn) readHead() ([]byte, error) {
+	head := c.head[:0]
+	for begin := 0; ; begin = len(head) {
+		for {
+			part, err := c.reader.ReadSlice('\n')
+			head = append(head, part...)
+			if err == nil {
+				break
+			}
+			if !errors.Is(err, bufio.ErrBufferFull) {
+				return nil, trace.Wrap(err)
+			}
+		}
+		if line := head[begin:]; len(line) == 1 || len(line) == 2 && line[0] == '\r' {
+			if cap(head) <= maxKeptHead {
+				c.head = head
+			}
+			return head, nil
+		}
+	}
 }
 
 // keepable reports whether the connection can carry another request after a reply
@@ -385,7 +403,7 @@
 
 // keepRequest keeps the room of a request unless it is large.
 func (c *backendConn) keepRequest(request []byte) {
-	if cap(request) <= maxKeptRequest {
+	if cap(request) <= maxKeptHead {
 		c.request = request[:0]
 	}
 }
--- a/forwarder/malformedreply_test.go
+++ b/forwarder/malformedreply_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -63,10 +64,53 @@
 	)
 }
 
+// invalidHeads returns replies with a head, or with chunks, that break the protocol.
+func invalidHeads() []replyCase {
+	return []replyCase{
+		{"control byte in the reason", "HTTP/1.1 200 O\x01K\r\n" + lengthBody},
+		{"HTTP/2.0", "HTTP/2.0 200 OK\r\n" + lengthBody},
+		{"HTTP/0.9", "HTTP/0.9 200 OK\r\n" + lengthBody},
+		{"HTTP/1.0 in chunks", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
+		{"HTTP/1.0 in chunks, with a length", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + lengthBody},
+		{"first field folded", okLine + " More: a\r\n" + lengthBody},
+		{"line without a colon", okLine + "More\r\n" + lengthBody},
+		{"NUL in a value", okLine + "More: a\x00b\r\n" + lengthBody},
+		{"carriage return in a value", okLine + "More: a\rb\r\n" + lengthBody},
+		{"two lengths", okLine + "Content-Length: 5\r\n" + lengthBody},
+		{"length with a sign", okLine + "Content-Length: +4\r\n\r\nbody"},
+		{"list of lengths", okLine + "Content-Length: 4, 4\r\n\r\nbody"},
+		{"empty length", okLine + "Content-Length:\r\n\r\nbody"},
+		{"other encoding", okLine + "Transfer-Encoding: gzip\r\n\r\nbody"},
+		{"chunked twice", okLine + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
+		{"chunk size with a sign", okLine + "Transfer-Encoding: chunked\r\n\r\n+4\r\nbody\r\n0\r\n\r\n"},
+		{"chunk without an end", okLine + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody0\r\n\r\n"},
+		{"trailer without a colon", chunkedReply + "Sum\r\n\r\n"},
+		{"length with a blank in its name", okLine + "Content-Length : 4\r\n\r\nbody and more"},
+		{"encoding with a blank in its name", okLine + "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
+	}
+}
+
+// invalidNames returns replies with a field whose name is invalid, in the head, in an informational
+// head and in a trailer.
+func invalidNames() []replyCase {
+	names := []string{"Bad Name", "Bad ", "", "Bad\x01", "Bad\t", "Bad\x00", "Bad\x7f", "Bad\x80", "B(d", "B\rd"}
+	out := make([]replyCase, 0, 3*len(names))
+	for _, name := range names {
+		field := name + ": x\r\n"
+		out = append(
+			out,
+			replyCase{fmt.Sprintf("field %q", name), okLine + field + lengthBody},
+			replyCase{fmt.Sprintf("field %q in the head of 103", name), "HTTP/1.1 103 Early Hints\r\n" + field + "\r\n" + wholeReply},
+			replyCase{fmt.Sprintf("field %q in a trailer", name), chunkedReply + field + "\r\n"},
+		)
+	}
+	return out
+}
+
 // TestMalformedReply guards against replies that break the protocol and that the caller gets as
 // an answer.
 func TestMalformedReply(t *testing.T) {
-	for _, v := range invalidStatuses() {
+	for _, v := range slices.Concat(invalidStatuses(), invalidHeads(), invalidNames()) {
 		testReply(t, v, "may-have-run:server-failed")
 	}
 }
--- a/parser/body.go
+++ b/parser/body.go
@@ -57,7 +57,9 @@
 type chunkedBody struct {
 	reader *bufio.Reader
 	chunks io.Reader
-	err    error
+	// checked is set if the fields of the trailer section are validated.
+	checked bool
+	err     error
 }
 
 // Read implements io.Reader. It returns io.EOF once the last chunk and the trailer section
@@ -76,7 +78,8 @@
 
 // skipTrailer reads the trailer section and returns io.EOF.
 func (b *chunkedBody) skipTrailer() error {
-	for left := maxTrailerBytes; ; {
+	first := true
+	for left := maxTrailerBytes; ; first = false {
 		line, err := b.reader.ReadSlice('\n')
 		left -= len(line)
 		switch {
@@ -89,7 +92,25 @@
 		case len(trimEnd(line)) == 0:
 			return io.EOF
 		}
+		if err := b.checkTrailer(trimEnd(line), first); err != nil {
+			return err
+		}
+	}
+}
+
+// checkTrailer validates a line of the trailer section. All but the first one may continue the
+// value of the line before.
+func (b *chunkedBody) checkTrailer(line []byte, first bool) error {
+	switch {
+	case !b.checked:
+		return nil
+	case !first && isFolded(line):
+		if !validValue(line) {
+			return trace.BadParameter("a header value is malformed")
+		}
+		return nil
 	}
+	return canonicalizeField(line)
 }
 
 // Close implements io.Closer.
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -1,4 +1,4 @@
-// Package parser parses the heads of HTTP/1.1 requests (RFC 9112). The number of
+// Package parser parses the heads of HTTP/1.1 requests and responses (RFC 9112). The number of
 // allocations does not depend on the number of header fields: names and values are parts
 // of one copy of the head.
 package parser
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/textproto"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -78,20 +79,32 @@
 		if len(line) == 0 {
 			return n, nil
 		}
-		name, value, ok := bytes.Cut(line, []byte(":"))
-		if !ok || !canonicalizeName(name) {
-			return 0, trace.BadParameter("a header name is malformed")
-		}
-		for _, b := range value {
-			if b < ' ' && b != '\t' || b == 0x7f {
-				return 0, trace.BadParameter("a header value is malformed")
-			}
+		if err := canonicalizeField(line); err != nil {
+			return 0, err
 		}
 		n++
 	}
 	return 0, trace.BadParameter("the header has no end")
 }
 
+// canonicalizeField validates a header field and brings its name into the canonical form in
+// place.
+func canonicalizeField(line []byte) error {
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	if !ok || !canonicalizeName(name) {
+		return trace.BadParameter("a header name is malformed")
+	}
+	if !validValue(value) {
+		return trace.BadParameter("a header value is malformed")
+	}
+	return nil
+}
+
+// validValue reports whether a text has no control bytes but tabs.
+func validValue(value []byte) bool {
+	return !slices.ContainsFunc(value, func(b byte) bool { return b < ' ' && b != '\t' || b == 0x7f })
+}
+
 // trimEnd removes the end of a line.
 func trimEnd(line []byte) []byte {
 	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
@@ -188,20 +201,11 @@
 
 // setLength takes the length of the body from the fields that tell it.
 func setLength(r *http.Request) error {
-	lengths := r.Header["Content-Length"]
-	for _, v := range lengths {
-		if v != lengths[0] {
-			return trace.BadParameter("the request has several lengths")
-		}
-	}
-	if len(lengths) > 0 {
-		n, err := strconv.ParseUint(lengths[0], 10, 63)
-		if err != nil {
-			return trace.BadParameter("the length of the body is malformed")
-		}
-		r.ContentLength = int64(n)
-		r.Header["Content-Length"] = lengths[:1]
+	length, err := declaredLength(r.Header)
+	if err != nil {
+		return err
 	}
+	r.ContentLength = max(length, 0)
 	encodings, ok := r.Header["Transfer-Encoding"]
 	delete(r.Header, "Transfer-Encoding")
 	if !ok || !r.ProtoAtLeast(1, 1) {
@@ -216,3 +220,23 @@
 	r.ContentLength = -1
 	return nil
 }
+
+// declaredLength returns the length that a header declares, and removes what repeats it; -1
+// without one.
+func declaredLength(header http.Header) (int64, error) {
+	lengths := header["Content-Length"]
+	if len(lengths) == 0 {
+		return -1, nil
+	}
+	for _, v := range lengths {
+		if v != lengths[0] {
+			return 0, trace.BadParameter("the body has several lengths")
+		}
+	}
+	n, err := strconv.ParseUint(lengths[0], 10, 63)
+	if err != nil {
+		return 0, trace.BadParameter("the length of the body is malformed")
+	}
+	header["Content-Length"] = lengths[:1]
+	return int64(n), nil
+}
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -10,6 +10,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"golang.org/x/net/http/httpguts"
 
 	"waxwingseam.example/waxwingseam/parser"
 )
@@ -93,6 +95,113 @@
 	})
 }
 
+// responseHeads are heads of responses that are understood, or not, for different reasons.
+var responseHeads = []string{
+	"HTTP/1.1 200 OK\r\nContent-Length: 3\r\ncontent-length: 3\r\nX:\r\nx: \t y \r\n\r\n",
+	"HTTP/1.1 200\nConnection: close\n\n",
+	"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.0 200 OK\r\n\r\n",
+	"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\nContent-Length: 4\r\nTrailer: X\r\n\r\n",
+	"HTTP/1.1 204 No Content\r\nContent-Length: 4\r\n\r\n",
+	"HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: chunked\r\n\r\n",
+	"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nX: a\r\n\tb\r\n  c\r\n\r\n",
+	"HTTP/1.1 000 OK\r\nX : b\r\nContent-Length: +1\r\n\r\n",
+	"HTTP/2.0 200 OK\r\nContent-Length: 1, 1\r\n\r\n",
+}
+
+// FuzzResponseHeadReadOtherwise guards against heads of responses that are understood otherwise
+// than by the standard library, by which a client would take another body than a node does.
+func FuzzResponseHeadReadOtherwise(f *testing.F) {
+	for _, text := range responseHeads {
+		f.Add([]byte(text), "GET")
+		f.Add([]byte(text), "HEAD")
+	}
+	f.Fuzz(func(t *testing.T, head []byte, method string) {
+		r, err := parser.ParseResponse(head, method)
+		if err != nil {
+			return
+		}
+		want, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), &http.Request{Method: method})
+		qt.Assert(t, err, qt.IsNil)
+		_ = want.Body.Close()
+		if method == http.MethodHead && want.TransferEncoding != nil {
+			// The standard library takes the length that the encoding overrides.
+			delete(want.Header, "Content-Length")
+			want.ContentLength = -1
+		}
+		for _, header := range []http.Header{r.Header, want.Header} {
+			if header.Get("Pragma") == "no-cache" {
+				// The standard library adds a field then.
+				delete(header, "Cache-Control")
+			}
+			// The standard library removes it from some heads.
+			delete(header, "Connection")
+			delete(header, "Trailer")
+			for _, values := range header {
+				for i, v := range values {
+					// The blanks of a folded value differ.
+					values[i] = strings.Join(strings.Fields(v), " ")
+				}
+			}
+		}
+		qt.Assert(t, r.Header, qt.DeepEquals, want.Header)
+		framing := parser.FramingNone
+		switch {
+		case want.Body == http.NoBody:
+		case want.TransferEncoding != nil:
+			framing = parser.FramingChunks
+		case want.ContentLength >= 0:
+			framing = parser.FramingLength
+		default:
+			framing = parser.FramingClose
+		}
+		qt.Assert(t, *r, qt.CmpEquals(cmpopts.IgnoreFields(*r, "Header")), parser.Response{
+			Status: want.StatusCode, Length: want.ContentLength, Framing: framing, Close: want.Close,
+		})
+	})
+}
+
+// FuzzValidResponseHeadIsRefused guards against heads of responses that keep the protocol, as
+// far as the standard library tells, and that are not understood.
+func FuzzValidResponseHeadIsRefused(f *testing.F) {
+	for _, text := range responseHeads {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, head []byte) {
+		reader := bufio.NewReader(bytes.NewReader(head))
+		r, err := http.ReadResponse(reader, &http.Request{Method: http.MethodGet})
+		if err != nil {
+			return
+		}
+		_ = r.Body.Close()
+		if rest, _ := io.ReadAll(reader); len(rest) > 0 || r.ContentLength > 0 || r.TransferEncoding != nil {
+			return
+		}
+		if _, err := parser.ParseResponse(head, http.MethodGet); keepsProtocol(r, string(head)) {
+			qt.Assert(t, err, qt.IsNil)
+		}
+	})
+}
+
+// keepsProtocol reports whether a head that the standard library understands keeps the protocol.
+func keepsProtocol(r *http.Response, head string) bool {
+	for name := range r.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return false
+		}
+	}
+	control := func(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f }
+	for line := range strings.Lines(head) {
+		if strings.ContainsFunc(strings.TrimSuffix(strings.TrimSuffix(line, "\n"), "\r"), control) {
+			return false
+		}
+	}
+	encoded := strings.Contains(strings.ToLower(head), "transfer-encoding")
+	return r.ProtoMajor == 1 && (r.ProtoMinor > 0 || !encoded) && r.StatusCode >= 100 && r.Status[0] != '+'
+}
+
 // TestAllocationPerField guards against heads of many short fields that cost many times
 // their length.
 func TestAllocationPerField(t *testing.T) {
