pipeliner: an answer to HTTP/1.0 that is interrupted ends with a reset

A caller that uses HTTP/1.0 got the beginning of an answer as a whole one when the node closed its connections while the answer was being written, as at the end of drain-limit, and when the process was killed (by reading; the test closes the server).

Cause: an answer without a length ends with its connection there, and the close was a reset only where the handler had given up, or the caller was too slow.

From the head of such an answer to its end, the close of the connection is a reset, also that by the kernel.

--- a/pipeliner/connection.go
+++ b/pipeliner/connection.go
@@ -525,11 +525,17 @@
 	c.wake()
 }
 
-// reset makes the close of the connection a reset, so that an answer without a length
-// does not look complete.
-func (c *connection) reset() {
+// setReset sets whether the close of the connection is a reset, also that by the kernel at the
+// end of the process. While an answer that ends with the connection is being written, it is, so
+// that the answer does not look complete.
+func (c *connection) setReset(reset bool) {
+	const orderly = -1
+	seconds := orderly
+	if reset {
+		seconds = 0
+	}
 	if t, ok := c.conn.Conn.(interface{ SetLinger(seconds int) error }); ok {
-		_ = t.SetLinger(0)
+		_ = t.SetLinger(seconds)
 	}
 }
 
--- a/pipeliner/pipeliner_test.go
+++ b/pipeliner/pipeliner_test.go
@@ -445,3 +445,35 @@
 	qt.Assert(t, res.Body.Close(), qt.IsNil)
 	qt.Assert(t, string(body), qt.Equals, "HTTP/2.0")
 }
+
+// TestInterruptedAnswerLooksWhole guards against an answer without a length, to a caller that
+// uses HTTP/1.0, that looks complete after the server has closed its connections.
+func TestInterruptedAnswerLooksWhole(t *testing.T) {
+	begun := make(chan struct{})
+	s := newTestServer(t, pipeliner.Config{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write(make([]byte, 10_000))
+		_ = http.NewResponseController(w).Flush()
+		if r.URL.Path == "/whole" {
+			return
+		}
+		close(begun)
+		<-r.Context().Done()
+	})})
+	readWhole := func(c *testCaller) error {
+		res, err := http.ReadResponse(c.reader, nil)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = res.Body.Close() }()
+		_, err = io.Copy(io.Discard, res.Body)
+		return err
+	}
+	c := s.dial()
+	c.send("GET /whole HTTP/1.0\r\n\r\n")
+	qt.Assert(t, readWhole(c), qt.IsNil)
+	c = s.dial()
+	c.send("GET / HTTP/1.0\r\n\r\n")
+	<-begun
+	_ = s.server.Close()
+	qt.Assert(t, readWhole(c), qt.IsNotNil)
+}
--- a/pipeliner/response.go
+++ b/pipeliner/response.go
@@ -51,7 +51,9 @@
 	held    []byte
 	begun   bool
 	chunked bool
-	closes  bool
+	// untilClose is set if the body ends with the connection, as HTTP/1.0 has no chunks.
+	untilClose bool
+	closes     bool
 	// length is the declared length of the body; -1 without one.
 	length, sent int64
 
@@ -191,9 +193,6 @@
 		w.connection.server.config.Logger.Error("handling a request panicked", "cause", cause, "stack", string(debug.Stack()))
 	}
 	_ = w.waitTurn()
-	if !w.request.ProtoAtLeast(1, 1) {
-		w.connection.reset()
-	}
 	w.connection.abort()
 	if w.body != nil {
 		w.body.end()
@@ -332,8 +331,11 @@
 	}
 	if w.mayHaveBody() && w.length < 0 && w.request.Method != http.MethodHead {
 		w.chunked = w.request.ProtoAtLeast(1, 1)
+		w.untilClose = !w.chunked
 		if w.chunked {
 			_, _ = out.WriteString("Transfer-Encoding: chunked\r\n")
+		} else {
+			w.connection.setReset(true)
 		}
 	}
 	if w.closes {
@@ -358,17 +360,26 @@
 	if err := w.begin(); err != nil {
 		return err
 	}
+	err := w.writeEnd()
+	if w.length >= 0 && w.sent < w.length && w.mayHaveBody() && w.request.Method != http.MethodHead {
+		return errShortBody
+	}
+	return err
+}
+
+// writeEnd writes the end of the answer and sends what was written so far.
+func (w *response) writeEnd() error {
 	c := w.connection
 	if w.chunked {
 		_, _ = c.writer.WriteString("0\r\n\r\n")
 	}
 	err := c.writer.Flush()
+	if w.untilClose && err == nil {
+		c.setReset(false)
+	}
 	c.writer.Reset(nil)
 	writers.Put(c.writer)
 	c.writer = nil
-	if w.length >= 0 && w.sent < w.length && w.mayHaveBody() && w.request.Method != http.MethodHead {
-		return errShortBody
-	}
 	return trace.Wrap(err)
 }
 
--- a/pipeliner/supervision.go
+++ b/pipeliner/supervision.go
@@ -119,7 +119,7 @@
 	p.readFrom = read
 	if p.reply > limits.Grace {
 		c.server.noteRefused(c, closedSlowReply)
-		c.reset()
+		c.setReset(true)
 		c.abort()
 	}
 }
@@ -179,7 +179,7 @@
 	switch {
 	case c.conn.writes.Load()%2 == 1:
 		c.server.noteRefused(c, closedSlowReply)
-		c.reset()
+		c.setReset(true)
 		c.abort()
 	case c.isIdle():
 		c.server.noteRefused(c, cause)
