operator: a broken answer is neither an acceptance nor a refusal

An operator was told that a submission was refused when a replica, or what stands between, had answered with status 000, 204 or 302; that it failed for good when the answer broke off without a length or was no JSON; and that it was accepted when the head broke the protocol. 15 of 19 cases of TestBrokenAnswer fail before.

Cause: each status below 500 but 200 was a refusal, an error of decoding had no kind, and http.Client accepts heads and trailers that the protocol does not allow.

Only 4xx is a refusal now. All else, and a response that parser.CheckResponse objects to, is a connection problem: the outcome is unknown. TestWholeAnswer and TestResetSetLooksWhole hold before and after.

--- a/operator/operator.go
+++ b/operator/operator.go
@@ -21,6 +21,7 @@
 	"waxwingseam.example/waxwingseam/administrator"
 	"waxwingseam.example/waxwingseam/authenticator"
 	"waxwingseam.example/waxwingseam/historian"
+	"waxwingseam.example/waxwingseam/parser"
 )
 
 // requestTimeout bounds one request.
@@ -67,7 +68,7 @@
 	Accounts(ctx context.Context) (administrator.AccountsAnswer, error)
 }
 
-// Refusal is an error answer of the operator API. If its status is a server
+// Refusal is an error answer of the operator API. Unless its status is a client
 // error, the outcome of the request is unknown, and the client wraps the refusal
 // in a trace.ConnectionProblem.
 type Refusal struct {
@@ -200,7 +201,15 @@
 	if err != nil {
 		return err
 	}
-	return trace.Wrap(json.Unmarshal(data, out))
+	if err := json.Unmarshal(data, out); err != nil {
+		return c.broken(err)
+	}
+	return nil
+}
+
+// broken returns the error for an answer that tells nothing of the outcome.
+func (c *client) broken(cause error) error {
+	return trace.ConnectionProblem(cause, "%s: the answer is broken: %v", c.config.Address, cause)
 }
 
 // do makes one request and returns the body of its answer.
@@ -228,6 +237,9 @@
 	if len(data) > maxAnswerBytes {
 		return nil, trace.ConnectionProblem(nil, "%s: the answer has more than %d bytes", c.config.Address, maxAnswerBytes)
 	}
+	if err := parser.CheckResponse(response); err != nil {
+		return nil, c.broken(err)
+	}
 	if response.StatusCode == http.StatusOK {
 		return data, nil
 	}
@@ -249,7 +261,7 @@
 		r.Detail = strings.TrimSpace(string(data))
 	}
 	r.Status = status
-	if status >= http.StatusInternalServerError {
+	if status < http.StatusBadRequest || status >= http.StatusInternalServerError {
 		return trace.ConnectionProblem(r, "%s", r.Error())
 	}
 	return r
