--- a/operator/broken_test.go
+++ b/operator/broken_test.go
@@ -1,12 +1,12 @@
 package operator_test
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -18,29 +18,22 @@
 	"waxwingseam.example/waxwingseam/operator"
 )
 
-// newClient returns a client of a replica that sends an answer to each request and closes the
+// newClient returns a client of a replica that sends an answer to each request and ends the
 // connection.
-func newClient(t *testing.T, answer string) operator.Client {
-	var lc net.ListenConfig
-	listener, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			if r, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.Copy(io.Discard, r.Body)
-				_, _ = io.WriteString(conn, answer)
-			}
-			_ = conn.Close()
-		}
-	}()
-	return operator.New(operator.Config{Address: listener.Addr().String(), Name: "dina"})
+func newClient(t *testing.T, answer string, end func(*net.TCPConn)) operator.Client {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		qt.Check(t, err, qt.IsNil)
+		_, _ = io.WriteString(conn, answer)
+		end(conn.(*net.TCPConn))
+	}))
+	t.Cleanup(server.Close)
+	return operator.New(operator.Config{Address: server.Listener.Addr().String(), Name: "dina"})
 }
 
+func closed(c *net.TCPConn) { _ = c.Close() }
+
 const (
 	accepted = `{"revision":7}`
 	refused  = `{"reason":"bad-request","title":"Bad Request"}`
@@ -78,7 +71,7 @@
 		{"cut off, refused", "HTTP/1.1 400 Bad Request\r\nContent-Length: 99\r\n\r\n" + refused},
 	} {
 		t.Run(v.name, func(t *testing.T) {
-			_, err := newClient(t, v.answer).Submit(t.Context(), administrator.Submission{})
+			_, err := newClient(t, v.answer, closed).Submit(t.Context(), administrator.Submission{})
 			qt.Assert(t, trace.IsConnectionProblem(err), qt.IsTrue, qt.Commentf("%v", err))
 		})
 	}
@@ -93,11 +86,11 @@
 		"HTTP/1.0 200 OK\r\n\r\n" + accepted,
 		"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + withLength("HTTP/1.1 200 OK\r\n", accepted),
 	} {
-		got, err := newClient(t, answer).Submit(t.Context(), administrator.Submission{})
+		got, err := newClient(t, answer, closed).Submit(t.Context(), administrator.Submission{})
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, uint64(got.Revision), qt.Equals, uint64(7))
 	}
-	_, err := newClient(t, withLength("HTTP/1.1 400 Bad Request\r\n", refused)).Submit(t.Context(), administrator.Submission{})
+	_, err := newClient(t, withLength("HTTP/1.1 400 Bad Request\r\n", refused), closed).Submit(t.Context(), administrator.Submission{})
 	var r *operator.Refusal
 	qt.Assert(t, errors.As(err, &r), qt.IsTrue)
 	qt.Assert(t, trace.IsConnectionProblem(err), qt.IsFalse)
@@ -106,23 +99,11 @@
 // TestResetSetLooksWhole guards against a set without a length that is reset, and that the client
 // takes as whole.
 func TestResetSetLooksWhole(t *testing.T) {
-	var lc net.ListenConfig
-	listener, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	defer func() { _ = listener.Close() }()
-	read := make(chan struct{})
-	go func() {
-		conn, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		_, _ = http.ReadRequest(bufio.NewReader(conn))
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n[service fees]\n")
-		<-read
-		_ = conn.(*net.TCPConn).SetLinger(0)
-		_ = conn.Close()
-	}()
-	time.AfterFunc(20*time.Millisecond, func() { close(read) })
-	_, err = operator.New(operator.Config{Address: listener.Addr().String(), Name: "dina"}).Format(t.Context(), 0)
+	client := newClient(t, "HTTP/1.1 200 OK\r\n\r\n[service fees]\n", func(c *net.TCPConn) {
+		time.Sleep(20 * time.Millisecond)
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	})
+	_, err := client.Format(t.Context(), 0)
 	qt.Assert(t, trace.IsConnectionProblem(err), qt.IsTrue, qt.Commentf("%v", err))
 }
