cmd/waxwingseam: a broken answer is not printed as a route

route printed what came in an answer with HTTP/2.0 or with a blank in the name of its length. Cause: http.Client accepts more than the protocol allows. parser.CheckResponse refuses it.

--- a/cmd/waxwingseam/route.go
+++ b/cmd/waxwingseam/route.go
@@ -16,6 +16,7 @@
 	"github.com/gravitational/trace"
 
 	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/parser"
 )
 
 const (
@@ -76,6 +77,9 @@
 	if reply.StatusCode != http.StatusOK {
 		return route, trace.Errorf("the node answered %s", reply.Status)
 	}
+	if err := parser.CheckResponse(reply); err != nil {
+		return route, trace.Wrap(err, "the answer of the node is broken")
+	}
 	return route, trace.Wrap(json.NewDecoder(io.LimitReader(reply.Body, maxRouteBytes)).Decode(&route))
 }
 
