imitator: a broken answer is no success of a call

A stand-in took a status below 100 for a success of its call, and answers that break the protocol. Four of seven cases of TestBrokenAnswerToChildCall fail before. Cause: each status below 400 counted.

--- a/imitator/child.go
+++ b/imitator/child.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"waxwingseam.example/waxwingseam"
+	"waxwingseam.example/waxwingseam/parser"
 )
 
 // directTimeout is the timeout of one direct call to another stand-in.
@@ -80,7 +81,7 @@
 }
 
 // send makes one call and reads its response to the end. It reports whether the
-// response was complete and had a status below 400.
+// response was complete, keeps the protocol and had a status below 400.
 func (i *Imitator) send(ctx context.Context, r *http.Request, c Child, address netip.AddrPort, path string) bool {
 	method := c.Method
 	if method == "" {
@@ -100,6 +101,8 @@
 		return false
 	}
 	defer func() { _ = response.Body.Close() }()
-	_, err = io.Copy(io.Discard, response.Body)
-	return err == nil && response.StatusCode < http.StatusBadRequest
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return false
+	}
+	return parser.CheckResponse(response) == nil && response.StatusCode < http.StatusBadRequest
 }
