demonstrator: a broken answer is no success

The load took a status below 100 for a success, and answers that break the protocol. TestBrokenAnswerSucceeds fails before. Cause: each status below 400 counted.

--- a/demonstrator/load.go
+++ b/demonstrator/load.go
@@ -18,6 +18,7 @@
 	"waxwingseam.example/waxwingseam/auditor"
 	"waxwingseam.example/waxwingseam/imitator"
 	"waxwingseam.example/waxwingseam/launcher"
+	"waxwingseam.example/waxwingseam/parser"
 )
 
 const (
@@ -240,6 +241,10 @@
 		p.lastResult = "answer cut off"
 		return false
 	}
+	if err := parser.CheckResponse(response); err != nil {
+		p.lastResult = "answer broken: " + err.Error()
+		return false
+	}
 	p.lastResult = describeResponse(response)
 	if response.StatusCode >= http.StatusBadRequest {
 		return false
