soaker: callers notice answers that break the protocol

A soak had no finding if a caller got a status below 100, half of a problem, or a head, a trailer or chunks that break the protocol: such a request had no answer, or another status than 200, like one of a node that was killed.

The guarantee answers-keep-protocol covers them; a part of a body that looks whole was a finding of own-bytes already. Ordinary callers beside untrusted clients count such answers as not served.

--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,6 +21,7 @@
 	"waxwingseam.example/waxwingseam/auditor"
 	"waxwingseam.example/waxwingseam/forwarder"
 	"waxwingseam.example/waxwingseam/imitator"
+	"waxwingseam.example/waxwingseam/parser"
 )
 
 const (
@@ -61,7 +63,9 @@
 	// connected is set unless dialling the node failed.
 	connected bool
 	err       error
-	answer    auditor.Answer
+	// broken is how the answer breaks the protocol; nil if it keeps it.
+	broken error
+	answer auditor.Answer
 	// key is the key of a client account, and account the account that holds it, or that of
 	// the caller if none does.
 	key     string
@@ -188,6 +192,7 @@
 		r.fail(err)
 		return
 	}
+	r.broken = checkAnswer(response, data)
 	r.status = response.StatusCode
 	r.outcome = response.Header.Get(forwarder.HeaderOutcome)
 	r.stated = waxwingseam.NewStatement(response.Header.Get(forwarder.HeaderRateLimit), response.Header.Get(forwarder.HeaderLeaving))
@@ -196,9 +201,34 @@
 	}
 }
 
+// checkAnswer returns what is wrong with an answer that was received to its end.
+func checkAnswer(response *http.Response, data []byte) error {
+	if response.Header.Get("Content-Type") == "application/problem+json" && !json.Valid(data) {
+		return trace.BadParameter("the problem is cut off")
+	}
+	return trace.Wrap(parser.CheckResponse(response))
+}
+
+// breaksProtocol reports whether a request has failed because of its answer, and not of its
+// connection or its time.
+func breaksProtocol(err error) bool {
+	var operation *net.OpError
+	var failure net.Error
+	switch {
+	case errors.As(err, &operation), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return false
+	case errors.As(err, &failure) && failure.Timeout(), errors.Is(err, context.Canceled):
+		return false
+	}
+	return !strings.Contains(err.Error(), "server closed idle connection")
+}
+
 // fail records why there is no answer.
 func (r *request) fail(err error) {
 	r.err = err
+	if breaksProtocol(err) {
+		r.broken = err
+	}
 	if r.leavesAfter > 0 && errors.Is(err, context.DeadlineExceeded) {
 		r.left = time.Now()
 	}
--- a/soaker/clients.go
+++ b/soaker/clients.go
@@ -20,6 +20,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"waxwingseam.example/waxwingseam/parser"
 )
 
 const (
@@ -251,6 +253,8 @@
 	switch {
 	case err != nil:
 		return "broken off"
+	case parser.CheckResponse(response) != nil:
+		return "broken"
 	case response.StatusCode != http.StatusOK:
 		return response.Status + " " + problem.Reason
 	}
--- a/soaker/promises.go
+++ b/soaker/promises.go
@@ -52,6 +52,7 @@
 		{"at-most-once", atMostOnce},
 		{"did-not-run", didNotRun},
 		{"own-bytes", ownBytes},
+		{"answers-keep-protocol", answersKeepProtocol},
 		{"answered-in-time", answeredInTime},
 		{"uninterrupted", uninterrupted},
 		{"not-begun-for-nobody", notBegunForNobody},
@@ -111,6 +112,17 @@
 	return nil
 }
 
+// answersKeepProtocol checks that no answer breaks the protocol.
+func answersKeepProtocol(e evidence) []string {
+	var violations []string
+	for _, r := range e.requests {
+		if r.broken != nil {
+			violations = append(violations, fmt.Sprintf("%s got a broken answer with status %d: %v", r.tag, r.status, r.broken))
+		}
+	}
+	return violations
+}
+
 // answeredInTime checks that no request lasted callTimeout or longer, unless its
 // node was killed or paused meanwhile.
 func answeredInTime(e evidence) []string {
