--- a/forwarder/malformedreply_test.go
+++ b/forwarder/malformedreply_test.go
@@ -43,6 +43,7 @@
 		{"folded trailer", chunkedReply + "Sum: 7\r\n 8\r\n\r\n"},
 		{"head of 100 before", "HTTP/1.1 100 Continue\r\n\r\n" + wholeReply},
 		{"heads of 102 and 103 before", "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + wholeReply},
+		{"many heads of 103 before", strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", 500) + wholeReply},
 		{"status 600", "HTTP/1.1 600 Lot\r\n" + lengthBody},
 		{"status 999", "HTTP/1.1 999 Lot\r\n" + lengthBody},
 	}
@@ -67,6 +68,7 @@
 // invalidHeads returns replies with a head, or with chunks, that break the protocol.
 func invalidHeads() []replyCase {
 	return []replyCase{
+		{"status 000 behind many heads of 103", strings.Repeat("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", 500) + "HTTP/1.1 000 Lot\r\n\r\n" + wholeReply},
 		{"control byte in the reason", "HTTP/1.1 200 O\x01K\r\n" + lengthBody},
 		{"HTTP/2.0", "HTTP/2.0 200 OK\r\n" + lengthBody},
 		{"HTTP/0.9", "HTTP/0.9 200 OK\r\n" + lengthBody},
