soaker: backend servers that break their answers

From a stream of its own, so that the other faults of a seed stay as they are, a backend server answers with a status below 100, blanks in names, other versions, HTTP/1.0 in chunks, and bytes that break off.

Resets stay with the tests over sockets: the relay before a backend server does not pass them on as such.

--- a/imitator/behavior.go
+++ b/imitator/behavior.go
@@ -22,6 +22,7 @@
 type behavior struct {
 	mu             sync.Mutex
 	fail           bool
+	breaking       bool
 	healthInverted bool
 	draining       bool
 	slowFactor     float64
--- a/imitator/imitator.go
+++ b/imitator/imitator.go
@@ -205,6 +205,10 @@
 		http.Error(w, "failed by setting", http.StatusInternalServerError)
 		return
 	}
+	if i.behavior.isBreaking() {
+		i.breakAnswer(w, r)
+		return
+	}
 	run := i.ledger.begin(r)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
--- a/soaker/disturb.go
+++ b/soaker/disturb.go
@@ -68,6 +68,10 @@
 		h.server.SetFailing(true)
 		time.Sleep(s.Duration)
 		h.server.SetFailing(false)
+	case FaultBackendBreaks:
+		h.server.SetBreaking(true)
+		time.Sleep(s.Duration)
+		h.server.SetBreaking(false)
 	case FaultBackendSlow:
 		const factor = 10
 		h.server.SetSlowdown(factor)
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -90,6 +90,7 @@
 		PlanStatements(config.Seed, config.Duration, config.ServersPerService),
 		PlanClients(config.Seed, config.Duration, config.ServersPerService),
 		PlanAccounts(config.Seed, config.Duration),
+		PlanBrokenAnswers(config.Seed, config.Duration, 2*config.ServersPerService),
 	)}
 	slices.SortStableFunc(report.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	// The backend servers outlive the processes, which may still answer requests.
