--- a/forwarder/backendconn.go
+++ b/forwarder/backendconn.go
@@ -4,10 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
-	"math"
 	"net"
-	"net/http"
 	"os"
 	"slices"
 	"sync"
@@ -18,7 +15,6 @@
 	"github.com/gravitational/trace"
 
 	"waxwingseam.example/waxwingseam"
-	"waxwingseam.example/waxwingseam/parser"
 )
 
 const (
@@ -193,7 +189,7 @@
 	refused []waxwingseam.CallID
 	// writing guards writeErr, and is locked while something is written.
 	writing sync.Mutex
-	// writeErr is the error of the last write that failed; nil without one.
+	// writeErr is the error of the first write that failed; nil without one.
 	writeErr error
 	// suspected is set if the last check found the other end silent.
 	suspected atomic.Bool
@@ -219,7 +215,7 @@
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.conn.Write(p)
-	if err != nil {
+	if err != nil && c.writeErr == nil {
 		c.writeErr = err
 	}
 	return n, err
@@ -299,101 +295,6 @@
 	c.suspected.Store(suspected)
 }
 
-// backendReply is a reply of the backend server. Its body need not be read or closed,
-// but the connection can carry another request only if it was read to its end.
-type backendReply struct {
-	head replyHead
-	body io.Reader
-	// last is set if no other reply follows on the connection.
-	last bool
-}
-
-// closeDelimitedBody is the body of a reply that ends with its connection.
-type closeDelimitedBody struct {
-	conn *backendConn
-	body io.Reader
-}
-
-// Read implements io.Reader. It returns io.EOF only if the connection was closed in order.
-func (b closeDelimitedBody) Read(p []byte) (int, error) {
-	n, err := b.body.Read(p)
-	if errors.Is(err, io.EOF) {
-		if cause := b.conn.endError(); cause != nil {
-			err = cause
-		}
-	}
-	return n, err
-}
-
-// bodyOf returns the body of a reply.
-func (c *backendConn) bodyOf(r *parser.Response) io.Reader {
-	body := parser.NewResponseBody(r, c.reader)
-	if r.Framing == parser.FramingClose {
-		return closeDelimitedBody{conn: c, body: body}
-	}
-	return body
-}
-
-// readReplyHead reads the head of the reply to a request with a method.
-func (c *backendConn) readReplyHead(method string) (*backendReply, error) {
-	// Informational heads count as well.
-	c.readable = maxHeaderBytes - int64(c.reader.Buffered())
-	for {
-		head, err := c.readHead()
-		if err != nil {
-			return nil, err
-		}
-		response, err := parser.ParseResponse(head, method)
-		if err != nil {
-			return nil, err
-		}
-		if response.Status == http.StatusSwitchingProtocols {
-			return nil, trace.BadParameter("the reply switches protocols")
-		}
-		if response.Status >= http.StatusOK {
-			c.readable = math.MaxInt64
-			return &backendReply{
-				head: replyHead{
-					Status: response.Status,
-					Header: response.Header,
-					Length: response.Length,
-				},
-				body: c.bodyOf(response),
-				last: response.Close,
-			}, nil
-		}
-	}
-}
-
-// readHead reads a head with its empty line. It is valid until the next call.
-func (c *backendConn) readHead() ([]byte, error) {
-	head := c.head[:0]
-	for begin := 0; ; begin = len(head) {
-		for {
-			part, err := c.reader.ReadSlice('\n')
-			head = append(head, part...)
-			if err == nil {
-				break
-			}
-			if !errors.Is(err, bufio.ErrBufferFull) {
-				return nil, trace.Wrap(err)
-			}
-		}
-		if line := head[begin:]; len(line) == 1 || len(line) == 2 && line[0] == '\r' {
-			if cap(head) <= maxKeptHead {
-				c.head = head
-			}
-			return head, nil
-		}
-	}
-}
-
-// keepable reports whether the connection can carry another request after a reply
-// whose body was read to its end.
-func (c *backendConn) keepable(r *backendReply) bool {
-	return !r.last && c.reader.Buffered() == 0
-}
-
 // noteRefused records that the connection has carried the refusal of a call. It returns
 // false if the connection must be closed, as it has carried too many.
 func (c *backendConn) noteRefused(call waxwingseam.CallID) bool {
