--- a/parser/check.go
+++ b/parser/check.go
@@ -11,7 +11,7 @@
 // which accepts more than the protocol allows. Trailers are checked if the body was read. Errors
 // are bad parameters.
 func CheckResponse(r *http.Response) error {
-	if r.StatusCode < minStatus || r.Status[0] == '+' {
+	if r.StatusCode < minStatus {
 		return trace.BadParameter("the status is malformed")
 	}
 	// A client that has negotiated HTTP/2 has done so with TLS.
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -199,7 +199,7 @@
 		}
 	}
 	encoded := strings.Contains(strings.ToLower(head), "transfer-encoding")
-	return r.ProtoMajor == 1 && (r.ProtoMinor > 0 || !encoded) && r.StatusCode >= 100 && r.Status[0] != '+'
+	return r.ProtoMajor == 1 && (r.ProtoMinor > 0 || !encoded) && r.StatusCode >= 100
 }
 
 // TestAllocationPerField guards against heads of many short fields that cost many times
