--- a/soaker/clientfault.go
+++ b/soaker/clientfault.go
@@ -23,18 +23,7 @@
 // PlanClients returns the mixes of untrusted clients of a soak. The same arguments give the
 // same mixes.
 func PlanClients(seed uint64, duration time.Duration, nodes int) []Step {
-	const stream = 3
-	random := rand.New(rand.NewPCG(seed, stream))
-	var steps []Step
-	for at := time.Duration(random.Int64N(int64(meanClientGap))); at < duration; at += time.Duration(random.Int64N(int64(2 * meanClientGap))) {
-		steps = append(steps, Step{
-			At:       at,
-			Fault:    FaultClients,
-			Target:   random.IntN(nodes),
-			Duration: minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration))),
-		})
-	}
-	return steps
+	return planApart(rand.New(rand.NewPCG(seed, 3)), FaultClients, meanClientGap, duration, nodes)
 }
 
 // playClients runs a mix of untrusted clients at a node.
--- a/soaker/fault.go
+++ b/soaker/fault.go
@@ -105,3 +105,18 @@
 	}
 	return steps
 }
+
+// planApart returns faults of one kind, of random targets, that start a random time apart and last
+// between minFaultDuration and maxFaultDuration.
+func planApart(random *rand.Rand, fault Fault, meanGap, duration time.Duration, targets int) []Step {
+	var steps []Step
+	for at := time.Duration(random.Int64N(int64(meanGap))); at < duration; at += time.Duration(random.Int64N(int64(2 * meanGap))) {
+		steps = append(steps, Step{
+			At:       at,
+			Fault:    fault,
+			Target:   random.IntN(targets),
+			Duration: minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration))),
+		})
+	}
+	return steps
+}
