--- a/forwarder/resetreply_test.go
+++ b/forwarder/resetreply_test.go
@@ -311,3 +311,24 @@
 func (a answer) completed() bool {
 	return !a.broken && a.header.Get(forwarder.HeaderOutcome) == "completed"
 }
+
+// TestResetRefusal guards against a refusal whose promise is lost with its body, and against one
+// whose head breaks the protocol and that is taken for a promise.
+func TestResetRefusal(t *testing.T) {
+	for _, v := range []struct{ head, want string }{
+		{"HTTP/1.1 503 Service Unavailable\r\n\r\n", "did-not-run"},
+		{"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 900000\r\n\r\n", "did-not-run"},
+		{"HTTP/1.1 503 Service Unavailable\r\nBad : x\r\n\r\n", "may-have-run"},
+		{"HTTP/1.1 000 Service Unavailable\r\n\r\n", "may-have-run"},
+	} {
+		tb := &testbed{t: t, net: newNetwork()}
+		address := socketBackend(t, func(c *net.TCPConn) {
+			_, _ = io.WriteString(c, v.head+"busy")
+			closeUnread(c)
+		})
+		back := tb.newNode(nodeConfig{service: "ledger", name: "ledger-1", backend: address, backendDialer: lateReading{left: len(v.head)}, protocol: refusals{}})
+		back.updateServers(back)
+		got := back.serve(uploadRequest(true, 0))
+		qt.Check(t, got.header.Get(forwarder.HeaderOutcome), qt.Equals, v.want, qt.Commentf("%q", v.head))
+	}
+}
