--- /dev/null
+++ b/review/standins3/main.go
@@ -0,0 +1,50 @@
+//go:build review3
+
+// Command standins3 plays the platform, the operator, clients and backend servers for the
+// scripts of the third review.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+// The exit codes of a case.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitNotRun = 2
+)
+
+// cases maps the name of a case to its play, which reports whether the rule held.
+var cases = map[string]func(p *play) (held bool, err error){
+	"lost-disks": lostDisks,
+}
+
+func main() {
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standins3 CASE PROGRAM RECORD")
+		os.Exit(exitNotRun)
+	}
+	os.Exit(run(os.Args[1], os.Args[2], os.Args[3]))
+}
+
+func run(name, program, record string) int {
+	p, err := newPlay(program, record)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	defer p.end()
+	held, err := cases[name](p)
+	switch {
+	case err != nil:
+		p.note("the case could not run: %v", err)
+		return exitNotRun
+	case !held:
+		p.note("RESULT: the rule was broken")
+		return exitBroken
+	}
+	p.note("RESULT: the rule held")
+	return exitHeld
+}
