--- a/review/standins3/core.go
+++ b/review/standins3/core.go
@@ -21,6 +21,9 @@
 	sideHost = 92
 )
 
+// seedsPlaceholder is the list of seeds in a template, without the outer braces.
+const seedsPlaceholder = "#seeds}}{{.}}{{,}}{{/seeds"
+
 const (
 	controlPort = 6
 	lastPort    = 15
@@ -45,11 +48,11 @@
 	return fmt.Sprintf("127.0.%d.%d", coreHost, n+1)
 }
 
-// seeds returns the control addresses of the first machines.
-func (p *play) seeds() string {
+// seeds returns the control addresses of three machines, from the first one on.
+func (p *play) seeds(first int) string {
 	var list []string
 	for n := range seedCount {
-		list = append(list, fmt.Sprintf("%s:%d", coreAddress(n), p.port+controlPort))
+		list = append(list, fmt.Sprintf("%s:%d", coreAddress(first+n), p.port+controlPort))
 	}
 	return strings.Join(list, ",")
 }
@@ -59,9 +62,9 @@
 	return map[string]string{
 		"zone": zone, "ip": ip,
 		"portRange.0": strconv.Itoa(p.port), "portRange.1": strconv.Itoa(p.port + lastPort),
-		"#seeds}}{{.}}{{,}}{{/seeds": p.seeds(),
-		"bounds.grace":               "6s",
-		"limits.memoryMb":            "280",
+		seedsPlaceholder:  p.seeds(0),
+		"bounds.grace":    "6s",
+		"limits.memoryMb": "280",
 	}
 }
 
@@ -69,12 +72,7 @@
 func (p *play) startCore() (*core, error) {
 	c := &core{play: p}
 	for n := range coreSize {
-		values := p.common(coreAddress(n), fmt.Sprintf("zone-%d", n%3))
-		values["bootstrap"] = "true"
-		values["faultTolerance.machines"] = "2"
-		values["listenAddrs.control"] = fmt.Sprintf("%s:%d", coreAddress(n), p.port+controlPort)
-		values["dataDir"] = c.disk(n)
-		c.replicas = append(c.replicas, p.newProcess(fmt.Sprintf("core-%d", n), "deploy/control.ini.template", values))
+		c.add("true")
 		if err := c.restart(n); err != nil {
 			return nil, err
 		}
@@ -85,6 +83,17 @@
 	return c, nil
 }
 
+// add adds a machine with an empty disk, which is not started yet.
+func (c *core) add(bootstrap string) {
+	n := len(c.replicas)
+	values := c.play.common(coreAddress(n), fmt.Sprintf("zone-%d", n%3))
+	values["bootstrap"] = bootstrap
+	values["faultTolerance.machines"] = "2"
+	values["listenAddrs.control"] = fmt.Sprintf("%s:%d", coreAddress(n), c.play.port+controlPort)
+	values["dataDir"] = c.disk(n)
+	c.replicas = append(c.replicas, c.play.newProcess(fmt.Sprintf("core-%d", n), "deploy/control.ini.template", values))
+}
+
 func (c *core) disk(n int) string {
 	return fmt.Sprintf("%s/disk-%d", c.play.folder, n)
 }
@@ -157,8 +166,8 @@
 	return status, version
 }
 
-// whole waits until a machine says that all machines of the core vote.
-func (c *core) whole(limit time.Duration) bool {
+// whole waits until a machine says that there are so many members, which all vote.
+func (c *core) whole(want int, limit time.Duration) bool {
 	until := time.Now().Add(limit)
 	for time.Now().Before(until) {
 		_, data := c.call(0, http.MethodGet, "/v1/status", nil, time.Second)
@@ -176,7 +185,7 @@
 					voters++
 				}
 			}
-			if voters == coreSize && len(s.Log.Members) == coreSize {
+			if voters == want && len(s.Log.Members) == want {
 				return true
 			}
 		}
--- a/review/standins3/lostdisks.go
+++ b/review/standins3/lostdisks.go
@@ -16,7 +16,7 @@
 	if err != nil {
 		return false, err
 	}
-	if !c.whole(20 * time.Second) {
+	if !c.whole(coreSize, 20*time.Second) {
 		return false, errors.New("the core did not found itself")
 	}
 	routes := []route{{"lots", "lots.example", "/lots/", "safe", "5000ms", "lotdesk", 2}}
@@ -47,16 +47,22 @@
 			return false, err
 		}
 	}
-	p.note("all machines run; waiting for recover, %v", recoverTime)
+	return c.keeps(1, 0), nil
+}
+
+// keeps reports whether a machine from the first one on still tells the manifest of a version
+// or a later one after recover.
+func (c *core) keeps(want, first int) bool {
+	c.play.note("all machines run; waiting for recover, %v", recoverTime)
 	time.Sleep(recoverTime)
 	for until := time.Now().Add(2 * stableWindow); time.Now().Before(until); time.Sleep(200 * time.Millisecond) {
-		for n := range coreSize {
+		for n := first; n < len(c.replicas); n++ {
 			status, version := c.read(n)
-			p.note("GET /config at core-%d: %d, r%d", n, status, version)
-			if version >= 1 {
-				return true, nil
+			c.play.note("GET /config at core-%d: %d, r%d", n, status, version)
+			if version >= want {
+				return true
 			}
 		}
 	}
-	return false, nil
+	return false
 }
--- a/review/standins3/main.go
+++ b/review/standins3/main.go
@@ -18,7 +18,8 @@
 
 // cases maps the name of a case to its play, which reports whether the rule held.
 var cases = map[string]func(p *play) (held bool, err error){
-	"lost-disks": lostDisks,
+	"lost-disks":    lostDisks,
+	"replaced-core": replacedCore,
 }
 
 func main() {
