--- a/review/standins3/main.go
+++ b/review/standins3/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(p *play) (held bool, err error){
 	"lost-disks":    lostDisks,
 	"replaced-core": replacedCore,
+	"retry-budget":  retryBudget,
 }
 
 func main() {
