--- a/review/standins3/main.go
+++ b/review/standins3/main.go
@@ -18,9 +18,10 @@
 
 // cases maps the name of a case to its play, which reports whether the rule held.
 var cases = map[string]func(p *play) (held bool, err error){
-	"lost-disks":    lostDisks,
-	"replaced-core": replacedCore,
-	"retry-budget":  retryBudget,
+	"lost-disks":               lostDisks,
+	"replaced-core":            replacedCore,
+	"retry-budget":             retryBudget,
+	"leave-beside-frozen-node": leaveBesideFrozenNode,
 }
 
 func main() {
--- a/review/standins3/side.go
+++ b/review/standins3/side.go
@@ -91,6 +91,8 @@
 	path     string
 	caller   string
 	body     string
+	// runs is unset if the request is rejected.
+	runs bool
 }
 
 // backend is a backend server. It runs requests with slots and without a queue, and makes
@@ -107,6 +109,7 @@
 	work time.Duration
 	// lost is the share of the answers that are lost after the run, by a reset.
 	lost atomic.Pointer[float64]
+	odd  bool
 	// calls are the host and path of the calls that each request makes, one after the other.
 	calls    []string
 	callHost string
@@ -215,13 +218,14 @@
 		refuse(http.StatusBadRequest)
 		return
 	}
+	runs := b.running.Add(1) <= b.slots
 	b.mu.Lock()
 	b.arrivals = append(b.arrivals, arrival{
 		at: now, service: b.machine.service, instance: b.instance, id: id, method: r.Method,
-		path: r.URL.RequestURI(), caller: r.Header.Get("X-Caller-Service"), body: string(body),
+		path: r.URL.RequestURI(), caller: r.Header.Get("X-Caller-Service"), body: string(body), runs: runs,
 	})
 	b.mu.Unlock()
-	if b.running.Add(1) > b.slots {
+	if !runs {
 		b.running.Add(-1)
 		refuse(http.StatusServiceUnavailable)
 		return
