--- a/review/standins3/lostdisks.go
+++ b/review/standins3/lostdisks.go
@@ -36,6 +36,10 @@
 			return false, err
 		}
 		time.Sleep(catchUp + 200*time.Millisecond)
+		// From now on the settings name seeds that run.
+		for _, n := range []int{0, 3} {
+			c.replicas[n].values[seedsPlaceholder] = p.seeds(1)
+		}
 		p.note("catchUp and 0.2 s have passed since the start of core-4: 1 machine lost")
 		p.note("core-3 loses its disk and starts again: 2 machines lost")
 		if err := c.loseDisk(3); err != nil {
