--- a/review/standins3/main.go
+++ b/review/standins3/main.go
@@ -21,6 +21,7 @@
 	"lost-disks":               lostDisks,
 	"replaced-core":            replacedCore,
 	"retry-budget":             retryBudget,
+	"refused-after-freeze":     refusedAfterFreeze,
 	"leave-beside-frozen-node": leaveBesideFrozenNode,
 }
 
