--- a/review/standins3/budget.go
+++ b/review/standins3/budget_test.go
@@ -1,6 +1,6 @@
 //go:build review3
 
-package main
+package standins3
 
 import (
 	"errors"
--- a/review/standins3/main.go
+++ b/review/standins3/main_test.go
@@ -1,12 +1,13 @@
 //go:build review3
 
-// Command standins3 plays the platform, the operator, clients and backend servers for the
+// Package standins3 plays the platform, the operator, clients and backend servers for the
 // scripts of the third review.
-package main
+package standins3
 
 import (
 	"fmt"
 	"os"
+	"testing"
 )
 
 // The exit codes of a case.
@@ -25,7 +26,8 @@
 	"leave-beside-frozen-node": leaveBesideFrozenNode,
 }
 
-func main() {
+// TestMain plays the case that the arguments name.
+func TestMain(*testing.M) {
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins3 CASE PROGRAM RECORD")
 		os.Exit(exitNotRun)
