--- a/review/standins3/lateleave_test.go
+++ b/review/standins3/lateleave_test.go
@@ -24,9 +24,9 @@
 		return false, errors.New("the core did not found itself")
 	}
 	var machines []*machine
-	for n := range 4 {
+	for n := range 5 {
 		service := "rosters"
-		if n == 3 {
+		if n >= 3 {
 			service = "jobboard"
 		}
 		m, err := p.startMachine(n, service)
