--- a/proposer/join.go
+++ b/proposer/join.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -16,9 +18,6 @@
 // errRemoved reports that the replica was removed from the cluster.
 var errRemoved = errors.New("no longer a member: empty the data folder to join again")
 
-// joinInterval is the time between two rounds of join requests.
-const joinInterval = 500 * time.Millisecond
-
 // join asks the configured replicas to add this one as a learner with a new
 // storage ID, and formats the data folder once it has been added.
 func (p *proposer) join(ctx context.Context) error {
@@ -48,7 +47,7 @@
 
 // formatWithRoom formats the data folder, and waits for room while the disk is full.
 func (p *proposer) formatWithRoom(ctx context.Context, identity waxwingseam.ReplicaIdentity) error {
-	ticker := time.NewTicker(joinInterval)
+	ticker := time.NewTicker(p.config.joinInterval())
 	defer ticker.Stop()
 	for waiting := false; ; waiting = true {
 		err := journaler.Format(p.disk, identity, waxwingseam.PersistReplica{})
@@ -65,31 +64,83 @@
 }
 
 func (p *proposer) requestJoinUntilAccepted(ctx context.Context, member waxwingseam.Member) (waxwingseam.ClusterID, error) {
-	ticker := time.NewTicker(joinInterval)
-	defer ticker.Stop()
+	var cluster waxwingseam.ClusterID
 	var last waxwingseam.ReplicaReason
-	for {
-		for _, address := range p.config.Join {
-			a := p.requestJoin(ctx, address, &JoinRequest{Member: member})
-			if a.Reason == "" {
-				return a.Cluster, nil
-			}
-			p.setRefused(a.Reason)
-			if a.Reason != last {
-				last = a.Reason
-				p.config.Logger.Warn("not joined yet", "address", address, "reason", a.Reason)
-			}
+	ask := func(ctx context.Context, address netip.AddrPort) *JoinAnswer {
+		return p.requestJoin(ctx, address, &JoinRequest{Member: member})
+	}
+	accepted := askReplicas(ctx, p.config.Join, p.config.joinInterval(), ask, func(address netip.AddrPort, a *JoinAnswer) bool {
+		if a.Reason == "" {
+			cluster = a.Cluster
+			return true
 		}
+		p.setRefused(a.Reason)
+		if a.Reason != last {
+			last = a.Reason
+			p.config.Logger.Warn("not joined yet", "address", address, "reason", a.Reason)
+		}
+		return false
+	})
+	if !accepted {
+		return "", trace.Wrap(ctx.Err())
+	}
+	return cluster, nil
+}
+
+// askFunc sends a join request to an address and returns the answer. It must return soon
+// after the context has ended.
+type askFunc func(ctx context.Context, address netip.AddrPort) *JoinAnswer
+
+// askReplicas sends a join request to all addresses at the same time, so that a replica that
+// does not answer delays none of the others. It passes each answer to conclusive, and returns
+// true once that has returned true. A replica that has answered is asked again after the
+// interval; with an interval of 0, askReplicas returns false once all have answered. It also
+// returns false once the context has ended.
+func askReplicas(ctx context.Context, addresses []netip.AddrPort, interval time.Duration, ask askFunc, conclusive func(netip.AddrPort, *JoinAnswer) bool) bool {
+	type reply struct {
+		address netip.AddrPort
+		answer  *JoinAnswer
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	replies := make(chan reply)
+	var asking sync.WaitGroup
+	defer asking.Wait()
+	defer cancel()
+	for _, address := range addresses {
+		asking.Go(func() {
+			for {
+				select {
+				case replies <- reply{address, ask(ctx, address)}:
+				case <-ctx.Done():
+				}
+				if interval == 0 || !sleep(ctx, interval) {
+					return
+				}
+			}
+		})
+	}
+	for answered := 0; interval > 0 || answered < len(addresses); answered++ {
 		select {
+		case r := <-replies:
+			if conclusive(r.address, r.answer) {
+				return true
+			}
 		case <-ctx.Done():
-			return "", trace.Wrap(ctx.Err())
-		case <-ticker.C:
+			return false
 		}
 	}
+	return false
+}
+
+// sleep waits for a time. It returns false if the context ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	return waitTick(ctx, timer.C)
 }
 
 func (p *proposer) requestJoin(ctx context.Context, address netip.AddrPort, q *JoinRequest) *JoinAnswer {
-	ctx, cancel := context.WithTimeout(ctx, p.config.RequestTimeout)
+	ctx, cancel := context.WithTimeout(ctx, p.config.joinRequestTimeout())
 	defer cancel()
 	conn, err := p.config.Dialer.Dial(ctx, address)
 	if err != nil {
@@ -107,7 +158,7 @@
 // an error if the other replicas belong to another cluster or the replica was
 // removed. With Rejoin set, it keeps checking for a removal until ctx ends.
 func (p *proposer) announce(ctx context.Context) error {
-	ticker := time.NewTicker(joinInterval)
+	ticker := time.NewTicker(p.config.joinInterval())
 	defer ticker.Stop()
 	announced := false
 	for {
@@ -145,23 +196,25 @@
 	}
 }
 
-// announceOnce sends the address to the other replicas in turn until one
-// accepts it, belongs to another cluster or reports a removal. It returns the
-// reason of that answer, and reports whether there was one; it also reports
-// true if there are no other replicas.
+// announceOnce sends the address to the other replicas until one accepts it,
+// belongs to another cluster or reports a removal. It returns the reason of that
+// answer, and reports whether there was one; it also reports true if there are no
+// other replicas.
 func (p *proposer) announceOnce(ctx context.Context) (waxwingseam.ReplicaReason, bool) {
 	status := p.Status()
-	q := &JoinRequest{Cluster: status.Cluster, Member: p.links.self()}
-	asked := false
-	for _, address := range p.otherAddresses(status) {
-		asked = true
-		a := p.requestJoin(ctx, address, q)
-		switch a.Reason {
-		case "", waxwingseam.ReasonClusterMismatch, waxwingseam.ReasonRemoved:
-			return a.Reason, true
-		}
+	addresses := p.otherAddresses(status)
+	var reason waxwingseam.ReplicaReason
+	ask := func(ctx context.Context, address netip.AddrPort) *JoinAnswer {
+		return p.requestJoin(ctx, address, &JoinRequest{Cluster: status.Cluster, Member: p.links.self()})
+	}
+	conclusive := askReplicas(ctx, addresses, 0, ask, func(_ netip.AddrPort, a *JoinAnswer) bool {
+		reason = a.Reason
+		return reason == "" || reason == waxwingseam.ReasonClusterMismatch || reason == waxwingseam.ReasonRemoved
+	})
+	if !conclusive {
+		return "", len(addresses) == 0
 	}
-	return "", !asked
+	return reason, true
 }
 
 // otherAddresses returns the addresses of the other members and those in
@@ -174,7 +227,7 @@
 		}
 	}
 	for _, address := range p.config.Join {
-		if address != p.config.Address {
+		if address != p.config.Address && !slices.Contains(out, address) {
 			out = append(out, address)
 		}
 	}
--- a/proposer/proposer.go
+++ b/proposer/proposer.go
@@ -27,6 +27,15 @@
 	DefaultLeaderTimeout  = 3 * time.Second
 	DefaultRequestTimeout = 5 * time.Second
 	DefaultMessageTimeout = 500 * time.Millisecond
+	DefaultJoinTime       = 4 * time.Second
+)
+
+// The parts of Config.JoinTime, as divisors. A join takes as long as the election of a
+// leader, if there is none, then up to two requests, the transfer of the log and the
+// promotion.
+const (
+	joinRequestPart  = 4
+	joinIntervalPart = 16
 )
 
 // MaxCommandBytes is the maximum size of a command.
@@ -65,9 +74,13 @@
 	Tick time.Duration
 	// LeaderTimeout limits how long a request waits for a leader.
 	LeaderTimeout time.Duration
-	// RequestTimeout limits a request to the leader, a join request and the
-	// transfer of one snapshot part.
+	// RequestTimeout limits a request to the leader and the transfer of one
+	// snapshot part.
 	RequestTimeout time.Duration
+	// JoinTime is the time in which a replica with an empty data folder is to
+	// join while a quorum runs. It determines the limit of one join request,
+	// including the dial, and the time between two requests to one replica.
+	JoinTime time.Duration
 	// MessageTimeout limits each delivery to another replica, and each dial that
 	// is not part of a join request. A connection on which a delivery exceeds it
 	// is closed and replaced.
@@ -87,6 +100,9 @@
 	if c.MessageTimeout == 0 {
 		c.MessageTimeout = DefaultMessageTimeout
 	}
+	if c.JoinTime == 0 {
+		c.JoinTime = DefaultJoinTime
+	}
 	if c.Logger == nil {
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
@@ -96,6 +112,17 @@
 	return c
 }
 
+// joinRequestTimeout limits one join request, including the dial.
+func (c Config) joinRequestTimeout() time.Duration {
+	return c.JoinTime / joinRequestPart
+}
+
+// joinInterval is the time between an answer to a join request and the next request to the
+// same replica.
+func (c Config) joinInterval() time.Duration {
+	return c.JoinTime / joinIntervalPart
+}
+
 // handoverTimeout returns how long a stopping leader waits for the next leader.
 func (c Config) handoverTimeout() time.Duration {
 	return time.Duration(cmp.Or(c.Replicator.ElectionTicks, replicator.DefaultElectionTicks)) * c.Tick
