replicator: a join is answered only once its change is committed

A replica that asks several replicas at once can have its first request appended to the log and its second one answered at once, since the member is in the membership in force. Should that change be dropped with its leader, the replica has formatted its folder for a cluster that does not know it; without Rejoin it then ends with "no longer a member". Found by reading.

A request that alters nothing is answered while the latest membership is committed, and refused as change-pending otherwise. The asking replica repeats it.

TestPendingMemberIsNotConfirmed fails before: the second request is answered.

--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -91,11 +91,11 @@
 		r.refuse(e.ID, reason)
 		return
 	}
-	if next == nil {
+	if next == nil && r.memberships.latestIndex() <= r.commit {
 		r.emit(waxwingseam.AnswerRequest{ID: e.ID, Index: r.commit})
 		return
 	}
-	if r.changePending() {
+	if next == nil || r.changePending() {
 		r.refuse(e.ID, waxwingseam.ReasonChangePending)
 		return
 	}
