replicator: a storage that is gone need not be silent before it is replaced

The process at the address refuses messages for the old storage as storage-mismatch, now also before it has joined. The leader is told, and replaces the storage at once. The change stays a committed change of one voter; a member that answers again is not replaced.

--- a/proposer/link.go
+++ b/proposer/link.go
@@ -27,11 +27,14 @@
 
 // links sends messages to the other replicas.
 type links struct {
-	config    Config
-	identity  waxwingseam.ReplicaIdentity
-	ctx       context.Context
-	cancel    context.CancelFunc
-	waitGroup sync.WaitGroup
+	config   Config
+	identity waxwingseam.ReplicaIdentity
+	// onMismatch is called when a replica refuses messages since it has another storage
+	// than the one that they are for.
+	onMismatch func(waxwingseam.StorageID)
+	ctx        context.Context
+	cancel     context.CancelFunc
+	waitGroup  sync.WaitGroup
 
 	mu    sync.Mutex
 	peers map[waxwingseam.StorageID]*link
@@ -51,11 +54,12 @@
 func newLinks(config Config, identity waxwingseam.ReplicaIdentity) *links {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &links{
-		config:   config,
-		identity: identity,
-		ctx:      ctx,
-		cancel:   cancel,
-		peers:    map[waxwingseam.StorageID]*link{},
+		config:     config,
+		identity:   identity,
+		onMismatch: func(waxwingseam.StorageID) {},
+		ctx:        ctx,
+		cancel:     cancel,
+		peers:      map[waxwingseam.StorageID]*link{},
 	}
 }
 
@@ -224,6 +228,9 @@
 		return err
 	}
 	k.recordRefusal(receipt.Reason)
+	if receipt.Reason == waxwingseam.ReasonStorageMismatch {
+		k.links.onMismatch(k.storage)
+	}
 	return nil
 }
 
--- a/proposer/loop.go
+++ b/proposer/loop.go
@@ -102,6 +102,14 @@
 	return waxwingseam.ReplicaTicked{Stamp: s}
 }
 
+// reportMismatch tells the reducer that the process at a member's address has another
+// storage.
+func (p *proposer) reportMismatch(id waxwingseam.StorageID) {
+	p.enqueue(p.links.ctx, func(s waxwingseam.Stamp) waxwingseam.Event {
+		return waxwingseam.StorageMismatched{Stamp: s, Storage: id}
+	})
+}
+
 // fillBatch adds queued events to a batch, up to batchSize.
 func (p *proposer) fillBatch(batch []eventFunc) []eventFunc {
 	for len(batch) < batchSize {
--- a/proposer/proposer.go
+++ b/proposer/proposer.go
@@ -230,6 +230,7 @@
 	p.journal = journal
 	p.reducer = replicator.New(config)
 	p.links = newLinks(p.config, identity)
+	p.links.onMismatch = p.reportMismatch
 	p.publish()
 	for _, m := range p.status.Members {
 		p.links.updatePeer(m.Member)
--- a/proposer/request.go
+++ b/proposer/request.go
@@ -182,6 +182,9 @@
 
 // Lead executes a request from another replica.
 func (p *proposer) Lead(ctx context.Context, q *LeaderRequest) (*LeaderAnswer, error) {
+	if p.Status().Cluster == "" {
+		return &LeaderAnswer{Reason: waxwingseam.ReasonNoQuorum}, nil
+	}
 	if reason := p.checkRecipient(q.Cluster, q.To); reason != "" {
 		return &LeaderAnswer{Reason: reason}, nil
 	}
@@ -189,12 +192,13 @@
 }
 
 // checkRecipient returns the reason why this replica cannot accept a message, or
-// "" if the message is for this replica.
+// "" if the message is for this replica. A replica that has not joined has no
+// storage.
 func (p *proposer) checkRecipient(cluster waxwingseam.ClusterID, to waxwingseam.StorageID) waxwingseam.ReplicaReason {
 	status := p.Status()
 	switch {
 	case status.Cluster == "":
-		return waxwingseam.ReasonNoQuorum
+		return waxwingseam.ReasonStorageMismatch
 	case status.Cluster != cluster:
 		return waxwingseam.ReasonClusterMismatch
 	case status.Self.Storage != to:
--- a/replicaevent.go
+++ b/replicaevent.go
@@ -11,6 +11,7 @@
 	KindMembershipProposed    Kind = "membership-proposed"
 	KindReadAsked             Kind = "read-asked"
 	KindHandoverAsked         Kind = "handover-asked"
+	KindStorageMismatched     Kind = "storage-mismatched"
 )
 
 // RequestID numbers the requests to one incarnation of a replica; 0 is none.
@@ -77,6 +78,13 @@
 	Stamp
 }
 
+// StorageMismatched says that the process at a member's address refused a message since it
+// does not have the member's storage.
+type StorageMismatched struct {
+	Stamp
+	Storage StorageID
+}
+
 // Kind implements Event.
 func (ReplicaTicked) Kind() Kind { return KindReplicaTicked }
 
@@ -103,3 +111,6 @@
 
 // Kind implements Event.
 func (HandoverAsked) Kind() Kind { return KindHandoverAsked }
+
+// Kind implements Event.
+func (StorageMismatched) Kind() Kind { return KindStorageMismatched }
--- a/replicator/cluster_test.go
+++ b/replicator/cluster_test.go
@@ -50,6 +50,8 @@
 	dropped func(m waxwingseam.ReplicaMessage) bool
 	// isolated holds the replicas that a partition separates from the others.
 	isolated map[waxwingseam.StorageID]bool
+	// lost maps the storages of lost disks to the replicas that had them.
+	lost map[waxwingseam.StorageID]*simReplica
 
 	leaders      map[waxwingseam.Term]waxwingseam.StorageID
 	committed    []waxwingseam.LogEntry
@@ -74,6 +76,7 @@
 		randomInt:     randomInt,
 		flaw:          injected,
 		isolated:      map[waxwingseam.StorageID]bool{},
+		lost:          map[waxwingseam.StorageID]*simReplica{},
 		leaders:       map[waxwingseam.Term]waxwingseam.StorageID{},
 		accepted:      map[waxwingseam.RequestID]waxwingseam.LogIndex{},
 		refused:       map[waxwingseam.RequestID]waxwingseam.ReplicaReason{},
@@ -142,6 +145,7 @@
 func (c *cluster) replaceDisk(s *simReplica) {
 	s.disk = waxwingseam.Recovery{}
 	if c.flaw != keepsIdentity {
+		c.lost[s.member.Storage] = s
 		s.member = c.newMember(s.member.Replica)
 	}
 	c.start(s)
@@ -305,6 +309,19 @@
 	if to != nil && c.deliverable(m) {
 		c.reduce(to, waxwingseam.ReplicaMessageArrived{Stamp: c.stamp(), Message: m}, crashAt)
 	}
+	if successor := c.lost[m.To]; successor != nil && !successor.stopped {
+		c.refuseMessage(m, successor)
+	}
+}
+
+// refuseMessage tells the sender of a message to a lost storage that the process at its
+// address has another storage.
+func (c *cluster) refuseMessage(m waxwingseam.ReplicaMessage, successor *simReplica) {
+	from, to := c.runningReplica(m.From), m.To
+	m.To = successor.member.Storage
+	if from != nil && c.deliverable(m) {
+		c.reduce(from, waxwingseam.StorageMismatched{Stamp: c.stamp(), Storage: to}, 0)
+	}
 }
 
 // deliverable reports whether no partition or loss prevents the delivery of a
--- a/replicator/join_test.go
+++ b/replicator/join_test.go
@@ -1,6 +1,7 @@
 package replicator
 
 import (
+	"math/rand/v2"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -8,6 +9,82 @@
 	"waxwingseam.example/waxwingseam"
 )
 
+const (
+	// joinTicks is the time in which a replica that has lost its disk is to vote again, and
+	// joinIntervalTicks the time between its requests, with the default tick of 50 ms.
+	joinTicks         = 80
+	joinIntervalTicks = 5
+)
+
+// rejoin empties a replica's disk, has it ask the leader to join until it votes, and returns
+// the ticks that this takes.
+func (c *cluster) rejoin(s *simReplica) int {
+	c.replaceDisk(s)
+	for ticks := range 4 * joinTicks {
+		leader := c.leader()
+		if leader != nil && !c.isolated[leader.member.Storage] {
+			if leader.membership().IsVoter(s.member.Storage) {
+				return ticks
+			}
+			if ticks%joinIntervalTicks == 0 {
+				c.proposeChange(leader, waxwingseam.MembershipChange{Kind: waxwingseam.ChangeAddLearner, Member: s.member})
+			}
+		}
+		c.run(1)
+	}
+	return 4 * joinTicks
+}
+
+// TestLostDiskIsReplacedInTime guards against a replica with an emptied disk that votes again
+// late, beside a frozen replica too: each leader waited until the lost storage had been
+// silent to itself, although the process at its address refused its messages.
+func TestLostDiskIsReplacedInTime(t *testing.T) {
+	for _, v := range []struct {
+		name   string
+		frozen func(c *cluster) *simReplica
+		// limit is the time of a join, or that of the silence for which a leader that
+		// stays need not wait.
+		limit int
+	}{
+		{"none", func(*cluster) *simReplica { return nil }, DefaultElectionTicks},
+		{"follower", func(c *cluster) *simReplica { return c.follower(0) }, DefaultElectionTicks},
+		{"leader", (*cluster).leader, joinTicks},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			most := 0
+			for seed := range uint64(200) {
+				c := newClusterWithTimeout(5, rand.New(rand.NewPCG(seed, 7)).IntN, noFlaw, DefaultElectionTicks)
+				c.restartTolerating(2)
+				c.mustAccept(t, 30)
+				emptied := c.follower(1)
+				if frozen := v.frozen(c); frozen != nil {
+					c.isolate(frozen)
+					c.run(int(seed % 8))
+				}
+				ticks := c.rejoin(emptied)
+				most = max(most, ticks)
+				qt.Check(t, ticks <= v.limit, qt.IsTrue, qt.Commentf("seed %d: %d ticks", seed, ticks))
+				c.assertNoViolation(t)
+			}
+			t.Logf("at most %d ticks", most)
+		})
+	}
+}
+
+// follower returns a running follower, the n-th of those that are not the leader.
+func (c *cluster) follower(n int) *simReplica {
+	for _, s := range c.replicas {
+		if s == c.leader() || s.stopped {
+			continue
+		}
+		if n == 0 {
+			return s
+		}
+		n--
+	}
+	return nil
+}
+
 // TestPendingMemberIsNotConfirmed guards against a repeated join request that is answered
 // while the change that the first one caused is not committed, and may still be dropped.
 func TestPendingMemberIsNotConfirmed(t *testing.T) {
--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -128,7 +128,7 @@
 	n := 0
 	for _, v := range m.Members {
 		p := r.progress[v.Storage]
-		responsive := p != nil && p.confirmedRound > 0 && p.silentTicks <= r.config.ElectionTicks
+		responsive := p != nil && p.confirmedRound > 0 && !p.isSilent(r.config.ElectionTicks)
 		if v.Voter && (v.Storage == r.self || responsive) {
 			n++
 		}
@@ -187,10 +187,19 @@
 }
 
 // isSilent reports whether a member has not replied for more than
-// ElectionTicks.
+// ElectionTicks, or its storage is not at its address any more.
 func (r *replicator) isSilent(id waxwingseam.StorageID) bool {
 	p, ok := r.progress[id]
-	return ok && p.silentTicks > r.config.ElectionTicks
+	return ok && p.isSilent(r.config.ElectionTicks)
+}
+
+// markMismatched records that the process at a member's address has another
+// storage. The member's replica can then be replaced before it has been silent
+// for ElectionTicks.
+func (r *replicator) markMismatched(id waxwingseam.StorageID) {
+	if p, ok := r.progress[id]; ok {
+		p.mismatched = true
+	}
 }
 
 // withVoter returns the membership in which a learner is a voter. The learner
--- a/replicator/progress.go
+++ b/replicator/progress.go
@@ -22,6 +22,9 @@
 	// silentTicks counts the ticks since the member's last reply or, without
 	// one, since the leader began to send to it.
 	silentTicks int
+	// mismatched is set while the process at the member's address has another
+	// storage, until the member replies.
+	mismatched bool
 	// confirmedRound is the latest round of heartbeats that the member
 	// answered.
 	confirmedRound uint64
@@ -45,6 +48,12 @@
 	}
 }
 
+// isSilent reports whether the member has not replied for more than electionTicks, or its
+// storage is not at its address any more.
+func (p *progress) isSilent(electionTicks int) bool {
+	return p.mismatched || p.silentTicks > electionTicks
+}
+
 // accept records that the member's entries up to match are durable.
 func (p *progress) accept(match waxwingseam.LogIndex) {
 	p.match = max(p.match, match)
--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -219,6 +219,7 @@
 		return
 	}
 	p.silentTicks = 0
+	p.mismatched = false
 	p.confirmedRound = max(p.confirmedRound, v.Round)
 	r.answerConfirmedReads()
 	if !v.Accepted {
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -164,6 +164,8 @@
 		r.startRead(v)
 	case waxwingseam.HandoverAsked:
 		r.startHandover()
+	case waxwingseam.StorageMismatched:
+		r.markMismatched(v.Storage)
 	}
 	return r.finish()
 }
