proposer: requests leave a leader that is no longer the leader

The wait ends once the replica does not know that leader as such any more. A read is sent to the next leader. A command or a change of the membership ends as outcome-unknown, as after the limit before: the old leader may have appended it.

TestRequestsLeaveSilentLeader fails before: neither request has ended after 20 s.

--- a/proposer/join_test.go
+++ b/proposer/join_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -228,3 +229,21 @@
 	d := start(t, folder, "d", loopback, replicas[1].config.Address)
 	d.awaitWithin(t, 20*time.Second, func(s waxwingseam.ReplicaStatus) bool { return s.Self.Voter })
 }
+
+// TestRequestsLeaveSilentLeader guards against requests of a follower that wait for the
+// answer of a leader that has been replaced since, as long as for any request.
+func TestRequestsLeaveSilentLeader(t *testing.T) {
+	t.Parallel()
+	replicas, front := startBehindRelay(t, t.TempDir())
+	front.paused.Store(true)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	var waiting sync.WaitGroup
+	waiting.Go(func() { qt.Check(t, replicas[1].ReadIndex(ctx), qt.IsNil) })
+	waiting.Go(func() {
+		_, err := replicas[2].Propose(ctx, []byte("c1"))
+		qt.Check(t, waxwingseam.ReplicaReasonOf(err), qt.Equals, waxwingseam.ReasonOutcomeUnknown)
+	})
+	waiting.Wait()
+	qt.Assert(t, ctx.Err(), qt.IsNil)
+}
--- a/proposer/request.go
+++ b/proposer/request.go
@@ -155,8 +155,11 @@
 }
 
 // sendToLeader sends a request over a new connection, because an existing one
-// may have stopped responding.
+// may have stopped responding. It stops waiting once this replica knows the leader
+// no longer as such.
 func (p *proposer) sendToLeader(ctx context.Context, address netip.AddrPort, q *LeaderRequest) *LeaderAnswer {
+	ctx, stop := p.whileLeader(ctx, q.To)
+	defer stop()
 	dialCtx, cancel := context.WithTimeout(ctx, p.config.MessageTimeout)
 	defer cancel()
 	conn, err := p.config.Dialer.Dial(dialCtx, address)
@@ -171,6 +174,27 @@
 	return a
 }
 
+// whileLeader returns a context that ends once this replica does not know a storage as that
+// of the leader any more.
+func (p *proposer) whileLeader(ctx context.Context, id waxwingseam.StorageID) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		defer cancel()
+		for {
+			status, changed := p.watch()
+			if status.Leader != id {
+				return
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return ctx, cancel
+}
+
 // executeLocally executes a request at this replica.
 func (p *proposer) executeLocally(ctx context.Context, q *LeaderRequest) *LeaderAnswer {
 	a := p.request(ctx, q.event)
