--- a/proposer/link.go
+++ b/proposer/link.go
@@ -32,9 +32,11 @@
 	// onMismatch is called when a replica refuses messages since it has another storage
 	// than the one that they are for.
 	onMismatch func(waxwingseam.StorageID)
-	ctx        context.Context
-	cancel     context.CancelFunc
-	waitGroup  sync.WaitGroup
+	// onSnapshotFailure is called when a snapshot did not reach a replica.
+	onSnapshotFailure func(waxwingseam.StorageID)
+	ctx               context.Context
+	cancel            context.CancelFunc
+	waitGroup         sync.WaitGroup
 
 	mu    sync.Mutex
 	peers map[waxwingseam.StorageID]*link
@@ -54,12 +56,13 @@
 func newLinks(config Config, identity waxwingseam.ReplicaIdentity) *links {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &links{
-		config:     config,
-		identity:   identity,
-		onMismatch: func(waxwingseam.StorageID) {},
-		ctx:        ctx,
-		cancel:     cancel,
-		peers:      map[waxwingseam.StorageID]*link{},
+		config:            config,
+		identity:          identity,
+		onMismatch:        func(waxwingseam.StorageID) {},
+		onSnapshotFailure: func(waxwingseam.StorageID) {},
+		ctx:               ctx,
+		cancel:            cancel,
+		peers:             map[waxwingseam.StorageID]*link{},
 	}
 }
 
@@ -119,7 +122,12 @@
 	if peer == nil {
 		return
 	}
-	l.waitGroup.Go(func() { peer.sendSnapshot(e.Term, s) })
+	l.waitGroup.Go(func() {
+		if err := peer.sendSnapshot(e.Term, s); err != nil {
+			l.config.Logger.Warn("snapshot not sent", "storage", e.To, "error", err)
+			l.onSnapshotFailure(e.To)
+		}
+	})
 }
 
 // close stops all links and waits for their goroutines.
@@ -269,20 +277,18 @@
 }
 
 // sendSnapshot sends a snapshot in parts over a separate connection.
-func (k *link) sendSnapshot(term waxwingseam.Term, s waxwingseam.ReplicaSnapshot) {
+func (k *link) sendSnapshot(term waxwingseam.Term, s waxwingseam.ReplicaSnapshot) error {
 	conn, err := k.dial()
 	if err != nil {
-		return
+		return err
 	}
 	defer closeConn(conn)
 	for offset := 0; ; offset += snapshotPartBytes {
-		part := k.part(term, s, offset)
-		if err := k.sendPart(conn, part); err != nil {
-			k.links.config.Logger.Warn("snapshot not sent", "storage", k.storage, "error", err)
-			return
+		if err := k.sendPart(conn, k.part(term, s, offset)); err != nil {
+			return err
 		}
 		if offset+snapshotPartBytes >= len(s.Data) {
-			return
+			return nil
 		}
 	}
 }
--- a/proposer/loop.go
+++ b/proposer/loop.go
@@ -110,6 +110,13 @@
 	})
 }
 
+// reportSnapshotFailure tells the reducer that a snapshot did not reach a member.
+func (p *proposer) reportSnapshotFailure(to waxwingseam.StorageID) {
+	p.enqueue(p.links.ctx, func(s waxwingseam.Stamp) waxwingseam.Event {
+		return waxwingseam.SnapshotFailed{Stamp: s, To: to}
+	})
+}
+
 // fillBatch adds queued events to a batch, up to batchSize.
 func (p *proposer) fillBatch(batch []eventFunc) []eventFunc {
 	for len(batch) < batchSize {
--- a/proposer/proposer.go
+++ b/proposer/proposer.go
@@ -231,6 +231,7 @@
 	p.reducer = replicator.New(config)
 	p.links = newLinks(p.config, identity)
 	p.links.onMismatch = p.reportMismatch
+	p.links.onSnapshotFailure = p.reportSnapshotFailure
 	p.publish()
 	for _, m := range p.status.Members {
 		p.links.updatePeer(m.Member)
--- a/replicaevent.go
+++ b/replicaevent.go
@@ -12,6 +12,7 @@
 	KindReadAsked             Kind = "read-asked"
 	KindHandoverAsked         Kind = "handover-asked"
 	KindStorageMismatched     Kind = "storage-mismatched"
+	KindSnapshotFailed        Kind = "snapshot-failed"
 )
 
 // RequestID numbers the requests to one incarnation of a replica; 0 is none.
@@ -85,6 +86,12 @@
 	Storage StorageID
 }
 
+// SnapshotFailed says that a snapshot did not reach a member.
+type SnapshotFailed struct {
+	Stamp
+	To StorageID
+}
+
 // Kind implements Event.
 func (ReplicaTicked) Kind() Kind { return KindReplicaTicked }
 
@@ -114,3 +121,6 @@
 
 // Kind implements Event.
 func (StorageMismatched) Kind() Kind { return KindStorageMismatched }
+
+// Kind implements Event.
+func (SnapshotFailed) Kind() Kind { return KindSnapshotFailed }
--- a/replicator/join_test.go
+++ b/replicator/join_test.go
@@ -100,3 +100,29 @@
 		qt.Assert(t, accepted, qt.IsTrue)
 	}
 }
+
+// TestFailedSnapshotIsSentAgain guards against a learner that waits for eight election
+// timeouts after the connection has failed over which it was sent a snapshot.
+func TestFailedSnapshotIsSentAgain(t *testing.T) {
+	c := newClusterWithTimeout(3, rand.New(rand.NewPCG(1, 1)).IntN, noFlaw, DefaultElectionTicks)
+	lagging := c.replicas[2]
+	c.isolate(lagging)
+	c.mustAccept(t, 60)
+	c.heal()
+	failed := 0
+	for ticks := 0; lagging.reducer.Status().Commit < c.leader().reducer.Status().Commit; ticks++ {
+		qt.Assert(t, ticks < 2*DefaultElectionTicks, qt.IsTrue, qt.Commentf("%d snapshots failed", failed))
+		c.tick()
+		for len(c.inFlight) > 0 {
+			c.deliver(0, 0)
+		}
+		if len(c.snapshots) > 0 && failed < 2 {
+			failed++
+			c.snapshots = nil
+			c.reduce(c.leader(), waxwingseam.SnapshotFailed{Stamp: c.stamp(), To: lagging.member.Storage}, 0)
+		}
+		c.deliverAll()
+	}
+	qt.Assert(t, failed, qt.Equals, 2)
+	c.assertNoViolation(t)
+}
--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -131,6 +131,14 @@
 	r.emit(waxwingseam.SendSnapshot{To: m.Storage, Term: r.state.Term})
 }
 
+// retrySnapshot allows a snapshot that did not reach a member to be sent again with the next
+// round of heartbeats.
+func (r *replicator) retrySnapshot(to waxwingseam.StorageID) {
+	if p, ok := r.progress[to]; ok {
+		p.snapshotTicks = min(p.snapshotTicks, 1)
+	}
+}
+
 // broadcast sends new entries immediately to the members that are neither being
 // probed nor installing a snapshot.
 func (r *replicator) broadcast() {
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -166,6 +166,8 @@
 		r.startHandover()
 	case waxwingseam.StorageMismatched:
 		r.markMismatched(v.Storage)
+	case waxwingseam.SnapshotFailed:
+		r.retrySnapshot(v.To)
 	}
 	return r.finish()
 }
