--- a/proposer/founding_test.go
+++ b/proposer/founding_test.go
@@ -144,3 +144,38 @@
 	all[0].propose(t, 4, 6)
 	qt.Assert(t, removed.appliedCommands(t), qt.Equals, all[0].appliedCommands(t))
 }
+
+// TestStoppedReplicaRetires guards against the vote of a replica that has stopped for good: in
+// a cluster with more voters than the tolerated losses require it must be gone when the
+// replica has ended. A replica that is restarted among five keeps its vote, and one that was
+// retired joins again.
+func TestStoppedReplicaRetires(t *testing.T) {
+	all := startWithJoinAddresses(t, 6, true)
+	for _, r := range all {
+		r.await(t, hasVoters(6))
+	}
+	all[0].await(t, func(s waxwingseam.ReplicaStatus) bool { return s.Voters() == 6 && s.Settled })
+	var leader *replica
+	for _, r := range all {
+		if r.Status().Role == waxwingseam.RoleLeader {
+			leader = r
+		}
+	}
+	qt.Assert(t, leader, qt.IsNotNil)
+	retired := leader.Status().Self.Storage
+	qt.Assert(t, leader.stopAndWait(), qt.IsNil)
+	var others []*replica
+	for _, r := range all {
+		if r != leader {
+			others = append(others, r)
+		}
+	}
+	qt.Assert(t, others[0].ReadIndex(t.Context()), qt.IsNil)
+	status := others[0].Status()
+	qt.Assert(t, status.Voters(), qt.Equals, 5)
+	_, member := waxwingseam.Membership{Members: members(status)}.Member(retired)
+	qt.Assert(t, member, qt.IsFalse)
+	qt.Assert(t, others[1].stopAndWait(), qt.IsNil)
+	qt.Assert(t, others[0].ReadIndex(t.Context()), qt.IsNil)
+	qt.Assert(t, others[0].Status().Voters(), qt.Equals, 5)
+}
--- a/proposer/loop.go
+++ b/proposer/loop.go
@@ -45,7 +45,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return p.handOverLeadership()
+			return p.leave()
 		case err := <-announceErrors:
 			if err != nil {
 				return err
@@ -68,25 +68,42 @@
 	}
 }
 
-// handOverLeadership asks another voter to take over before the replica stops,
-// and waits for the next leader for up to an election timeout.
-func (p *proposer) handOverLeadership() error {
-	if p.Status().Role != waxwingseam.RoleLeader || p.Status().Voters() == 1 {
+// leave hands over the leadership before the replica stops, and then retires its vote if the
+// cluster has more voters than it needs.
+func (p *proposer) leave() error {
+	if p.Status().Role == waxwingseam.RoleLeader && p.Status().Voters() > 1 {
+		ctx, cancel := context.WithTimeout(context.Background(), p.config.handoverTimeout())
+		defer cancel()
+		handedOver := func() bool { return p.Status().Role != waxwingseam.RoleLeader }
+		if err := p.processUntil(ctx, []eventFunc{handoverEvent}, handedOver); err != nil || !handedOver() {
+			return err
+		}
+	}
+	if !p.hasSurplusVote() {
 		return nil
 	}
-	wait := time.NewTimer(p.config.handoverTimeout())
-	defer wait.Stop()
-	batch := []eventFunc{handoverEvent}
+	ctx, cancel := context.WithTimeout(context.Background(), p.config.LeaderTimeout)
+	defer cancel()
+	go func() {
+		defer cancel()
+		p.retire(ctx)
+	}()
+	return p.processUntil(ctx, nil, func() bool { return false })
+}
+
+// processUntil processes a batch of events and those that arrive, until a condition holds or
+// the context ends. It passes no ticks, so that the replica starts no election.
+func (p *proposer) processUntil(ctx context.Context, batch []eventFunc, done func() bool) error {
 	for {
 		if err := p.process(p.fillBatch(batch)); err != nil {
 			return err
 		}
 		p.publish()
-		if p.Status().Role != waxwingseam.RoleLeader {
+		if done() {
 			return nil
 		}
 		select {
-		case <-wait.C:
+		case <-ctx.Done():
 			return nil
 		case newEvent := <-p.inbox:
 			batch = []eventFunc{newEvent}
@@ -94,6 +111,36 @@
 	}
 }
 
+// hasSurplusVote reports whether the replica votes, and the cluster has more voters than the
+// tolerated losses require.
+func (p *proposer) hasSurplusVote() bool {
+	status := p.Status()
+	losses := p.config.Replicator.ToleratedLosses
+	return losses > 0 && status.Self.Voter && status.Voters() > 2*losses+1
+}
+
+// retireInterval is the time between two requests of a stopping replica to be removed.
+const retireInterval = 50 * time.Millisecond
+
+// retire asks the leader to remove this replica, until the leader has done so, other voters
+// have become too few, or the context ends. Otherwise the vote of a replica that has stopped
+// for good would count until its silence was noticed, and further losses could meanwhile end
+// the quorum for good.
+func (p *proposer) retire(ctx context.Context) {
+	change := waxwingseam.MembershipChange{Kind: waxwingseam.ChangeRetire, Member: p.Status().Self}
+	for p.hasSurplusVote() {
+		err := p.ChangeMembership(ctx, change)
+		if err == nil {
+			p.config.Logger.Info("retired before stopping", "storage", change.Member.Storage)
+			return
+		}
+		if !sleep(ctx, retireInterval) {
+			p.config.Logger.Warn("not retired before stopping", "storage", change.Member.Storage, "cause", err)
+			return
+		}
+	}
+}
+
 func handoverEvent(s waxwingseam.Stamp) waxwingseam.Event {
 	return waxwingseam.HandoverAsked{Stamp: s}
 }
--- a/replication.go
+++ b/replication.go
@@ -145,10 +145,13 @@
 	ChangeAddLearner ChangeKind = "add-learner"
 	ChangePromote    ChangeKind = "promote"
 	ChangeRemove     ChangeKind = "remove"
+	// ChangeRetire removes a member that is about to stop, if the cluster has more voters
+	// than the tolerated losses require. Otherwise it alters nothing.
+	ChangeRetire ChangeKind = "retire"
 )
 
-// MembershipChange asks for a change of the membership. ChangePromote and
-// ChangeRemove need only the field Storage of Member.
+// MembershipChange asks for a change of the membership. ChangePromote, ChangeRemove and
+// ChangeRetire need only the field Storage of Member.
 type MembershipChange struct {
 	Kind   ChangeKind `cbor:"1,keyasint"`
 	Member Member     `cbor:"2,keyasint"`
--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -146,6 +146,11 @@
 		return r.withVoter(c.Member.Storage)
 	case waxwingseam.ChangeRemove:
 		return r.without(c.Member.Storage)
+	case waxwingseam.ChangeRetire:
+		if r.hasSurplusVoter() {
+			return r.without(c.Member.Storage)
+		}
+		return nil, ""
 	}
 	return nil, waxwingseam.ReasonBadChange
 }
--- a/replicator/retirement.go
+++ b/replicator/retirement.go
@@ -6,13 +6,18 @@
 	return r.config.ToleratedLosses == 0 || r.memberships.latest().Quorum() > r.config.ToleratedLosses
 }
 
+// hasSurplusVoter reports whether the tolerated disk losses require fewer voters.
+func (r *replicator) hasSurplusVoter() bool {
+	return r.config.ToleratedLosses > 0 && r.memberships.latest().Voters() > 2*r.config.ToleratedLosses+1
+}
+
 // removeSilentVoter removes one voter that has not replied for more than
 // RemovalTicks, if the tolerated disk losses require fewer voters. A host that
 // was replaced permanently would otherwise still count in the quorum. A voter
 // that was only slow can join again.
 func (r *replicator) removeSilentVoter() {
 	membership := r.memberships.latest()
-	if r.config.ToleratedLosses == 0 || membership.Voters() <= 2*r.config.ToleratedLosses+1 {
+	if !r.hasSurplusVoter() {
 		return
 	}
 	if !r.acceptsProposals() || r.changePending() {
