replicator: half of the voters decide once disks were lost

Three of six meet each quorum of four, so that nothing need be lost. With an even number of voters half of them now elect a leader, if the campaign names a voter of the other half whose disk was lost: the process at its address, of the same replica, refuses messages for its storage. The leader first commits a membership in which that half is a quorum. While a membership is pending that follows one with an even number of voters, elections, commits and reads need both. Each replica stores which membership it knows to be committed. A replica that no leader has reached since its start does not vote in this way, as its disk may be one that was lost and found again.

A surplus voter is removed after 1.6 s of silence, not 4 s, so that two hosts which are replaced in turn do not both count.

Measured in virtual time.

--- a/proposer/arrival.go
+++ b/proposer/arrival.go
@@ -21,7 +21,7 @@
 // if it does not queue all of them.
 func (p *proposer) Deliver(ctx context.Context, d *Delivery) (*Receipt, error) {
 	if reason := p.checkRecipient(d.Cluster, d.To); reason != "" {
-		return &Receipt{Reason: reason}, nil
+		return &Receipt{Reason: reason, Replica: p.config.Self}, nil
 	}
 	p.links.updatePeer(d.From)
 	for _, m := range d.Messages {
--- a/proposer/founding.go
+++ b/proposer/founding.go
@@ -139,7 +139,7 @@
 	last := recovery.Base.Index + waxwingseam.LogIndex(len(recovery.Entries))
 	term := recovery.State.Term + 1
 	return journal.Persist(waxwingseam.PersistReplica{
-		State:   waxwingseam.ReplicaState{Term: term},
+		State:   waxwingseam.ReplicaState{Term: term, Settled: last + 1},
 		Entries: []waxwingseam.LogEntry{membershipEntry(soleMembership(config, identity), waxwingseam.LogPosition{Index: last + 1, Term: term})},
 	})
 }
--- a/proposer/link.go
+++ b/proposer/link.go
@@ -30,8 +30,8 @@
 	config   Config
 	identity waxwingseam.ReplicaIdentity
 	// onMismatch is called when a replica refuses messages since it has another storage
-	// than the one that they are for.
-	onMismatch func(waxwingseam.StorageID)
+	// than the one that they are for, with that storage and the name of the replica.
+	onMismatch func(storage waxwingseam.StorageID, replica waxwingseam.ReplicaID)
 	// onSnapshotFailure is called when a snapshot did not reach a replica.
 	onSnapshotFailure func(waxwingseam.StorageID)
 	ctx               context.Context
@@ -58,7 +58,7 @@
 	return &links{
 		config:            config,
 		identity:          identity,
-		onMismatch:        func(waxwingseam.StorageID) {},
+		onMismatch:        func(waxwingseam.StorageID, waxwingseam.ReplicaID) {},
 		onSnapshotFailure: func(waxwingseam.StorageID) {},
 		ctx:               ctx,
 		cancel:            cancel,
@@ -237,7 +237,7 @@
 	}
 	k.recordRefusal(receipt.Reason)
 	if receipt.Reason == waxwingseam.ReasonStorageMismatch {
-		k.links.onMismatch(k.storage)
+		k.links.onMismatch(k.storage, receipt.Replica)
 	}
 	return nil
 }
--- a/proposer/loop.go
+++ b/proposer/loop.go
@@ -151,9 +151,9 @@
 
 // reportMismatch tells the reducer that the process at a member's address has another
 // storage.
-func (p *proposer) reportMismatch(id waxwingseam.StorageID) {
+func (p *proposer) reportMismatch(id waxwingseam.StorageID, replica waxwingseam.ReplicaID) {
 	p.enqueue(p.links.ctx, func(s waxwingseam.Stamp) waxwingseam.Event {
-		return waxwingseam.StorageMismatched{Stamp: s, Storage: id}
+		return waxwingseam.StorageMismatched{Stamp: s, Storage: id, Replica: replica}
 	})
 }
 
--- a/proposer/method.go
+++ b/proposer/method.go
@@ -77,6 +77,8 @@
 // accepted.
 type Receipt struct {
 	Reason waxwingseam.ReplicaReason `cbor:"1,keyasint,omitempty"`
+	// Replica is the name of the replica that refuses.
+	Replica waxwingseam.ReplicaID `cbor:"2,keyasint,omitempty"`
 }
 
 // JoinRequest asks to add a replica as a member, or to update its address.
--- a/replicaevent.go
+++ b/replicaevent.go
@@ -80,10 +80,12 @@
 }
 
 // StorageMismatched says that the process at a member's address refused a message since it
-// does not have the member's storage.
+// does not have the member's storage. Replica is the name of the replica in that process; if it
+// is the member's, the disk with the storage was lost.
 type StorageMismatched struct {
 	Stamp
 	Storage StorageID
+	Replica ReplicaID
 }
 
 // SnapshotFailed says that a snapshot did not reach a member.
--- a/replicamessage.go
+++ b/replicamessage.go
@@ -25,6 +25,9 @@
 	Term Term `cbor:"3,keyasint"`
 	// Last is the position of the candidate's last entry.
 	Last LogPosition `cbor:"4,keyasint"`
+	// LostDisks are voters whose disks the candidate knows to be lost. The vote may then
+	// count for an election by half of the voters.
+	LostDisks []StorageID `cbor:"5,keyasint,omitempty"`
 }
 
 // VoteReply answers a VoteRequest.
@@ -33,6 +36,9 @@
 	Granted bool `cbor:"2,keyasint,omitempty"`
 	// Term is the term of the request.
 	Term Term `cbor:"3,keyasint"`
+	// AfterLoss is set if the vote may count for an election by half of the voters, as it
+	// was given after the disks in LostDisks of the request were lost.
+	AfterLoss bool `cbor:"4,keyasint,omitempty"`
 }
 
 // AppendRequest replicates entries; without entries it is a heartbeat.
--- a/replication.go
+++ b/replication.go
@@ -162,6 +162,9 @@
 	Term Term `cbor:"1,keyasint"`
 	// Vote is the candidate voted for in the term; empty without one.
 	Vote StorageID `cbor:"2,keyasint,omitempty"`
+	// Settled is the index of the latest membership that is known to be committed; 0 if no
+	// losses of disks are tolerated.
+	Settled LogIndex `cbor:"3,keyasint,omitempty"`
 }
 
 // ReplicaSnapshot is the state machine's state after an entry.
--- a/replicator/cluster_test.go
+++ b/replicator/cluster_test.go
@@ -50,6 +50,8 @@
 	dropped func(m waxwingseam.ReplicaMessage) bool
 	// isolated holds the replicas that a partition separates from the others.
 	isolated map[waxwingseam.StorageID]bool
+	// frozen holds the replicas that do not run for a while.
+	frozen map[*simReplica]bool
 	// lost maps the storages of lost disks to the replicas that had them.
 	lost map[waxwingseam.StorageID]*simReplica
 
@@ -77,6 +79,7 @@
 		flaw:          injected,
 		isolated:      map[waxwingseam.StorageID]bool{},
 		lost:          map[waxwingseam.StorageID]*simReplica{},
+		frozen:        map[*simReplica]bool{},
 		leaders:       map[waxwingseam.Term]waxwingseam.StorageID{},
 		accepted:      map[waxwingseam.RequestID]waxwingseam.LogIndex{},
 		refused:       map[waxwingseam.RequestID]waxwingseam.ReplicaReason{},
@@ -293,7 +296,7 @@
 
 func (c *cluster) runningReplica(id waxwingseam.StorageID) *simReplica {
 	for _, s := range c.replicas {
-		if s.member.Storage == id && !s.stopped {
+		if s.member.Storage == id && c.runs(s) {
 			return s
 		}
 	}
@@ -309,7 +312,7 @@
 	if to != nil && c.deliverable(m) {
 		c.reduce(to, waxwingseam.ReplicaMessageArrived{Stamp: c.stamp(), Message: m}, crashAt)
 	}
-	if successor := c.lost[m.To]; successor != nil && !successor.stopped {
+	if successor := c.lost[m.To]; successor != nil && c.runs(successor) {
 		c.refuseMessage(m, successor)
 	}
 }
@@ -320,7 +323,7 @@
 	from, to := c.runningReplica(m.From), m.To
 	m.To = successor.member.Storage
 	if from != nil && c.deliverable(m) {
-		c.reduce(from, waxwingseam.StorageMismatched{Stamp: c.stamp(), Storage: to}, 0)
+		c.reduce(from, waxwingseam.StorageMismatched{Stamp: c.stamp(), Storage: to, Replica: successor.member.Replica}, 0)
 	}
 }
 
@@ -375,12 +378,17 @@
 // tick passes one tick to each running replica.
 func (c *cluster) tick() {
 	for _, s := range c.replicas {
-		if !s.stopped {
+		if c.runs(s) {
 			c.reduce(s, waxwingseam.ReplicaTicked{Stamp: c.stamp()}, 0)
 		}
 	}
 }
 
+// runs reports whether a replica's process runs and is not frozen.
+func (c *cluster) runs(s *simReplica) bool {
+	return !s.stopped && !c.frozen[s]
+}
+
 // run runs the cluster for a number of ticks and delivers all messages after
 // each of them.
 func (c *cluster) run(ticks int) {
@@ -397,7 +405,7 @@
 	var term waxwingseam.Term
 	for _, s := range c.replicas {
 		status := s.reducer.Status()
-		if !s.stopped && status.Role == waxwingseam.RoleLeader && status.Term >= term {
+		if c.runs(s) && status.Role == waxwingseam.RoleLeader && status.Term >= term {
 			found, term = s, status.Term
 		}
 	}
--- a/replicator/election.go
+++ b/replicator/election.go
@@ -56,14 +56,9 @@
 // hasQuorum reports whether a majority of the voters has replied within
 // ElectionTicks. A leader that is a voter counts itself.
 func (r *replicator) hasQuorum() bool {
-	membership := r.memberships.latest()
-	n := 0
-	for _, m := range membership.Members {
-		if m.Voter && (m.Storage == r.self || r.progress[m.Storage].silentTicks <= r.config.ElectionTicks) {
-			n++
-		}
-	}
-	return n >= membership.Quorum()
+	return r.isQuorum(func(id waxwingseam.StorageID) bool {
+		return id == r.self || r.progress[id].silentTicks <= r.config.ElectionTicks
+	})
 }
 
 // resetElectionTimer restarts the election timer with a random timeout of one
@@ -99,14 +94,14 @@
 // committed end with an unknown outcome, and pending reads are refused.
 func (r *replicator) becomeFollower(term waxwingseam.Term, leader waxwingseam.StorageID) {
 	if term > r.state.Term {
-		r.state = waxwingseam.ReplicaState{Term: term}
+		r.state.Term, r.state.Vote = term, ""
 	}
 	if leader != "" || r.role != waxwingseam.RoleFollower {
 		r.resetElectionTimer()
 	}
 	r.role = waxwingseam.RoleFollower
 	r.leader = leader
-	r.votes = nil
+	r.votes, r.claimed = nil, nil
 	r.progress = nil
 	r.handover = handover{}
 	r.refusePendingRequests()
@@ -136,12 +131,13 @@
 func (r *replicator) campaign(role waxwingseam.ReplicaRole, requestedByLeader bool) {
 	r.role = role
 	r.leader = ""
-	r.votes = map[waxwingseam.StorageID]bool{}
+	r.votes = map[waxwingseam.StorageID]vote{}
+	r.claimed = r.lostVoters()
 	r.resetElectionTimer()
 	preVote := role == waxwingseam.RolePreCandidate
 	term := r.state.Term + 1
 	if !preVote {
-		r.state = waxwingseam.ReplicaState{Term: term, Vote: r.self}
+		r.state.Term, r.state.Vote = term, r.self
 	}
 	r.forEachPeer(func(m waxwingseam.Member) {
 		if !m.Voter {
@@ -152,13 +148,20 @@
 			Handover: requestedByLeader,
 			Term:     term,
 			Last:     r.log.last(),
+
+			LostDisks: r.claimed,
 		}})
 	})
 	if preVote {
-		r.countVote(r.self, true)
+		r.countVote(r.self, r.ownVote())
 	}
 }
 
+// ownVote returns the vote that a candidate gives itself.
+func (r *replicator) ownVote() vote {
+	return vote{granted: true, afterLoss: r.votesAfterLoss(r.claimed)}
+}
+
 // handleVoteRequest answers a vote request. A granted vote is recorded, unless
 // it is a pre-vote.
 func (r *replicator) handleVoteRequest(m waxwingseam.ReplicaMessage) {
@@ -172,6 +175,8 @@
 		PreVote: q.PreVote,
 		Granted: granted,
 		Term:    q.Term,
+
+		AfterLoss: granted && r.votesAfterLoss(q.LostDisks),
 	}})
 }
 
@@ -202,19 +207,12 @@
 	default:
 		return
 	}
-	r.countVote(from, v.Granted)
+	r.countVote(from, vote{granted: v.Granted, afterLoss: v.AfterLoss})
 }
 
-func (r *replicator) countVote(from waxwingseam.StorageID, granted bool) {
-	r.votes[from] = granted
-	membership := r.memberships.latest()
-	n := 0
-	for _, m := range membership.Members {
-		if m.Voter && r.votes[m.Storage] {
-			n++
-		}
-	}
-	if n < membership.Quorum() {
+func (r *replicator) countVote(from waxwingseam.StorageID, v vote) {
+	r.votes[from] = v
+	if !r.isElected() {
 		return
 	}
 	if r.role == waxwingseam.RolePreCandidate {
@@ -225,15 +223,19 @@
 }
 
 // becomeLeader makes the replica the leader of its term. It appends an empty
-// entry, whose commit also commits the entries of earlier terms.
+// entry, whose commit also commits the entries of earlier terms. A leader that half
+// of the voters have elected appends a membership in which they are a quorum instead.
 func (r *replicator) becomeLeader() {
+	first := waxwingseam.LogEntry{Kind: waxwingseam.EntryEmpty}
+	if !r.hasVotesOfQuorum() {
+		next := r.withoutLostVoter()
+		first = waxwingseam.LogEntry{Kind: waxwingseam.EntryMembership, Membership: &next}
+	}
 	r.role = waxwingseam.RoleLeader
 	r.leader = r.self
 	r.votes = nil
 	r.progress = map[waxwingseam.StorageID]*progress{}
-	r.forEachPeer(func(m waxwingseam.Member) {
-		r.progress[m.Storage] = newProgress(r.log.last().Index)
-	})
-	r.append(waxwingseam.LogEntry{Kind: waxwingseam.EntryEmpty})
+	r.updateProgress()
+	r.append(first)
 	r.sendHeartbeats()
 }
--- a/replicator/handover.go
+++ b/replicator/handover.go
@@ -36,8 +36,8 @@
 	if r.handover.remainingTicks == 0 || r.handover.successor != "" {
 		return
 	}
-	p := r.progress[to]
-	caughtUp := p.match == r.log.last().Index && p.silentTicks <= r.config.HeartbeatTicks+1
+	p, ok := r.progress[to]
+	caughtUp := ok && p.match == r.log.last().Index && p.silentTicks <= r.config.HeartbeatTicks+1
 	if !caughtUp || !r.memberships.latest().IsVoter(to) {
 		return
 	}
--- a/replicator/membership.go
+++ b/replicator/membership.go
@@ -1,6 +1,8 @@
 package replicator
 
 import (
+	"maps"
+
 	"waxwingseam.example/waxwingseam"
 )
 
@@ -48,6 +50,14 @@
 	return l.versions[len(l.versions)-1].membership
 }
 
+// previous returns the membership before the latest one; false if it is not known.
+func (l *membershipHistory) previous() (waxwingseam.Membership, bool) {
+	if len(l.versions) < 2 {
+		return waxwingseam.Membership{}, false
+	}
+	return l.versions[len(l.versions)-2].membership, true
+}
+
 // latestIndex returns the index of the latest membership.
 func (l *membershipHistory) latestIndex() waxwingseam.LogIndex {
 	return l.versions[len(l.versions)-1].index
@@ -121,19 +131,20 @@
 	return !ok || term != r.state.Term || r.memberships.latestIndex() > r.commit
 }
 
-// hasResponsiveQuorum reports whether a quorum of the voters of a membership
-// has replied within ElectionTicks. Without this check, a removal while another
-// voter's disk is lost could leave the log without a quorum permanently.
-func (r *replicator) hasResponsiveQuorum(m waxwingseam.Membership) bool {
-	n := 0
-	for _, v := range m.Members {
-		p := r.progress[v.Storage]
-		responsive := p != nil && p.confirmedRound > 0 && !p.isSilent(r.config.ElectionTicks)
-		if v.Voter && (v.Storage == r.self || responsive) {
-			n++
-		}
+// hasResponsiveQuorum reports whether a quorum of the voters of the next membership
+// has replied within ElectionTicks, and one of the latest membership if that must agree to the
+// change. Without this check, a removal while another voter's disk is lost could leave the log
+// without a quorum permanently.
+func (r *replicator) hasResponsiveQuorum(next waxwingseam.Membership) bool {
+	responds := func(id waxwingseam.StorageID) bool {
+		p := r.progress[id]
+		return id == r.self || p != nil && p.confirmedRound > 0 && !p.isSilent(r.config.ElectionTicks)
+	}
+	latest := r.memberships.latest()
+	if r.config.ToleratedLosses > 0 && latest.Voters()%2 == 0 && countVoters(latest, responds) < latest.Quorum() {
+		return false
 	}
-	return n >= m.Quorum()
+	return countVoters(next, responds) >= next.Quorum()
 }
 
 // membershipAfter returns the membership after a change, or nil if the change
@@ -198,15 +209,6 @@
 	return ok && p.isSilent(r.config.ElectionTicks)
 }
 
-// markMismatched records that the process at a member's address has another
-// storage. The member's replica can then be replaced before it has been silent
-// for ElectionTicks.
-func (r *replicator) markMismatched(id waxwingseam.StorageID) {
-	if p, ok := r.progress[id]; ok {
-		p.mismatched = true
-	}
-}
-
 // withVoter returns the membership in which a learner is a voter. The learner
 // must have all committed entries.
 func (r *replicator) withVoter(id waxwingseam.StorageID) (*waxwingseam.Membership, waxwingseam.ReplicaReason) {
@@ -261,19 +263,22 @@
 		return
 	}
 	r.emit(waxwingseam.AdoptMembership{Membership: current})
+	r.updateProgress()
+}
+
+// updateProgress adds and removes the progress of members at a leader.
+func (r *replicator) updateProgress() {
 	if r.role != waxwingseam.RoleLeader {
 		return
 	}
-	for id := range r.progress {
-		if _, ok := current.Member(id); !ok {
-			delete(r.progress, id)
-		}
-	}
+	peers := map[waxwingseam.StorageID]bool{}
 	r.forEachPeer(func(m waxwingseam.Member) {
+		peers[m.Storage] = true
 		if r.progress[m.Storage] == nil {
 			r.progress[m.Storage] = newProgress(r.log.last().Index)
 		}
 	})
+	maps.DeleteFunc(r.progress, func(id waxwingseam.StorageID, _ *progress) bool { return !peers[id] })
 }
 
 func sameMembers(a, b waxwingseam.Membership) bool {
--- a/replicator/progress.go
+++ b/replicator/progress.go
@@ -1,8 +1,6 @@
 package replicator
 
 import (
-	"slices"
-
 	"waxwingseam.example/waxwingseam"
 )
 
@@ -67,13 +65,3 @@
 	p.next = max(min(p.next-1, hint+1), p.match+1)
 	p.probing = true
 }
-
-// quorumValue returns the highest value that a majority of the voters has
-// reached.
-func quorumValue(values []waxwingseam.LogIndex) waxwingseam.LogIndex {
-	if len(values) == 0 {
-		return 0
-	}
-	slices.Sort(values)
-	return values[(len(values)-1)/2]
-}
--- a/replicator/read.go
+++ b/replicator/read.go
@@ -40,18 +40,12 @@
 	}
 }
 
-// confirmedRound returns the latest round that a majority of the voters has
-// answered.
+// confirmedRound returns the latest round that a quorum has answered.
 func (r *replicator) confirmedRound() uint64 {
-	var rounds []waxwingseam.LogIndex
-	for _, m := range r.memberships.latest().Members {
-		switch {
-		case !m.Voter:
-		case m.Storage == r.self:
-			rounds = append(rounds, waxwingseam.LogIndex(r.round))
-		default:
-			rounds = append(rounds, waxwingseam.LogIndex(r.progress[m.Storage].confirmedRound))
+	return uint64(r.highest(func(id waxwingseam.StorageID) waxwingseam.LogIndex {
+		if id == r.self {
+			return waxwingseam.LogIndex(r.round)
 		}
-	}
-	return uint64(quorumValue(rounds))
+		return waxwingseam.LogIndex(r.progress[id].confirmedRound)
+	}))
 }
--- a/replicator/replication.go
+++ b/replicator/replication.go
@@ -13,6 +13,7 @@
 	if m.To != r.self || r.blockedByLease(m) {
 		return
 	}
+	delete(r.lost, m.From)
 	if q := m.AppendRequest; q != nil && !waxwingseam.ValidEntriesAfter(q.Previous, q.Entries) {
 		return
 	}
@@ -184,6 +185,7 @@
 		r.addEntries(q.Entries[i:])
 		break
 	}
+	r.inTouch = true
 	match := q.Previous.Index + waxwingseam.LogIndex(len(q.Entries))
 	r.commitUpTo(min(q.Commit, match))
 	return waxwingseam.AppendReply{Accepted: true, Match: match}
@@ -265,25 +267,21 @@
 	}
 }
 
-// advanceCommit commits the entries that are durable at a majority of the
-// voters. An entry of an earlier term is committed only together with one of
-// the current term.
+// advanceCommit commits the entries that are durable at a quorum of the voters. An entry
+// of an earlier term is committed only together with one of the current term.
 func (r *replicator) advanceCommit() {
-	var matches []waxwingseam.LogIndex
-	for _, m := range r.memberships.latest().Members {
-		switch {
-		case !m.Voter:
-		case m.Storage == r.self:
-			matches = append(matches, r.persisted)
-		default:
-			matches = append(matches, r.progress[m.Storage].match)
+	i := r.highest(func(id waxwingseam.StorageID) waxwingseam.LogIndex {
+		if id == r.self {
+			return r.persisted
 		}
-	}
-	i := quorumValue(matches)
+		return r.progress[id].match
+	})
 	if term, ok := r.log.term(i); !ok || term != r.state.Term || i <= r.commit {
 		return
 	}
+	r.inTouch = true
 	r.commitUpTo(i)
+	r.updateProgress()
 	r.answerConfirmedReads()
 	r.broadcast()
 	r.stepDownIfRemoved()
@@ -299,6 +297,7 @@
 		r.applied++
 		r.apply(r.log.at(r.applied))
 	}
+	r.markSettled()
 	r.requestSnapshot()
 }
 
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -17,8 +17,9 @@
 	DefaultKeepEntries     = 128
 	DefaultKeepBytes       = 4 << 20
 	DefaultMessageBytes    = 1 << 20
-	// DefaultRemovalTicks allows a host enough time to restart its processes.
-	DefaultRemovalTicks = 80
+	// DefaultRemovalTicks is shorter than the time in which a replica joins, less that of an
+	// election, so that two hosts that are replaced in turn do not both count.
+	DefaultRemovalTicks = 32
 )
 
 // Config holds the identity, the recovered state and the limits of a replica.
@@ -96,7 +97,15 @@
 	// has not arrived.
 	snapshotPending bool
 
-	votes    map[waxwingseam.StorageID]bool
+	votes map[waxwingseam.StorageID]vote
+	// claimed are the voters whose disks were lost before the campaign of the candidate or
+	// leader began.
+	claimed []waxwingseam.StorageID
+	// lost are the storages of disks that were lost.
+	lost map[waxwingseam.StorageID]bool
+	// inTouch is set once the replica has accepted entries from a leader, or committed some
+	// as the leader, since it started.
+	inTouch  bool
 	progress map[waxwingseam.StorageID]*progress
 	// requests maps entries of a leader's log to the local requests that
 	// proposed them.
@@ -134,6 +143,7 @@
 		applied:     recovery.Snapshot.Index,
 		snapshot:    recovery.Snapshot.LogPosition,
 		requests:    map[waxwingseam.LogIndex]waxwingseam.RequestID{},
+		lost:        map[waxwingseam.StorageID]bool{},
 	}
 	r.output.durable = r.state
 	r.persisted = r.log.last().Index
@@ -165,7 +175,7 @@
 	case waxwingseam.HandoverAsked:
 		r.startHandover()
 	case waxwingseam.StorageMismatched:
-		r.markMismatched(v.Storage)
+		r.markMismatched(v)
 	case waxwingseam.SnapshotFailed:
 		r.retrySnapshot(v.To)
 	}
@@ -201,9 +211,17 @@
 	r.emit(waxwingseam.SendReplicaMessage{Message: m, BeforePersist: beforePersist})
 }
 
-// forEachPeer calls f for each member except this replica, in a fixed order.
+// vote is the answer to a vote request. afterLoss is set if it may count for an election by
+// half of the voters.
+type vote struct {
+	granted   bool
+	afterLoss bool
+}
+
+// forEachPeer calls f for each member except this replica, in a fixed order. A voter that a
+// pending membership removes is still a peer.
 func (r *replicator) forEachPeer(f func(m waxwingseam.Member)) {
-	for _, m := range r.memberships.latest().Members {
+	for _, m := range r.members() {
 		if m.Storage != r.self {
 			f(m)
 		}
@@ -236,7 +254,7 @@
 func (r *replicator) markPersisted(e waxwingseam.ReplicaPersisted) {
 	r.persisted = min(e.Last, r.log.last().Index)
 	if r.role == waxwingseam.RoleCandidate && e.State == r.state {
-		r.countVote(r.self, true)
+		r.countVote(r.self, r.ownVote())
 		return
 	}
 	if r.role == waxwingseam.RoleLeader {
