budgeter: a server that leaves takes its part of the budget with it

Each receiving node admits repeated calls up to the slack of the retry budget divided by the number of servers. When a server left, or its lease ended, the others divided by fewer at once, although the server may have spent its part within the same window: with two servers, a slack of 8 and a quarter kept back, 3 and then 6 repeats were admitted, 9 in all.

A server that was removed counts for the length of the window.

TestAdmitSharesBudgetOfService asked for the part of a removed server at once, which was the fault: it asks for none within the window now, and as before for the whole part after it. It fails before (3 in place of 0).

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -24,6 +24,8 @@
 	order  order
 	// services maps each known backend server to its service.
 	services map[waxwingseam.ServerName]waxwingseam.ServiceName
+	// left are the times until which servers that were removed still have a part.
+	left map[waxwingseam.ServerName]time.Time
 }
 
 // New returns a gate without other servers; UpdateServers adds them.
@@ -31,19 +33,31 @@
 	return &budgeter{
 		budget:   config.Budget,
 		services: map[waxwingseam.ServerName]waxwingseam.ServiceName{},
+		left:     map[waxwingseam.ServerName]time.Time{},
 	}
 }
 
-// UpdateServers implements waxwingseam.RetryGate.
-func (b *budgeter) UpdateServers(servers []waxwingseam.Server, gone []waxwingseam.ServerName) {
+// UpdateServers implements waxwingseam.RetryGate. A server that is removed may have spent its
+// part, which the others do not get within the window.
+func (b *budgeter) UpdateServers(c *waxwingseam.Context, servers []waxwingseam.Server, gone []waxwingseam.ServerName) {
 	for _, s := range servers {
 		b.services[s.Name] = s.Service
+		delete(b.left, s.Name)
 	}
 	for _, name := range gone {
+		if b.services[name] == c.Self.Service && name != c.Self.Name {
+			b.left[name] = c.Now.Add(b.memory())
+		}
 		delete(b.services, name)
 	}
 }
 
+// memory is the time for which a repeated call counts: the window, and a part of it that is
+// leaving and is counted in full.
+func (b *budgeter) memory() time.Duration {
+	return b.budget.Window + b.budget.Window/windowParts
+}
+
 // Admit implements waxwingseam.RetryGate. It limits the repeated calls that
 // arise when servers crash, close connections or fail a share of their requests
 // while many nodes call them. Each receiving node admits repeated calls up to
@@ -63,8 +77,9 @@
 		return true
 	}
 	roots, repeats := b.counts.sums(c.Now, b.budget.Window)
-	slack := float64(b.budget.Slack) / float64(b.countServers(c.Self))
-	left := knownServersShare*(slack+b.budget.Ratio*float64(roots)) - float64(repeats)
+	earned := knownServersShare * b.budget.Ratio * float64(roots)
+	slack := knownServersShare * float64(b.budget.Slack) / float64(b.countServers(c))
+	left := slack + earned - float64(repeats)
 	if !b.order.admits(c.Now, call.Rank, left, b.budget.Window) || left < 1 {
 		return false
 	}
@@ -86,14 +101,21 @@
 }
 
 // countServers returns the number of known backend servers of the node's
-// service, including its own.
-func (b *budgeter) countServers(self waxwingseam.Server) int {
+// service, including its own and those that were removed within the window.
+func (b *budgeter) countServers(c *waxwingseam.Context) int {
 	n := 1
 	for name, service := range b.services {
-		if service == self.Service && name != self.Name {
+		if service == c.Self.Service && name != c.Self.Name {
 			n++
 		}
 	}
+	for name, until := range b.left {
+		if !c.Now.Before(until) {
+			delete(b.left, name)
+			continue
+		}
+		n++
+	}
 	return n
 }
 
--- a/budgeter/budgeter_test.go
+++ b/budgeter/budgeter_test.go
@@ -70,8 +70,8 @@
 	contexts := make([]*waxwingseam.Context, nodes)
 	for i := range gates {
 		gates[i] = budgeter.New(budgeter.Config{Budget: budget})
-		gates[i].UpdateServers(servers, nil)
 		contexts[i] = waxwingseam.NewContext(servers[i])
+		gates[i].UpdateServers(contexts[i], servers, nil)
 	}
 	var admitted []admittedCall
 	for now := start; now.Sub(start) < 50*time.Second; {
@@ -88,13 +88,13 @@
 }
 
 // TestAdmitSharesBudgetOfService guards against a node that admits more than its
-// share of the budget, does not get the share of a removed server, counts calls
-// of depth 1 as roots, or keeps counts after the window.
+// share of the budget, gets the share of a removed server within the window, or not
+// after it, counts calls of depth 1 as roots, or keeps counts after the window.
 func TestAdmitSharesBudgetOfService(t *testing.T) {
 	gate := budgeter.New(budgeter.Config{Budget: waxwingseam.RetryBudget{Window: time.Second, Ratio: 0.5, Slack: 8}})
 	c := waxwingseam.NewContext(waxwingseam.Server{Name: "a", Service: "fees"})
 	c.Begin(waxwingseam.Stamp{Now: start})
-	gate.UpdateServers([]waxwingseam.Server{{Name: "a", Service: "fees"}, {Name: "b", Service: "fees"}, {Name: "c", Service: "desk"}}, nil)
+	gate.UpdateServers(c, []waxwingseam.Server{{Name: "a", Service: "fees"}, {Name: "b", Service: "fees"}, {Name: "c", Service: "desk"}}, nil)
 	admitted := func() int {
 		n := 0
 		for gate.Admit(c, waxwingseam.Call{Repeated: true}) {
@@ -103,8 +103,9 @@
 		return n
 	}
 	qt.Assert(t, admitted(), qt.Equals, 3)
-	gate.UpdateServers(nil, []waxwingseam.ServerName{"b"})
-	qt.Assert(t, admitted(), qt.Equals, 3)
+	// b may have spent its part, which no other server gets within the window.
+	gate.UpdateServers(c, nil, []waxwingseam.ServerName{"b"})
+	qt.Assert(t, admitted(), qt.Equals, 0)
 	for range 8 {
 		gate.Admit(c, waxwingseam.Call{})
 		gate.Admit(c, waxwingseam.Call{Depth: 1})
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -175,7 +175,7 @@
 	case waxwingseam.SetAdopted:
 		r.adopt(c)
 	case waxwingseam.ServersUpdated:
-		r.gate.UpdateServers(v.Servers, v.Gone)
+		r.gate.UpdateServers(c, v.Servers, v.Gone)
 		r.updateServers(c, v)
 		return
 	}
--- a/retrybudget.go
+++ b/retrybudget.go
@@ -19,7 +19,7 @@
 // RetryGate enforces the retry budget at a receiving node.
 type RetryGate interface {
 	// UpdateServers records servers that were announced, changed or removed.
-	UpdateServers(servers []Server, gone []ServerName)
+	UpdateServers(c *Context, servers []Server, gone []ServerName)
 	// Admit counts an arriving call and reports whether it may be handed to the
 	// backend server. It refuses only repeated calls.
 	Admit(c *Context, call Call) bool
