--- a/assembler/announcer.go
+++ b/assembler/announcer.go
@@ -9,8 +9,8 @@
 	"waxwingseam.example/waxwingseam/subscriber"
 )
 
-// announcer passes changes of the node's own state, and of the requests that it refuses,
-// to the forwarder and the subscriber.
+// announcer passes changes of the node's own state, of the requests that it refuses and of its
+// use of the retry budget to the forwarder and the subscriber.
 type announcer struct {
 	subscriber subscriber.Subscriber
 	forwarder  *forwarder.Forwarder
@@ -18,7 +18,9 @@
 
 // Kinds implements runner.Executor.
 func (announcer) Kinds() []waxwingseam.Kind {
-	return []waxwingseam.Kind{waxwingseam.KindAnnounce, waxwingseam.KindQuarantineChanged}
+	return []waxwingseam.Kind{
+		waxwingseam.KindAnnounce, waxwingseam.KindQuarantineChanged, waxwingseam.KindRetryBudgetUsed,
+	}
 }
 
 // Execute implements runner.Executor.
@@ -29,6 +31,8 @@
 		a.subscriber.Announce(v.Self)
 	case waxwingseam.QuarantineChanged:
 		a.subscriber.NoteQuarantine(v.Request)
+	case waxwingseam.RetryBudgetUsed:
+		a.subscriber.NoteRetryUse(v.Repeats)
 	}
 }
 
--- a/assembler/node.go
+++ b/assembler/node.go
@@ -61,6 +61,8 @@
 	// has capacity.
 	NearFirst   bool
 	RetryBudget waxwingseam.RetryBudget
+	// AwaitRetryHistory is as in WorkersConfig.
+	AwaitRetryHistory bool
 	// Interface provides the protocols of callers and of the backend server.
 	Interface Interface
 	// Seed seeds the random words that are added to the node's events.
@@ -114,6 +116,8 @@
 					Self:        config.Self,
 					NearFirst:   config.NearFirst,
 					RetryBudget: config.RetryBudget,
+
+					AwaitRetryHistory: config.AwaitRetryHistory,
 				}),
 			}),
 			Observers: append([]runner.Observer{state}, config.Observers...),
--- a/assembler/process.go
+++ b/assembler/process.go
@@ -224,6 +224,9 @@
 		Interface:   p.external,
 		NearFirst:   settings.NearFirst,
 		RetryBudget: settings.RetryBudget,
+
+		AwaitRetryHistory: true,
+
 		Founding: founder.Client{
 			Control: p.settings.Process.ControlAddresses,
 			Dialer:  p.dialer,
--- a/assembler/workers.go
+++ b/assembler/workers.go
@@ -38,6 +38,9 @@
 	// has capacity.
 	NearFirst   bool
 	RetryBudget waxwingseam.RetryBudget
+	// AwaitRetryHistory is set if control tells the node what its earlier processes have
+	// spent of the retry budget.
+	AwaitRetryHistory bool
 }
 
 // Workers returns the default workers of a node.
@@ -68,8 +71,11 @@
 				Deduplicator: callRecords,
 				Drainer:      drainState,
 				Tracker:      runTracker,
-				Gate:         budgeter.New(budgeter.Config{Budget: config.RetryBudget}),
-				Quarantine:   quarantine,
+				Gate: budgeter.New(budgeter.Config{
+					Budget:       config.RetryBudget,
+					AwaitHistory: config.AwaitRetryHistory,
+				}),
+				Quarantine: quarantine,
 			}),
 		},
 		{
--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -16,6 +16,9 @@
 // Config holds the settings of a gate.
 type Config struct {
 	Budget waxwingseam.RetryBudget
+	// AwaitHistory is set if earlier processes of the node may have spent a part of the
+	// budget. The gate then admits only what roots have earned until Recover is called.
+	AwaitHistory bool
 }
 
 type budgeter struct {
@@ -26,6 +29,7 @@
 	services map[waxwingseam.ServerName]waxwingseam.ServiceName
 	// left are the times until which servers that were removed still have a part.
 	left map[waxwingseam.ServerName]time.Time
+	past past
 }
 
 // New returns a gate without other servers; UpdateServers adds them.
@@ -34,6 +38,7 @@
 		budget:   config.Budget,
 		services: map[waxwingseam.ServerName]waxwingseam.ServiceName{},
 		left:     map[waxwingseam.ServerName]time.Time{},
+		past:     past{awaited: config.AwaitHistory},
 	}
 }
 
@@ -78,15 +83,24 @@
 	}
 	roots, repeats := b.counts.sums(c.Now, b.budget.Window)
 	earned := knownServersShare * b.budget.Ratio * float64(roots)
-	slack := knownServersShare * float64(b.budget.Slack) / float64(b.countServers(c))
-	left := slack + earned - float64(repeats)
+	left := b.slack(c) + earned - float64(repeats)
 	if !b.order.admits(c.Now, call.Rank, left, b.budget.Window) || left < 1 {
 		return false
 	}
 	now.repeats++
+	b.stateUse(c, float64(repeats+1)-earned)
 	return true
 }
 
+// slack returns the node's part of the slack, without what its earlier processes have spent.
+func (b *budgeter) slack(c *waxwingseam.Context) float64 {
+	if b.past.isUnknown(c.Now) {
+		return 0
+	}
+	part := knownServersShare * float64(b.budget.Slack) / float64(b.countServers(c))
+	return max(part-float64(b.past.spent(c.Now)), 0)
+}
+
 // ObserveRun implements waxwingseam.RetryGate.
 func (b *budgeter) ObserveRun(c *waxwingseam.Context, refused bool) {
 	b.order.observeRun(c.Now, refused)
@@ -116,7 +130,7 @@
 		}
 		n++
 	}
-	return n
+	return n + b.past.countLeft(c.Now)
 }
 
 // windowParts is the number of parts into which a window is divided. The part
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -113,6 +113,10 @@
 // New assembles the role and registers its services with the server.
 func New(config Config) (Controller, error) {
 	c := &controller{config: config, exchanges: map[netip.AddrPort]*exchange{}}
+	firstStart, err := c.isFirstStart()
+	if err != nil {
+		return nil, err
+	}
 	c.historian = historian.New(historian.Config{OnUpdate: c.publish})
 	if err := c.openLog(); err != nil {
 		return nil, err
@@ -137,6 +141,8 @@
 		Endings:   c.endings,
 		Recovered: recovered,
 		Logger:    config.Logger("publisher"),
+
+		FirstStart: firstStart,
 	})
 	c.runner.Attach(c.publisher)
 	if err := c.createAPI(); err != nil {
@@ -149,6 +155,25 @@
 	return c, trace.Wrap(config.Messenger.Register(founderService, founder.Description))
 }
 
+// isFirstStart reports whether the whole system is starting for the first time: the settings
+// say so, and the data folder is empty.
+func (c *controller) isFirstStart() (bool, error) {
+	if !c.config.Founder || c.config.Disk == nil && c.config.DataFolder == "" {
+		return false, nil
+	}
+	disk := c.config.Disk
+	if disk == nil {
+		folder, err := journaler.OpenFolder(c.config.DataFolder)
+		if err != nil {
+			return false, err
+		}
+		defer func() { _ = folder.Close() }()
+		disk = folder
+	}
+	formatted, err := journaler.Formatted(disk)
+	return !formatted, err
+}
+
 // openLog opens the replica of the log.
 func (c *controller) openLog() error {
 	var founders []netip.AddrPort
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -70,6 +70,8 @@
 	stop      func()
 	// knowsEnding reports whether the replica knows an ending of a server.
 	knowsEnding func(waxwingseam.ServerName) bool
+	// knowsRetryUse reports whether the replica knows the use of a retry budget.
+	knowsRetryUse func(waxwingseam.ServerName) bool
 }
 
 // listen opens a drpc server on an address.
@@ -108,6 +110,10 @@
 		knowsEnding: func(name waxwingseam.ServerName) bool {
 			return len(c.(*controller).publisher.Endings(name)) > 0
 		},
+		knowsRetryUse: func(name waxwingseam.ServerName) bool {
+			_, ok := c.(*controller).publisher.RetryUse(name)
+			return ok
+		},
 	}
 }
 
@@ -164,6 +170,7 @@
 	servers   map[waxwingseam.ServerName]waxwingseam.Server
 	endings   registrar.Endings
 	complete  bool
+	histories []waxwingseam.RetryHistory
 }
 
 // step records an event; it replaces the node's reducer.
@@ -179,6 +186,8 @@
 			n.endings.Add(time.Now(), e)
 		}
 		n.complete = n.complete || v.Complete
+	case waxwingseam.RetryHistoryLearned:
+		n.histories = append(n.histories, v.History)
 	case waxwingseam.ServersUpdated:
 		for _, s := range v.Servers {
 			n.servers[s.Name] = s
@@ -235,11 +244,16 @@
 // startNode starts a node of the service fees that watches control replicas. It
 // runs until it is stopped or the test ends.
 func startNode(t testing.TB, name waxwingseam.ServerName, control ...netip.AddrPort) *node {
+	return startIncarnation(t, name, 1, control...)
+}
+
+// startIncarnation is startNode for one of several processes of a node.
+func startIncarnation(t testing.TB, name waxwingseam.ServerName, incarnation waxwingseam.Incarnation, control ...netip.AddrPort) *node {
 	server := listen(t, loopback)
 	n := &node{address: server.Address(), updates: make(updateSignal, 1), servers: map[waxwingseam.ServerName]waxwingseam.Server{}}
 	n.subscriber = subscriber.New(subscriber.Config{
 		Control:  control,
-		Self:     waxwingseam.Server{Name: name, Service: "fees", Node: n.address, Incarnation: 1},
+		Self:     waxwingseam.Server{Name: name, Service: "fees", Node: n.address, Incarnation: incarnation},
 		Services: []waxwingseam.ServiceName{"fees"},
 		Step:     n.step,
 		Logger:   discardLogger(""),
--- a/controller/exchange.go
+++ b/controller/exchange.go
@@ -199,6 +199,9 @@
 	if len(p.Endings) > 0 || p.EndingsComplete {
 		x.controller.publisher.AddEndings(x.address.String(), p.Endings, p.EndingsComplete)
 	}
+	if len(p.RetryUses) > 0 || p.RetryUsesCovered > 0 {
+		x.controller.publisher.AddRetryUses(x.address.String(), p.RetryUses, p.RetryUsesCovered)
+	}
 	if len(p.Present)+len(p.Gone) == 0 && !p.Complete {
 		return
 	}
--- a/narrator/narrator.go
+++ b/narrator/narrator.go
@@ -29,6 +29,7 @@
 	EventDrain           = "drain-asked"
 	EventBackendEnded    = "backend-server-ended"
 	EventQuarantine      = "request-quarantine"
+	EventRetryHistory    = "retry-history-learned"
 	EventSummary         = "calls-summed-up"
 )
 
@@ -234,6 +235,10 @@
 		n.backendReported(now, v)
 	case waxwingseam.DrainAsked:
 		n.write(now, EventDrain, slog.LevelInfo, slog.Bool("undo", v.Undo))
+	case waxwingseam.RetryHistoryLearned:
+		n.write(now, EventRetryHistory, slog.LevelInfo, slog.Int("repeats", v.History.Use.Repeats),
+			slog.Duration("age", v.History.Use.Age), slog.Duration("covered", v.History.Covered),
+			slog.Int("left", len(v.History.Left)))
 	}
 }
 
--- a/narrator/narrator_test.go
+++ b/narrator/narrator_test.go
@@ -65,6 +65,9 @@
 		waxwingseam.ServerKeptOut{Instance: "i-1", Started: start, Sequence: 2},
 		waxwingseam.ServerAdmitted{Basis: waxwingseam.AdmittedByControl, After: 80 * time.Millisecond, Held: 1},
 	})
+	n.Observe(waxwingseam.RetryHistoryLearned{Stamp: stamp(0), History: waxwingseam.RetryHistory{
+		Use: waxwingseam.RetryUse{Repeats: 7, Age: 2 * time.Second}, Covered: time.Hour, Left: []time.Duration{time.Second},
+	}}, nil)
 	n.Observe(waxwingseam.CallArrived{Stamp: stamp(0), ID: id, RequestID: call.RequestID}, []waxwingseam.Effect{
 		waxwingseam.Dispatch{Call: call, Attempt: 1, Server: server},
 	})
--- a/publisher/message.go
+++ b/publisher/message.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/netip"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gravitational/trace"
@@ -67,6 +68,9 @@
 	// Endings are those of the announced server that the watcher has recorded; set in the
 	// first report of a server that has any, and when they change.
 	Endings []waxwingseam.Ending `cbor:"6,keyasint,omitempty"`
+	// RetryUse is what the watcher has spent of its part of the slack of the retry budget;
+	// set when that has changed, and once after a connection was opened.
+	RetryUse *waxwingseam.RetryUse `cbor:"7,keyasint,omitempty"`
 }
 
 // HeldRevision identifies the set that a watcher holds.
@@ -126,6 +130,14 @@
 	// UnstoredEndings are endings of the watcher's server that the replica knows and has not
 	// stored. They are in force, and not confirmed to the node that reported them.
 	UnstoredEndings []waxwingseam.Ending `cbor:"13,keyasint,omitempty"`
+	// RetryHistory is what earlier processes of the watcher have spent of its part of the
+	// retry budget. It is sent once in each stream, and again if the replica learns more.
+	RetryHistory *waxwingseam.RetryHistory `cbor:"14,keyasint,omitempty"`
+	// RetryUses, sent to other control replicas, are what nodes have stated to this one.
+	RetryUses map[waxwingseam.ServerName]ServerRetryUse `cbor:"15,keyasint,omitempty"`
+	// RetryUsesCovered is set once in each stream to another control replica, with all
+	// statements that this one knows. It is the time for which they are complete.
+	RetryUsesCovered time.Duration `cbor:"16,keyasint,omitempty"`
 }
 
 // Step is the change from the previous revision to Revision.
--- a/publisher/publisher.go
+++ b/publisher/publisher.go
@@ -57,6 +57,9 @@
 	Endings   waxwingseam.EndingJournal
 	Recovered []waxwingseam.EndingsMessage
 	Logger    *slog.Logger
+	// FirstStart is set at the first start of the whole system, before which no node has spent
+	// a part of a retry budget.
+	FirstStart bool
 }
 
 // Publisher serves the watchers of one control replica. It executes the
@@ -74,6 +77,12 @@
 	// AddEndings adds endings that another control replica sent; complete is set if it
 	// has sent all that it knows.
 	AddEndings(peer string, all map[waxwingseam.ServerName][]waxwingseam.Ending, complete bool)
+	// AddRetryUses adds what nodes have stated to another control replica of their use of
+	// retry budgets; covered is set if the replica has sent all that it knows, which is
+	// complete for that time.
+	AddRetryUses(peer string, uses map[waxwingseam.ServerName]ServerRetryUse, covered time.Duration)
+	// RetryUse returns what the node of a server has stated last; false if it has not.
+	RetryUse(server waxwingseam.ServerName) (ServerRetryUse, bool)
 	// StoreEndings adds endings of a server that does not watch the replica, or whose node
 	// can't reach it. It returns once the journal has them, or an error when the context
 	// ends before. Endings that are older than registrar.EndingTime are refused.
@@ -120,6 +129,7 @@
 	sessions      map[*session]struct{}
 	completePeers map[string]struct{}
 	endings       endings
+	retryUses     retryUses
 	started       time.Time
 	// usage is the sum at usageAt that is sent to other replicas.
 	usage   UsageSummary
@@ -139,6 +149,7 @@
 		sessions:      map[*session]struct{}{},
 		completePeers: map[string]struct{}{},
 		endings:       newEndings(config.Recovered),
+		retryUses:     newRetryUses(time.Now(), config.FirstStart),
 		started:       time.Now(),
 	}
 	p.head.Set, p.head.Digest = config.Historian.Head()
@@ -192,12 +203,15 @@
 
 // updateServers applies changes to the table of servers.
 func (p *publisher) updateServers(changed waxwingseam.ServersChanged) {
+	now := time.Now()
 	for _, v := range changed.Present {
 		p.addServer(v)
+		p.retryUses.updateServer(now, v.Announcement.Server, true)
 		p.markDirty(v)
 	}
 	for _, v := range changed.Gone {
 		p.removeServer(v)
+		p.retryUses.updateServer(now, v.Announcement.Server, false)
 		p.markDirty(v)
 	}
 }
--- a/publisher/push.go
+++ b/publisher/push.go
@@ -26,8 +26,10 @@
 	push.Orders, s.orders = s.orders, nil
 	push.Echo = s.reportSent
 	push.Unconfirmed = push.Unconfirmed || !p.batcher.confirmed()
+	p.addRetryUsesTo(s, &push)
 	empty = len(push.Steps)+len(push.Set)+len(push.Present)+len(push.Gone) == 0 && !push.Complete && push.LatestIncarnation == 0 && len(push.Orders) == 0 &&
-		len(push.Endings)+len(push.UnstoredEndings) == 0 && !push.EndingsComplete
+		len(push.Endings)+len(push.UnstoredEndings) == 0 && !push.EndingsComplete &&
+		push.RetryHistory == nil && len(push.RetryUses) == 0 && push.RetryUsesCovered == 0
 	return push, empty, nil
 }
 
--- a/publisher/session.go
+++ b/publisher/session.go
@@ -60,6 +60,12 @@
 	dirtyEndings map[waxwingseam.ServerName]struct{}
 	sentEndings  bool
 	beganEndings bool
+	// dirtyRetryUses names the nodes whose statements are to be sent to another replica.
+	// sentRetryUses is set once all of them were, or once a node was sent its history, which
+	// was then complete from retryHistorySince on.
+	dirtyRetryUses    map[waxwingseam.ServerName]struct{}
+	sentRetryUses     bool
+	retryHistorySince time.Time
 	// sentComplete is set once a complete list of servers was sent.
 	sentComplete bool
 }
@@ -89,6 +95,8 @@
 		dirty:     map[waxwingseam.ServerName]waxwingseam.Announcement{},
 
 		dirtyEndings: map[waxwingseam.ServerName]struct{}{},
+
+		dirtyRetryUses: map[waxwingseam.ServerName]struct{}{},
 	}
 	var first Report
 	watchdog := NewWatchdog(func() { closeTransport(stream) })
@@ -184,6 +192,9 @@
 	if len(r.Endings) > 0 && s.server != "" && !s.peer {
 		p.addEndings(s.server, r.Endings, true)
 	}
+	if r.RetryUse != nil && s.announcement != nil && !s.peer {
+		p.addRetryUse(s.announcement.Server, *r.RetryUse)
+	}
 	announcement := s.announcement
 	p.mu.Unlock()
 	if announcement == nil {
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -142,6 +142,7 @@
 		waxwingseam.KindEndingsLearned,
 		waxwingseam.KindBackendStated,
 		waxwingseam.KindServersUpdated,
+		waxwingseam.KindRetryHistoryLearned,
 	}
 }
 
@@ -178,6 +179,9 @@
 		r.gate.UpdateServers(c, v.Servers, v.Gone)
 		r.updateServers(c, v)
 		return
+	case waxwingseam.RetryHistoryLearned:
+		r.gate.Recover(c, v.History)
+		return
 	}
 	r.armAdmissionTimer(c)
 }
--- a/recorder/catalog.go
+++ b/recorder/catalog.go
@@ -48,6 +48,7 @@
 		waxwingseam.BackendProbed{},
 		waxwingseam.EndsReceived{},
 		waxwingseam.QuarantineOrdered{},
+		waxwingseam.RetryHistoryLearned{},
 		waxwingseam.AccountMessageReceived{},
 		waxwingseam.AccountMessageRefused{},
 		waxwingseam.RouteAsked{},
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -84,6 +84,9 @@
 	Announce(self waxwingseam.Server)
 	// NoteQuarantine reports to control that the node refuses a request, or no longer.
 	NoteQuarantine(r waxwingseam.QuarantinedRequest)
+	// NoteRetryUse reports to control what the node has spent of its part of the slack of the
+	// retry budget.
+	NoteRetryUse(repeats int)
 	// RecordEnding returns nil once the watched replica has an ending of the backend server.
 	RecordEnding(ctx context.Context, e waxwingseam.Ending) error
 	// Replicas returns the addresses of the known control replicas, the watched one first.
@@ -139,6 +142,9 @@
 	// quarantined holds the requests that the node refuses.
 	quarantined map[waxwingseam.RequestDigest]waxwingseam.QuarantinedRequest
 	endings     ownEndings
+	// retryRepeats is the latest use of the retry budget, as of retryUsedAt.
+	retryRepeats int
+	retryUsedAt  time.Time
 	// replicas are the control replicas in the latest push that listed any.
 	replicas    []netip.AddrPort
 	unconfirmed unconfirmedCounts
@@ -163,6 +169,7 @@
 	held         bool
 	quarantine   bool
 	endings      bool
+	retryUse     bool
 }
 
 // New returns a subscriber without a set.
@@ -222,6 +229,15 @@
 	s.wake()
 }
 
+// NoteRetryUse implements Subscriber.
+func (s *subscriber) NoteRetryUse(repeats int) {
+	s.mu.Lock()
+	s.retryRepeats, s.retryUsedAt = repeats, time.Now()
+	s.changed.retryUse = true
+	s.mu.Unlock()
+	s.wake()
+}
+
 // Status implements Subscriber.
 func (s *subscriber) Status() Status {
 	s.mu.Lock()
--- a/subscriber/watch.go
+++ b/subscriber/watch.go
@@ -57,7 +57,10 @@
 	s.control = address
 	s.announcement.Sequence++
 	s.unconfirmed.pushes = 0
-	s.changed = changes{announcement: true, interest: true, held: true, quarantine: len(s.quarantined) > 0, endings: len(s.endings.list) > 0}
+	s.changed = changes{
+		announcement: true, interest: true, held: true, quarantine: len(s.quarantined) > 0,
+		endings: len(s.endings.list) > 0, retryUse: s.retryRepeats > 0,
+	}
 	s.endings.confirmed = nil
 	s.wake()
 }
@@ -138,6 +141,9 @@
 	if s.changed.endings {
 		r.Endings = slices.Clone(s.endings.list)
 	}
+	if s.changed.retryUse {
+		r.RetryUse = &waxwingseam.RetryUse{Repeats: s.retryRepeats, Age: time.Since(s.retryUsedAt)}
+	}
 	s.changed = changes{}
 	return r
 }
@@ -192,6 +198,11 @@
 	if len(p.Present)+len(p.Gone) > 0 || p.Complete {
 		s.updateServers(p)
 	}
+	if h := p.RetryHistory; h != nil {
+		s.config.Step(func(stamp waxwingseam.Stamp) waxwingseam.Event {
+			return waxwingseam.RetryHistoryLearned{Stamp: stamp, History: *h}
+		})
+	}
 	if now := s.clock(); !p.Unconfirmed && isRecent(p.Echo, now) {
 		s.config.Step(func(stamp waxwingseam.Stamp) waxwingseam.Event {
 			return waxwingseam.ControlHeard{Stamp: stamp, Age: time.Duration(now-p.Echo) * time.Millisecond}
