--- a/publisher/session.go
+++ b/publisher/session.go
@@ -185,16 +185,7 @@
 	if r.Interest != nil {
 		p.setInterest(s, *r.Interest)
 	}
-	if r.Announcement != nil && (s.server == "" || r.Announcement.Server.Name == s.server) {
-		s.announcement = r.Announcement
-		s.server = r.Announcement.Server.Name
-	}
-	if len(r.Endings) > 0 && s.server != "" && !s.peer {
-		p.addEndings(s.server, r.Endings, true)
-	}
-	if r.RetryUse != nil && s.announcement != nil && !s.peer {
-		p.addRetryUse(s.announcement.Server, *r.RetryUse)
-	}
+	p.receiveOfServer(s, r)
 	announcement := s.announcement
 	p.mu.Unlock()
 	if announcement == nil {
@@ -212,6 +203,23 @@
 	})
 }
 
+// receiveOfServer applies what a report says of the watcher's server and its node.
+func (p *publisher) receiveOfServer(s *session, r Report) {
+	if r.Announcement != nil && (s.server == "" || r.Announcement.Server.Name == s.server) {
+		s.announcement = r.Announcement
+		s.server = r.Announcement.Server.Name
+	}
+	if s.announcement == nil || s.peer {
+		return
+	}
+	if len(r.Endings) > 0 {
+		p.addEndings(s.server, r.Endings, true)
+	}
+	if r.RetryUse != nil {
+		p.addRetryUse(s.announcement.Server, *r.RetryUse)
+	}
+}
+
 // mismatch reports whether the watcher holds a different set than the replica
 // under the same revision.
 func (p *publisher) mismatch(s *session) bool {
