soaker: control replicas lose their disks

A soak now kills a control replica, empties its data folder and starts it again; the next fault of control waits until it votes again, since three replicas bear one loss. New finding votes-again.

--- a/soaker/deployment.go
+++ b/soaker/deployment.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -47,6 +48,10 @@
 type replica struct {
 	*process
 	operatorAddress netip.AddrPort
+	dataFolder      string
+	// laterSettings are those for a start on an empty disk after the first one, with which
+	// the replica founds no cluster.
+	laterSettings string
 }
 
 // client returns a client of the replica's operator API.
@@ -77,10 +82,14 @@
 		return nil, err
 	}
 	for n := range replicaCount {
-		r := &replica{operatorAddress: netip.AddrPortFrom(replicaIP(n), port+1)}
-		if r.process, err = newProcess(config, fmt.Sprintf("control-%d", n+1), r.settings(config.Folder, n, port)); err != nil {
+		r := &replica{
+			operatorAddress: netip.AddrPortFrom(replicaIP(n), port+1),
+			dataFolder:      filepath.Join(config.Folder, fmt.Sprintf("data-%d", n+1)),
+		}
+		if r.process, err = newProcess(config, fmt.Sprintf("control-%d", n+1), r.settings(n, port, true)); err != nil {
 			return nil, err
 		}
+		r.laterSettings = r.settings(n, port, false)
 		d.replicas = append(d.replicas, r)
 	}
 	for n := range 2 * config.ServersPerService {
--- a/soaker/settings.go
+++ b/soaker/settings.go
@@ -150,13 +150,13 @@
 `, dataCentre+1, netip.AddrPortFrom(ip, port), strings.Join(seeds, ", "), drainLimit)
 }
 
-func (r *replica) settings(folder string, n int, port uint16) string {
+func (r *replica) settings(n int, port uint16, founder bool) string {
 	return processSettings(replicaIP(n), port, n) + fmt.Sprintf(`[control]
-founder = true
+founder = %v
 tolerated-losses = 1
-data-folder = %s/data-%d
+data-folder = %s
 operator-address = %s
-`, folder, n+1, r.operatorAddress)
+`, founder, r.dataFolder, r.operatorAddress)
 }
 
 func (h *host) settings(name string, outbound netip.AddrPort, port uint16) string {
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -44,6 +44,8 @@
 	ServersPerService int
 	// MemoryMB is the memory limit of the nodes in MB; 0 for none.
 	MemoryMB int
+	// Only lists the kinds of faults that are injected; empty for all.
+	Only []Fault
 	// Unsafe declares requests that must not run twice as repeatable, to show that
 	// the at-most-once check reports requests that run twice.
 	Unsafe bool
@@ -91,7 +93,11 @@
 		PlanClients(config.Seed, config.Duration, config.ServersPerService),
 		PlanAccounts(config.Seed, config.Duration),
 		PlanBrokenAnswers(config.Seed, config.Duration, 2*config.ServersPerService),
+		PlanLostDisks(config.Seed, config.Duration),
 	)}
+	if len(config.Only) > 0 {
+		report.Steps = slices.DeleteFunc(report.Steps, func(s Step) bool { return !slices.Contains(config.Only, s.Fault) })
+	}
 	slices.SortStableFunc(report.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	// The backend servers outlive the processes, which may still answer requests.
 	serveCtx, cancel := context.WithCancel(ctx)
@@ -184,6 +190,11 @@
 	case FaultAccountSurge, FaultLimitLowered, FaultKeyRemoved:
 		s.disturbAccounts(ctx, step)
 		return ""
+	case FaultControlDiskLost:
+		if text := s.deployment.loseDisk(ctx, step); text != "" {
+			s.addFinding("votes-again", text)
+		}
+		return ""
 	}
 	return s.deployment.apply(step)
 }
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -32,6 +32,29 @@
 	}
 }
 
+// TestSoakOfControl guards against changes that are lost, and replicas that do not vote again, when
+// control replicas lose their disks in turn, between stops, kills and pauses of control.
+func TestSoakOfControl(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "waxwingseam")
+	out, err := exec.CommandContext(t.Context(), "go", "build", "-o", program, "waxwingseam.example/waxwingseam/cmd/waxwingseam").CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	lost := 0
+	for _, seed := range []uint64{3, 4, 5} {
+		report, err := Run(t.Context(), Config{
+			Program: program, Folder: t.TempDir(), Seed: seed, Duration: 12 * time.Second,
+			Only: []Fault{FaultControlDiskLost, FaultControlStop, FaultControlKill, FaultControlPause},
+		})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, report.Findings, qt.HasLen, 0, qt.Commentf("%s", report))
+		for _, s := range report.Steps {
+			if s.Fault == FaultControlDiskLost {
+				lost++
+			}
+		}
+	}
+	qt.Assert(t, lost > 0, qt.IsTrue)
+}
+
 // TestGuaranteeChecks checks that each check reports evidence that violates its
 // guarantee, and accepts similar evidence that does not.
 func TestGuaranteeChecks(t *testing.T) {
