--- a/proposer/join_test.go
+++ b/proposer/join_test.go
@@ -16,8 +16,8 @@
 	"waxwingseam.example/waxwingseam"
 )
 
-// joinAfter returns how long a replica takes to join when the replicas with the given
-// numbers of five are silent, and the others answer after a millisecond.
+// joinAfter returns whether a replica joins and how long it takes, when the seeds with the
+// given numbers are silent and the others answer after a millisecond.
 func joinAfter(t *testing.T, seeds int, silent ...int) (joined bool, after time.Duration) {
 	t.Helper()
 	config := Config{}.withDefaults()
--- a/replicator/cluster_test.go
+++ b/replicator/cluster_test.go
@@ -265,6 +265,18 @@
 		c.recordViolation("%s and %s lead in term %d", other, s.member.Storage, status.Term)
 	}
 	c.leaders[status.Term] = s.member.Storage
+	c.checkNames(s)
+}
+
+// checkNames checks that no two members of a leader's membership are of one replica.
+func (c *cluster) checkNames(leader *simReplica) {
+	known := map[waxwingseam.ReplicaID]waxwingseam.StorageID{}
+	for _, m := range leader.membership().Members {
+		if other, ok := known[m.Replica]; ok {
+			c.recordViolation("%s and %s are members of one name", other, m.Storage)
+		}
+		known[m.Replica] = m.Storage
+	}
 }
 
 func (c *cluster) checkApplied(s *simReplica, v waxwingseam.ApplyEntry) {
--- a/replicator/losses_test.go
+++ b/replicator/losses_test.go
@@ -35,6 +35,15 @@
 	startAt int
 	// removed is set once the host has been taken away.
 	removed bool
+	// former is the disk that the host lost last, with the member that it held; nil if it has
+	// lost none.
+	former *formerDisk
+}
+
+// formerDisk is a disk that was lost.
+type formerDisk struct {
+	member waxwingseam.Member
+	disk   waxwingseam.Recovery
 }
 
 // deployment is five hosts in a drawn order of losses and changes, never more lost at once than
@@ -93,6 +102,7 @@
 	d.note("%s is killed for %d ticks, disk lost: %v", h.replica.member.Storage, down, disk)
 	d.crash(h.replica)
 	if disk {
+		h.former = &formerDisk{member: h.replica.member, disk: h.replica.disk}
 		d.replaceDisk(h.replica)
 		h.replica.stopped = true
 	}
@@ -100,6 +110,19 @@
 	h.lostUntil = h.startAt + catchUpTicks
 }
 
+// find kills a host's process and starts it again with the disk that it had lost before.
+func (d *deployment) find(h *host) {
+	if h.former == nil {
+		d.lose(h, true)
+		return
+	}
+	found := h.former
+	d.lose(h, true)
+	d.note("%s is found again", found.member.Storage)
+	delete(d.lost, found.member.Storage)
+	h.replica.member, h.replica.disk = found.member, found.disk
+}
+
 // freeze stops a host for a while.
 func (d *deployment) freeze(h *host) {
 	length := 1 + d.randomInt(150)
@@ -213,6 +236,7 @@
 	}},
 	{2, 1, func(d *deployment, h *host) { d.lose(h, false) }},
 	{3, 1, (*deployment).freeze},
+	{2, 1, (*deployment).find},
 	{1, 1, func(d *deployment, _ *host) { d.replacePlanned(true) }},
 	{1, 1, func(d *deployment, _ *host) { d.replacePlanned(false) }},
 	{1, 1, (*deployment).replaceRemoved},
